--- /dev/null
+++ b/scripts/check_layers.mjs
@@ -0,0 +1,55 @@
+/** Checks that imports point downwards through the layers and that common/ is free of Node APIs. */
+import { readdirSync, readFileSync } from "node:fs";
+import { dirname, join, normalize } from "node:path";
+import process from "node:process";
+
+/** Layers from the lowest up; features of one layer may import each other only in this order. */
+const ORDER = [
+  "base",
+  "platform",
+  "membership",
+  "program",
+  "routing",
+  "call",
+  "placement",
+  "peer",
+  "entry",
+  "daemon",
+  "cli",
+];
+const IMPORT = /(?:from|import)\s*\(?\s*"([^"]+)"/g;
+
+function* walk(dir) {
+  for (const entry of readdirSync(dir, { withFileTypes: true })) {
+    const path = join(dir, entry.name);
+    if (entry.isDirectory()) yield* walk(path);
+    else if (path.endsWith(".ts")) yield path;
+  }
+}
+
+const featureOf = (path) => path.split("/")[1];
+const faults = [];
+let files = 0;
+for (const path of walk("src")) {
+  files += 1;
+  const isTest = path.endsWith("_test.ts");
+  const isCommon = path.includes("/common/");
+  for (const [, target] of readFileSync(path, "utf8").matchAll(IMPORT)) {
+    if (isCommon && !isTest && target.startsWith("node:")) {
+      faults.push(`${path}: common code imports ${target}`);
+    }
+    if (!target.startsWith(".")) continue;
+    const resolved = normalize(join(dirname(path), target));
+    if (isTest && resolved.startsWith("test/")) continue;
+    if (!resolved.startsWith("src/")) faults.push(`${path}: imports ${resolved} outside src`);
+    else if (ORDER.indexOf(featureOf(resolved)) > ORDER.indexOf(featureOf(path))) {
+      faults.push(`${path}: imports ${resolved} upwards`);
+    }
+    if (isCommon && !isTest && resolved.includes("/node/")) {
+      faults.push(`${path}: common code imports ${resolved}`);
+    }
+  }
+}
+faults.forEach((fault) => console.error(fault));
+console.log(`layers: ${files} files, ${faults.length} faults`);
+process.exit(faults.length === 0 ? 0 : 1);
--- /dev/null
+++ b/scripts/generate_schemas.ts
@@ -0,0 +1,47 @@
+/**
+ * Generates TypeScript from the JSON Schemas of the settings: the types, and
+ * the schemas themselves as constants for the validator.
+ */
+import { readFileSync, writeFileSync } from "node:fs";
+import { compile } from "json-schema-to-typescript";
+
+interface ISchemaNode {
+  properties?: Record<string, ISchemaNode>;
+  definitions?: Record<string, ISchemaNode>;
+  required?: string[];
+  default?: unknown;
+}
+
+const SCHEMAS = [
+  { file: "daemon", out: "daemon_settings", constant: "DAEMON_SCHEMA" },
+  { file: "configuration", out: "configuration", constant: "CONFIGURATION_SCHEMA" },
+  { file: "open_program", out: "open_program", constant: "OPEN_PROGRAM_SCHEMA" },
+  { file: "chat_completion", out: "chat_completion", constant: "CHAT_COMPLETION_SCHEMA" },
+];
+const OUT_DIR = "src/platform/settings/common/gen";
+
+/** Marks properties with a default as present, as they are once validation has filled them in. */
+function requireDefaulted(node: ISchemaNode): void {
+  const properties = Object.entries(node.properties ?? {});
+  const defaulted = properties.filter(([, child]) => child.default !== undefined).map(([name]) => name);
+  if (defaulted.length > 0) node.required = [...new Set([...node.required ?? [], ...defaulted])];
+  const children = [...properties, ...Object.entries(node.definitions ?? {})];
+  children.forEach(([, child]) => requireDefaulted(child));
+}
+
+async function generate({ file, out, constant }: typeof SCHEMAS[number]): Promise<void> {
+  const schema = JSON.parse(readFileSync(`schema/${file}.schema.json`, "utf8"));
+  const complete = structuredClone(schema);
+  requireDefaulted(complete);
+  const types = await compile(complete, schema.title, {
+    bannerComment: "// Generated from schema/ by scripts/generate_schemas.ts.",
+    unreachableDefinitions: false,
+  });
+  const json = JSON.stringify(schema, undefined, 2);
+  const text = `${types}\n/** JSON Schema of the settings above. */\nexport const ${constant} = ${json};\n`;
+  writeFileSync(`${OUT_DIR}/${out}.ts`, text);
+}
+
+for (const schema of SCHEMAS) {
+  await generate(schema);
+}
--- /dev/null
+++ b/src/base/common/emitter.ts
@@ -0,0 +1,25 @@
+/** Synchronous events with owned subscriptions. */
+
+/** Something that holds a resource until it is disposed of. */
+export interface IDisposable {
+  dispose(): void;
+}
+
+/** Subscribes a listener; the returned handle ends the subscription. */
+export type Event<T> = (listener: (value: T) => void) => IDisposable;
+
+/** Source of one event. */
+export class Emitter<T> {
+  readonly #listeners = new Set<(value: T) => void>();
+
+  /** The subscribing side, to be handed out. */
+  readonly event: Event<T> = (listener) => {
+    this.#listeners.add(listener);
+    return { dispose: () => this.#listeners.delete(listener) };
+  };
+
+  /** Calls all listeners in the order of their subscription. */
+  fire(value: T): void {
+    for (const listener of [...this.#listeners]) listener(value);
+  }
+}
--- /dev/null
+++ b/src/base/node/http_client.ts
@@ -0,0 +1,128 @@
+/** Requests to services and backend servers over HTTP/1.1 with pooled connections. */
+import type { ClientRequest, IncomingMessage, RequestOptions } from "node:http";
+import { Agent, request } from "node:http";
+import { Effect } from "effect";
+import VError from "verror";
+import { toError } from "../common/errors.ts";
+
+const KEEP_ALIVE_PROBE_MS = 1000;
+const MAX_SOCKETS_PER_HOST = 256;
+
+/** How far a failed request came. */
+export enum HttpProgress {
+  /** No byte of the request left this process. */
+  NotSent = "not-sent",
+  /** The request may have reached the other side. */
+  Sent = "sent",
+}
+
+export class HttpError extends VError {
+  readonly _tag = "HttpError";
+  readonly progress: HttpProgress;
+
+  constructor(progress: HttpProgress, cause: Error) {
+    super({ name: "HttpError", cause }, "request failed (%s)", progress);
+    this.progress = progress;
+  }
+}
+
+export interface IHttpRequest {
+  readonly method: string;
+  readonly url: string;
+  readonly headers?: Record<string, string>;
+  readonly body?: string | Uint8Array;
+  /**
+   * Uses a connection of its own. A pooled connection may have been lost without notice, which would
+   * leave it open whether the request ran.
+   */
+  readonly freshConnection?: boolean;
+}
+
+export interface IHttpReply {
+  readonly status: number;
+  readonly headers: IncomingMessage["headers"];
+  readonly body: Uint8Array;
+}
+
+/** Pooled HTTP client. Owns its connections until it is disposed of. */
+export class HttpClient {
+  readonly #agent = new Agent({
+    keepAlive: true,
+    keepAliveMsecs: KEEP_ALIVE_PROBE_MS,
+    maxSockets: MAX_SOCKETS_PER_HOST,
+    noDelay: true,
+  });
+
+  /** Ends all idle connections. */
+  dispose(): void {
+    this.#agent.destroy();
+  }
+
+  /** Sends a request and reads the whole reply. */
+  fetch(req: IHttpRequest): Effect.Effect<IHttpReply, HttpError> {
+    return Effect.flatMap(this.open(req), readBody);
+  }
+
+  /** Sends a request and returns once the reply's header is there. Interruption destroys the request. */
+  open(req: IHttpRequest): Effect.Effect<IncomingMessage, HttpError> {
+    return Effect.callback<IncomingMessage, HttpError>((resume) => {
+      const watch = new SendWatch();
+      const out = request(req.url, this.#options(req), (res) => resume(Effect.succeed(res)));
+      watch.attach(out);
+      out.on("error", (err) => resume(Effect.fail(new HttpError(watch.progress, err))));
+      out.end(req.body);
+      return Effect.sync(() => out.destroy());
+    });
+  }
+
+  #options(req: IHttpRequest): RequestOptions {
+    const body = req.body === undefined ? {} : { "content-length": String(byteLength(req.body)) };
+    const agent = req.freshConnection ? false : this.#agent;
+    return { method: req.method, agent, headers: { ...req.headers, ...body } };
+  }
+}
+
+/** Tells whether any byte of a request can have left: only a request without a connected socket has not. */
+class SendWatch {
+  progress = HttpProgress.NotSent;
+
+  attach(req: ClientRequest): void {
+    req.on("socket", (socket) => {
+      if (!socket.connecting) {
+        this.progress = HttpProgress.Sent;
+        return;
+      }
+      socket.once("connect", () => {
+        this.progress = HttpProgress.Sent;
+      });
+    });
+  }
+}
+
+function byteLength(body: string | Uint8Array): number {
+  return typeof body === "string" ? new TextEncoder().encode(body).length : body.length;
+}
+
+/** Reads the rest of a reply. */
+export function readBody(res: IncomingMessage): Effect.Effect<IHttpReply, HttpError> {
+  return Effect.tryPromise({
+    try: async (signal) => {
+      signal.addEventListener("abort", () => res.destroy());
+      const chunks: Uint8Array[] = [];
+      for await (const chunk of res) chunks.push(chunk);
+      return { status: res.statusCode ?? 0, headers: res.headers, body: concat(chunks) };
+    },
+    catch: (err) => new HttpError(HttpProgress.Sent, toError(err)),
+  });
+}
+
+function concat(chunks: readonly Uint8Array[]): Uint8Array {
+  const total = chunks.reduce((sum, chunk) => sum + chunk.length, 0);
+  const out = new Uint8Array(total);
+  let at = 0;
+  for (const chunk of chunks) {
+    out.set(chunk, at);
+    at += chunk.length;
+  }
+  return out;
+}
--- /dev/null
+++ b/src/call/common/budget_keeper.ts
@@ -0,0 +1,93 @@
+/** Keeps calls within the budgets of their program and its ancestors. */
+import { create } from "@bufbuild/protobuf";
+import { Clock, Effect } from "effect";
+import { CallError } from "../../base/common/errors.ts";
+import type { Grant } from "../../base/common/gen/ragwortcleat/v1/common_pb.ts";
+import { Ran, Reason } from "../../base/common/gen/ragwortcleat/v1/common_pb.ts";
+import { BudgetGrantedSchema } from "../../base/common/gen/ragwortcleat/v1/journal_pb.ts";
+import type { ICharge } from "../../program/common/budget_ledger.ts";
+import type { DurableWriter } from "../../program/common/durable_writer.ts";
+import { Durability } from "../../program/common/durable_writer.ts";
+import type { Program, ProgramStore } from "../../program/common/program_store.ts";
+
+/** Calls for which budget is granted ahead with every record. */
+const CALLS_AHEAD = 2;
+const NOT_OWNER_RETRY_MS = 100;
+
+export interface IBudgetKeeper {
+  /** Runs work with a charge reserved from the program and its ancestors. */
+  within<A>(
+    program: Program,
+    opts: { charge: ICharge; work: Effect.Effect<A, CallError> },
+  ): Effect.Effect<A, CallError>;
+  /** Stops work when the program's time is up. */
+  limitTime<A>(program: Program, work: Effect.Effect<A, CallError>): Effect.Effect<A, CallError>;
+  /** Grants for the next call, to be recorded with the present one. */
+  grantsAhead(program: Program, charge: ICharge): Grant[];
+}
+
+export class BudgetKeeper implements IBudgetKeeper {
+  readonly #programs: ProgramStore;
+  readonly #writer: DurableWriter;
+
+  constructor(programs: ProgramStore, writer: DurableWriter) {
+    this.#programs = programs;
+    this.#writer = writer;
+  }
+
+  within<A>(
+    program: Program,
+    { charge, work }: { charge: ICharge; work: Effect.Effect<A, CallError> },
+  ): Effect.Effect<A, CallError> {
+    const payers = this.#programs.chainOf(program);
+    return Effect.suspend(() => {
+      const poor = payers.find(({ ledger }) => !ledger.hasRoom(charge));
+      if (poor !== undefined) return Effect.fail(exhausted(`the budget of ${poor.id} is spent`));
+      const isGranted = payers.every(({ ledger }) => ledger.isGranted(charge));
+      for (const { ledger } of payers) ledger.reserve(charge);
+      const granted = isGranted ? Effect.void : this.#grant(program, payers);
+      // Settled amounts come with the record, so the reservation ends only after it.
+      return Effect.ensuring(Effect.andThen(granted, work), Effect.sync(() => release(payers, charge)));
+    });
+  }
+
+  limitTime<A>(program: Program, work: Effect.Effect<A, CallError>): Effect.Effect<A, CallError> {
+    return Effect.gen({ self: this }, function* () {
+      const now = yield* Clock.currentTimeMillis;
+      const limits = this.#programs.chainOf(program).flatMap(({ spec }) => {
+        const wallMs = spec.budget?.wallMs ?? 0;
+        return wallMs === 0 ? [] : [spec.openedAtMs + wallMs - now];
+      });
+      const leftMs = Math.min(...limits);
+      if (leftMs <= 0) return yield* Effect.fail(exhausted("the program's time is up"));
+      if (leftMs === Infinity) return yield* work;
+      const orElse = () => Effect.fail(exhausted("the program's time ran out during the call", Ran.UNKNOWN));
+      return yield* Effect.timeoutOrElse(work, { duration: leftMs, orElse });
+    });
+  }
+
+  grantsAhead(program: Program, charge: ICharge): Grant[] {
+    const ahead = { tokens: charge.tokens, calls: CALLS_AHEAD };
+    return this.#programs.chainOf(program).map(({ id, ledger }) => ledger.makeGrant(id, ahead));
+  }
+
+  /** Has the reserved amounts granted in the journal before they are spent. */
+  #grant(program: Program, payers: readonly Program[]): Effect.Effect<void, CallError> {
+    const grants = payers.map(({ id, ledger }) => ledger.toGrant(id));
+    const value = create(BudgetGrantedSchema, { grants });
+    const record = this.#writer.stamp(program.slice, { case: "granted", value });
+    return Effect.flatMap(this.#writer.write(record), (durability) => {
+      if (durability !== Durability.Rejected) return Effect.void;
+      const detail = "another instance owns the program";
+      return Effect.fail(new CallError(Reason.NOT_OWNER, { detail, retryAfterMs: NOT_OWNER_RETRY_MS }));
+    });
+  }
+}
+
+function release(payers: readonly Program[], charge: ICharge): void {
+  for (const { ledger } of payers) ledger.release(charge);
+}
+
+function exhausted(detail: string, ran = Ran.NOT_RUN): CallError {
+  return new CallError(Reason.BUDGET_EXHAUSTED, { ran, detail });
+}
--- /dev/null
+++ b/src/call/common/call_service.ts
@@ -0,0 +1,202 @@
+/**
+ * Runs the calls of the programs that this instance owns: in the order of their steps, within their
+ * budgets, each recorded before its caller has the whole answer.
+ */
+import { create } from "@bufbuild/protobuf";
+import type { Scope } from "effect";
+import { Effect, Exit } from "effect";
+import { CallError } from "../../base/common/errors.ts";
+import type { Turn } from "../../base/common/gen/ragwortcleat/v1/common_pb.ts";
+import { Ran, Reason, TurnStatus } from "../../base/common/gen/ragwortcleat/v1/common_pb.ts";
+import type { BusyProgram, CallRequest } from "../../base/common/gen/ragwortcleat/v1/peer_pb.ts";
+import { BusyProgramSchema } from "../../base/common/gen/ragwortcleat/v1/peer_pb.ts";
+import { sliceOf } from "../../base/common/ids.ts";
+import type { HandOver } from "../../membership/common/hand_over.ts";
+import type { Membership } from "../../membership/common/membership.ts";
+import type { IConfigurationSource } from "../../platform/configuration/common/configuration_source.ts";
+import type { BusyPrograms } from "../../program/common/busy_programs.ts";
+import type { JournalState } from "../../program/common/journal_state.ts";
+import type { Program } from "../../program/common/program_store.ts";
+import type { IBudgetKeeper } from "./budget_keeper.ts";
+import { CallRun } from "./call_run.ts";
+import type { ICallAnswer } from "./call_run.ts";
+import { requestFingerprint } from "./fingerprint.ts";
+import type { ICallRunner } from "./call_runner.ts";
+import { answerTokens } from "./turns.ts";
+import type { ITurnRecorder } from "./turn_recorder.ts";
+
+const NOT_OWNER_RETRY_MS = 100;
+
+export interface ICallServiceOptions {
+  readonly state: JournalState;
+  readonly membership: Membership;
+  readonly handOver: HandOver;
+  readonly busy: BusyPrograms;
+  readonly configuration: IConfigurationSource;
+  readonly budgets: IBudgetKeeper;
+  readonly runner: ICallRunner;
+  readonly recorder: ITurnRecorder;
+  /** Owns the running calls; they go on when their callers leave. */
+  readonly scope: Scope.Scope;
+}
+
+export class CallService {
+  readonly #opts: ICallServiceOptions;
+  readonly #running = new Map<string, CallRun>();
+
+  constructor(opts: ICallServiceOptions) {
+    this.#opts = opts;
+  }
+
+  /** Calls under way. */
+  get runningCount(): number {
+    return this.#running.size;
+  }
+
+  /** Calls under way in the given slices, for the slices' next owner. */
+  busyIn(slices: readonly number[]): BusyProgram[] {
+    const wanted = new Set(slices);
+    const runs = [...this.#running.values()].filter(({ programId }) => wanted.has(sliceOf(programId)));
+    return runs.map(({ programId, step, reservedTokens }) =>
+      create(BusyProgramSchema, { programId, step, reservedTokens })
+    );
+  }
+
+  isRunning(programId: string): boolean {
+    return this.#running.has(programId);
+  }
+
+  /** Starts a call, joins it if it is running, or replays it if it is recorded. */
+  run(req: CallRequest): Effect.Effect<CallRun, CallError> {
+    return Effect.gen({ self: this }, function* () {
+      const joined = this.#join(req);
+      if (joined !== undefined) return yield* joined;
+      yield* this.#awaitOwnership(req.programId);
+      yield* this.#opts.busy.awaitFree(req.programId);
+      const program = yield* this.#find(req);
+      const rejoined = this.#join(req);
+      if (rejoined !== undefined) return yield* rejoined;
+      const fingerprint = requestFingerprint(req);
+      if (req.step < program.nextStep) return yield* replay(program, { req, fingerprint });
+      yield* this.#checkStart(program, req);
+      const run = new CallRun({ programId: program.id, step: req.step, fingerprint });
+      this.#running.set(program.id, run);
+      yield* Effect.forkIn(this.#execute(program, { run, req }), this.#opts.scope);
+      return run;
+    });
+  }
+
+  /** The running call of the program, if the request means the same one. */
+  #join(req: CallRequest): Effect.Effect<CallRun, CallError> | undefined {
+    const run = this.#running.get(req.programId);
+    const program = this.#opts.state.programs.get(req.programId);
+    if (run === undefined || program?.spec.customer !== req.customer) return undefined;
+    if (run.step === req.step && run.fingerprint === requestFingerprint(req)) return Effect.succeed(run);
+    if (req.step < run.step) return undefined;
+    const reason = run.step === req.step ? Reason.STEP_CONFLICT : Reason.WRONG_STEP;
+    const detail = `step ${run.step} is running`;
+    return Effect.fail(new CallError(reason, { detail, expectedStep: run.step }));
+  }
+
+  #awaitOwnership(programId: string): Effect.Effect<void, CallError> {
+    return Effect.gen({ self: this }, function* () {
+      const isReady = yield* this.#opts.handOver.awaitReady(sliceOf(programId));
+      if (!isReady) yield* Effect.fail(notOwner("another instance owns the program"));
+    });
+  }
+
+  /** A customer's program; one of another customer is as unknown as one that does not exist. */
+  #find(req: CallRequest): Effect.Effect<Program, CallError> {
+    const program = this.#opts.state.programs.get(req.programId);
+    if (program?.spec.customer === req.customer) return Effect.succeed(program);
+    return Effect.fail(new CallError(Reason.UNKNOWN_PROGRAM, { detail: "there is no such program" }));
+  }
+
+  #checkStart(program: Program, req: CallRequest): Effect.Effect<void, CallError> {
+    return Effect.gen({ self: this }, function* () {
+      if (req.step > program.nextStep) {
+        const detail = `the next step is ${program.nextStep}`;
+        return yield* Effect.fail(
+          new CallError(Reason.WRONG_STEP, { detail, expectedStep: program.nextStep }),
+        );
+      }
+      if (program.hasEnded) {
+        return yield* Effect.fail(new CallError(Reason.PROGRAM_ENDED, { detail: "the program has ended" }));
+      }
+      const kind = this.#opts.configuration.current?.programKinds[program.spec.kind];
+      if (kind !== undefined && req.step > kind.maxTurns) {
+        return yield* Effect.fail(
+          new CallError(Reason.TURN_LIMIT, { detail: `the kind allows ${kind.maxTurns} calls` }),
+        );
+      }
+    });
+  }
+
+  #execute(program: Program, { run, req }: { run: CallRun; req: CallRequest }): Effect.Effect<void> {
+    return Effect.gen({ self: this }, function* () {
+      const outcome = yield* Effect.exit(this.#runWithinBudget(program, { run, req }));
+      if (Exit.isFailure(outcome)) yield* this.#opts.recorder.abandon(program);
+      this.#running.delete(program.id);
+      run.finish(outcome);
+    });
+  }
+
+  #runWithinBudget(
+    program: Program,
+    { run, req }: { run: CallRun; req: CallRequest },
+  ): Effect.Effect<ICallAnswer, CallError> {
+    const { runner, budgets, recorder } = this.#opts;
+    return Effect.gen({ self: this }, function* () {
+      const charge = yield* runner.chargeOf(program, req);
+      run.reservedTokens = charge.tokens;
+      const work = Effect.gen({ self: this }, function* () {
+        const checkLease = this.#checkLease(program);
+        const turn = yield* budgets.limitTime(program, runner.run({ program, run, req, charge, checkLease }));
+        const isReplicatedOnly = yield* recorder.record(program, {
+          turn,
+          grants: budgets.grantsAhead(program, charge),
+        });
+        yield* failUnknown(turn);
+        return { turn, isReplicatedOnly };
+      });
+      return yield* budgets.within(program, { charge, work });
+    });
+  }
+
+  /** Fails unless this instance still owns the program and may act on that. */
+  #checkLease(program: Program): Effect.Effect<void, CallError> {
+    const epoch = this.#opts.state.views.current?.epochOf(program.slice);
+    return Effect.gen({ self: this }, function* () {
+      const isSame = this.#opts.state.views.current?.epochOf(program.slice) === epoch;
+      const mayDispatch = yield* this.#opts.membership.mayDispatch();
+      if (!isSame || !mayDispatch) yield* Effect.fail(notOwner("the lease on the program has lapsed"));
+    });
+  }
+}
+
+function notOwner(detail: string): CallError {
+  return new CallError(Reason.NOT_OWNER, { detail, retryAfterMs: NOT_OWNER_RETRY_MS });
+}
+
+function failUnknown(turn: Turn): Effect.Effect<void, CallError> {
+  if (turn.status !== TurnStatus.OUTCOME_UNKNOWN) return Effect.void;
+  return Effect.fail(
+    new CallError(Reason.OUTCOME_UNKNOWN, {
+      ran: Ran.UNKNOWN,
+      detail: "the call may have run; it is not sent again",
+    }),
+  );
+}
+
+/** The recorded answer of an earlier step, if the request is the same. */
+function replay(
+  program: Program,
+  { req, fingerprint }: { req: CallRequest; fingerprint: bigint },
+): Effect.Effect<CallRun, CallError> {
+  const turn = program.turns[req.step - 1];
+  if (turn === undefined || turn.fingerprint !== fingerprint) {
+    const detail = "the step was run with a different request";
+    return Effect.fail(new CallError(Reason.STEP_CONFLICT, { detail, expectedStep: program.nextStep }));
+  }
+  return Effect.as(failUnknown(turn), CallRun.replay(turn, answerTokens(turn)));
+}
--- /dev/null
+++ b/src/call/common/model_dispatch.ts
@@ -0,0 +1,229 @@
+/** Runs a model call on an engine: choice, retries, resumption, and care with requests that crash engines. */
+import { create } from "@bufbuild/protobuf";
+import type { Scope } from "effect";
+import { Clock, Effect, Result, Semaphore } from "effect";
+import { CallError } from "../../base/common/errors.ts";
+import { Ran, Reason } from "../../base/common/gen/ragwortcleat/v1/common_pb.ts";
+import type { Message } from "../../base/common/gen/ragwortcleat/v1/peer_pb.ts";
+import { RecordSchema } from "../../base/common/gen/ragwortcleat/v1/journal_pb.ts";
+import type { IJournal } from "../../platform/journal/common/journal.ts";
+import type { IDecisionLog } from "../../platform/logging/common/decision_log.ts";
+import { DecisionKind } from "../../platform/logging/common/decision_log.ts";
+import type { StrikeTable } from "../../program/common/strike_table.ts";
+import type { BackendRegistry } from "../../routing/common/backend_registry.ts";
+import type { EngineAdmission, IAdmissionRequest } from "../../routing/common/engine_admission.ts";
+import type { IChoice } from "../../routing/common/engine_chooser.ts";
+import type { EngineState } from "../../routing/common/engine_state.ts";
+import type { IGenerateRequest, IGenerateResult } from "../../routing/common/model_engine.ts";
+import { BackendError, BackendFailure } from "../../routing/common/model_engine.ts";
+import type { IProgramOrder } from "../../routing/common/program_order.ts";
+import type { CallRun } from "./call_run.ts";
+import { promptFingerprint } from "./fingerprint.ts";
+import type { RetryBudget } from "./retry_budget.ts";
+
+const MAX_ATTEMPTS = 4;
+const MAX_RESUMES = 2;
+const RETRY_BACKOFF_MS = 20;
+const RETRY_AFTER_MS = 1000;
+
+export interface IModelJob {
+  readonly run: CallRun;
+  readonly messages: readonly Message[];
+  readonly maxTokens: number;
+  readonly admission: Omit<IAdmissionRequest, "excluded">;
+  /** Checked right before each attempt; fails when this instance must not dispatch. */
+  readonly checkLease: Effect.Effect<void, CallError>;
+}
+
+export interface IModelOutcome {
+  readonly result: IGenerateResult;
+  readonly engineId: string;
+}
+
+export interface IModelDispatchOptions {
+  readonly registry: BackendRegistry;
+  readonly admission: EngineAdmission;
+  readonly order: IProgramOrder;
+  readonly retries: RetryBudget;
+  readonly strikes: StrikeTable;
+  readonly journal: IJournal;
+  readonly decisions: IDecisionLog;
+  readonly presetName: () => string;
+  readonly scope: Scope.Scope;
+}
+
+export class ModelDispatch {
+  readonly #opts: IModelDispatchOptions;
+  /** Requests under suspicion run one at a time, so that each is judged for itself. */
+  readonly #suspects = Semaphore.makeUnsafe(1);
+  #lastAttempt = 0;
+
+  constructor(opts: IModelDispatchOptions) {
+    this.#opts = opts;
+  }
+
+  dispatch(job: IModelJob): Effect.Effect<IModelOutcome, CallError> {
+    return Effect.gen({ self: this }, function* () {
+      this.#opts.retries.noteFirstAttempt();
+      const excluded = new Set<string>();
+      const fingerprint = promptFingerprint(job.admission.model, job.messages);
+      for (let attempt = 1;; attempt++) {
+        yield* this.#checkQuarantine(job, fingerprint);
+        const wasSuspect = this.#opts.strikes.isSuspect(fingerprint);
+        const once = Effect.result(this.#attempt(job, { excluded, fingerprint }));
+        const outcome = yield* wasSuspect ? this.#suspects.withPermits(1)(once) : once;
+        if (Result.isSuccess(outcome)) {
+          if (wasSuspect) this.#clear(fingerprint);
+          return outcome.success;
+        }
+        if (outcome.failure instanceof CallError) return yield* Effect.fail(outcome.failure);
+        yield* this.#checkRetry(outcome.failure, attempt);
+        this.#logRetry(job, outcome.failure);
+        job.run.restart();
+        yield* Effect.sleep(RETRY_BACKOFF_MS * attempt);
+      }
+    });
+  }
+
+  #checkQuarantine(job: IModelJob, fingerprint: bigint): Effect.Effect<void, CallError> {
+    if (!this.#opts.strikes.isQuarantined(fingerprint)) return Effect.void;
+    this.#log(job, { kind: DecisionKind.Quarantine, choice: "", reason: "engines crashed while running it" });
+    const detail = "backend servers crashed while they ran this request";
+    return Effect.fail(new CallError(Reason.QUARANTINED, { ran: Ran.UNKNOWN, detail }));
+  }
+
+  /** Fails if the call may not be tried again. */
+  #checkRetry(err: BackendError, attempt: number): Effect.Effect<void, CallError> {
+    const isFinal = err.failure === BackendFailure.Rejected || attempt >= MAX_ATTEMPTS;
+    if (!isFinal && this.#opts.retries.tryTake()) return Effect.void;
+    const ran = err.isNotRun || err.failure === BackendFailure.Rejected ? Ran.NOT_RUN : Ran.UNKNOWN;
+    const retryAfterMs = err.failure === BackendFailure.Rejected ? 0 : RETRY_AFTER_MS;
+    return Effect.fail(
+      new CallError(Reason.BACKEND_FAILED, { ran, retryAfterMs, detail: err.message, cause: err }),
+    );
+  }
+
+  #attempt(
+    job: IModelJob,
+    opts: { excluded: Set<string>; fingerprint: bigint },
+  ): Effect.Effect<IModelOutcome, CallError | BackendError> {
+    return Effect.gen({ self: this }, function* () {
+      const choice = yield* this.#enter(job, opts.excluded);
+      const { engine } = choice;
+      const startedAt = yield* Clock.currentTimeMillis;
+      let durationMs: number | undefined;
+      const bootId = engine.report?.bootId ?? "";
+      const body = Effect.gen({ self: this }, function* () {
+        yield* job.checkLease;
+        const result = yield* this.#generate(job, engine);
+        durationMs = (yield* Clock.currentTimeMillis) - startedAt;
+        const { promptTokens, generatedTokens } = result.usage;
+        engine.cache.noteRun(job.admission.programId, promptTokens + generatedTokens);
+        return { result, engineId: engine.id };
+      });
+      const guarded = Effect.tapError(
+        body,
+        (err) =>
+          err instanceof BackendError ? this.#onFailure(err, { engine, bootId, ...opts }) : Effect.void,
+      );
+      return yield* Effect.ensuring(
+        guarded,
+        Effect.sync(() => this.#opts.admission.leave(engine, durationMs)),
+      );
+    });
+  }
+
+  #enter(job: IModelJob, excluded: ReadonlySet<string>): Effect.Effect<IChoice, CallError> {
+    return this.#opts.admission.enter({ ...job.admission, excluded }).pipe(
+      Effect.tap(({ engine, reason, candidates }) =>
+        Effect.sync(() =>
+          this.#log(job, { kind: DecisionKind.Engine, choice: engine.id, reason, candidates })
+        )
+      ),
+      Effect.tapError((err) =>
+        Effect.sync(() => this.#log(job, { kind: DecisionKind.Refusal, choice: "", reason: err.message }))
+      ),
+    );
+  }
+
+  /** One attempt on one engine. A broken stream is resumed after the last token, on a new connection. */
+  #generate(job: IModelJob, engine: EngineState): Effect.Effect<IGenerateResult, BackendError> {
+    return Effect.gen({ self: this }, function* () {
+      this.#lastAttempt += 1;
+      const now = yield* Clock.currentTimeMillis;
+      const req: IGenerateRequest = {
+        attemptId: `${job.admission.programId}-${job.run.step}-${this.#lastAttempt}-${now}`,
+        programId: job.admission.programId,
+        model: job.admission.model,
+        messages: job.messages,
+        maxTokens: job.maxTokens,
+        priority: this.#opts.order.priority(job.admission, now),
+      };
+      let lastEventId: number | undefined;
+      for (let resume = 0;; resume++) {
+        const attempt = engine.client.generate({ ...req, lastEventId }, ({ eventId, text }) => {
+          // An engine may send an event again after a resume.
+          if (lastEventId !== undefined && eventId <= lastEventId) return;
+          lastEventId = eventId;
+          job.run.addToken(text);
+        });
+        const outcome = yield* Effect.result(attempt);
+        if (Result.isSuccess(outcome)) return outcome.success;
+        const { failure } = outcome.failure;
+        const isCut = failure === BackendFailure.Broken || failure === BackendFailure.Silent;
+        if (isCut && lastEventId !== undefined && resume < MAX_RESUMES) continue;
+        if (isCut) yield* Effect.forkIn(Effect.ignore(engine.client.cancel(req.attemptId)), this.#opts.scope);
+        return yield* Effect.fail(outcome.failure);
+      }
+    });
+  }
+
+  /** Avoids the engine for this call, and finds out whether it crashed under it. */
+  #onFailure(
+    err: BackendError,
+    at: { engine: EngineState; bootId: string; excluded: Set<string>; fingerprint: bigint },
+  ): Effect.Effect<void> {
+    return Effect.gen({ self: this }, function* () {
+      if (err.failure === BackendFailure.Rejected) return;
+      at.excluded.add(at.engine.id);
+      if (err.failure === BackendFailure.Refused) return;
+      const report = yield* Effect.result(at.engine.client.report());
+      const hasCrashed = Result.isFailure(report)
+        ? report.failure.failure === BackendFailure.NotSent
+        : report.success.bootId !== at.bootId;
+      if (!hasCrashed) return;
+      this.#opts.registry.suspect(at.engine);
+      if (err.isNotRun) return;
+      this.#strike(at.fingerprint, {
+        backendId: at.engine.id,
+        bootId: at.bootId,
+        atMs: yield* Clock.currentTimeMillis,
+      });
+    });
+  }
+
+  #strike(fingerprint: bigint, crash: { backendId: string; bootId: string; atMs: number }): void {
+    const value = { $typeName: "ragwortcleat.v1.StrikeRecorded" as const, fingerprint, ...crash };
+    this.#opts.strikes.add(value);
+    this.#opts.journal.append(create(RecordSchema, { body: { case: "strike", value } }));
+  }
+
+  #clear(fingerprint: bigint): void {
+    this.#opts.strikes.clear(fingerprint);
+    const value = { $typeName: "ragwortcleat.v1.StrikesCleared" as const, fingerprint };
+    this.#opts.journal.append(create(RecordSchema, { body: { case: "strikesCleared", value } }));
+  }
+
+  #logRetry(job: IModelJob, err: BackendError): void {
+    this.#log(job, { kind: DecisionKind.Retry, choice: "", reason: err.message });
+  }
+
+  #log(
+    job: IModelJob,
+    decision: { kind: DecisionKind; choice: string; reason: string; candidates?: readonly object[] },
+  ): void {
+    const { programId } = job.admission;
+    const preset = this.#opts.presetName();
+    this.#opts.decisions.write({ programId, step: job.run.step, preset, candidates: [], ...decision });
+  }
+}
--- /dev/null
+++ b/src/call/common/service_dispatch.ts
@@ -0,0 +1,257 @@
+/** Runs calls of plain services: repeatable ones with retries, the others at most once. */
+import { create } from "@bufbuild/protobuf";
+import { Clock, Effect, Result } from "effect";
+import { CallError } from "../../base/common/errors.ts";
+import type { Turn } from "../../base/common/gen/ragwortcleat/v1/common_pb.ts";
+import { Ran, Reason } from "../../base/common/gen/ragwortcleat/v1/common_pb.ts";
+import type { Record } from "../../base/common/gen/ragwortcleat/v1/journal_pb.ts";
+import {
+  IntentCancelledSchema,
+  IntentRecordedSchema,
+  KeyState,
+} from "../../base/common/gen/ragwortcleat/v1/journal_pb.ts";
+import type { ServiceCall } from "../../base/common/gen/ragwortcleat/v1/peer_pb.ts";
+import type { IDecisionLog } from "../../platform/logging/common/decision_log.ts";
+import { DecisionKind } from "../../platform/logging/common/decision_log.ts";
+import type { Operation } from "../../platform/settings/common/gen/configuration.ts";
+import type { DurableWriter } from "../../program/common/durable_writer.ts";
+import type { IKeyEntry } from "../../program/common/key_table.ts";
+import type { JournalState } from "../../program/common/journal_state.ts";
+import type { Program } from "../../program/common/program_store.ts";
+import type { BackendRegistry, IServiceState } from "../../routing/common/backend_registry.ts";
+import { BackendError, BackendFailure } from "../../routing/common/model_engine.ts";
+import type { IServiceReply, IServiceRequest } from "../../routing/common/service_backend.ts";
+import type { RetryBudget } from "./retry_budget.ts";
+
+const MAX_ATTEMPTS = 4;
+const RETRY_BACKOFF_MS = 20;
+const RETRY_AFTER_MS = 1000;
+const SERVER_ERROR = 500;
+
+export interface IServiceJob {
+  readonly program: Program;
+  readonly step: number;
+  readonly fingerprint: bigint;
+  readonly call: ServiceCall;
+  readonly operation: Operation;
+  readonly checkLease: Effect.Effect<void, CallError>;
+}
+
+/** How a service call ended. */
+export type ServiceOutcome =
+  | { readonly kind: ServiceOutcomeKind.Reply; readonly reply: IServiceReply; readonly backendId: string }
+  | { readonly kind: ServiceOutcomeKind.Recorded; readonly turn: Turn }
+  | { readonly kind: ServiceOutcomeKind.Unknown; readonly detail: string };
+
+export enum ServiceOutcomeKind {
+  Reply = "reply",
+  /** The key's call ran before; this is its recorded turn. */
+  Recorded = "recorded",
+  /** The call may have run; it is not sent again. */
+  Unknown = "unknown",
+}
+
+export interface IServiceDispatchOptions {
+  readonly registry: BackendRegistry;
+  readonly state: JournalState;
+  readonly writer: DurableWriter;
+  readonly retries: RetryBudget;
+  readonly decisions: IDecisionLog;
+  readonly presetName: () => string;
+}
+
+export class ServiceDispatch {
+  readonly #opts: IServiceDispatchOptions;
+
+  constructor(opts: IServiceDispatchOptions) {
+    this.#opts = opts;
+  }
+
+  dispatch(job: IServiceJob): Effect.Effect<ServiceOutcome, CallError> {
+    return job.operation.repeatable ? this.#repeatable(job) : this.#once(job);
+  }
+
+  /** Key under which a call that may not be repeated is recorded: the customer's own, or program and step. */
+  static keyOf({ program, step, call }: Pick<IServiceJob, "program" | "step" | "call">): string {
+    const own = call.idempotencyKey === "" ? `${program.id}#${step}` : call.idempotencyKey;
+    return `${program.spec.customer}/${call.service}/${call.operation}/${own}`;
+  }
+
+  #repeatable(job: IServiceJob): Effect.Effect<ServiceOutcome, CallError> {
+    return Effect.gen({ self: this }, function* () {
+      this.#opts.retries.noteFirstAttempt();
+      const excluded = new Set<string>();
+      for (let attempt = 1;; attempt++) {
+        yield* job.checkLease;
+        const outcome = yield* Effect.result(this.#attempt(job, { excluded, key: "" }));
+        if (Result.isSuccess(outcome)) return outcome.success;
+        const err = outcome.failure;
+        if (err instanceof CallError) return yield* Effect.fail(err);
+        if (attempt >= MAX_ATTEMPTS || !this.#opts.retries.tryTake()) return yield* Effect.fail(givenUp(err));
+        this.#log(job, { kind: DecisionKind.Retry, choice: "", reason: err.message });
+        yield* Effect.sleep(RETRY_BACKOFF_MS * attempt);
+      }
+    });
+  }
+
+  /**
+   * A call that may not be repeated: its intent must be the first in the journal for its key before it is
+   * sent, and once a byte may have left it is never sent again.
+   */
+  #once(job: IServiceJob): Effect.Effect<ServiceOutcome, CallError> {
+    return Effect.gen({ self: this }, function* () {
+      const key = ServiceDispatch.keyOf(job);
+      const known = this.#opts.state.keys.get(key);
+      if (known !== undefined) return yield* this.#fromEntry(job, known);
+      const cancel = this.#cancelRecord(job, key);
+      const claimed = yield* this.#opts.writer.writeToJournal(yield* this.#intentRecord(job, key), cancel);
+      if (!claimed) return yield* this.#fromRival(job, key);
+      const sent = yield* Effect.result(Effect.andThen(job.checkLease, this.#sendOnce(job, key)));
+      if (Result.isSuccess(sent)) return sent.success;
+      // Nothing was sent, so the key is free for the caller's next try.
+      this.#opts.writer.writeLater(cancel);
+      return yield* Effect.fail(sent.failure);
+    });
+  }
+
+  /** Tries backend servers until one has the request; fails only while none has. */
+  #sendOnce(job: IServiceJob, key: string): Effect.Effect<ServiceOutcome, CallError> {
+    return Effect.gen({ self: this }, function* () {
+      const excluded = new Set<string>();
+      for (let attempt = 1;; attempt++) {
+        const outcome = yield* Effect.result(this.#attempt(job, { excluded, key }));
+        if (Result.isSuccess(outcome)) return outcome.success;
+        const err = outcome.failure;
+        if (err instanceof CallError) return yield* Effect.fail(err);
+        if (!err.isNotRun) return { kind: ServiceOutcomeKind.Unknown, detail: err.message };
+        if (attempt >= MAX_ATTEMPTS) return yield* Effect.fail(givenUp(err));
+        this.#log(job, { kind: DecisionKind.Retry, choice: "", reason: err.message });
+      }
+    });
+  }
+
+  #attempt(
+    job: IServiceJob,
+    opts: { excluded: Set<string>; key: string },
+  ): Effect.Effect<ServiceOutcome, CallError | BackendError> {
+    return Effect.gen({ self: this }, function* () {
+      const backend = yield* this.#choose(job, opts.excluded);
+      backend.inFlight += 1;
+      const req: IServiceRequest = {
+        service: job.call.service,
+        operation: job.call.operation,
+        body: job.call.body,
+        idempotencyKey: opts.key,
+        isRepeatable: job.operation.repeatable,
+      };
+      const sent = this.#send(backend, { req, timeoutMs: job.operation.timeoutMs });
+      const reply = yield* Effect.ensuring(
+        sent,
+        Effect.sync(() => {
+          backend.inFlight -= 1;
+        }),
+      ).pipe(Effect.tapError(() => {
+        opts.excluded.add(backend.id);
+        return this.#opts.registry.penalize(backend);
+      }));
+      return { kind: ServiceOutcomeKind.Reply, reply, backendId: backend.id };
+    });
+  }
+
+  #send(
+    backend: IServiceState,
+    { req, timeoutMs }: { req: IServiceRequest; timeoutMs: number },
+  ): Effect.Effect<IServiceReply, BackendError> {
+    const reply = Effect.timeoutOrElse(backend.client.run(req), {
+      duration: timeoutMs,
+      orElse: () =>
+        Effect.fail(new BackendError(BackendFailure.Silent, { detail: `no answer from ${backend.id}` })),
+    });
+    return Effect.flatMap(reply, (answer) => {
+      const isFailure = answer.status >= SERVER_ERROR;
+      if (!isFailure) return Effect.succeed(answer);
+      // A server error does not tell whether the operation took effect.
+      const detail = `${backend.id} answered ${answer.status}`;
+      return Effect.fail(new BackendError(BackendFailure.Broken, { detail }));
+    });
+  }
+
+  #choose(job: IServiceJob, excluded: ReadonlySet<string>): Effect.Effect<IServiceState, CallError> {
+    return Effect.gen({ self: this }, function* () {
+      const { service } = job.call;
+      const backend = yield* this.#opts.registry.chooseService(service, excluded);
+      if (backend === undefined) {
+        const detail = `no backend server offers ${service} now`;
+        this.#log(job, { kind: DecisionKind.Refusal, choice: "", reason: detail });
+        return yield* Effect.fail(new CallError(Reason.NO_BACKEND, { retryAfterMs: RETRY_AFTER_MS, detail }));
+      }
+      const candidates = this.#opts.registry.services.filter((state) => state.service === service);
+      const scores = candidates.map(({ id, inFlight, condition }) => ({ id, inFlight, condition }));
+      const reason = "least in flight";
+      this.#log(job, { kind: DecisionKind.Service, choice: backend.id, reason, candidates: scores });
+      return backend;
+    });
+  }
+
+  /** The journal took another intent for the key, or this instance no longer owns the program. */
+  #fromRival(job: IServiceJob, key: string): Effect.Effect<ServiceOutcome, CallError> {
+    const rival = this.#opts.state.keys.get(key);
+    if (rival !== undefined) return this.#fromEntry(job, rival);
+    return Effect.fail(new CallError(Reason.NOT_OWNER, { detail: "the program has another owner" }));
+  }
+
+  #fromEntry(job: IServiceJob, entry: IKeyEntry): Effect.Effect<ServiceOutcome, CallError> {
+    const isOwnStep = entry.programId === job.program.id && entry.step === job.step;
+    if (!isOwnStep && entry.fingerprint !== job.fingerprint) {
+      const detail = "the idempotency key belongs to a different request";
+      return Effect.fail(new CallError(Reason.KEY_CONFLICT, { detail }));
+    }
+    if (entry.state === KeyState.DONE && entry.turn !== undefined) {
+      return Effect.succeed({ kind: ServiceOutcomeKind.Recorded, turn: entry.turn });
+    }
+    const detail = "an earlier attempt was started and its outcome was not recorded";
+    if (isOwnStep) return Effect.succeed({ kind: ServiceOutcomeKind.Unknown, detail });
+    const opts = {
+      ran: Ran.UNKNOWN,
+      retryAfterMs: RETRY_AFTER_MS,
+      detail: "the key's first request is under way",
+    };
+    return Effect.fail(new CallError(Reason.OUTCOME_UNKNOWN, opts));
+  }
+
+  #intentRecord({ program, step, fingerprint }: IServiceJob, key: string): Effect.Effect<Record> {
+    return Effect.map(Clock.currentTimeMillis, (atMs) => {
+      const value = create(IntentRecordedSchema, { programId: program.id, step, key, fingerprint, atMs });
+      return this.#opts.writer.stamp(program.slice, { case: "intent", value });
+    });
+  }
+
+  #cancelRecord({ program, step }: IServiceJob, key: string): Record {
+    const value = create(IntentCancelledSchema, { programId: program.id, step, key });
+    return this.#opts.writer.stamp(program.slice, { case: "intentCancelled", value });
+  }
+
+  #log(
+    job: IServiceJob,
+    decision: { kind: DecisionKind; choice: string; reason: string; candidates?: readonly object[] },
+  ): void {
+    const preset = this.#opts.presetName();
+    this.#opts.decisions.write({
+      programId: job.program.id,
+      step: job.step,
+      preset,
+      candidates: [],
+      ...decision,
+    });
+  }
+}
+
+function givenUp(err: BackendError): CallError {
+  const ran = err.isNotRun ? Ran.NOT_RUN : Ran.UNKNOWN;
+  return new CallError(Reason.BACKEND_FAILED, {
+    ran,
+    retryAfterMs: RETRY_AFTER_MS,
+    detail: err.message,
+    cause: err,
+  });
+}
--- /dev/null
+++ b/src/call/common/turn_recorder.ts
@@ -0,0 +1,128 @@
+/** Records turns: as the owner, or through the new owner when the program has moved during the call. */
+import { create, equals } from "@bufbuild/protobuf";
+import { Clock, Effect } from "effect";
+import { CallError } from "../../base/common/errors.ts";
+import type { Grant, Turn } from "../../base/common/gen/ragwortcleat/v1/common_pb.ts";
+import { Ran, Reason, TurnSchema } from "../../base/common/gen/ragwortcleat/v1/common_pb.ts";
+import type { Member, TurnCompleted } from "../../base/common/gen/ragwortcleat/v1/journal_pb.ts";
+import { TurnCompletedSchema } from "../../base/common/gen/ragwortcleat/v1/journal_pb.ts";
+import type { PeerClients } from "../../membership/common/peer_client.ts";
+import { isSameRun } from "../../membership/common/view.ts";
+import type { BusyPrograms } from "../../program/common/busy_programs.ts";
+import type { DurableWriter } from "../../program/common/durable_writer.ts";
+import { Durability } from "../../program/common/durable_writer.ts";
+import type { JournalState } from "../../program/common/journal_state.ts";
+import type { Program } from "../../program/common/program_store.ts";
+
+const ADOPT_TIMEOUT_MS = 2000;
+const ADOPT_RETRY_MS = 50;
+const ADOPT_PATIENCE_MS = 10_000;
+const RETRY_AFTER_MS = 1000;
+
+export interface ITurnRecorder {
+  /** Makes a turn durable. Returns whether only copies hold it so far. */
+  record(program: Program, opts: { turn: Turn; grants: Grant[] }): Effect.Effect<boolean, CallError>;
+  /** Tells the program's new owner, if it moved, that its call ended without a record. */
+  abandon(program: Program): Effect.Effect<void>;
+  /** Records a turn for an earlier owner. Returns whether it took effect. */
+  adopt(slice: number, opts: { turn: TurnCompleted | undefined; abandoned: boolean }): Effect.Effect<boolean>;
+}
+
+export interface ITurnRecorderOptions {
+  readonly self: Member;
+  readonly state: JournalState;
+  readonly writer: DurableWriter;
+  readonly busy: BusyPrograms;
+  readonly peers: PeerClients;
+}
+
+export class TurnRecorder implements ITurnRecorder {
+  readonly #opts: ITurnRecorderOptions;
+
+  constructor(opts: ITurnRecorderOptions) {
+    this.#opts = opts;
+  }
+
+  record(
+    program: Program,
+    { turn, grants }: { turn: Turn; grants: Grant[] },
+  ): Effect.Effect<boolean, CallError> {
+    return Effect.gen({ self: this }, function* () {
+      const value = create(TurnCompletedSchema, { programId: program.id, turn, grants });
+      const startedAt = yield* Clock.currentTimeMillis;
+      while (true) {
+        if (this.#isOwn(program.slice)) {
+          const durability = yield* this.#write(program.slice, value);
+          if (durability !== Durability.Rejected) return durability === Durability.Copies;
+          if (this.#isRecorded(value)) return false;
+          if (this.#isOwn(program.slice)) return yield* Effect.fail(lost());
+        }
+        const accepted = yield* this.#sendToOwner(program.slice, { turn: value, abandoned: false });
+        if (accepted === true) return false;
+        if (accepted === false) return yield* Effect.fail(lost());
+        if ((yield* Clock.currentTimeMillis) - startedAt > ADOPT_PATIENCE_MS) {
+          return yield* Effect.fail(lost());
+        }
+        yield* Effect.sleep(ADOPT_RETRY_MS);
+      }
+    });
+  }
+
+  abandon(program: Program): Effect.Effect<void> {
+    return Effect.suspend(() => {
+      if (this.#isOwn(program.slice)) return Effect.void;
+      const turn = create(TurnCompletedSchema, { programId: program.id });
+      return Effect.asVoid(this.#sendToOwner(program.slice, { turn, abandoned: true }));
+    });
+  }
+
+  adopt(
+    slice: number,
+    { turn, abandoned }: { turn: TurnCompleted | undefined; abandoned: boolean },
+  ): Effect.Effect<boolean> {
+    return Effect.gen({ self: this }, function* () {
+      if (turn === undefined || !this.#isOwn(slice)) return false;
+      const write = abandoned ? Effect.succeed(Durability.Journal) : this.#write(slice, turn);
+      const durability = yield* Effect.catch(write, () => Effect.succeed(Durability.Rejected));
+      this.#opts.busy.finish(turn.programId);
+      return durability !== Durability.Rejected || this.#isRecorded(turn);
+    });
+  }
+
+  /** Whether the journal has the very turn already, from an earlier try or a held copy. */
+  #isRecorded({ programId, turn }: TurnCompleted): boolean {
+    if (turn === undefined) return false;
+    const recorded = this.#opts.state.programs.get(programId)?.turns[turn.step - 1];
+    return recorded !== undefined && equals(TurnSchema, recorded, turn);
+  }
+
+  #isOwn(slice: number): boolean {
+    return isSameRun(this.#opts.state.views.current?.ownerOf(slice), this.#opts.self);
+  }
+
+  #write(slice: number, value: TurnCompleted): Effect.Effect<Durability, CallError> {
+    return this.#opts.writer.write(this.#opts.writer.stamp(slice, { case: "turn", value }));
+  }
+
+  /** Returns undefined when the owner gave no answer. */
+  #sendToOwner(
+    slice: number,
+    req: { turn: TurnCompleted; abandoned: boolean },
+  ): Effect.Effect<boolean | undefined> {
+    const owner = this.#opts.state.views.current?.ownerOf(slice);
+    if (owner === undefined || isSameRun(owner, this.#opts.self)) return Effect.succeed(undefined);
+    const call = this.#opts.peers.call(owner.peerAddress, {
+      timeoutMs: ADOPT_TIMEOUT_MS,
+      invoke: (client, signal) => client.adoptTurn({ slice, ...req }, { signal }),
+    });
+    return call.pipe(Effect.map(({ accepted }) => accepted), Effect.catch(() => Effect.succeed(undefined)));
+  }
+}
+
+function lost(): CallError {
+  return new CallError(Reason.OWNER_UNAVAILABLE, {
+    ran: Ran.RAN,
+    retryAfterMs: RETRY_AFTER_MS,
+    detail: "the program moved during the call and the record was not taken over",
+  });
+}
--- /dev/null
+++ b/src/call/common/turns.ts
@@ -0,0 +1,79 @@
+/** Contents of turns: messages, answers and the history that an engine is given. */
+import { create } from "@bufbuild/protobuf";
+import { Effect } from "effect";
+import { CallError } from "../../base/common/errors.ts";
+import type { Turn } from "../../base/common/gen/ragwortcleat/v1/common_pb.ts";
+import { CallKind, Reason } from "../../base/common/gen/ragwortcleat/v1/common_pb.ts";
+import type { Message, ModelCall } from "../../base/common/gen/ragwortcleat/v1/peer_pb.ts";
+import { MessageSchema } from "../../base/common/gen/ragwortcleat/v1/peer_pb.ts";
+import type { Program } from "../../program/common/program_store.ts";
+
+const CHARS_PER_TOKEN = 4;
+const TOKENS_PER_MESSAGE = 4;
+
+const encoder = new TextEncoder();
+const decoder = new TextDecoder();
+
+/** The recorded answer of a model call. */
+export interface IModelAnswer {
+  readonly content: string;
+  readonly promptTokens: number;
+  readonly cachedTokens: number;
+  readonly generatedTokens: number;
+}
+
+export function encodeMessages(messages: readonly Message[]): Uint8Array {
+  return encoder.encode(JSON.stringify(messages.map(({ role, content }) => ({ role, content }))));
+}
+
+export function decodeMessages(bytes: Uint8Array): Message[] {
+  const parsed = JSON.parse(decoder.decode(bytes)) as { role: string; content: string }[];
+  return parsed.map((message) => create(MessageSchema, message));
+}
+
+export function encodeAnswer(answer: IModelAnswer): Uint8Array {
+  return encoder.encode(JSON.stringify(answer));
+}
+
+export function decodeAnswer(bytes: Uint8Array): IModelAnswer {
+  return JSON.parse(decoder.decode(bytes)) as IModelAnswer;
+}
+
+/** The conversation so far: the messages and answers of the model calls. */
+export function historyOf(program: Program): Message[] {
+  return program.turns.filter(({ kind }) => kind === CallKind.MODEL).flatMap((turn) => [
+    ...decodeMessages(turn.request),
+    create(MessageSchema, { role: "assistant", content: decodeAnswer(turn.answer).content }),
+  ]);
+}
+
+/** Tokens of a recorded model answer, as one piece; empty for other calls. */
+export function answerTokens(turn: Turn): string[] {
+  return turn.kind === CallKind.MODEL ? [decodeAnswer(turn.answer).content] : [];
+}
+
+/** Rough count of the tokens of messages, for the choice of an engine. */
+export function estimateTokens(messages: readonly Message[]): number {
+  const lengths = messages.map(({ content }) =>
+    Math.ceil(content.length / CHARS_PER_TOKEN) + TOKENS_PER_MESSAGE
+  );
+  return lengths.reduce((sum, length) => sum + length, 0);
+}
+
+/**
+ * The messages that a call adds to the history. A call with the whole conversation must repeat the
+ * recorded history exactly.
+ */
+export function newMessages(program: Program, call: ModelCall): Effect.Effect<Message[], CallError> {
+  if (!call.fullHistory) return Effect.succeed(call.messages);
+  const history = historyOf(program);
+  const isPrefix = history.every((message, index) => isSame(message, call.messages[index]));
+  const added = call.messages.slice(history.length);
+  if (isPrefix && added.length > 0) return Effect.succeed(added);
+  const detail = "the messages do not continue the program's recorded history";
+  return Effect.fail(new CallError(Reason.HISTORY_CONFLICT, { detail, expectedStep: program.nextStep }));
+}
+
+function isSame(a: Message, b: Message | undefined): boolean {
+  return b !== undefined && a.role === b.role && a.content === b.content;
+}
--- /dev/null
+++ b/src/daemon/common/core.ts
@@ -0,0 +1,304 @@
+/** Puts the parts of one instance together over its interfaces to the outside. */
+import { randomIncarnation } from "./incarnation.ts";
+import { create } from "@bufbuild/protobuf";
+import type { ServiceImpl } from "@connectrpc/connect";
+import type { Scope } from "effect";
+import { Clock, Effect } from "effect";
+import type { Member } from "../../base/common/gen/ragwortcleat/v1/journal_pb.ts";
+import { MemberSchema, MemberState } from "../../base/common/gen/ragwortcleat/v1/journal_pb.ts";
+import type { PeerService } from "../../base/common/gen/ragwortcleat/v1/peer_pb.ts";
+import { BudgetKeeper } from "../../call/common/budget_keeper.ts";
+import { CallRunner } from "../../call/common/call_runner.ts";
+import { CallService } from "../../call/common/call_service.ts";
+import { ModelDispatch } from "../../call/common/model_dispatch.ts";
+import { RetryBudget } from "../../call/common/retry_budget.ts";
+import { ServiceDispatch } from "../../call/common/service_dispatch.ts";
+import { TurnRecorder } from "../../call/common/turn_recorder.ts";
+import { OwnerRouter } from "../../entry/common/owner_router.ts";
+import { HandOver } from "../../membership/common/hand_over.ts";
+import { Membership } from "../../membership/common/membership.ts";
+import type { IPeerTransports } from "../../membership/common/peer_client.ts";
+import { PeerClients } from "../../membership/common/peer_client.ts";
+import { RelayedLogService } from "../../membership/common/relayed_log_service.ts";
+import { ViewTable } from "../../membership/common/view.ts";
+import { makePeerService } from "../../peer/common/peer_service.ts";
+import { ConfigurationStore } from "../../platform/configuration/common/configuration_store.ts";
+import type { IInstanceList } from "../../platform/instances/common/instance_list.ts";
+import { Journal } from "../../platform/journal/common/journal.ts";
+import type { ILogService } from "../../platform/log/common/log_service.ts";
+import { DecisionLog } from "../../platform/logging/common/decision_log.ts";
+import type { ILogger } from "../../platform/logging/common/logger.ts";
+import { Metrics } from "../../platform/metrics/common/metrics.ts";
+import type { DaemonSettings } from "../../platform/settings/common/gen/daemon_settings.ts";
+import { BusyPrograms } from "../../program/common/busy_programs.ts";
+import { Checkpoints } from "../../program/common/checkpoints.ts";
+import { DurableWriter } from "../../program/common/durable_writer.ts";
+import { HeldCopies } from "../../program/common/held_copies.ts";
+import { IdleReaper } from "../../program/common/idle_reaper.ts";
+import { JournalState } from "../../program/common/journal_state.ts";
+import { ProgramService } from "../../program/common/program_service.ts";
+import { SliceRecovery } from "../../program/common/slice_recovery.ts";
+import { BackendRegistry } from "../../routing/common/backend_registry.ts";
+import { EngineAdmission } from "../../routing/common/engine_admission.ts";
+import { ExpectedFinishChooser } from "../../routing/common/engine_chooser.ts";
+import { KvReconciler } from "../../routing/common/kv_reconciler.ts";
+import type { MakeEngine } from "../../routing/common/model_engine.ts";
+import { ClassDeadlineOrder } from "../../routing/common/program_order.ts";
+import type { MakeServiceBackend } from "../../routing/common/service_backend.ts";
+
+const MS_PER_SECOND = 1000;
+
+/** The outside, as an instance reaches it. */
+export interface IOutside {
+  readonly log: ILogService;
+  readonly instances: IInstanceList;
+  readonly transports: IPeerTransports;
+  readonly makeEngine: MakeEngine;
+  readonly makeService: MakeServiceBackend;
+  readonly logger: ILogger;
+}
+
+/** Addresses under which others reach an instance. */
+export interface IAddresses {
+  readonly peerAddress: string;
+  readonly callerAddress: string;
+}
+
+/** One running instance, without its listeners. */
+export interface ICore {
+  readonly self: Member;
+  readonly state: JournalState;
+  readonly journal: Journal;
+  readonly membership: Membership;
+  readonly handOver: HandOver;
+  readonly calls: CallService;
+  readonly router: OwnerRouter;
+  readonly configuration: ConfigurationStore;
+  readonly registry: BackendRegistry;
+  readonly decisions: DecisionLog;
+  readonly metrics: Metrics;
+  readonly copies: HeldCopies;
+  readonly checkpoints: Checkpoints;
+  readonly peerService: ServiceImpl<typeof PeerService>;
+  /** Starts all fibers of the instance; they end with the scope. */
+  readonly start: Effect.Effect<void, never, Scope.Scope>;
+}
+
+/** Builds an instance. Nothing runs until its `start` does. */
+export function makeCore(
+  settings: DaemonSettings,
+  { outside, addresses }: { outside: IOutside; addresses: IAddresses },
+): Effect.Effect<ICore, never, Scope.Scope> {
+  return Effect.gen(function* () {
+    const scope = yield* Effect.scope;
+    const context = yield* Effect.context<never>();
+    const clock = yield* Clock.Clock;
+    const { timing } = settings;
+    const self = create(MemberSchema, {
+      instanceId: settings.instanceId,
+      incarnation: randomIncarnation(),
+      zone: settings.zone,
+      state: MemberState.ACTIVE,
+      ...addresses,
+    });
+    const metrics = new Metrics();
+    const decisions = new DecisionLog(outside.logger, () => clock.currentTimeMillisUnsafe());
+    const peers = new PeerClients(outside.transports);
+    const views = new ViewTable();
+    const state = new JournalState(views);
+    const relays = () =>
+      membership.peers.filter(({ logReachable }) => logReachable).map(({ address }) => address);
+    const log = new RelayedLogService({ direct: outside.log, peers, relays });
+    const journal = new Journal({
+      log,
+      writer: self,
+      apply: (batch) => state.applyBatch(batch),
+      appendIntervalMs: () => (views.current?.members.length ?? 1) * MS_PER_SECOND / timing.appendsPerSecond,
+    });
+    const configuration = new ConfigurationStore(log, outside.logger);
+    const presetName = () => configuration.presetName;
+    const preset = () => configuration.preset;
+    const membership: Membership = new Membership({
+      self,
+      views,
+      journal,
+      peers,
+      instances: outside.instances,
+      timing,
+      configurationVersion: () => configuration.version,
+      isLogReachable: () => log.isDirect,
+    });
+    const handOver = new HandOver({ self, views, peers, timing });
+    const writer = new DurableWriter({ state, journal, membership, peers, scope });
+    const copies = new HeldCopies();
+    const busy = new BusyPrograms({ views, programs: state.programs, leaseMs: timing.leaseMs });
+    const recovery = new SliceRecovery({ self, state, journal, writer, copies, busy, peers });
+    const programs = new ProgramService({ state, writer, handOver, configuration });
+    const registry = new BackendRegistry({ ...outside });
+    const order = new ClassDeadlineOrder(preset);
+    const chooser = new ExpectedFinishChooser(preset);
+    const admission = new EngineAdmission({ registry, chooser, order, preset });
+    const retries = new RetryBudget(() => preset().retryShare);
+    const models = new ModelDispatch({
+      registry,
+      admission,
+      order,
+      retries,
+      strikes: state.strikes,
+      journal,
+      decisions,
+      presetName,
+      scope,
+    });
+    const services = new ServiceDispatch({ registry, state, writer, retries, decisions, presetName });
+    const recorder = new TurnRecorder({ self, state, writer, busy, peers });
+    const calls: CallService = new CallService({
+      state,
+      membership,
+      handOver,
+      busy,
+      configuration,
+      budgets: new BudgetKeeper(state.programs, writer),
+      runner: new CallRunner({ configuration, programs: state.programs, models, services }),
+      recorder,
+      scope,
+    });
+    const router = new OwnerRouter({ self, views, peers, calls, programs });
+    const checkpoints = new Checkpoints({
+      self,
+      state,
+      journal,
+      writer,
+      intervalMs: timing.checkpointMs,
+      checkpointConfiguration: Effect.suspend(() => configuration.checkpoint()),
+    });
+    const reaper = new IdleReaper({
+      self,
+      state,
+      programs,
+      configuration,
+      isRunning: (programId) => calls.isRunning(programId),
+    });
+    const reconciler = new KvReconciler({ self, state, journal, registry, decisions, presetName });
+    const peerService = makePeerService({
+      membership,
+      views,
+      calls,
+      programs,
+      recorder,
+      configuration,
+      copies,
+      zone: settings.zone,
+      log: outside.log,
+      context,
+    });
+    const start = Effect.gen(function* () {
+      yield* followPeersConfiguration({ membership, peers, configuration });
+      yield* log.start();
+      yield* handOver.start(recovery);
+      yield* busy.start();
+      yield* journal.start();
+      yield* configuration.start();
+      yield* membership.start();
+      yield* registry.start();
+      yield* admission.start();
+      yield* checkpoints.start();
+      yield* reaper.start();
+      yield* reconciler.start();
+    });
+    registerGauges(metrics, { state, journal, calls, admission, copies, configuration });
+    return {
+      self,
+      state,
+      journal,
+      membership,
+      handOver,
+      calls,
+      router,
+      configuration,
+      registry,
+      decisions,
+      metrics,
+      copies,
+      checkpoints,
+      peerService,
+      start,
+    };
+  });
+}
+
+const CONFIGURATION_TIMEOUT_MS = 1000;
+
+/** Fetches a newer configuration as soon as a peer reports one. */
+function followPeersConfiguration(
+  { membership, peers, configuration }: {
+    membership: Membership;
+    peers: PeerClients;
+    configuration: ConfigurationStore;
+  },
+): Effect.Effect<void, never, Scope.Scope> {
+  return Effect.gen(function* () {
+    const scope = yield* Effect.scope;
+    const context = yield* Effect.context<never>();
+    membership.onDidSeeConfiguration(({ address }) => {
+      const fetch = peers.call(address, {
+        timeoutMs: CONFIGURATION_TIMEOUT_MS,
+        invoke: (client, signal) => client.getConfiguration({}, { signal }),
+      });
+      const learn = Effect.map(fetch, ({ version, document }) => {
+        if (version > configuration.version) configuration.learn(version, document);
+      });
+      Effect.runForkWith(context)(Effect.forkIn(Effect.ignore(learn), scope));
+    });
+  });
+}
+
+function registerGauges(
+  metrics: Metrics,
+  { state, journal, calls, admission, copies, configuration }: {
+    state: JournalState;
+    journal: Journal;
+    calls: CallService;
+    admission: EngineAdmission;
+    copies: HeldCopies;
+    configuration: ConfigurationStore;
+  },
+): void {
+  metrics.gauge("programs", {
+    help: "Programs known, ended ones included.",
+    read: () => state.programs.size,
+  });
+  metrics.gauge("idempotency_keys", { help: "Keys remembered.", read: () => state.keys.size });
+  metrics.gauge("quarantined_requests", {
+    help: "Requests refused for crashes.",
+    read: () => state.strikes.quarantinedCount,
+  });
+  metrics.gauge("calls_running", {
+    help: "Calls under way on programs owned here.",
+    read: () => calls.runningCount,
+  });
+  metrics.gauge("calls_queued", {
+    help: "Calls that wait for an engine.",
+    read: () => admission.queueLength,
+  });
+  metrics.gauge("journal_backlog", {
+    help: "Records that wait for the journal.",
+    read: () => journal.backlog,
+  });
+  metrics.gauge("journal_appends", {
+    help: "Appends sent since the start.",
+    read: () => journal.appendCount,
+  });
+  metrics.gauge("copies_held", {
+    help: "Copies kept for others during an outage.",
+    read: () => copies.count,
+  });
+  metrics.gauge("configuration_version", {
+    help: "Offset of the configuration in force.",
+    read: () => configuration.version,
+  });
+  metrics.gauge("view_number", {
+    help: "Number of the view in force.",
+    read: () => state.views.current?.number ?? 0,
+  });
+}
--- /dev/null
+++ b/src/daemon/node/daemon.ts
@@ -0,0 +1,108 @@
+/** One instance as a process: its listeners, its start and its graceful stop. */
+import type { Scope } from "effect";
+import { Clock, Effect } from "effect";
+import { HttpClient } from "../../base/node/http_client.ts";
+import { CallerApi } from "../../entry/node/caller_api.ts";
+import { HttpServer } from "../../entry/node/http_server.ts";
+import { OperatorApi } from "../../entry/node/operator_api.ts";
+import { Http2Transports, PeerServer } from "../../peer/node/http2_transports.ts";
+import { HttpInstanceList } from "../../platform/instances/node/http_instance_list.ts";
+import { HttpLogService } from "../../platform/log/node/http_log_service.ts";
+import { JsonLogger } from "../../platform/logging/common/logger.ts";
+import { HttpModelEngine } from "../../routing/node/http_model_engine.ts";
+import { HttpServiceBackend } from "../../routing/node/http_service_backend.ts";
+import type { ICore } from "../common/core.ts";
+import { makeCore } from "../common/core.ts";
+import type { ILoadedSettings } from "./settings_file.ts";
+
+const POLL_MS = 20;
+/** Time that the others get to notice that this instance takes no new connections. */
+const UNREADY_MS = 300;
+
+/** A running daemon. */
+export interface IDaemon {
+  readonly core: ICore;
+  /** Finishes the requests under way, hands the slices over, and returns. */
+  readonly drain: Effect.Effect<void>;
+}
+
+/** Starts a daemon; it ends with the scope. */
+export function startDaemon(
+  loaded: ILoadedSettings,
+  onDrainAsked: () => void,
+): Effect.Effect<IDaemon, Error, Scope.Scope> {
+  return Effect.gen(function* () {
+    const { settings } = loaded;
+    const logger = new JsonLogger(settings.instanceId, settings.logLevel);
+    const context = yield* Effect.context<never>();
+    const client = yield* own(new HttpClient());
+    const transports = yield* own(new Http2Transports());
+    const core = yield* makeCore(settings, {
+      addresses: { peerAddress: addressOf(settings.peers), callerAddress: addressOf(settings.callers) },
+      outside: {
+        log: new HttpLogService(client, settings.platform.logUrl),
+        instances: new HttpInstanceList(client, settings.platform.instanceListUrl),
+        transports,
+        makeEngine: (address) => new HttpModelEngine(client, address),
+        makeService: (address) => new HttpServiceBackend(client, address),
+        logger,
+      },
+    });
+    let isDraining = false;
+    const isReady = () => !isDraining && isServing(core);
+    const callers = new CallerApi({
+      region: settings.region,
+      router: core.router,
+      keys: loaded.customers,
+      metrics: core.metrics,
+    });
+    const operators = new OperatorApi({ ...core, keys: loaded.operators, isReady, drain: onDrainAsked });
+    const http = yield* own(
+      new HttpServer({ routes: [...operators.routes, ...callers.routes], logger, context }),
+    );
+    const peers = yield* own(new PeerServer(core.peerService));
+    yield* Effect.promise(() => peers.listen(settings.peers));
+    yield* core.start;
+    yield* Effect.promise(() => http.listen(settings.callers));
+    logger.info("started", { callers: addressOf(settings.callers), peers: addressOf(settings.peers) });
+    const drain = Effect.gen(function* () {
+      const startedAt = yield* Clock.currentTimeMillis;
+      isDraining = true;
+      logger.info("draining");
+      yield* Effect.sleep(UNREADY_MS);
+      http.stopAccepting();
+      core.membership.drain();
+      yield* until(() => hasHandedOver(core) && core.calls.runningCount === 0 && http.activeCount === 0);
+      yield* until(() => core.journal.backlog === 0);
+      logger.info("stopped", { tookMs: (yield* Clock.currentTimeMillis) - startedAt });
+    });
+    return { core, drain };
+  });
+}
+
+/** Whether the instance is a member with all its slices and a configuration. */
+function isServing(core: ICore): boolean {
+  const isMember = core.state.views.current?.find(core.self) !== undefined;
+  return isMember && core.handOver.isSettled && core.configuration.version >= 0;
+}
+
+/** Whether no slice is left here. The last member of a region has nobody to hand over to. */
+function hasHandedOver(core: ICore): boolean {
+  const view = core.state.views.current;
+  if (view === undefined || view.members.length <= 1) return true;
+  return view.slicesOf(core.self).length === 0;
+}
+
+function until(condition: () => boolean): Effect.Effect<void> {
+  return Effect.gen(function* () {
+    while (!condition()) yield* Effect.sleep(POLL_MS);
+  });
+}
+
+function own<T extends { dispose(): void }>(resource: T): Effect.Effect<T, never, Scope.Scope> {
+  return Effect.acquireRelease(Effect.succeed(resource), () => Effect.sync(() => resource.dispose()));
+}
+
+function addressOf({ host, port }: { host: string; port: number }): string {
+  return `${host}:${port}`;
+}
--- /dev/null
+++ b/src/daemon/node/settings_file.ts
@@ -0,0 +1,40 @@
+/** Reads a daemon's settings file and the files that it refers to. */
+import { readFileSync } from "node:fs";
+import { dirname, resolve } from "node:path";
+import VError from "verror";
+import { KeyRing } from "../../entry/node/key_ring.ts";
+import type { DaemonSettings } from "../../platform/settings/common/gen/daemon_settings.ts";
+import { parseDaemonSettings } from "../../platform/settings/common/validation.ts";
+
+export class SettingsFileError extends VError {
+  readonly _tag = "SettingsFileError";
+
+  constructor(path: string, cause: Error) {
+    super({ name: "SettingsFileError", cause }, "%s cannot be read", path);
+  }
+}
+
+export interface ILoadedSettings {
+  readonly settings: DaemonSettings;
+  readonly customers: KeyRing;
+  readonly operators: KeyRing;
+}
+
+/** Loads and checks a settings file; throws a typed error that says what is wrong. */
+export function loadSettings(path: string): ILoadedSettings {
+  const settings = parseDaemonSettings(readText(path), path);
+  const besideSettings = (file: string) => resolve(dirname(path), file);
+  return {
+    settings,
+    customers: KeyRing.fromFile(besideSettings(settings.keys.customersFile)),
+    operators: KeyRing.fromFile(besideSettings(settings.keys.operatorsFile)),
+  };
+}
+
+function readText(path: string): string {
+  try {
+    return readFileSync(path, "utf8");
+  } catch (err) {
+    throw new SettingsFileError(path, err as Error);
+  }
+}
--- /dev/null
+++ b/src/entry/node/caller_api.ts
@@ -0,0 +1,308 @@
+/** What callers can do: open programs, make calls, read histories, end programs. */
+import { randomBytes } from "node:crypto";
+import type { ServerResponse } from "node:http";
+import { create } from "@bufbuild/protobuf";
+import { Clock, Effect } from "effect";
+import { CallError, toKebab } from "../../base/common/errors.ts";
+import type { ProgramSpec, Turn } from "../../base/common/gen/ragwortcleat/v1/common_pb.ts";
+import {
+  BudgetSchema,
+  CallKind,
+  EndCause,
+  ProgramSpecSchema,
+  Ran,
+  Reason,
+  TurnStatus,
+} from "../../base/common/gen/ragwortcleat/v1/common_pb.ts";
+import type { ProgramSnapshot } from "../../base/common/gen/ragwortcleat/v1/journal_pb.ts";
+import type { CallRequest } from "../../base/common/gen/ragwortcleat/v1/peer_pb.ts";
+import { CallRequestSchema } from "../../base/common/gen/ragwortcleat/v1/peer_pb.ts";
+import { hashHex } from "../../base/common/hash.ts";
+import { childId } from "../../base/common/ids.ts";
+import type { ICallAnswer } from "../../call/common/call_run.ts";
+import { decodeAnswer, decodeMessages } from "../../call/common/turns.ts";
+import type { Metrics } from "../../platform/metrics/common/metrics.ts";
+import { badRequest, checkJson, parseChat, parseOpening } from "../common/bodies.ts";
+import { DeliveredTokens } from "../common/delivered_tokens.ts";
+import type { OwnerRouter } from "../common/owner_router.ts";
+import { toProblem } from "../common/problem.ts";
+import type { Handler, IHttpCall, IJsonReply, IRoute } from "./http_server.ts";
+import type { KeyRing } from "./key_ring.ts";
+
+/** Header with the number of the call within its program, from 1. */
+export const STEP_HEADER = "ragwortcleat-step";
+/** Header by which a model call says that its messages are only the new part of the history. */
+export const HISTORY_HEADER = "ragwortcleat-history";
+/** Header of replies that tells whether the journal or only copies hold the record. */
+export const DURABILITY_HEADER = "ragwortcleat-durability";
+const RANDOM_ID_BYTES = 8;
+const MS_PER_SECOND = 1000;
+const MAX_STEP = 1_000_000;
+
+export interface ICallerApiOptions {
+  readonly region: string;
+  readonly router: OwnerRouter;
+  readonly keys: KeyRing;
+  readonly metrics: Metrics;
+}
+
+export class CallerApi {
+  readonly #opts: ICallerApiOptions;
+
+  constructor(opts: ICallerApiOptions) {
+    this.#opts = opts;
+  }
+
+  get routes(): IRoute[] {
+    const program = "/v1/programs/:programId";
+    return [
+      this.#route("POST", { pattern: "/v1/programs", use: (customer, call) => this.#open(customer, call) }),
+      this.#route("GET", { pattern: program, use: (customer, call) => this.#show(customer, call) }),
+      this.#route("DELETE", { pattern: program, use: (customer, call) => this.#end(customer, call) }),
+      this.#route("GET", {
+        pattern: `${program}/history`,
+        use: (customer, call) => this.#history(customer, call),
+      }),
+      this.#route("POST", {
+        pattern: `${program}/chat/completions`,
+        use: (customer, call) => this.#callModel(customer, call),
+      }),
+      this.#route("POST", {
+        pattern: `${program}/services/:service/:operation`,
+        use: (customer, call) => this.#callService(customer, call),
+      }),
+    ];
+  }
+
+  #route(
+    method: string,
+    { pattern, use }: { pattern: string; use: (customer: string, call: IHttpCall) => ReturnType<Handler> },
+  ): IRoute {
+    const handler: Handler = (call) =>
+      Effect.gen({ self: this }, function* () {
+        const startedAt = yield* Clock.currentTimeMillis;
+        const customer = yield* this.#authenticate(call);
+        const reply = yield* Effect.tapError(use(customer, call), (err) =>
+          Effect.sync(() => this.#opts.metrics.count("refusals", { reason: toProblem(err).title })));
+        this.#opts.metrics.time("request", (yield* Clock.currentTimeMillis) - startedAt, {
+          route: pattern,
+          method,
+        });
+        return reply;
+      });
+    return { method, pattern, handler };
+  }
+
+  #authenticate({ headers }: IHttpCall): Effect.Effect<string, CallError> {
+    const key = /^Bearer (\S+)$/.exec(headers.authorization ?? "")?.[1];
+    const customer = key === undefined ? undefined : this.#opts.keys.holderOf(key);
+    if (customer !== undefined) return Effect.succeed(customer);
+    return Effect.fail(new CallError(Reason.UNAUTHORIZED, { detail: "a customer's key is required" }));
+  }
+
+  #open(customer: string, call: IHttpCall): Effect.Effect<IJsonReply, CallError> {
+    return Effect.gen({ self: this }, function* () {
+      const body = yield* parseOpening(call.body);
+      const programId = this.#newId(body.parent, { customer, key: call.headers["idempotency-key"] });
+      const spec = create(ProgramSpecSchema, {
+        programId,
+        parentId: body.parent,
+        customer,
+        kind: body.kind,
+        deadlineMs: body.deadline_ms,
+        budget: create(BudgetSchema, {
+          generatedTokens: body.budget.generated_tokens,
+          calls: body.budget.calls,
+          wallMs: body.budget.wall_ms,
+        }),
+      });
+      const snapshot = yield* this.#opts.router.open(spec);
+      return { status: 201, body: describe(snapshot) };
+    });
+  }
+
+  /** Id of a new program; the same for the same idempotency key, so that an opening can be repeated. */
+  #newId(parent: string, opts: { customer: string; key: string | string[] | undefined }): string {
+    const isKeyed = typeof opts.key === "string" && opts.key !== "";
+    const part = isKeyed
+      ? hashHex(JSON.stringify([opts.customer, parent, opts.key]))
+      : randomBytes(RANDOM_ID_BYTES).toString("hex");
+    return parent === "" ? `${this.#opts.region}-${part}` : childId(parent, part);
+  }
+
+  #show(customer: string, { params }: IHttpCall): Effect.Effect<IJsonReply, CallError> {
+    const found = this.#opts.router.get(params.programId, customer);
+    return Effect.map(found, (snapshot) => ({ status: 200, body: describe(snapshot) }));
+  }
+
+  #end(customer: string, { params }: IHttpCall): Effect.Effect<IJsonReply, CallError> {
+    const ended = this.#opts.router.end(params.programId, { customer, cause: EndCause.CALLER });
+    return Effect.map(ended, (snapshot) => ({ status: 200, body: describe(snapshot) }));
+  }
+
+  #history(customer: string, { params }: IHttpCall): Effect.Effect<IJsonReply, CallError> {
+    const found = this.#opts.router.get(params.programId, customer);
+    return Effect.map(found, (snapshot) => {
+      const turns = snapshot.turns.map(describeTurn);
+      return { status: 200, body: { ...describe(snapshot), turns } };
+    });
+  }
+
+  #callModel(customer: string, call: IHttpCall): Effect.Effect<IJsonReply | undefined, CallError> {
+    return Effect.gen({ self: this }, function* () {
+      const step = yield* readStep(call);
+      const body = yield* parseChat(call.body);
+      const req = create(CallRequestSchema, {
+        customer,
+        programId: call.params.programId,
+        step,
+        wantTokens: body.stream,
+        call: {
+          case: "model",
+          value: {
+            model: body.model,
+            messages: body.messages.map(({ role, content }) => ({ role, content })),
+            maxTokens: body.max_tokens ?? 0,
+            fullHistory: call.headers[HISTORY_HEADER] !== "append",
+          },
+        },
+      });
+      if (body.stream) return yield* this.#stream(req, call.res);
+      const answer = yield* this.#opts.router.call(req, () => {});
+      return { status: 200, headers: answerHeaders(answer), body: toCompletion(req, answer.turn) };
+    });
+  }
+
+  /** Sends tokens as they come; the last event is held until the whole answer is recorded. */
+  #stream(req: CallRequest, res: ServerResponse): Effect.Effect<undefined, CallError> {
+    return Effect.gen({ self: this }, function* () {
+      const delivered = new DeliveredTokens();
+      const send = (text: string) => writeEvent(res, toChunk(req, { content: text }));
+      const answer = this.#opts.router.call(req, ({ index, text }) => {
+        if (delivered.accept(index, text)) send(text);
+      });
+      const whole = Effect.flatMap(answer, ({ turn }) => {
+        const rest = delivered.restOf(decodeAnswer(turn.answer).content);
+        if (rest === undefined) return Effect.fail(brokenStream());
+        if (rest !== "") send(rest);
+        writeEvent(res, { ...toChunk(req, {}, "stop"), usage: usageOf(turn) });
+        res.end("data: [DONE]\n\n");
+        return Effect.succeed(undefined);
+      });
+      return yield* Effect.catch(whole, (err) => {
+        if (!res.headersSent) return Effect.fail(err);
+        writeEvent(res, { error: toProblem(err) });
+        res.end();
+        return Effect.succeed(undefined);
+      });
+    });
+  }
+
+  #callService(customer: string, call: IHttpCall): Effect.Effect<IJsonReply, CallError> {
+    return Effect.gen({ self: this }, function* () {
+      const step = yield* readStep(call);
+      const body = yield* checkJson(call.body);
+      const { programId, service, operation } = call.params;
+      const key = call.headers["idempotency-key"];
+      const idempotencyKey = typeof key === "string" ? key : "";
+      const value = { service, operation, body, idempotencyKey };
+      const req = create(CallRequestSchema, { customer, programId, step, call: { case: "service", value } });
+      const answer = yield* this.#opts.router.call(req, () => {});
+      return { status: answer.turn.httpStatus, headers: answerHeaders(answer), body: answer.turn.answer };
+    });
+  }
+}
+
+function readStep({ headers }: IHttpCall): Effect.Effect<number, CallError> {
+  const step = Number(headers[STEP_HEADER]);
+  if (Number.isInteger(step) && step >= 1 && step <= MAX_STEP) return Effect.succeed(step);
+  return Effect.fail(
+    badRequest(`the header ${STEP_HEADER} must be the number of the call in its program, from 1`),
+  );
+}
+
+function brokenStream(): CallError {
+  return new CallError(Reason.STREAM_BROKEN, {
+    ran: Ran.RAN,
+    retryAfterMs: 1,
+    detail: "the tokens sent are not the beginning of the recorded answer; repeat the step to get it whole",
+  });
+}
+
+function answerHeaders({ turn, isReplicatedOnly }: ICallAnswer): Record<string, string> {
+  return { [STEP_HEADER]: String(turn.step), [DURABILITY_HEADER]: isReplicatedOnly ? "copies" : "journal" };
+}
+
+function writeEvent(res: ServerResponse, event: object): void {
+  if (!res.headersSent) {
+    res.writeHead(200, { "content-type": "text/event-stream", "cache-control": "no-store" });
+  }
+  res.write(`data: ${JSON.stringify(event)}\n\n`);
+}
+
+function toChunk(
+  { programId, step }: CallRequest,
+  delta: object,
+  finishReason: string | null = null,
+): object {
+  return {
+    id: `${programId}-${step}`,
+    object: "chat.completion.chunk",
+    choices: [{ index: 0, delta, finish_reason: finishReason }],
+  };
+}
+
+function toCompletion({ programId, step }: CallRequest, turn: Turn): object {
+  const { content } = decodeAnswer(turn.answer);
+  return {
+    id: `${programId}-${step}`,
+    object: "chat.completion",
+    created: Math.floor(Date.now() / MS_PER_SECOND),
+    model: turn.target,
+    choices: [{ index: 0, message: { role: "assistant", content }, finish_reason: "stop" }],
+    usage: usageOf(turn),
+  };
+}
+
+function usageOf(turn: Turn): object {
+  const { promptTokens, generatedTokens, cachedTokens } = decodeAnswer(turn.answer);
+  return {
+    prompt_tokens: promptTokens,
+    completion_tokens: generatedTokens,
+    total_tokens: promptTokens + generatedTokens,
+    prompt_tokens_details: { cached_tokens: cachedTokens },
+  };
+}
+
+function describe({ spec, turns, ended, settledTokens, settledCalls, grant }: ProgramSnapshot): object {
+  const { programId, parentId, kind, deadlineMs, openedAtMs, budget } = spec as ProgramSpec;
+  return {
+    id: programId,
+    parent: parentId,
+    kind,
+    deadline_ms: deadlineMs,
+    opened_at_ms: openedAtMs,
+    next_step: turns.length + 1,
+    ended: ended === EndCause.UNSPECIFIED ? null : toKebab(EndCause[ended]),
+    budget: { generated_tokens: budget?.generatedTokens, calls: budget?.calls, wall_ms: budget?.wallMs },
+    spent: {
+      generated_tokens: settledTokens + (grant?.burnedTokens ?? 0),
+      calls: settledCalls + (grant?.burnedCalls ?? 0),
+    },
+  };
+}
+
+function describeTurn(turn: Turn): object {
+  const common = { step: turn.step, target: turn.target, status: toKebab(TurnStatus[turn.status]) };
+  if (turn.kind === CallKind.MODEL) {
+    const messages = decodeMessages(turn.request).map(({ role, content }) => ({ role, content }));
+    return { ...common, messages, answer: decodeAnswer(turn.answer).content, usage: usageOf(turn) };
+  }
+  const decode = (bytes: Uint8Array) => new TextDecoder().decode(bytes);
+  return {
+    ...common,
+    request: decode(turn.request),
+    answer: decode(turn.answer),
+    http_status: turn.httpStatus,
+  };
+}
--- /dev/null
+++ b/src/peer/node/http2_transports.ts
@@ -0,0 +1,74 @@
+/** HTTP/2 connections to peers and the server for theirs. */
+import type { Http2Server, ServerHttp2Session } from "node:http2";
+import { createServer } from "node:http2";
+import type { ServiceImpl, Transport } from "@connectrpc/connect";
+import { connectNodeAdapter, createConnectTransport, Http2SessionManager } from "@connectrpc/connect-node";
+import { PeerService } from "../../base/common/gen/ragwortcleat/v1/peer_pb.ts";
+import type { IPeerTransports } from "../../membership/common/peer_client.ts";
+
+/** Time between two pings of a connection with calls under way. */
+const PING_INTERVAL_MS = 2000;
+const PING_TIMEOUT_MS = 1500;
+const MAX_MESSAGE_BYTES = 32 * 1024 * 1024;
+
+/** Owns one HTTP/2 session to each peer; a silent one is dropped. */
+export class Http2Transports implements IPeerTransports {
+  readonly #sessions = new Map<string, Http2SessionManager>();
+
+  get(address: string): Transport {
+    const baseUrl = `http://${address}`;
+    const sessionManager = new Http2SessionManager(baseUrl, {
+      pingIntervalMs: PING_INTERVAL_MS,
+      pingTimeoutMs: PING_TIMEOUT_MS,
+    });
+    this.#sessions.set(address, sessionManager);
+    return createConnectTransport({
+      baseUrl,
+      httpVersion: "2",
+      sessionManager,
+      useBinaryFormat: true,
+      readMaxBytes: MAX_MESSAGE_BYTES,
+      writeMaxBytes: MAX_MESSAGE_BYTES,
+    });
+  }
+
+  reset(address: string): void {
+    this.#sessions.get(address)?.abort();
+    this.#sessions.delete(address);
+  }
+
+  dispose(): void {
+    for (const address of [...this.#sessions.keys()]) this.reset(address);
+  }
+}
+
+/** Listens for the other instances. */
+export class PeerServer {
+  readonly #server: Http2Server;
+  readonly #sessions = new Set<ServerHttp2Session>();
+
+  constructor(service: ServiceImpl<typeof PeerService>) {
+    const handler = connectNodeAdapter({
+      routes: (router) => router.service(PeerService, service),
+      readMaxBytes: MAX_MESSAGE_BYTES,
+      writeMaxBytes: MAX_MESSAGE_BYTES,
+    });
+    this.#server = createServer(handler);
+    this.#server.on("session", (session) => {
+      this.#sessions.add(session);
+      session.on("close", () => this.#sessions.delete(session));
+    });
+  }
+
+  listen({ host, port }: { host: string; port: number }): Promise<void> {
+    return new Promise((resolve, reject) => {
+      this.#server.once("error", reject);
+      this.#server.listen(port, host, resolve);
+    });
+  }
+
+  dispose(): void {
+    for (const session of this.#sessions) session.destroy();
+    this.#server.close();
+  }
+}
--- /dev/null
+++ b/src/platform/configuration/common/publication.ts
@@ -0,0 +1,91 @@
+/** Publications of configurations on the log service, and the rule by which they are accepted. */
+import type { Configuration } from "../../settings/common/gen/configuration.ts";
+import { parseConfiguration, SettingsError } from "../../settings/common/validation.ts";
+import type { ILogEntry } from "../../log/common/log_service.ts";
+
+/** Base of the first publication. */
+export const NO_VERSION = -1;
+
+/** An entry of the configuration stream. */
+export interface IPublication {
+  /** Version that the author started from, {@link NO_VERSION} for the first. */
+  readonly base: number;
+  readonly author: string;
+  /** JSON with comments, as the author wrote it. */
+  readonly document: string;
+  /** Version that the entry repeats for readers that start later. */
+  readonly checkpointOf?: number;
+}
+
+export enum Verdict {
+  Accepted = "accepted",
+  /** It was made from a version that is no longer current. */
+  StaleBase = "stale-base",
+  Invalid = "invalid",
+  /** It repeats the current version. */
+  Repeat = "repeat",
+}
+
+/** An accepted configuration. */
+export interface IAcceptedConfiguration {
+  /** Offset of the publication. */
+  readonly version: number;
+  readonly author: string;
+  readonly document: string;
+  readonly configuration: Configuration;
+}
+
+export interface IJudgement {
+  readonly verdict: Verdict;
+  readonly detail: string;
+  /** The configuration in force after the entry. */
+  readonly current: IAcceptedConfiguration | undefined;
+}
+
+/** Encodes a publication for the log service. */
+export function encodePublication(publication: IPublication): Uint8Array {
+  return new TextEncoder().encode(JSON.stringify(publication));
+}
+
+/** Where a reader stands when it judges an entry. */
+export interface IJudge {
+  readonly current: IAcceptedConfiguration | undefined;
+  /** Whether the stream was read from its first entry, so that no earlier version can have been missed. */
+  readonly isFromStart: boolean;
+}
+
+/** Judges an entry of the stream against the configuration in force; all readers come to the same result. */
+export function judge(entry: ILogEntry, { current, isFromStart }: IJudge): IJudgement {
+  const publication = decode(entry);
+  if (publication === undefined) return { verdict: Verdict.Invalid, detail: "not a publication", current };
+  const base = current?.version ?? NO_VERSION;
+  const { checkpointOf } = publication;
+  const version = checkpointOf ?? entry.offset;
+  if (checkpointOf !== undefined && checkpointOf <= base) {
+    return { verdict: Verdict.Repeat, detail: "", current };
+  }
+  const mayStart = current !== undefined || isFromStart;
+  if (checkpointOf === undefined && (publication.base !== base || !mayStart)) {
+    const by = current === undefined ? "" : ` by ${current.author}`;
+    const detail = `made from version ${publication.base}, but version ${base} is in force${by}`;
+    return { verdict: Verdict.StaleBase, detail, current };
+  }
+  try {
+    const { author, document } = publication;
+    const configuration = parseConfiguration(document, "configuration");
+    return { verdict: Verdict.Accepted, detail: "", current: { version, author, document, configuration } };
+  } catch (err) {
+    if (!(err instanceof SettingsError)) throw err;
+    return { verdict: Verdict.Invalid, detail: err.message, current };
+  }
+}
+
+function decode(entry: ILogEntry): IPublication | undefined {
+  try {
+    const value = JSON.parse(new TextDecoder().decode(entry.data)) as Partial<IPublication> | null;
+    if (typeof value?.base !== "number" || typeof value.document !== "string") return undefined;
+    return { ...value, author: String(value.author ?? "unknown") } as IPublication;
+  } catch {
+    return undefined;
+  }
+}
--- /dev/null
+++ b/src/program/common/held_copies.ts
@@ -0,0 +1,48 @@
+/** Copies of other instances' records, kept while the log service is out. */
+import type { HeldCopy } from "../../base/common/gen/ragwortcleat/v1/peer_pb.ts";
+
+/** Most copies that one instance keeps. */
+export const MAX_HELD_COPIES = 20_000;
+
+export class HeldCopies {
+  readonly #copies = new Map<string, HeldCopy[]>();
+  #count = 0;
+
+  get count(): number {
+    return this.#count;
+  }
+
+  /** Takes copies in; returns false when there is no room. */
+  hold(copies: readonly HeldCopy[]): boolean {
+    if (this.#count + copies.length > MAX_HELD_COPIES) return false;
+    for (const copy of copies) {
+      const key = ownerKey(copy);
+      this.#copies.set(key, [...this.#copies.get(key) ?? [], copy]);
+    }
+    this.#count += copies.length;
+    return true;
+  }
+
+  /** Copies of records of the given slices, in the order of their owners' writing. */
+  collect(slices: readonly number[]): HeldCopy[] {
+    const wanted = new Set(slices);
+    return [...this.#copies.values()].flat().filter(({ record }) =>
+      record !== undefined && wanted.has(record.slice)
+    );
+  }
+
+  /** Forgets copies of an owner's records, once these are in the journal. */
+  drop(owner: Pick<HeldCopy, "owner" | "incarnation">, copyIds: readonly number[]): void {
+    const key = ownerKey(owner);
+    const dropped = new Set(copyIds);
+    const before = this.#copies.get(key) ?? [];
+    const kept = before.filter((copy) => !dropped.has(copy.copyId));
+    this.#count -= before.length - kept.length;
+    if (kept.length === 0) this.#copies.delete(key);
+    else this.#copies.set(key, kept);
+  }
+}
+
+function ownerKey({ owner, incarnation }: Pick<HeldCopy, "owner" | "incarnation">): string {
+  return `${owner}/${incarnation}`;
+}
--- /dev/null
+++ b/src/program/common/journal_state.ts
@@ -0,0 +1,109 @@
+/** Everything that follows from the journal, and the rules by which its records take effect. */
+import type {
+  IntentRecorded,
+  OrderIssued,
+  Record,
+} from "../../base/common/gen/ragwortcleat/v1/journal_pb.ts";
+import type { ViewTable } from "../../membership/common/view.ts";
+import type { IAppliedBatch } from "../../platform/journal/common/journal.ts";
+import { KeyTable } from "./key_table.ts";
+import { ProgramStore } from "./program_store.ts";
+import { StrikeTable } from "./strike_table.ts";
+
+/** An order with its fencing token. */
+export interface IIssuedOrder {
+  readonly order: OrderIssued;
+  readonly fencingToken: number;
+}
+
+export class JournalState {
+  readonly views: ViewTable;
+  readonly programs = new ProgramStore();
+  readonly keys = new KeyTable();
+  readonly strikes = new StrikeTable();
+  /** Latest order for each backend server and model. */
+  readonly orders = new Map<string, IIssuedOrder>();
+  readonly #appliedLocally = new Set<Record>();
+
+  constructor(views: ViewTable) {
+    this.views = views;
+  }
+
+  /** Applies a batch from the journal; tells for each record whether it took effect. */
+  applyBatch({ offset, batch }: IAppliedBatch): boolean[] {
+    const writer = { instanceId: batch.writer, incarnation: batch.incarnation };
+    return batch.records.map((record) => {
+      if (!isGlobal(record) && !this.views.admits(record, writer)) return false;
+      if (this.#appliedLocally.delete(record)) return true;
+      return this.#apply(record, offset);
+    });
+  }
+
+  /**
+   * Applies a record that other instances hold copies of, ahead of the journal. When the record comes
+   * back through the journal it takes effect no second time.
+   */
+  applyLocally(record: Record): boolean {
+    const accepted = this.#apply(record, -1);
+    if (accepted) this.#appliedLocally.add(record);
+    return accepted;
+  }
+
+  #apply(record: Record, offset: number): boolean {
+    const { body } = record;
+    switch (body.case) {
+      case "view":
+        return this.views.apply(body.value);
+      case "opened":
+        return body.value.spec !== undefined && this.programs.open(body.value.spec, body.value.grants);
+      case "turn":
+        return this.#addTurn(body.value);
+      case "granted":
+        return this.programs.grant(body.value.grants);
+      case "intent":
+        return this.#claim(body.value);
+      case "intentCancelled":
+        return this.keys.cancel(body.value);
+      case "ended":
+        return this.programs.end(body.value);
+      case "snapshot":
+        return this.programs.restore(body.value);
+      case "key":
+        return this.keys.restore(body.value);
+      case "strike":
+        return this.strikes.add(body.value);
+      case "strikesCleared":
+        return this.strikes.clear(body.value.fingerprint);
+      case "order":
+        this.orders.set(orderKey(body.value), { order: body.value, fencingToken: offset });
+        return true;
+      case undefined:
+        return false;
+    }
+  }
+
+  #addTurn({ programId, turn, grants }: Extract<Record["body"], { case: "turn" }>["value"]): boolean {
+    if (turn === undefined || !this.programs.addTurn(programId, turn)) return false;
+    this.programs.grant(grants);
+    if (turn.idempotencyKey !== "") this.keys.complete(programId, turn);
+    return true;
+  }
+
+  /** An intent counts for the next step of an open program, if its key is free. */
+  #claim(intent: IntentRecorded): boolean {
+    const program = this.programs.get(intent.programId);
+    if (program === undefined || program.hasEnded || intent.step !== program.nextStep) return false;
+    return this.keys.claim(intent);
+  }
+}
+
+/** Key of an order in {@link JournalState.orders}. */
+export function orderKey({ backendId, model }: Pick<OrderIssued, "backendId" | "model">): string {
+  return `${backendId} ${model}`;
+}
+
+/** Whether a record concerns the region rather than one slice, so that any instance may write it. */
+function isGlobal({ body }: Record): boolean {
+  return body.case === "view" || body.case === "strike" || body.case === "strikesCleared" ||
+    body.case === "order";
+}
--- /dev/null
+++ b/src/program/common/program_service.ts
@@ -0,0 +1,151 @@
+/** Opens and ends the programs that this instance owns. */
+import { create } from "@bufbuild/protobuf";
+import { Clock, Effect } from "effect";
+import { CallError } from "../../base/common/errors.ts";
+import type { Budget, ProgramSpec } from "../../base/common/gen/ragwortcleat/v1/common_pb.ts";
+import {
+  BudgetSchema,
+  EndCause,
+  ProgramSpecSchema,
+  Ran,
+  Reason,
+} from "../../base/common/gen/ragwortcleat/v1/common_pb.ts";
+import { ProgramEndedSchema, ProgramOpenedSchema } from "../../base/common/gen/ragwortcleat/v1/journal_pb.ts";
+import { sliceOf } from "../../base/common/ids.ts";
+import type { HandOver } from "../../membership/common/hand_over.ts";
+import type { IConfigurationSource } from "../../platform/configuration/common/configuration_source.ts";
+import type { ProgramKind } from "../../platform/settings/common/gen/configuration.ts";
+import type { DurableWriter } from "./durable_writer.ts";
+import { Durability } from "./durable_writer.ts";
+import type { JournalState } from "./journal_state.ts";
+import type { Program } from "./program_store.ts";
+import { Program as NewProgram } from "./program_store.ts";
+
+/** Budget granted with the opening, so that the first call needs no grant of its own. */
+const FIRST_GRANT = { tokens: 1024, calls: 2 };
+const NOT_OWNER_RETRY_MS = 100;
+const PAUSED_RETRY_MS = 10_000;
+
+export interface IEndRequest {
+  readonly programId: string;
+  /** Customer that asks, or undefined for an operator or the system. */
+  readonly customer: string | undefined;
+  readonly cause: EndCause;
+}
+
+export interface IProgramServiceOptions {
+  readonly state: JournalState;
+  readonly writer: DurableWriter;
+  readonly handOver: HandOver;
+  readonly configuration: IConfigurationSource;
+}
+
+export class ProgramService {
+  readonly #opts: IProgramServiceOptions;
+
+  constructor(opts: IProgramServiceOptions) {
+    this.#opts = opts;
+  }
+
+  /** Opens a program; opening it again returns it as it is. */
+  open(asked: ProgramSpec): Effect.Effect<Program, CallError> {
+    return Effect.gen({ self: this }, function* () {
+      yield* this.#awaitOwnership(asked.programId);
+      const known = this.#opts.state.programs.get(asked.programId);
+      if (known !== undefined) return yield* sameCustomer(known, asked.customer);
+      const kind = yield* this.#checkOpening(asked);
+      const now = yield* Clock.currentTimeMillis;
+      const budget = limitBudget(asked.budget, kind);
+      const spec = create(ProgramSpecSchema, { ...asked, budget, openedAtMs: now });
+      const grants = [new NewProgram(spec).ledger.makeGrant(spec.programId, FIRST_GRANT)];
+      const value = create(ProgramOpenedSchema, { spec, grants });
+      const record = this.#opts.writer.stamp(sliceOf(spec.programId), { case: "opened", value });
+      const durability = yield* this.#opts.writer.write(record);
+      const program = this.#opts.state.programs.get(spec.programId);
+      if (program !== undefined) return yield* sameCustomer(program, asked.customer);
+      const reason = durability === Durability.Rejected ? Reason.NOT_OWNER : Reason.UNKNOWN_PROGRAM;
+      return yield* Effect.fail(new CallError(reason, { retryAfterMs: NOT_OWNER_RETRY_MS }));
+    });
+  }
+
+  /** Ends a program with its sub-programs; ending it again changes nothing. */
+  end({ programId, customer, cause }: IEndRequest): Effect.Effect<Program, CallError> {
+    return Effect.gen({ self: this }, function* () {
+      yield* this.#awaitOwnership(programId);
+      const program = this.#opts.state.programs.get(programId);
+      if (program === undefined) return yield* Effect.fail(unknownProgram());
+      if (customer !== undefined) yield* sameCustomer(program, customer);
+      if (program.hasEnded) return program;
+      const atMs = yield* Clock.currentTimeMillis;
+      const value = create(ProgramEndedSchema, { programId, cause, atMs });
+      const record = this.#opts.writer.stamp(program.slice, { case: "ended", value });
+      const durability = yield* this.#opts.writer.write(record);
+      if (durability === Durability.Rejected && !program.hasEnded) return yield* Effect.fail(notOwner());
+      return program;
+    });
+  }
+
+  /** A program as its owner knows it. */
+  get(programId: string, customer: string): Effect.Effect<Program, CallError> {
+    return Effect.gen({ self: this }, function* () {
+      yield* this.#awaitOwnership(programId);
+      const program = this.#opts.state.programs.get(programId);
+      if (program === undefined) return yield* Effect.fail(unknownProgram());
+      return yield* sameCustomer(program, customer);
+    });
+  }
+
+  #awaitOwnership(programId: string): Effect.Effect<void, CallError> {
+    return Effect.flatMap(
+      this.#opts.handOver.awaitReady(sliceOf(programId)),
+      (isReady) => isReady ? Effect.void : Effect.fail(notOwner()),
+    );
+  }
+
+  #checkOpening(asked: ProgramSpec): Effect.Effect<ProgramKind, CallError> {
+    const { configuration, state } = this.#opts;
+    const kind = configuration.current?.programKinds[asked.kind];
+    if (kind === undefined) {
+      const detail = `there is no program kind ${asked.kind}`;
+      return Effect.fail(new CallError(Reason.BAD_REQUEST, { detail }));
+    }
+    if (!configuration.preset.admitNewPrograms && asked.parentId === "") {
+      const detail = `the preset ${configuration.presetName} admits no new programs`;
+      return Effect.fail(new CallError(Reason.DRAINING, { retryAfterMs: PAUSED_RETRY_MS, detail }));
+    }
+    if (asked.parentId === "") return Effect.succeed(kind);
+    const parent = state.programs.get(asked.parentId);
+    if (parent === undefined || parent.spec.customer !== asked.customer) return Effect.fail(unknownProgram());
+    if (parent.hasEnded) {
+      return Effect.fail(new CallError(Reason.PROGRAM_ENDED, { detail: "the parent has ended" }));
+    }
+    return Effect.succeed(kind);
+  }
+}
+
+/** The budget asked for, within the limits of the program's kind. */
+function limitBudget(asked: Budget | undefined, kind: ProgramKind): Budget {
+  const within = (value: number | undefined, limit: number) =>
+    Math.min(value === undefined || value === 0 ? limit : value, limit);
+  return create(BudgetSchema, {
+    generatedTokens: within(asked?.generatedTokens, kind.generatedTokens),
+    calls: within(asked?.calls, kind.maxTurns),
+    wallMs: within(asked?.wallMs, kind.wallMs),
+  });
+}
+
+function sameCustomer(program: Program, customer: string): Effect.Effect<Program, CallError> {
+  return program.spec.customer === customer ? Effect.succeed(program) : Effect.fail(unknownProgram());
+}
+
+function unknownProgram(): CallError {
+  return new CallError(Reason.UNKNOWN_PROGRAM, { detail: "there is no such program" });
+}
+
+function notOwner(): CallError {
+  return new CallError(Reason.NOT_OWNER, {
+    ran: Ran.NOT_RUN,
+    retryAfterMs: NOT_OWNER_RETRY_MS,
+    detail: "another instance owns the program",
+  });
+}
--- /dev/null
+++ b/src/program/common/strike_table.ts
@@ -0,0 +1,42 @@
+/**
+ * Requests during which backend servers crashed. A request with two strikes from different crashes is
+ * quarantined; one that completes is cleared.
+ */
+import type { StrikeRecorded } from "../../base/common/gen/ragwortcleat/v1/journal_pb.ts";
+
+/** Crashes after which a request is refused. */
+export const STRIKES_TO_QUARANTINE = 2;
+
+export class StrikeTable {
+  readonly #crashes = new Map<bigint, Set<string>>();
+
+  /** Adds a strike; the same crash counts once. */
+  add(
+    { fingerprint, backendId, bootId }: Pick<StrikeRecorded, "fingerprint" | "backendId" | "bootId">,
+  ): boolean {
+    const crashes = this.#crashes.get(fingerprint) ?? new Set();
+    const crash = `${backendId}/${bootId}`;
+    if (crashes.has(crash)) return false;
+    crashes.add(crash);
+    this.#crashes.set(fingerprint, crashes);
+    return true;
+  }
+
+  clear(fingerprint: bigint): boolean {
+    if (this.isQuarantined(fingerprint)) return false;
+    return this.#crashes.delete(fingerprint);
+  }
+
+  /** Whether a backend server has crashed during the request. */
+  isSuspect(fingerprint: bigint): boolean {
+    return this.#crashes.has(fingerprint);
+  }
+
+  isQuarantined(fingerprint: bigint): boolean {
+    return (this.#crashes.get(fingerprint)?.size ?? 0) >= STRIKES_TO_QUARANTINE;
+  }
+
+  get quarantinedCount(): number {
+    return [...this.#crashes.values()].filter((crashes) => crashes.size >= STRIKES_TO_QUARANTINE).length;
+  }
+}
--- /dev/null
+++ b/src/routing/common/engine_admission.ts
@@ -0,0 +1,145 @@
+/** Admits calls to engines: at once where there is room, else from a queue in program order. */
+import type { Scope } from "effect";
+import { Clock, Deferred, Effect } from "effect";
+import { CallError } from "../../base/common/errors.ts";
+import { Reason } from "../../base/common/gen/ragwortcleat/v1/common_pb.ts";
+import type { Preset } from "../../platform/settings/common/gen/configuration.ts";
+import type { BackendRegistry } from "./backend_registry.ts";
+import type { IChoice, IEngineChooser, IRoutedCall } from "./engine_chooser.ts";
+import { expectedWaitMs } from "./engine_chooser.ts";
+import type { EngineState } from "./engine_state.ts";
+import type { IOrderedCall, IProgramOrder } from "./program_order.ts";
+
+/** Most calls that wait in one instance. */
+const MAX_QUEUE = 2000;
+/** Share of the queue from which on a customer is held to its weight. */
+const FAIR_SHARE_FROM = 0.5;
+const MIN_RETRY_AFTER_MS = 250;
+const MAX_RETRY_AFTER_MS = 60_000;
+
+/** A call that asks for an engine. */
+export interface IAdmissionRequest extends IOrderedCall, IRoutedCall {
+  readonly customer: string;
+}
+
+interface IWaiting {
+  readonly req: IAdmissionRequest;
+  readonly granted: Deferred.Deferred<IChoice>;
+}
+
+export interface IEngineAdmissionOptions {
+  readonly registry: BackendRegistry;
+  readonly chooser: IEngineChooser;
+  readonly order: IProgramOrder;
+  readonly preset: () => Preset;
+}
+
+export class EngineAdmission {
+  readonly #opts: IEngineAdmissionOptions;
+  readonly #queue: IWaiting[] = [];
+
+  constructor(opts: IEngineAdmissionOptions) {
+    this.#opts = opts;
+  }
+
+  /** Serves the queue until the scope ends. */
+  start(): Effect.Effect<void, never, Scope.Scope> {
+    const serve = Effect.gen({ self: this }, function* () {
+      while (true) {
+        yield* this.#opts.registry.changed.wait();
+        this.#serve(yield* Clock.currentTimeMillis);
+      }
+    });
+    return Effect.asVoid(Effect.forkScoped(serve));
+  }
+
+  get queueLength(): number {
+    return this.#queue.length;
+  }
+
+  /** Waits for an engine with room and occupies a place on it. The caller must call {@link leave} after. */
+  enter(req: IAdmissionRequest): Effect.Effect<IChoice, CallError> {
+    return Effect.gen({ self: this }, function* () {
+      const now = yield* Clock.currentTimeMillis;
+      const isFirst = !this.#queue.some(({ req: other }) => this.#opts.order.compare(other, req, now) <= 0);
+      const choice = isFirst ? this.#tryEnter(req) : undefined;
+      if (choice !== undefined) return choice;
+      yield* this.#checkQueue(req);
+      const waiting = { req, granted: Deferred.makeUnsafe<IChoice>() };
+      this.#queue.push(waiting);
+      return yield* Effect.onInterrupt(
+        Deferred.await(waiting.granted),
+        () => this.#abandon(waiting),
+      );
+    });
+  }
+
+  /** Gives a place back. `durationMs` is the call's duration if it completed. */
+  leave(engine: EngineState, durationMs: number | undefined): void {
+    engine.noteEnd(durationMs);
+    this.#opts.registry.changed.notify();
+  }
+
+  #abandon(waiting: IWaiting): Effect.Effect<void> {
+    return Effect.suspend(() => {
+      const index = this.#queue.indexOf(waiting);
+      if (index >= 0) {
+        this.#queue.splice(index, 1);
+        return Effect.void;
+      }
+      return Effect.map(Deferred.await(waiting.granted), (choice) => this.leave(choice.engine, undefined));
+    });
+  }
+
+  #tryEnter(req: IAdmissionRequest): IChoice | undefined {
+    const { engineOvercommit } = this.#opts.preset();
+    const withRoom = this.#opts.registry.engines.filter((engine) =>
+      engine.load < engine.slots * engineOvercommit
+    );
+    const choice = this.#opts.chooser.choose(req, withRoom);
+    choice?.engine.noteStart();
+    return choice;
+  }
+
+  #serve(now: number): void {
+    this.#queue.sort((a, b) => this.#opts.order.compare(a.req, b.req, now));
+    for (const waiting of [...this.#queue]) {
+      const choice = this.#tryEnter(waiting.req);
+      if (choice === undefined) continue;
+      this.#queue.splice(this.#queue.indexOf(waiting), 1);
+      Deferred.doneUnsafe(waiting.granted, Effect.succeed(choice));
+    }
+  }
+
+  /** Refuses a call at once when no engine could take it, or not soon enough. */
+  #checkQueue(req: IAdmissionRequest): Effect.Effect<void, CallError> {
+    const engines = this.#opts.registry.engines.filter((engine) =>
+      engine.accepts(req.model) && !req.excluded.has(engine.id)
+    );
+    if (engines.length === 0) {
+      const opts = { retryAfterMs: MIN_RETRY_AFTER_MS * 4, detail: `no engine offers ${req.model} now` };
+      return Effect.fail(new CallError(Reason.NO_BACKEND, opts));
+    }
+    const slots = engines.reduce((sum, engine) => sum + engine.slots, 0);
+    const engineWaitMs = Math.min(...engines.map(expectedWaitMs));
+    const meanMs = engines.reduce((sum, engine) => sum + engine.meanCallMs, 0) / engines.length;
+    const waitMs = engineWaitMs + this.#queue.length * meanMs / slots;
+    const isFull = this.#queue.length >= MAX_QUEUE || this.#exceedsShare(req);
+    if (!isFull && waitMs <= this.#opts.preset().maxQueueMs) return Effect.void;
+    // The queue drains at the rate of the engines; by then there is room again.
+    const drainMs = Math.max(waitMs - this.#opts.preset().maxQueueMs, waitMs / 4);
+    const retryAfterMs = Math.round(Math.min(MAX_RETRY_AFTER_MS, Math.max(MIN_RETRY_AFTER_MS, drainMs)));
+    const detail = `expected wait of ${Math.round(waitMs)} ms`;
+    return Effect.fail(new CallError(Reason.OVERLOADED, { retryAfterMs, detail }));
+  }
+
+  /** Whether a customer has more than its share of a queue that is filling up. */
+  #exceedsShare(req: IAdmissionRequest): boolean {
+    if (this.#queue.length < MAX_QUEUE * FAIR_SHARE_FROM) return false;
+    const weights = new Map(this.#queue.map(({ req: other }) => [other.customer, other.weight]));
+    weights.set(req.customer, req.weight);
+    const total = [...weights.values()].reduce((sum, weight) => sum + weight, 0);
+    const own = this.#queue.filter(({ req: other }) => other.customer === req.customer).length;
+    return own >= MAX_QUEUE * req.weight / total;
+  }
+}
--- /dev/null
+++ b/src/routing/common/engine_state.ts
@@ -0,0 +1,77 @@
+/** What this instance knows of one engine. */
+import { CacheMap } from "./cache_map.ts";
+import type { ILoadReport, IModelEngine } from "./model_engine.ts";
+
+/** Weight of the newest sample in the mean duration of calls. */
+const DURATION_SMOOTHING = 0.1;
+const INITIAL_CALL_MS = 500;
+
+export enum BackendCondition {
+  Live = "live",
+  /** Finishes its calls and gets no new ones. */
+  Leaving = "leaving",
+  /** Did not answer lately. */
+  Suspect = "suspect",
+}
+
+/** State that the engine watch keeps up to date and the choice of an engine reads. */
+export class EngineState {
+  readonly id: string;
+  readonly zone: string;
+  readonly address: string;
+  readonly client: IModelEngine;
+  readonly cache = new CacheMap();
+  condition = BackendCondition.Live;
+  report: ILoadReport | undefined;
+  reportedAt = 0;
+  /** Calls of this instance under way on the engine. */
+  inFlight = 0;
+  /** Of these, dispatched since the last report. */
+  sinceReport = 0;
+  meanCallMs = INITIAL_CALL_MS;
+
+  constructor(opts: { id: string; zone: string; address: string; client: IModelEngine }) {
+    this.id = opts.id;
+    this.zone = opts.zone;
+    this.address = opts.address;
+    this.client = opts.client;
+  }
+
+  /** Calls on the engine: the report's, or this instance's own when these are more, and those since. */
+  get load(): number {
+    const reported = (this.report?.running ?? 0) + (this.report?.queued ?? 0);
+    return Math.max(this.inFlight, reported + this.sinceReport);
+  }
+
+  get slots(): number {
+    return this.report?.slots ?? 1;
+  }
+
+  /** Whether new calls of a model may be sent. */
+  accepts(model: string): boolean {
+    return this.condition === BackendCondition.Live && this.report !== undefined &&
+      this.report.models.includes(model);
+  }
+
+  /** Takes a new report in; a changed boot id means that the cache is empty. */
+  update(report: ILoadReport, now: number): void {
+    if (this.report !== undefined && this.report.bootId !== report.bootId) this.cache.clear();
+    this.report = report;
+    this.reportedAt = now;
+    this.sinceReport = 0;
+    if (report.isLeaving) this.condition = BackendCondition.Leaving;
+    else if (this.condition === BackendCondition.Suspect) this.condition = BackendCondition.Live;
+  }
+
+  noteStart(): void {
+    this.inFlight += 1;
+    this.sinceReport += 1;
+  }
+
+  noteEnd(durationMs: number | undefined): void {
+    this.inFlight -= 1;
+    this.sinceReport = Math.max(0, this.sinceReport - 1);
+    if (durationMs === undefined) return;
+    this.meanCallMs += (durationMs - this.meanCallMs) * DURATION_SMOOTHING;
+  }
+}
--- /dev/null
+++ b/src/routing/node/http_model_engine.ts
@@ -0,0 +1,174 @@
+/** Adapter to a model engine over HTTP with server-sent events. */
+import type { IncomingMessage } from "node:http";
+import { Effect } from "effect";
+import type { EventSourceMessage } from "eventsource-parser";
+import { createParser } from "eventsource-parser";
+import { toError } from "../../base/common/errors.ts";
+import type { HttpClient, IHttpReply } from "../../base/node/http_client.ts";
+import { readBody } from "../../base/node/http_client.ts";
+import type {
+  ICacheEvent,
+  IEngineOrder,
+  IEngineToken,
+  IGenerateRequest,
+  IGenerateResult,
+  IKvHolding,
+  ILoadReport,
+  IModelEngine,
+} from "../common/model_engine.ts";
+import { BackendError, BackendFailure } from "../common/model_engine.ts";
+import { exchange, NOT_EXECUTED_HEADER, parseJson, silent, toBackendError } from "./http_backend.ts";
+
+const CONTROL_TIMEOUT_MS = 2000;
+/** Longest wait for the head of a stream, the engine's own queue included. */
+const FIRST_EVENT_TIMEOUT_MS = 60_000;
+/** Longest gap between two chunks of a stream. */
+const CHUNK_GAP_TIMEOUT_MS = 5000;
+
+interface IStreamEvent {
+  readonly attemptId: string;
+  readonly token?: string;
+  readonly done?: IGenerateResult["usage"];
+}
+
+export class HttpModelEngine implements IModelEngine {
+  readonly #client: HttpClient;
+  readonly #address: string;
+  /** Events that belonged to another attempt and were dropped. */
+  foreignEvents = 0;
+
+  constructor(client: HttpClient, address: string) {
+    this.#client = client;
+    this.#address = address;
+  }
+
+  generate(
+    req: IGenerateRequest,
+    onToken: (token: IEngineToken) => void,
+  ): Effect.Effect<IGenerateResult, BackendError> {
+    return Effect.gen({ self: this }, function* () {
+      const resume: Record<string, string> = req.lastEventId === undefined
+        ? {}
+        : { "last-event-id": String(req.lastEventId) };
+      const { lastEventId: _, ...body } = req;
+      const res = yield* this.#client.open({
+        method: "POST",
+        url: this.#url("/v1/generate"),
+        headers: { "content-type": "application/json", accept: "text/event-stream", ...resume },
+        body: JSON.stringify(body),
+      }).pipe(
+        Effect.mapError(toBackendError),
+        Effect.timeoutOrElse({ duration: FIRST_EVENT_TIMEOUT_MS, orElse: () => Effect.fail(silent()) }),
+      );
+      if (res.statusCode !== 200) return yield* refuse(res);
+      const result = this.#readStream(res, { attemptId: req.attemptId, onToken });
+      return yield* Effect.ensuring(result, Effect.sync(() => res.destroy()));
+    });
+  }
+
+  cancel(attemptId: string): Effect.Effect<void, BackendError> {
+    return Effect.asVoid(this.#control("POST", { path: "/v1/cancel", body: { attemptId } }));
+  }
+
+  releaseKv(programIds: readonly string[]): Effect.Effect<void, BackendError> {
+    return Effect.asVoid(this.#control("POST", { path: "/v1/kv/release", body: { programIds } }));
+  }
+
+  listKv(): Effect.Effect<readonly IKvHolding[], BackendError> {
+    const reply = this.#control<{ holdings: IKvHolding[] }>("GET", { path: "/v1/kv" });
+    return Effect.map(reply, ({ holdings }) => holdings);
+  }
+
+  importKv(programId: string, fromAddress: string): Effect.Effect<void, BackendError> {
+    const body = { programId, from: fromAddress };
+    return Effect.asVoid(this.#control("POST", { path: "/v1/kv/import", body }));
+  }
+
+  report(): Effect.Effect<ILoadReport, BackendError> {
+    return this.#control("GET", { path: "/v1/load" });
+  }
+
+  cacheEvents(after: number): Effect.Effect<readonly ICacheEvent[], BackendError> {
+    const reply = this.#control<{ events: ICacheEvent[] }>("GET", {
+      path: `/v1/cache-events?after=${after}`,
+    });
+    return Effect.map(reply, ({ events }) => events);
+  }
+
+  order(order: IEngineOrder): Effect.Effect<void, BackendError> {
+    return Effect.asVoid(this.#control("POST", { path: "/v1/orders", body: order }));
+  }
+
+  #url(path: string): string {
+    return `http://${this.#address}${path}`;
+  }
+
+  #control<T>(method: string, call: { path: string; body?: unknown }): Effect.Effect<T, BackendError> {
+    const body = call.body === undefined ? undefined : JSON.stringify(call.body);
+    const req = { method, url: this.#url(call.path), headers: { "content-type": "application/json" }, body };
+    return exchange(this.#client, { req, timeoutMs: CONTROL_TIMEOUT_MS }).pipe(
+      Effect.flatMap(expectSuccess),
+      Effect.flatMap((reply) => parseJson<T>(new TextDecoder().decode(reply.body))),
+    );
+  }
+
+  #readStream(
+    res: IncomingMessage,
+    opts: { attemptId: string; onToken: (token: IEngineToken) => void },
+  ): Effect.Effect<IGenerateResult, BackendError> {
+    return Effect.gen({ self: this }, function* () {
+      const chunks = res[Symbol.asyncIterator]() as AsyncIterator<Uint8Array>;
+      const decoder = new TextDecoder();
+      const events: EventSourceMessage[] = [];
+      const parser = createParser({ onEvent: (event) => events.push(event) });
+      while (true) {
+        const chunk = yield* nextChunk(chunks);
+        parser.feed(decoder.decode(chunk, { stream: true }));
+        for (const event of events.splice(0)) {
+          const body = yield* parseJson<IStreamEvent>(event.data);
+          if (body.attemptId !== opts.attemptId) {
+            this.foreignEvents += 1;
+            continue;
+          }
+          if (body.done !== undefined) return { usage: body.done };
+          if (body.token !== undefined) opts.onToken({ eventId: Number(event.id), text: body.token });
+        }
+      }
+    });
+  }
+}
+
+/** Reads the next bytes of a stream. Comments count: an engine sends them while a call is queued. */
+function nextChunk(chunks: AsyncIterator<Uint8Array>): Effect.Effect<Uint8Array, BackendError> {
+  return Effect.tryPromise({ try: () => chunks.next(), catch: toError }).pipe(
+    Effect.mapError((cause) =>
+      new BackendError(BackendFailure.Broken, { detail: "the stream broke", cause })
+    ),
+    Effect.timeoutOrElse({ duration: CHUNK_GAP_TIMEOUT_MS, orElse: () => Effect.fail(silent()) }),
+    Effect.flatMap((next) => {
+      if (!next.done) return Effect.succeed(next.value);
+      return Effect.fail(new BackendError(BackendFailure.Broken, { detail: "the stream ended early" }));
+    }),
+  );
+}
+
+function expectSuccess(reply: IHttpReply): Effect.Effect<IHttpReply, BackendError> {
+  if (reply.status >= 200 && reply.status < 300) return Effect.succeed(reply);
+  return Effect.fail(failureOf(reply));
+}
+
+function refuse(res: IncomingMessage): Effect.Effect<never, BackendError> {
+  return Effect.flatMap(
+    Effect.mapError(readBody(res), toBackendError),
+    (reply) => Effect.fail(failureOf(reply)),
+  );
+}
+
+function failureOf(reply: IHttpReply): BackendError {
+  const detail = `the backend server answered ${reply.status}`;
+  if (reply.headers[NOT_EXECUTED_HEADER] !== undefined) {
+    return new BackendError(BackendFailure.Refused, { detail });
+  }
+  const isRequestAtFault = reply.status >= 400 && reply.status < 500;
+  return new BackendError(isRequestAtFault ? BackendFailure.Rejected : BackendFailure.Broken, { detail });
+}
--- /dev/null
+++ b/src/routing/node/http_service_backend.ts
@@ -0,0 +1,44 @@
+/** Adapter to a plain service over HTTP. */
+import { Effect } from "effect";
+import type { HttpClient } from "../../base/node/http_client.ts";
+import { BackendError, BackendFailure } from "../common/model_engine.ts";
+import type { IServiceBackend, IServiceReply, IServiceRequest } from "../common/service_backend.ts";
+import { exchange, NOT_EXECUTED_HEADER, toBackendError } from "./http_backend.ts";
+
+const PROBE_TIMEOUT_MS = 1000;
+
+export class HttpServiceBackend implements IServiceBackend {
+  readonly #client: HttpClient;
+  readonly #address: string;
+
+  constructor(client: HttpClient, address: string) {
+    this.#client = client;
+    this.#address = address;
+  }
+
+  run(req: IServiceRequest): Effect.Effect<IServiceReply, BackendError> {
+    const key: Record<string, string> = req.idempotencyKey === ""
+      ? {}
+      : { "idempotency-key": req.idempotencyKey };
+    const sent = this.#client.fetch({
+      method: "POST",
+      url: `http://${this.#address}/v1/services/${req.service}/${req.operation}`,
+      headers: { "content-type": "application/json", ...key },
+      body: req.body,
+      freshConnection: !req.isRepeatable,
+    });
+    return sent.pipe(
+      Effect.mapError(toBackendError),
+      Effect.flatMap((reply) => {
+        if (reply.headers[NOT_EXECUTED_HEADER] === undefined) return Effect.succeed(reply);
+        const detail = `the backend server refused the request (${reply.status})`;
+        return Effect.fail(new BackendError(BackendFailure.Refused, { detail }));
+      }),
+    );
+  }
+
+  probe(): Effect.Effect<void, BackendError> {
+    const req = { method: "GET", url: `http://${this.#address}/v1/health`, freshConnection: true };
+    return Effect.asVoid(exchange(this.#client, { req, timeoutMs: PROBE_TIMEOUT_MS }));
+  }
+}
--- /dev/null
+++ b/test/harness/processes.ts
@@ -0,0 +1,234 @@
+/** Starts and ends the processes of a deployment on the loopback. */
+import type { ChildProcess } from "node:child_process";
+import { fork } from "node:child_process";
+import { mkdtempSync, openSync, rmSync, writeFileSync } from "node:fs";
+import { createServer } from "node:net";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import type { IInstanceInfo } from "../../src/platform/instances/common/instance_list.ts";
+import { InstanceRole, InstanceState } from "../../src/platform/instances/common/instance_list.ts";
+import { CONFIGURATION_STREAM } from "../../src/platform/log/common/log_service.ts";
+import { encodePublication, NO_VERSION } from "../../src/platform/configuration/common/publication.ts";
+import type { DaemonSettings } from "../../src/platform/settings/common/gen/daemon_settings.ts";
+
+const HOST = "127.0.0.1";
+const STAND_INS = new URL("../stand_ins/", import.meta.url);
+const DAEMON = new URL("../../src/daemon/main.js", import.meta.url);
+const READY_POLL_MS = 25;
+const READY_TIMEOUT_MS = 30_000;
+
+export const OPERATOR_KEY = "operator-test-key";
+
+/** What a deployment consists of. */
+export interface IDeploymentPlan {
+  readonly region: string;
+  readonly zones: readonly string[];
+  readonly daemons: number;
+  readonly engines: { readonly count: number; readonly models: string };
+  readonly services: { readonly count: number; readonly name: string };
+  readonly customers: readonly string[];
+  /** Text of the configuration. */
+  readonly configuration: string;
+  readonly timing?: Partial<DaemonSettings["timing"]>;
+}
+
+export interface IManagedProcess {
+  readonly id: string;
+  readonly address: string;
+  readonly child: ChildProcess;
+}
+
+export interface IDaemonProcess extends IManagedProcess {
+  readonly callerUrl: string;
+  readonly settings: DaemonSettings;
+}
+
+/** A running deployment. */
+export class Deployment {
+  readonly plan: IDeploymentPlan;
+  readonly daemons: IDaemonProcess[] = [];
+  readonly engines: IManagedProcess[] = [];
+  readonly services: IManagedProcess[] = [];
+  platformUrl = "";
+  readonly #dir = mkdtempSync(join(tmpdir(), "ragwortcleat-"));
+  readonly #leaving = new Set<string>();
+  #platform: ChildProcess | undefined;
+
+  constructor(plan: IDeploymentPlan) {
+    this.plan = plan;
+  }
+
+  /** Starts everything and waits until all daemons are ready. */
+  async start(): Promise<void> {
+    const { plan } = this;
+    const platformPort = await freePort();
+    this.platformUrl = `http://${HOST}:${platformPort}`;
+    this.#platform = await this.#startStandIn("platform_main.js", [String(platformPort)]);
+    for (let index = 0; index < plan.engines.count; index++) {
+      this.engines.push(
+        await this.#startBackend("engine_main.js", { id: `engine-${index}`, extra: plan.engines.models }),
+      );
+    }
+    for (let index = 0; index < plan.services.count; index++) {
+      this.services.push(
+        await this.#startBackend("service_main.js", { id: `${plan.services.name}-${index}` }),
+      );
+    }
+    await this.publish(plan.configuration, NO_VERSION);
+    this.#writeKeys();
+    const planned = await Promise.all(
+      Array.from({ length: plan.daemons }, (_, index) => this.#planDaemon(index)),
+    );
+    this.daemons.push(...planned.map((settings) => this.startDaemon(settings)));
+    await this.listInstances();
+    await Promise.all(this.daemons.map((daemon) => this.awaitReady(daemon)));
+  }
+
+  /** Publishes a configuration; returns its offset. */
+  async publish(document: string, base: number): Promise<number> {
+    const url = `${this.platformUrl}/v1/streams/${CONFIGURATION_STREAM}/entries`;
+    const body = encodePublication({ base, author: "test", document }) as Uint8Array<ArrayBuffer>;
+    const reply = await fetch(url, { method: "POST", body });
+    return (await reply.json() as { offset: number }).offset;
+  }
+
+  /** Tells the instance list what runs now. */
+  async listInstances(): Promise<void> {
+    const zoneOf = (index: number) => this.plan.zones[index % this.plan.zones.length];
+    const entry = (
+      process: IManagedProcess,
+      opts: { role: InstanceRole; service: string; index: number },
+    ) => ({
+      id: process.id,
+      role: opts.role,
+      service: opts.service,
+      zone: zoneOf(opts.index),
+      address: process.address,
+      state: this.#leaving.has(process.id) ? InstanceState.Leaving : InstanceState.Live,
+    });
+    const instances: IInstanceInfo[] = [
+      ...this.daemons.map((daemon, index) =>
+        entry(daemon, { role: InstanceRole.System, service: "", index })
+      ),
+      ...this.engines.map((engine, index) =>
+        entry(engine, { role: InstanceRole.Engine, service: "", index })
+      ),
+      ...this.services.map((service, index) =>
+        entry(service, { role: InstanceRole.Service, service: this.plan.services.name, index })
+      ),
+    ];
+    await post(`${this.platformUrl}/control/instances`, instances);
+  }
+
+  markLeaving(id: string): Promise<void> {
+    this.#leaving.add(id);
+    return this.listInstances();
+  }
+
+  /** Starts a daemon with settings; it takes part as soon as it is listed. */
+  startDaemon(settings: DaemonSettings): IDaemonProcess {
+    const path = join(this.#dir, `${settings.instanceId}.jsonc`);
+    writeFileSync(path, JSON.stringify(settings, undefined, 2));
+    const log = openSync(join(this.#dir, `${settings.instanceId}.log`), "a");
+    const child = fork(DAEMON, ["--config", path], { stdio: ["ignore", log, log, "ipc"] });
+    return {
+      id: settings.instanceId,
+      address: `${HOST}:${settings.peers.port}`,
+      callerUrl: `http://${HOST}:${settings.callers.port}`,
+      child,
+      settings,
+    };
+  }
+
+  async awaitReady({ callerUrl, child, id }: IDaemonProcess): Promise<void> {
+    const until = Date.now() + READY_TIMEOUT_MS;
+    while (Date.now() < until) {
+      if (child.exitCode !== null) throw new Error(`${id} ended with ${child.exitCode}`);
+      const reply = await fetch(`${callerUrl}/readyz`).catch(() => undefined);
+      if (reply?.status === 200) return;
+      await pause(READY_POLL_MS);
+    }
+    throw new Error(`${id} was not ready in time; see ${this.#dir}`);
+  }
+
+  /** Ends all processes and removes the files. */
+  async stop(): Promise<void> {
+    const all = [...this.daemons, ...this.engines, ...this.services].map(({ child }) => child);
+    if (this.#platform !== undefined) all.push(this.#platform);
+    await Promise.all(all.map(endProcess));
+    rmSync(this.#dir, { recursive: true, force: true });
+  }
+
+  async #planDaemon(index: number): Promise<DaemonSettings> {
+    const { region, zones, timing } = this.plan;
+    return {
+      instanceId: `entry-${index}`,
+      region,
+      zone: zones[index % zones.length],
+      callers: { host: HOST, port: await freePort() },
+      peers: { host: HOST, port: await freePort() },
+      platform: { logUrl: this.platformUrl, instanceListUrl: this.platformUrl },
+      keys: { customersFile: "customers.keys", operatorsFile: "operators.keys" },
+      timing: (timing ?? {}) as DaemonSettings["timing"],
+      logLevel: "info",
+    };
+  }
+
+  #writeKeys(): void {
+    const customers = this.plan.customers.map((customer) => `${customer} ${keyOf(customer)}`);
+    writeFileSync(join(this.#dir, "customers.keys"), customers.join("\n"));
+    writeFileSync(join(this.#dir, "operators.keys"), `operator ${OPERATOR_KEY}\n`);
+  }
+
+  async #startBackend(program: string, opts: { id: string; extra?: string }): Promise<IManagedProcess> {
+    const port = await freePort();
+    const child = await this.#startStandIn(program, [String(port), opts.id, opts.extra ?? ""]);
+    return { id: opts.id, address: `${HOST}:${port}`, child };
+  }
+
+  #startStandIn(program: string, args: readonly string[]): Promise<ChildProcess> {
+    const child = fork(new URL(program, STAND_INS), args, { stdio: ["ignore", "inherit", "inherit", "ipc"] });
+    return new Promise((resolve, reject) => {
+      child.once("message", () => resolve(child));
+      child.once("exit", (code) => reject(new Error(`${program} ended with ${code}`)));
+    });
+  }
+}
+
+/** API key of a customer in tests. */
+export function keyOf(customer: string): string {
+  return `key-of-${customer}`;
+}
+
+/** Sends a control request to a stand-in. */
+export async function post(url: string, body: unknown): Promise<unknown> {
+  const reply = await fetch(url, { method: "POST", body: JSON.stringify(body) });
+  return await reply.json();
+}
+
+export function pause(ms: number): Promise<void> {
+  return new Promise((resolve) => setTimeout(resolve, ms));
+}
+
+/** Resolves with the exit code of a process, or null if a signal ended it. */
+export function exitOf(child: ChildProcess): Promise<number | null> {
+  if (child.exitCode !== null || child.signalCode !== null) return Promise.resolve(child.exitCode);
+  return new Promise((resolve) => child.once("exit", (code) => resolve(code)));
+}
+
+async function endProcess(child: ChildProcess): Promise<void> {
+  const ended = exitOf(child);
+  child.kill("SIGKILL");
+  await ended;
+}
+
+function freePort(): Promise<number> {
+  return new Promise((resolve, reject) => {
+    const server = createServer();
+    server.once("error", reject);
+    server.listen(0, HOST, () => {
+      const { port } = server.address() as { port: number };
+      server.close(() => resolve(port));
+    });
+  });
+}
--- /dev/null
+++ b/test/stand_ins/service_core.ts
@@ -0,0 +1,72 @@
+/** Stand-in for a plain service: counts every execution by key, with switchable faults. */
+import { Effect } from "effect";
+import type {
+  IServiceBackend,
+  IServiceReply,
+  IServiceRequest,
+} from "../../src/routing/common/service_backend.ts";
+import { BackendError, BackendFailure } from "../../src/routing/common/model_engine.ts";
+
+export interface IServiceFaults {
+  crashed: boolean;
+  /** Refuses requests before running them. */
+  refusing: boolean;
+  /** Takes effect, then never answers. */
+  hanging: boolean;
+  /** Takes effect, then breaks the connection; so many times. */
+  cutsAfterEffect: number;
+  delayMs: number;
+}
+
+/** Executions by key, shared by the backend servers of a service. */
+export type ExecutionCounts = Map<string, number>;
+
+export class ServiceCore implements IServiceBackend {
+  readonly faults: IServiceFaults = {
+    crashed: false,
+    refusing: false,
+    hanging: false,
+    cutsAfterEffect: 0,
+    delayMs: 2,
+  };
+  readonly id: string;
+  readonly counts: ExecutionCounts;
+  /** Requests that arrived. */
+  arrivals = 0;
+
+  constructor(id: string, counts: ExecutionCounts = new Map()) {
+    this.id = id;
+    this.counts = counts;
+  }
+
+  run(req: IServiceRequest): Effect.Effect<IServiceReply, BackendError> {
+    return Effect.gen({ self: this }, function* () {
+      if (this.faults.crashed) return yield* failWith(BackendFailure.NotSent);
+      this.arrivals += 1;
+      if (this.faults.refusing) return yield* failWith(BackendFailure.Refused);
+      if (this.faults.delayMs > 0) yield* Effect.sleep(this.faults.delayMs);
+      const key = req.idempotencyKey === "" ? `${req.service}/${req.operation}` : req.idempotencyKey;
+      this.counts.set(key, (this.counts.get(key) ?? 0) + 1);
+      if (this.faults.hanging) return yield* Effect.never;
+      if (this.faults.cutsAfterEffect > 0) {
+        this.faults.cutsAfterEffect -= 1;
+        return yield* failWith(BackendFailure.Broken);
+      }
+      return { status: 200, body: serviceAnswer(req.operation, req.body) };
+    });
+  }
+
+  probe(): Effect.Effect<void, BackendError> {
+    return Effect.suspend(() => this.faults.crashed ? failWith(BackendFailure.NotSent) : Effect.void);
+  }
+}
+
+/** The answer that every backend server gives to a request. */
+export function serviceAnswer(operation: string, body: Uint8Array): Uint8Array {
+  const request = JSON.parse(new TextDecoder().decode(body)) as unknown;
+  return new TextEncoder().encode(JSON.stringify({ operation, request }));
+}
+
+function failWith(failure: BackendFailure): Effect.Effect<never, BackendError> {
+  return Effect.fail(new BackendError(failure, { detail: failure }));
+}
