Wake requests that wait for a slice that was lost before it was ready

Change: a slice that leaves an instance releases its waiters, which then look for the new owner.

After: the test passes.

--- a/src/membership/common/hand_over.ts
+++ b/src/membership/common/hand_over.ts
@@ -80,8 +80,11 @@
   /** Updates the owned slices at once, so that no call slips in between a view and its take-over. */
   #takeNote({ previous, current }: IViewChange): number[] {
     const owned = new Set(current.slicesOf(this.#opts.self));
-    for (const slice of this.#slices.keys()) {
-      if (!owned.has(slice)) this.#slices.delete(slice);
+    for (const [slice, { ready }] of this.#slices) {
+      if (owned.has(slice) && previous?.epochOf(slice) === current.epochOf(slice)) continue;
+      this.#slices.delete(slice);
+      // Whoever waits for a slice that was lost again must look for its new owner.
+      Deferred.doneUnsafe(ready, Effect.void);
     }
     const gained = [...owned].filter((slice) => previous?.epochOf(slice) !== current.epochOf(slice));
     for (const slice of gained) {
--- /dev/null
+++ b/src/membership/common/hand_over_test.ts
@@ -0,0 +1,29 @@
+import test from "ava";
+import { create } from "@bufbuild/protobuf";
+import { Effect, Fiber } from "effect";
+import type { Member } from "../../base/common/gen/ragwortcleat/v1/journal_pb.ts";
+import { MemberSchema, MemberState } from "../../base/common/gen/ragwortcleat/v1/journal_pb.ts";
+import { HandOver } from "./hand_over.ts";
+import type { PeerClients } from "./peer_client.ts";
+import { makeNextView, ViewTable } from "./view.ts";
+
+function member(instanceId: string): Member {
+  return create(MemberSchema, { instanceId, incarnation: "1", state: MemberState.ACTIVE });
+}
+
+test("a request does not wait for a slice that was lost before it was ready", async (t) => {
+  const [a, b] = [member("a"), member("b")];
+  const views = new ViewTable();
+  const timing = { leaseMs: 0, failureTimeoutMs: 0 } as never;
+  const handOver = new HandOver({ self: a, views, peers: {} as PeerClients, timing });
+  const work = Effect.gen(function* () {
+    yield* handOver.start({ expect: () => {}, recover: () => Effect.never });
+    views.apply(makeNextView(undefined, [a]));
+    const slice = 0;
+    const waiting = yield* Effect.forkChild(handOver.awaitReady(slice));
+    yield* Effect.yieldNow;
+    views.apply(makeNextView(views.current, [b]));
+    t.false(yield* Fiber.join(waiting));
+  });
+  await Effect.runPromise(Effect.scoped(work));
+});
