Make attempt ids unique across instances; share the drain

Cause: a proof of step order with ownership switched off saw one engine run where three were expected. Attempt ids were made of program, step, a counter and the time, which two owners of one step can share; the engine then joins their streams.

Ruled out: the engine stand-in joining by program (it joins by attempt id, as an engine may).

Change: attempt ids are made of the instance's incarnation and a counter. The drain moves to common code, so that tests under virtual time use the same one as the daemon.

Before: three instances, one run. After: three runs with ownership off, one with it on.

--- a/src/call/common/model_dispatch.ts
+++ b/src/call/common/model_dispatch.ts
@@ -49,6 +49,8 @@
   readonly journal: IJournal;
   readonly decisions: IDecisionLog;
   readonly presetName: () => string;
+  /** Run of this instance, by which its attempts differ from those of all others. */
+  readonly incarnation: string;
   readonly scope: Scope.Scope;
 }
 
@@ -152,7 +154,7 @@
       this.#lastAttempt += 1;
       const now = yield* Clock.currentTimeMillis;
       const req: IGenerateRequest = {
-        attemptId: `${job.admission.programId}-${job.run.step}-${this.#lastAttempt}-${now}`,
+        attemptId: `${this.#opts.incarnation}-${this.#lastAttempt}`,
         programId: job.admission.programId,
         model: job.admission.model,
         messages: job.messages,
--- a/src/daemon/common/core.ts
+++ b/src/daemon/common/core.ts
@@ -1,5 +1,4 @@
 /** Puts the parts of one instance together over its interfaces to the outside. */
-import { randomIncarnation } from "./incarnation.ts";
 import { create } from "@bufbuild/protobuf";
 import type { ServiceImpl } from "@connectrpc/connect";
 import type { Scope } from "effect";
@@ -46,6 +45,8 @@
 import { ClassDeadlineOrder } from "../../routing/common/program_order.ts";
 import type { MakeServiceBackend } from "../../routing/common/service_backend.ts";
 
+import { randomIncarnation } from "./incarnation.ts";
+
 const MS_PER_SECOND = 1000;
 
 /** The outside, as an instance reaches it. */
@@ -78,6 +79,7 @@
   readonly decisions: DecisionLog;
   readonly metrics: Metrics;
   readonly copies: HeldCopies;
+  readonly writer: DurableWriter;
   readonly checkpoints: Checkpoints;
   readonly peerService: ServiceImpl<typeof PeerService>;
   /** Starts all fibers of the instance; they end with the scope. */
@@ -148,6 +150,7 @@
       journal,
       decisions,
       presetName,
+      incarnation: self.incarnation,
       scope,
     });
     const services = new ServiceDispatch({ registry, state, writer, retries, decisions, presetName });
@@ -220,6 +223,7 @@
       decisions,
       metrics,
       copies,
+      writer,
       checkpoints,
       peerService,
       start,
--- a/src/daemon/node/daemon.ts
+++ b/src/daemon/node/daemon.ts
@@ -13,9 +13,9 @@
 import { HttpServiceBackend } from "../../routing/node/http_service_backend.ts";
 import type { ICore } from "../common/core.ts";
 import { makeCore } from "../common/core.ts";
+import { drainCore } from "../common/drain.ts";
 import type { ILoadedSettings } from "./settings_file.ts";
 
-const POLL_MS = 20;
 /** Time that the others get to notice that this instance takes no new connections. */
 const UNREADY_MS = 300;
 
@@ -71,9 +71,7 @@
       logger.info("draining");
       yield* Effect.sleep(UNREADY_MS);
       http.stopAccepting();
-      core.membership.drain();
-      yield* until(() => hasHandedOver(core) && core.calls.runningCount === 0 && http.activeCount === 0);
-      yield* until(() => core.journal.backlog === 0);
+      yield* drainCore(core, () => http.activeCount === 0);
       logger.info("stopped", { tookMs: (yield* Clock.currentTimeMillis) - startedAt });
     });
     return { core, drain };
@@ -86,19 +84,6 @@
   return isMember && core.handOver.isSettled && core.configuration.version >= 0;
 }
 
-/** Whether no slice is left here. The last member of a region has nobody to hand over to. */
-function hasHandedOver(core: ICore): boolean {
-  const view = core.state.views.current;
-  if (view === undefined || view.members.length <= 1) return true;
-  return view.slicesOf(core.self).length === 0;
-}
-
-function until(condition: () => boolean): Effect.Effect<void> {
-  return Effect.gen(function* () {
-    while (!condition()) yield* Effect.sleep(POLL_MS);
-  });
-}
-
 function own<T extends { dispose(): void }>(resource: T): Effect.Effect<T, never, Scope.Scope> {
   return Effect.acquireRelease(Effect.succeed(resource), () => Effect.sync(() => resource.dispose()));
 }
