--- a/src/platform/journal/common/journal.ts
+++ b/src/platform/journal/common/journal.ts
@@ -51,6 +51,11 @@
 /** Ordered, durable records shared by all instances. */
 export interface IJournal {
   append(record: Record): IPendingRecord;
+  /**
+   * Appends records that depend on the state at their place in the stream. They are made when their
+   * batch is, and stand first in it, so that they reflect all that goes before them.
+   */
+  appendCurrent(make: () => readonly Record[]): Effect.Effect<void>;
   /** Time of the last confirmed read of the stream's end, in ms of the clock; 0 before the first. */
   readonly confirmedAt: number;
   /** Time since which the log service has been failing, in ms of the clock, or undefined. */
@@ -84,6 +89,7 @@
 export class Journal implements IJournal {
   readonly #opts: IJournalOptions;
   readonly #queue: IQueuedRecord[] = [];
+  readonly #makers: { readonly make: () => readonly Record[]; readonly done: Deferred.Deferred<void> }[] = [];
   readonly #work = new Signal();
   readonly #readDone = new Signal();
   readonly #caughtUp = Deferred.makeUnsafe<void>();
@@ -120,12 +126,21 @@
   }
 
   append(record: Record): IPendingRecord {
-    const queued = { record, done: Deferred.makeUnsafe<IAppendReceipt>() };
+    const queued = toQueued(record);
     this.#queue.push(queued);
     this.#work.notify();
     return { receipt: Deferred.await(queued.done), withdraw: () => this.#withdraw(queued) };
   }
 
+  appendCurrent(make: () => readonly Record[]): Effect.Effect<void> {
+    return Effect.suspend(() => {
+      const done = Deferred.makeUnsafe<void>();
+      this.#makers.push({ make, done });
+      this.#work.notify();
+      return Deferred.await(done);
+    });
+  }
+
   #withdraw(queued: IQueuedRecord): boolean {
     const index = this.#queue.indexOf(queued);
     if (index < 0) return false;
@@ -198,10 +213,13 @@
     return Effect.gen({ self: this }, function* () {
       yield* this.caughtUp;
       while (true) {
-        if (this.#queue.length === 0) yield* this.#work.wait();
+        if (this.#queue.length === 0 && this.#makers.length === 0) yield* this.#work.wait();
         yield* this.#awaitShare();
-        const queued = this.#queue.splice(0, MAX_BATCH_RECORDS);
+        const maker = this.#makers.shift();
+        const current = (maker?.make() ?? []).map(toQueued);
+        const queued = [...current, ...this.#queue.splice(0, MAX_BATCH_RECORDS)];
         if (queued.length > 0) yield* this.#writeBatch(queued);
+        if (maker !== undefined) Deferred.doneUnsafe(maker.done, Effect.void);
       }
     });
   }
@@ -254,6 +272,10 @@
   }
 }
 
+function toQueued(record: Record): IQueuedRecord {
+  return { record, done: Deferred.makeUnsafe<IAppendReceipt>() };
+}
+
 function settle(batch: IBatchInFlight, result: { offset: number; accepted: readonly boolean[] }): void {
   batch.queued.forEach(({ done }, index) => {
     Deferred.doneUnsafe(done, Effect.succeed({ accepted: result.accepted[index], offset: result.offset }));
--- a/src/program/common/checkpoints.ts
+++ b/src/program/common/checkpoints.ts
@@ -2,7 +2,7 @@
 import type { Scope } from "effect";
 import { Clock, Effect } from "effect";
 import { create } from "@bufbuild/protobuf";
-import type { Member } from "../../base/common/gen/ragwortcleat/v1/journal_pb.ts";
+import type { Member, Record } from "../../base/common/gen/ragwortcleat/v1/journal_pb.ts";
 import { RecordSchema } from "../../base/common/gen/ragwortcleat/v1/journal_pb.ts";
 import { sliceOf } from "../../base/common/ids.ts";
 import { isSameRun } from "../../membership/common/view.ts";
@@ -17,6 +17,9 @@
 /** Time for which an ended program is remembered, for callers that ask for its last answer again. */
 const ENDED_LIFETIME_MS = 3_600_000;
 
+const PROGRAMS_PER_BATCH = 20;
+const KEYS_PER_BATCH = 200;
+
 export interface ICheckpointsOptions {
   readonly self: Member;
   readonly state: JournalState;
@@ -63,25 +66,43 @@
     });
   }
 
+  /** Writes the programs in parts that fit a batch. */
   #repeatPrograms(owned: ReadonlySet<number>): Effect.Effect<void> {
     return Effect.gen({ self: this }, function* () {
-      for (const program of [...this.#opts.state.programs.all]) {
-        if (!owned.has(program.slice)) continue;
-        // Made one by one, so that each is up to date where it stands in the journal.
-        const value = makeSnapshot(program);
-        const record = this.#opts.writer.stamp(program.slice, { case: "snapshot", value });
-        yield* this.#opts.journal.append(record).receipt;
+      const ids = [...this.#opts.state.programs.all].filter(({ slice }) => owned.has(slice)).map(({ id }) =>
+        id
+      );
+      while (ids.length > 0) {
+        const part = ids.splice(0, PROGRAMS_PER_BATCH);
+        yield* this.#opts.journal.appendCurrent(() => part.flatMap((id) => this.#snapshotOf(id)));
       }
     });
   }
 
+  #snapshotOf(programId: string): Record[] {
+    const program = this.#opts.state.programs.get(programId);
+    if (program === undefined) return [];
+    return [this.#opts.writer.stamp(program.slice, { case: "snapshot", value: makeSnapshot(program) })];
+  }
+
   #repeatKeys(owned: ReadonlySet<number>): Effect.Effect<void> {
-    const keys = [...this.#opts.state.keys.all].filter(({ programId }) => owned.has(sliceOf(programId)));
-    const receipts = keys.map((entry) => {
-      const body = { case: "key" as const, value: makeKeySnapshot(entry) };
-      return this.#opts.journal.append(this.#opts.writer.stamp(sliceOf(entry.programId), body)).receipt;
+    return Effect.gen({ self: this }, function* () {
+      const keys = [...this.#opts.state.keys.all]
+        .filter(({ programId }) => owned.has(sliceOf(programId)))
+        .map(({ key }) => key);
+      while (keys.length > 0) {
+        const part = keys.splice(0, KEYS_PER_BATCH);
+        yield* this.#opts.journal.appendCurrent(() => part.flatMap((key) => this.#keyRecord(key)));
+      }
     });
-    return Effect.asVoid(Effect.all(receipts, { concurrency: "unbounded" }));
+  }
+
+  #keyRecord(key: string): Record[] {
+    const entry = this.#opts.state.keys.get(key);
+    if (entry === undefined) return [];
+    return [
+      this.#opts.writer.stamp(sliceOf(entry.programId), { case: "key", value: makeKeySnapshot(entry) }),
+    ];
   }
 
   #forgetOld(now: number): void {
