--- /dev/null
+++ b/test/harness/cluster.ts
@@ -0,0 +1,376 @@
+/**
+ * Instances in one process under virtual time, over in-memory stand-ins. Every way out of an instance
+ * passes a gate, so that it can be frozen, cut off or killed at any point.
+ */
+import type { Transport } from "@connectrpc/connect";
+import { ConnectError, createRouterTransport } from "@connectrpc/connect";
+import { Deferred, Effect, Exit, Scope } from "effect";
+import { TestClock } from "effect/testing";
+import { CallError, PlatformError } from "../../src/base/common/errors.ts";
+import type { CallRequest } from "../../src/base/common/gen/ragwortcleat/v1/peer_pb.ts";
+import { CallRequestSchema, PeerService } from "../../src/base/common/gen/ragwortcleat/v1/peer_pb.ts";
+import type { Turn } from "../../src/base/common/gen/ragwortcleat/v1/common_pb.ts";
+import {
+  BudgetSchema,
+  EndCause,
+  ProgramSpecSchema,
+} from "../../src/base/common/gen/ragwortcleat/v1/common_pb.ts";
+import { create } from "@bufbuild/protobuf";
+import { sliceOf } from "../../src/base/common/ids.ts";
+import type { ICore } from "../../src/daemon/common/core.ts";
+import { makeCore } from "../../src/daemon/common/core.ts";
+import { drainCore } from "../../src/daemon/common/drain.ts";
+import type { IPeerTransports } from "../../src/membership/common/peer_client.ts";
+import type { IInstanceInfo } from "../../src/platform/instances/common/instance_list.ts";
+import { InstanceRole, InstanceState } from "../../src/platform/instances/common/instance_list.ts";
+import type { ILogService } from "../../src/platform/log/common/log_service.ts";
+import { CONFIGURATION_STREAM } from "../../src/platform/log/common/log_service.ts";
+import { encodePublication, NO_VERSION } from "../../src/platform/configuration/common/publication.ts";
+import { NullLogger } from "../../src/platform/logging/common/logger.ts";
+import { parseDaemonSettings } from "../../src/platform/settings/common/validation.ts";
+import type { IModelEngine } from "../../src/routing/common/model_engine.ts";
+import type { IServiceBackend } from "../../src/routing/common/service_backend.ts";
+import { DEFAULT_ENGINE, EngineCore } from "../stand_ins/engine_core.ts";
+import { LogCore } from "../stand_ins/log_core.ts";
+import { ServiceCore } from "../stand_ins/service_core.ts";
+
+const STEP_MS = 5;
+const TURNS_PER_STEP = 4;
+export const ZONES = ["zone-a", "zone-b", "zone-c"];
+
+/** One instance and the state of its ways out. */
+export interface INode {
+  readonly id: string;
+  readonly core: ICore;
+  readonly scope: Scope.Closeable;
+  transport: Transport;
+  isDead: boolean;
+  /** Set while the instance is frozen. */
+  frozen: Deferred.Deferred<void> | undefined;
+  isLogCut: boolean;
+}
+
+export const TEST_CONFIGURATION = {
+  deployment: "test",
+  activePreset: "ordinary",
+  presets: { ordinary: {}, peak: { maxQueueMs: 2000 } },
+  programKinds: {
+    quick: { class: 3, idleMs: 600_000 },
+    long: { class: 1, idleMs: 600_000 },
+    short: { class: 3, maxTurns: 3 },
+  },
+  customers: {},
+  models: { m: {} },
+  services: {
+    api: {
+      operations: {
+        read: { repeatable: true, timeoutMs: 2000 },
+        act: { repeatable: false, timeoutMs: 2000 },
+      },
+    },
+  },
+};
+
+export interface IClusterOptions {
+  readonly nodes: number;
+  readonly engines?: number;
+  readonly services?: number;
+  readonly timing?: object;
+  readonly configuration?: object;
+}
+
+export class Cluster {
+  readonly log = new LogCore();
+  readonly engines: EngineCore[] = [];
+  readonly services: ServiceCore[] = [];
+  /** Executions of calls by idempotency key, or by operation for repeatable ones. */
+  readonly counts = new Map<string, number>();
+  readonly nodes = new Map<string, INode>();
+  readonly leaving = new Set<string>();
+  readonly #opts: IClusterOptions;
+  readonly #started: INode[] = [];
+  #keyCount = 0;
+
+  private constructor(opts: IClusterOptions) {
+    this.#opts = opts;
+    for (let index = 0; index < (opts.engines ?? 3); index++) {
+      this.engines.push(new EngineCore({ ...DEFAULT_ENGINE, id: `e${index}`, models: ["m"] }));
+    }
+    for (let index = 0; index < (opts.services ?? 2); index++) {
+      this.services.push(new ServiceCore(`s${index}`, this.counts));
+    }
+  }
+
+  /** Runs a test on a cluster that has a first view and a configuration. */
+  static run<A>(opts: IClusterOptions, body: (cluster: Cluster) => Effect.Effect<A, unknown>): Promise<A> {
+    const cluster = new Cluster(opts);
+    const work = Effect.gen(function* () {
+      const document = JSON.stringify(opts.configuration ?? TEST_CONFIGURATION);
+      yield* cluster.publish(document, NO_VERSION);
+      for (let index = 0; index < opts.nodes; index++) yield* cluster.startNode(`n${index}`);
+      yield* cluster.until(() => cluster.isSettled, "the first view");
+      const result = yield* body(cluster);
+      yield* Effect.all(cluster.#started.map((node) => cluster.kill(node.id)), { discard: true });
+      return result;
+    });
+    return Effect.runPromise(Effect.provide(work, TestClock.layer()) as Effect.Effect<A>);
+  }
+
+  get isSettled(): boolean {
+    return this.live.every(({ core }) =>
+      core.state.views.current?.members.length === this.live.length && core.handOver.isSettled &&
+      core.configuration.version >= 0 && core.registry.engines.every(({ report }) => report !== undefined)
+    );
+  }
+
+  get live(): INode[] {
+    return [...this.nodes.values()].filter(({ isDead }) => !isDead);
+  }
+
+  node(id: string): INode {
+    return this.nodes.get(id)!;
+  }
+
+  /** Passes virtual time, letting everything run that becomes due. */
+  advance(ms: number): Effect.Effect<void> {
+    return Effect.gen(function* () {
+      for (let passed = 0; passed < ms; passed += STEP_MS) {
+        yield* TestClock.adjust(STEP_MS);
+        for (let turn = 0; turn < TURNS_PER_STEP; turn++) yield* macrotask();
+      }
+    });
+  }
+
+  /** Passes virtual time until a condition holds; fails after a minute of it. */
+  until(condition: () => boolean, what: string): Effect.Effect<void> {
+    return Effect.gen({ self: this }, function* () {
+      for (let passed = 0; passed < 60_000; passed += STEP_MS) {
+        if (condition()) return;
+        yield* this.advance(STEP_MS);
+      }
+      return yield* Effect.die(new Error(`waited in vain for ${what}`));
+    });
+  }
+
+  /** Runs a request while virtual time passes. */
+  drive<A, E>(work: Effect.Effect<A, E>): Effect.Effect<A, E> {
+    return Effect.gen({ self: this }, function* () {
+      let outcome: Exit.Exit<A, E> | undefined;
+      yield* Effect.forkDetach(Effect.map(Effect.exit(work), (exit) => {
+        outcome = exit;
+      }));
+      yield* this.until(() => outcome !== undefined, "an answer");
+      return yield* outcome!;
+    });
+  }
+
+  startNode(id: string): Effect.Effect<INode> {
+    return Effect.gen({ self: this }, function* () {
+      const scope = yield* Scope.make();
+      const settings = parseDaemonSettings(
+        JSON.stringify({
+          instanceId: id,
+          region: "test",
+          zone: ZONES[Number(id.slice(1)) % ZONES.length],
+          callers: { host: "127.0.0.1", port: 1 },
+          peers: { host: "127.0.0.1", port: 1 },
+          platform: { logUrl: "http://log", instanceListUrl: "http://list" },
+          keys: { customersFile: "none", operatorsFile: "none" },
+          timing: { ...this.#opts.timing },
+        }),
+        id,
+      );
+      let node: INode | undefined = undefined;
+      const self = () => node as unknown as INode;
+      const core = yield* Scope.provide(
+        makeCore(settings, {
+          addresses: { peerAddress: id, callerAddress: id },
+          outside: {
+            log: this.#logOf(self),
+            instances: { list: () => Effect.sync(() => this.#list()) },
+            transports: this.#transportsOf(self),
+            makeEngine: (address) =>
+              gate(self, this.engines.find(({ id }) => id === address) as IModelEngine),
+            makeService: (address) =>
+              gate(self, this.services.find(({ id }) => id === address) as IServiceBackend),
+            logger: new NullLogger(),
+          },
+        }),
+        scope,
+      );
+      const transport = createRouterTransport((router) => router.service(PeerService, core.peerService));
+      node = { id, core, scope, transport, isDead: false, frozen: undefined, isLogCut: false };
+      this.nodes.set(id, node);
+      this.#started.push(node);
+      yield* Scope.provide(core.start, scope);
+      return node;
+    });
+  }
+
+  /** Ends an instance without warning. */
+  kill(id: string): Effect.Effect<void> {
+    const node = this.node(id);
+    node.isDead = true;
+    return Scope.close(node.scope, Exit.void);
+  }
+
+  /** Stops an instance gracefully. */
+  drain(id: string): Effect.Effect<void> {
+    return Effect.andThen(drainCore(this.node(id).core, () => true), this.kill(id));
+  }
+
+  /** Freezes an instance: nothing leaves it and it answers nothing until it is thawed. */
+  freeze(id: string): void {
+    this.node(id).frozen = Deferred.makeUnsafe<void>();
+  }
+
+  thaw(id: string): void {
+    const node = this.node(id);
+    const { frozen } = node;
+    node.frozen = undefined;
+    if (frozen !== undefined) Deferred.doneUnsafe(frozen, Effect.void);
+  }
+
+  publish(document: string, base: number): Effect.Effect<number> {
+    return Effect.orDie(
+      this.log.append(CONFIGURATION_STREAM, encodePublication({ base, author: "test", document })),
+    );
+  }
+
+  /** Id of the instance that owns a program. */
+  ownerOf(programId: string): string {
+    return this.live[0].core.state.views.current?.ownerOf(sliceOf(programId))?.instanceId ?? "";
+  }
+
+  /** Opens a program through an instance; its id is fixed, so that runs are the same. */
+  open(
+    via: string,
+    opts: { id?: string; kind?: string; budget?: object; customer?: string; parentId?: string } = {},
+  ) {
+    this.#keyCount += 1;
+    const programId = opts.id ?? `test-p${this.#keyCount}`;
+    const spec = create(ProgramSpecSchema, {
+      programId,
+      customer: opts.customer ?? "c",
+      kind: opts.kind ?? "quick",
+      parentId: opts.parentId ?? "",
+      budget: create(BudgetSchema, opts.budget ?? {}),
+    });
+    return Effect.as(this.node(via).core.router.open(spec), programId);
+  }
+
+  end(via: string, programId: string) {
+    return this.node(via).core.router.end(programId, { customer: "c", cause: EndCause.CALLER });
+  }
+
+  /** Runs a model call through an instance and returns its turn. */
+  callModel(
+    via: string,
+    call: { program: string; step: number; content: string; maxTokens?: number; customer?: string },
+  ): Effect.Effect<Turn, CallError> {
+    const value = {
+      model: "m",
+      messages: [{ role: "user", content: call.content }],
+      maxTokens: call.maxTokens ?? 16,
+    };
+    return this.#call(via, { ...call, body: { case: "model", value } });
+  }
+
+  /** Runs a service call through an instance and returns its turn. */
+  callService(
+    via: string,
+    call: {
+      program: string;
+      step: number;
+      operation: "read" | "act";
+      key?: string;
+      body?: string;
+      customer?: string;
+    },
+  ): Effect.Effect<Turn, CallError> {
+    const body = new TextEncoder().encode(call.body ?? "{}");
+    const value = { service: "api", operation: call.operation, body, idempotencyKey: call.key ?? "" };
+    return this.#call(via, { ...call, body: { case: "service", value } });
+  }
+
+  #call(
+    via: string,
+    call: { program: string; step: number; customer?: string; body: object },
+  ): Effect.Effect<Turn, CallError> {
+    const { program, step } = call;
+    const req = create(CallRequestSchema, {
+      customer: call.customer ?? "c",
+      programId: program,
+      step,
+      call: call.body as CallRequest["call"],
+    });
+    return Effect.map(this.node(via).core.router.call(req, () => {}), ({ turn }) => turn);
+  }
+
+  #list(): IInstanceInfo[] {
+    const entry = (id: string, role: InstanceRole, service = "") => ({
+      id,
+      role,
+      service,
+      zone: ZONES[0],
+      address: id,
+      state: this.leaving.has(id) ? InstanceState.Leaving : InstanceState.Live,
+    });
+    return [
+      ...[...this.nodes.keys()].map((id) => entry(id, InstanceRole.System)),
+      ...this.engines.map(({ id }) => entry(id, InstanceRole.Engine)),
+      ...this.services.map(({ id }) => entry(id, InstanceRole.Service, "api")),
+    ];
+  }
+
+  #logOf(self: () => INode): ILogService {
+    const log = gate(self, this.log as ILogService);
+    const pass = <A>(work: () => Effect.Effect<A, PlatformError>) =>
+      Effect.suspend(() => self().isLogCut ? Effect.fail(new PlatformError("cut")) : work());
+    return {
+      append: (stream, data) => pass(() => log.append(stream, data)),
+      read: (stream, opts) => pass(() => log.read(stream, opts)),
+    };
+  }
+
+  #transportsOf(self: () => INode): IPeerTransports {
+    const reach = async (address: string): Promise<Transport> => {
+      await openGate(self());
+      const target = this.nodes.get(address);
+      if (target === undefined || target.isDead || self().isDead) throw new ConnectError("unreachable");
+      await openGate(target);
+      return target.transport;
+    };
+    return {
+      get: (address) => ({
+        unary: async (...args) => (await reach(address)).unary(...args),
+        stream: async (...args) => (await reach(address)).stream(...args),
+      }),
+      reset: () => {},
+    };
+  }
+}
+
+function macrotask(): Effect.Effect<void> {
+  return Effect.promise(() => new Promise<void>((resolve) => setImmediate(resolve)));
+}
+
+function openGate({ frozen }: INode): Promise<void> | void {
+  return frozen === undefined ? undefined : Effect.runPromise(Deferred.await(frozen));
+}
+
+/** Holds every call of an interface back while the instance is frozen. */
+function gate<T extends object>(self: () => INode, target: T): T {
+  return new Proxy(target, {
+    get(object, name) {
+      const member = Reflect.get(object, name) as unknown;
+      if (typeof member !== "function") return member;
+      return (...args: unknown[]) =>
+        Effect.suspend(() => {
+          const work = () => member.apply(object, args) as Effect.Effect<unknown, unknown>;
+          const { frozen } = self();
+          return frozen === undefined ? work() : Effect.flatMap(Deferred.await(frozen), work);
+        });
+    },
+  });
+}
