Run suspects apart from each other across instances

Each instance ran its own suspects one at a time, but a bystander on one instance and the crashing request on another met on the same engine again.

Ruled out: a wrong crash diagnosis (the engine had crashed); hashing suspects to engines (only thins the meetings out).

Change: each engine has one member of the view that grants it to one suspect at a time.

A bystander can still be condemned by a second, different crashing request that is not yet under suspicion.

--- a/src/call/common/model_dispatch.ts
+++ b/src/call/common/model_dispatch.ts
@@ -1,7 +1,7 @@
 /** Runs a model call on an engine: choice, retries, resumption, and care with requests that crash engines. */
 import { create } from "@bufbuild/protobuf";
 import type { Scope } from "effect";
-import { Clock, Effect, Result, Semaphore } from "effect";
+import { Clock, Effect, Result } from "effect";
 import { CallError } from "../../base/common/errors.ts";
 import { Ran, Reason } from "../../base/common/gen/ragwortcleat/v1/common_pb.ts";
 import type { Message } from "../../base/common/gen/ragwortcleat/v1/peer_pb.ts";
@@ -20,6 +20,7 @@
 import type { CallRun } from "./call_run.ts";
 import { promptFingerprint } from "./fingerprint.ts";
 import type { RetryBudget } from "./retry_budget.ts";
+import type { ISuspectIsolation } from "./suspect_isolation.ts";
 
 const MAX_ATTEMPTS = 4;
 const MAX_RESUMES = 2;
@@ -46,6 +47,7 @@
   readonly order: IProgramOrder;
   readonly retries: RetryBudget;
   readonly strikes: StrikeTable;
+  readonly isolation: ISuspectIsolation;
   readonly journal: IJournal;
   readonly decisions: IDecisionLog;
   readonly presetName: () => string;
@@ -56,8 +58,6 @@
 
 export class ModelDispatch {
   readonly #opts: IModelDispatchOptions;
-  /** Requests under suspicion run one at a time, so that each is judged for itself. */
-  readonly #suspects = Semaphore.makeUnsafe(1);
   #lastAttempt = 0;
 
   constructor(opts: IModelDispatchOptions) {
@@ -72,8 +72,7 @@
       for (let attempt = 1;; attempt++) {
         yield* this.#checkQuarantine(job, fingerprint);
         const wasSuspect = this.#opts.strikes.isSuspect(fingerprint);
-        const once = Effect.result(this.#attempt(job, { excluded, fingerprint }));
-        const outcome = yield* wasSuspect ? this.#suspects.withPermits(1)(once) : once;
+        const outcome = yield* Effect.result(this.#attempt(job, { excluded, fingerprint }));
         if (Result.isSuccess(outcome)) {
           if (wasSuspect) this.#clear(fingerprint);
           return outcome.success;
@@ -116,8 +115,9 @@
       let durationMs: number | undefined;
       const bootId = engine.report?.bootId ?? "";
       const body = Effect.gen({ self: this }, function* () {
-        yield* job.checkLease;
-        const result = yield* this.#generate(job, engine);
+        const generate = Effect.andThen(job.checkLease, this.#generate(job, engine));
+        const isSuspect = this.#opts.strikes.isSuspect(opts.fingerprint);
+        const result = yield* isSuspect ? this.#opts.isolation.runApart(engine.id, generate) : generate;
         durationMs = (yield* Clock.currentTimeMillis) - startedAt;
         const { promptTokens, generatedTokens } = result.usage;
         engine.cache.noteRun(job.admission.programId, promptTokens + generatedTokens);
--- a/src/daemon/common/core.ts
+++ b/src/daemon/common/core.ts
@@ -12,6 +12,7 @@
 import { ModelDispatch } from "../../call/common/model_dispatch.ts";
 import { RetryBudget } from "../../call/common/retry_budget.ts";
 import { ServiceDispatch } from "../../call/common/service_dispatch.ts";
+import { SuspectIsolation } from "../../call/common/suspect_isolation.ts";
 import { TurnRecorder } from "../../call/common/turn_recorder.ts";
 import { OwnerRouter } from "../../entry/common/owner_router.ts";
 import { HandOver } from "../../membership/common/hand_over.ts";
@@ -141,12 +142,14 @@
     const chooser = new ExpectedFinishChooser(preset);
     const admission = new EngineAdmission({ registry, chooser, order, preset });
     const retries = new RetryBudget(() => preset().retryShare);
+    const isolation = new SuspectIsolation({ self, views, peers });
     const models = new ModelDispatch({
       registry,
       admission,
       order,
       retries,
       strikes: state.strikes,
+      isolation,
       journal,
       decisions,
       presetName,
@@ -191,6 +194,7 @@
       recorder,
       configuration,
       copies,
+      isolation,
       zone: settings.zone,
       log: outside.log,
       context,
--- a/src/peer/common/peer_service.ts
+++ b/src/peer/common/peer_service.ts
@@ -13,6 +13,7 @@
 } from "../../base/common/gen/ragwortcleat/v1/peer_pb.ts";
 import { CallEventSchema, ProgramReplySchema } from "../../base/common/gen/ragwortcleat/v1/peer_pb.ts";
 import type { CallService } from "../../call/common/call_service.ts";
+import type { SuspectIsolation } from "../../call/common/suspect_isolation.ts";
 import type { ITurnRecorder } from "../../call/common/turn_recorder.ts";
 import type { Membership } from "../../membership/common/membership.ts";
 import type { ViewTable } from "../../membership/common/view.ts";
@@ -33,6 +34,7 @@
   readonly recorder: ITurnRecorder;
   readonly configuration: ConfigurationStore;
   readonly copies: HeldCopies;
+  readonly isolation: SuspectIsolation;
   readonly zone: string;
   /** The log service as this instance itself reaches it, for instances that do not. */
   readonly log: ILogService;
@@ -55,6 +57,11 @@
     },
     adoptTurn: ({ slice, turn, abandoned }) =>
       run(Effect.map(opts.recorder.adopt(slice, { turn, abandoned }), (accepted) => ({ accepted }))),
+    acquireEngine: (req) => run(Effect.map(opts.isolation.grant(req), (granted) => ({ granted }))),
+    releaseEngine: (req) => {
+      opts.isolation.withdraw(req);
+      return {};
+    },
     getConfiguration: () => {
       const { accepted } = opts.configuration;
       return { version: accepted?.version ?? -1, document: accepted?.document ?? "" };
