--- a/test/harness/cluster.ts
+++ b/test/harness/cluster.ts
@@ -7,6 +7,7 @@
 import { Deferred, Effect, Exit, Scope } from "effect";
 import { TestClock } from "effect/testing";
 import { CallError, PlatformError } from "../../src/base/common/errors.ts";
+import type { ProgramSnapshot } from "../../src/base/common/gen/ragwortcleat/v1/journal_pb.ts";
 import type { CallRequest } from "../../src/base/common/gen/ragwortcleat/v1/peer_pb.ts";
 import { CallRequestSchema, PeerService } from "../../src/base/common/gen/ragwortcleat/v1/peer_pb.ts";
 import type { Turn } from "../../src/base/common/gen/ragwortcleat/v1/common_pb.ts";
@@ -14,6 +15,8 @@
   BudgetSchema,
   EndCause,
   ProgramSpecSchema,
+  Ran,
+  Reason,
 } from "../../src/base/common/gen/ragwortcleat/v1/common_pb.ts";
 import { create } from "@bufbuild/protobuf";
 import { sliceOf } from "../../src/base/common/ids.ts";
@@ -45,6 +48,8 @@
   readonly scope: Scope.Closeable;
   transport: Transport;
   isDead: boolean;
+  /** Done when the instance is killed. */
+  readonly death: Deferred.Deferred<void>;
   /** Set while the instance is frozen. */
   frozen: Deferred.Deferred<void> | undefined;
   isLogCut: boolean;
@@ -199,7 +204,16 @@
         scope,
       );
       const transport = createRouterTransport((router) => router.service(PeerService, core.peerService));
-      node = { id, core, scope, transport, isDead: false, frozen: undefined, isLogCut: false };
+      node = {
+        id,
+        core,
+        scope,
+        transport,
+        isDead: false,
+        death: Deferred.makeUnsafe<void>(),
+        frozen: undefined,
+        isLogCut: false,
+      };
       this.nodes.set(id, node);
       this.#started.push(node);
       yield* Scope.provide(core.start, scope);
@@ -211,6 +225,7 @@
   kill(id: string): Effect.Effect<void> {
     const node = this.node(id);
     node.isDead = true;
+    Deferred.doneUnsafe(node.death, Effect.void);
     return Scope.close(node.scope, Exit.void);
   }
 
@@ -256,11 +271,19 @@
       parentId: opts.parentId ?? "",
       budget: create(BudgetSchema, opts.budget ?? {}),
     });
-    return Effect.as(this.node(via).core.router.open(spec), programId);
+    return Effect.as(this.#through(via, ({ router }) => router.open(spec)), programId);
   }
 
   end(via: string, programId: string) {
-    return this.node(via).core.router.end(programId, { customer: "c", cause: EndCause.CALLER });
+    return this.#through(
+      via,
+      ({ router }) => router.end(programId, { customer: "c", cause: EndCause.CALLER }),
+    );
+  }
+
+  /** A program with its history, as a caller of an instance gets it. */
+  history(via: string, programId: string): Effect.Effect<ProgramSnapshot, CallError> {
+    return this.#through(via, ({ router }) => router.get(programId, "c"));
   }
 
   /** Runs a model call through an instance and returns its turn. */
@@ -304,7 +327,14 @@
       step,
       call: call.body as CallRequest["call"],
     });
-    return Effect.map(this.node(via).core.router.call(req, () => {}), ({ turn }) => turn);
+    return this.#through(via, ({ router }) => Effect.map(router.call(req, () => {}), ({ turn }) => turn));
+  }
+
+  /** A caller's request to an instance; it breaks off when the instance dies. */
+  #through<A>(via: string, use: (core: ICore) => Effect.Effect<A, CallError>): Effect.Effect<A, CallError> {
+    const { core, death } = this.node(via);
+    const broken = new CallError(Reason.OWNER_UNAVAILABLE, { ran: Ran.UNKNOWN, detail: "the instance died" });
+    return Effect.raceFirst(use(core), Effect.andThen(Deferred.await(death), Effect.fail(broken)));
   }
 
   #list(): IInstanceInfo[] {
--- a/test/proofs/answers_test.ts
+++ b/test/proofs/answers_test.ts
@@ -85,7 +85,7 @@
       );
       yield* cluster.kill(owner);
       const sent = yield* cluster.drive(Fiber.join(fiber));
-      const { turns } = yield* cluster.drive(cluster.node(via).core.router.get(program, "c"));
+      const { turns } = yield* cluster.drive(cluster.history(via, program));
       const recorded = turns[0] === undefined ? undefined : decodeAnswer(turns[0].answer).content;
       return sent === undefined || sent === recorded ? [] : ["the caller was sent a mixture"];
     }),
--- a/test/proofs/history_test.ts
+++ b/test/proofs/history_test.ts
@@ -20,7 +20,7 @@
       if (Result.isSuccess(outcome)) answered.push(step);
     }
     yield* opts.failure(owner);
-    const history = yield* cluster.drive(Effect.result(cluster.node(via).core.router.get(program, "c")));
+    const history = yield* cluster.drive(Effect.result(cluster.history(via, program)));
     if (Result.isFailure(history)) return [`the program is lost: ${history.failure.message}`];
     const kept = history.success.turns.map(({ step }) => step);
     return answered.filter((step) => !kept.includes(step)).map((step) =>
@@ -84,7 +84,7 @@
       yield* cluster.advance(3000);
       cluster.log.set({ outage: false });
       yield* cluster.until(() => cluster.ownerOf(program) !== owner, "a new owner");
-      const history = yield* cluster.drive(Effect.result(cluster.node(via).core.router.get(program, "c")));
+      const history = yield* cluster.drive(Effect.result(cluster.history(via, program)));
       const kept = Result.isSuccess(history) ? history.success.turns.length : 0;
       return [...violations, ...kept === 2 ? [] : [`${2 - kept} of 2 answered steps are lost`]];
     }),
--- a/test/proofs/order_test.ts
+++ b/test/proofs/order_test.ts
@@ -49,7 +49,7 @@
       cluster.thaw(owner);
       const late = yield* cluster.drive(Fiber.join(first));
       yield* cluster.advance(2000);
-      const { turns } = yield* cluster.drive(cluster.node(other).core.router.get(program, "c"));
+      const { turns } = yield* cluster.drive(cluster.history(other, program));
       const violations = turns.length === 1 ? [] : [`the step stands ${turns.length} times in the history`];
       // Whoever got an answer got the recorded one.
       const answers = [second, ...Result.isSuccess(late) ? [late.success] : []];
@@ -83,7 +83,7 @@
           if (isEarly && !isRefused) violations.push(`step ${step + 1} was not refused`);
         });
       }
-      const { turns } = yield* cluster.drive(cluster.node("n0").core.router.get(program, "c"));
+      const { turns } = yield* cluster.drive(cluster.history("n0", program));
       const steps = turns.map(({ step }) => step).join(",");
       const ran = cluster.engines.reduce((sum, { stats }) => sum + stats.started, 0);
       return [
--- a/test/proofs/stop_test.ts
+++ b/test/proofs/stop_test.ts
@@ -50,7 +50,7 @@
       const runs = cluster.engines.reduce((sum, { stats }) => sum + stats.started, 0);
       if (runs !== 18) violations.push(`18 calls took ${runs} runs`);
       for (const program of programs) {
-        const { turns } = yield* cluster.drive(cluster.node("n5").core.router.get(program, "c"));
+        const { turns } = yield* cluster.drive(cluster.history("n5", program));
         if (turns.length !== 3) violations.push(`${program} has ${turns.length} of 3 turns`);
       }
       return violations;
