Make the differential test find what it must

Cause: the test as first landed failed its own check: with fencing and keys switched off no difference showed in 40 plans. Killing a sender also undid the service's execution in the stand-in, and most failures came after the programs had ended.

Ruled out: the sabotage not reaching the instances (it did; the executions were interrupted).

Change: stand-ins finish what has arrived, whatever becomes of the sender; services take 80 ms; programs are longer and failures earlier.

No check was loosened.

--- a/test/proofs/at_most_once_test.ts
+++ b/test/proofs/at_most_once_test.ts
@@ -128,8 +128,6 @@
       const fiber = yield* Effect.forkDetach(Effect.result(call));
       yield* cluster.until(() => cluster.services.some(({ arrivals }) => arrivals > 0), "the dispatch");
       yield* cluster.advance(50);
-      // The request is with the backend server and takes effect, whatever becomes of its sender.
-      cluster.counts.set(`c/api/act/${program}#1`, 1);
       yield* cluster.kill(owner);
       yield* cluster.drive(Fiber.await(fiber));
       return runTwice(cluster);
--- a/test/proofs/differential_test.ts
+++ b/test/proofs/differential_test.ts
@@ -18,6 +18,8 @@
 const RUNS = Number(process.env.RUNS ?? 40);
 const NODES = 4;
 const MAX_TRIES = 60;
+/** Duration of a service call, long enough for failures to meet it under way. */
+const SERVICE_MS = 80;
 
 enum Fault {
   KillNode = "kill-node",
@@ -45,16 +47,16 @@
 });
 const PLAN: fc.Arbitrary<IPlan> = fc.record({
   programs: fc.array(
-    fc.record({ budget: fc.constantFrom(50, 5000), ops: fc.array(OP, { minLength: 2, maxLength: 7 }) }),
-    { minLength: 2, maxLength: 5 },
+    fc.record({ budget: fc.constantFrom(50, 5000), ops: fc.array(OP, { minLength: 4, maxLength: 10 }) }),
+    { minLength: 3, maxLength: 6 },
   ),
   faults: fc.array(
     fc.record({
       fault: fc.constantFrom(...Object.values(Fault)),
-      afterMs: fc.integer({ min: 0, max: 900 }),
+      afterMs: fc.integer({ min: 0, max: 250 }),
       pick: fc.nat(100),
     }),
-    { minLength: 1, maxLength: 4 },
+    { minLength: 1, maxLength: 5 },
   ),
 });
 
@@ -83,6 +85,7 @@
   /** Runs the plan and returns where the two schedulers differ beyond what is allowed. */
   run(): Effect.Effect<string[], unknown> {
     return Effect.gen({ self: this }, function* () {
+      for (const { faults } of this.#cluster.services) faults.delayMs = SERVICE_MS;
       const programs = this.#plan.programs.map((_, index) => this.#runProgram(index));
       const all = [...programs, this.#injectAll()];
       yield* this.#cluster.drive(Effect.all(all, { concurrency: "unbounded", discard: true }));
--- a/test/stand_ins/log_core.ts
+++ b/test/stand_ins/log_core.ts
@@ -1,5 +1,5 @@
 /** Stand-in for the platform's log service: streams in memory with switchable faults. */
-import { Clock, Effect, Option } from "effect";
+import { Clock, Effect, Fiber, Option } from "effect";
 import { PlatformError } from "../../src/base/common/errors.ts";
 import { Signal } from "../../src/base/common/signal.ts";
 import type {
@@ -25,7 +25,12 @@
   readonly #appended = new Signal();
   appendCount = 0;
 
+  /** An append takes effect even if its sender goes away meanwhile. */
   append(stream: string, data: Uint8Array): Effect.Effect<number, PlatformError> {
+    return Effect.flatMap(Effect.forkDetach(this.#append(stream, data)), Fiber.join);
+  }
+
+  #append(stream: string, data: Uint8Array): Effect.Effect<number, PlatformError> {
     return Effect.gen({ self: this }, function* () {
       yield* this.#pass();
       const { entries, next } = this.#stream(stream);
--- a/test/stand_ins/service_core.ts
+++ b/test/stand_ins/service_core.ts
@@ -1,5 +1,5 @@
 /** Stand-in for a plain service: counts every execution by key, with switchable faults. */
-import { Effect } from "effect";
+import { Effect, Fiber } from "effect";
 import type {
   IServiceBackend,
   IServiceReply,
@@ -39,7 +39,12 @@
     this.counts = counts;
   }
 
+  /** Runs to its end even if the sender goes away, as a remote server does. */
   run(req: IServiceRequest): Effect.Effect<IServiceReply, BackendError> {
+    return Effect.flatMap(Effect.forkDetach(this.#execute(req)), Fiber.join);
+  }
+
+  #execute(req: IServiceRequest): Effect.Effect<IServiceReply, BackendError> {
     return Effect.gen({ self: this }, function* () {
       if (this.faults.crashed) return yield* failWith(BackendFailure.NotSent);
       this.arrivals += 1;
