Keep views apart from the members' own records

Cause: a rolling replacement of real processes hung. The instance with the lowest id proposes views. Its own record stood in the view by reference, so its change to draining also changed the view in its memory; it saw nothing to propose and waited for a hand-over for good.

Change: a view holds copies of its members.

Before: the drain of the lowest instance did not end (109 s, until the callers left).

--- a/src/membership/common/view.ts
+++ b/src/membership/common/view.ts
@@ -1,5 +1,5 @@
 /** Views: who the members of a region are and which of them owns which slice of the programs. */
-import { create } from "@bufbuild/protobuf";
+import { clone, create } from "@bufbuild/protobuf";
 import type {
   Member,
   Record,
@@ -7,6 +7,7 @@
   ViewRecord,
 } from "../../base/common/gen/ragwortcleat/v1/journal_pb.ts";
 import {
+  MemberSchema,
   MemberState,
   SliceOwnerSchema,
   ViewRecordSchema,
@@ -76,7 +77,9 @@
 /** The record of the view that follows `previous` with the given members. */
 export function makeNextView(previous: View | undefined, members: readonly Member[]): ViewRecord {
   const number = (previous?.number ?? 0) + 1;
-  const sorted = [...members].sort((a, b) => a.instanceId < b.instanceId ? -1 : 1);
+  // Copies: a member's own record changes when it drains, a view never does.
+  const copies = members.map((member) => clone(MemberSchema, member));
+  const sorted = copies.sort((a, b) => a.instanceId < b.instanceId ? -1 : 1);
   const active = sorted.filter((member) => member.state === MemberState.ACTIVE);
   const ids = active.map((member) => member.instanceId);
   const slices = Array.from({ length: SLICE_COUNT }, (_, slice) => {
