Tell a new owner also of calls that the old one recorded itself

Cause: by reading. A call can be reported as running and then recorded by its old owner just before the view; the new owner then waits for a hand-over that never comes, until the old owner is gone.

Change: whoever ends a call of a program that has moved tells its new owner, record or not. A drain counts the call as running until then.

--- a/src/call/common/call_service.ts
+++ b/src/call/common/call_service.ts
@@ -4,7 +4,7 @@
  */
 import { create } from "@bufbuild/protobuf";
 import type { Scope } from "effect";
-import { Effect, Exit } from "effect";
+import { Effect } from "effect";
 import { CallError } from "../../base/common/errors.ts";
 import type { Turn } from "../../base/common/gen/ragwortcleat/v1/common_pb.ts";
 import { Ran, Reason, TurnStatus } from "../../base/common/gen/ragwortcleat/v1/common_pb.ts";
@@ -135,9 +135,15 @@
   #execute(program: Program, { run, req }: { run: CallRun; req: CallRequest }): Effect.Effect<void> {
     return Effect.gen({ self: this }, function* () {
       const outcome = yield* Effect.exit(this.#runWithinBudget(program, { run, req }));
-      if (Exit.isFailure(outcome)) yield* this.#opts.recorder.abandon(program);
-      this.#running.delete(program.id);
+      if (this.#opts.recorder.owns(program)) {
+        this.#running.delete(program.id);
+        run.finish(outcome);
+        return;
+      }
       run.finish(outcome);
+      // The new owner may have been told that the call is running; it must learn that it has ended.
+      yield* this.#opts.recorder.release(program);
+      this.#running.delete(program.id);
     });
   }
 
--- a/src/call/common/turn_recorder.ts
+++ b/src/call/common/turn_recorder.ts
@@ -22,10 +22,12 @@
 export interface ITurnRecorder {
   /** Makes a turn durable. Returns whether only copies hold it so far. */
   record(program: Program, opts: { turn: Turn; grants: Grant[] }): Effect.Effect<boolean, CallError>;
-  /** Tells the program's new owner, if it moved, that its call ended without a record. */
-  abandon(program: Program): Effect.Effect<void>;
+  /** Whether this instance owns a program. */
+  owns(program: Program): boolean;
+  /** Tells the new owner of a program that moved that no call of it is running here any more. */
+  release(program: Program): Effect.Effect<void>;
   /** Records a turn for an earlier owner. Returns whether it took effect. */
-  adopt(slice: number, opts: { turn: TurnCompleted | undefined; abandoned: boolean }): Effect.Effect<boolean>;
+  adopt(slice: number, opts: { turn: TurnCompleted | undefined; isRelease: boolean }): Effect.Effect<boolean>;
 }
 
 export interface ITurnRecorderOptions {
@@ -57,7 +59,7 @@
           if (this.#isRecorded(value)) return false;
           if (this.#isOwn(program.slice)) return yield* Effect.fail(lost());
         }
-        const accepted = yield* this.#sendToOwner(program.slice, { turn: value, abandoned: false });
+        const accepted = yield* this.#sendToOwner(program.slice, { turn: value, isRelease: false });
         if (accepted === true) return false;
         if (accepted === false) return yield* Effect.fail(lost());
         if ((yield* Clock.currentTimeMillis) - startedAt > ADOPT_PATIENCE_MS) {
@@ -68,21 +70,25 @@
     });
   }
 
-  abandon(program: Program): Effect.Effect<void> {
+  owns(program: Program): boolean {
+    return this.#isOwn(program.slice);
+  }
+
+  release(program: Program): Effect.Effect<void> {
     return Effect.suspend(() => {
       if (this.#isOwn(program.slice)) return Effect.void;
       const turn = create(TurnCompletedSchema, { programId: program.id });
-      return Effect.asVoid(this.#sendToOwner(program.slice, { turn, abandoned: true }));
+      return Effect.asVoid(this.#sendToOwner(program.slice, { turn, isRelease: true }));
     });
   }
 
   adopt(
     slice: number,
-    { turn, abandoned }: { turn: TurnCompleted | undefined; abandoned: boolean },
+    { turn, isRelease }: { turn: TurnCompleted | undefined; isRelease: boolean },
   ): Effect.Effect<boolean> {
     return Effect.gen({ self: this }, function* () {
       if (turn === undefined || !this.#isOwn(slice)) return false;
-      const write = abandoned ? Effect.succeed(Durability.Journal) : this.#write(slice, turn);
+      const write = isRelease ? Effect.succeed(Durability.Journal) : this.#write(slice, turn);
       const durability = yield* Effect.catch(write, () => Effect.succeed(Durability.Rejected));
       this.#opts.busy.finish(turn.programId);
       return durability !== Durability.Rejected || this.#isRecorded(turn);
@@ -107,7 +113,7 @@
   /** Returns undefined when the owner gave no answer. */
   #sendToOwner(
     slice: number,
-    req: { turn: TurnCompleted; abandoned: boolean },
+    req: { turn: TurnCompleted; isRelease: boolean },
   ): Effect.Effect<boolean | undefined> {
     const owner = this.#opts.state.views.current?.ownerOf(slice);
     if (owner === undefined || isSameRun(owner, this.#opts.self)) return Effect.succeed(undefined);
--- a/src/peer/common/peer_service.ts
+++ b/src/peer/common/peer_service.ts
@@ -55,8 +55,8 @@
       if ((opts.views.current?.number ?? 0) < viewNumber) return { behind: true };
       return { busy: opts.calls.busyIn(slices) };
     },
-    adoptTurn: ({ slice, turn, abandoned }) =>
-      run(Effect.map(opts.recorder.adopt(slice, { turn, abandoned }), (accepted) => ({ accepted }))),
+    adoptTurn: ({ slice, turn, isRelease }) =>
+      run(Effect.map(opts.recorder.adopt(slice, { turn, isRelease }), (accepted) => ({ accepted }))),
     acquireEngine: (req) => run(Effect.map(opts.isolation.grant(req), (granted) => ({ granted }))),
     releaseEngine: (req) => {
       opts.isolation.withdraw(req);
