--- a/test/harness/cluster.ts
+++ b/test/harness/cluster.ts
@@ -33,6 +33,7 @@
 import { parseDaemonSettings } from "../../src/platform/settings/common/validation.ts";
 import type { IModelEngine } from "../../src/routing/common/model_engine.ts";
 import type { IServiceBackend } from "../../src/routing/common/service_backend.ts";
+import { TEST_CONFIGURATION } from "./configuration.ts";
 import { DEFAULT_ENGINE, EngineCore } from "../stand_ins/engine_core.ts";
 import { LogCore } from "../stand_ins/log_core.ts";
 import { ServiceCore } from "../stand_ins/service_core.ts";
@@ -55,27 +56,6 @@
   isLogCut: boolean;
 }
 
-export const TEST_CONFIGURATION = {
-  deployment: "test",
-  activePreset: "ordinary",
-  presets: { ordinary: {}, peak: { maxQueueMs: 2000 } },
-  programKinds: {
-    quick: { class: 3, idleMs: 600_000 },
-    long: { class: 1, idleMs: 600_000 },
-    brief: { class: 3, idleMs: 2000 },
-  },
-  customers: {},
-  models: { m: {} },
-  services: {
-    api: {
-      operations: {
-        read: { repeatable: true, timeoutMs: 2000 },
-        act: { repeatable: false, timeoutMs: 2000 },
-      },
-    },
-  },
-};
-
 export interface IClusterOptions {
   readonly nodes: number;
   readonly engines?: number;
@@ -223,10 +203,12 @@
 
   /** Ends an instance without warning. */
   kill(id: string): Effect.Effect<void> {
-    const node = this.node(id);
-    node.isDead = true;
-    Deferred.doneUnsafe(node.death, Effect.void);
-    return Scope.close(node.scope, Exit.void);
+    return Effect.suspend(() => {
+      const node = this.node(id);
+      node.isDead = true;
+      Deferred.doneUnsafe(node.death, Effect.void);
+      return Scope.close(node.scope, Exit.void);
+    });
   }
 
   /** Stops an instance gracefully. */
--- a/test/proofs/configuration_test.ts
+++ b/test/proofs/configuration_test.ts
@@ -1,7 +1,7 @@
 import { Effect } from "effect";
 import { NO_VERSION } from "../../src/platform/configuration/common/publication.ts";
 import type { Cluster } from "../harness/cluster.ts";
-import { TEST_CONFIGURATION } from "../harness/cluster.ts";
+import { TEST_CONFIGURATION } from "../harness/configuration.ts";
 import { proof, replace } from "./proof.ts";
 
 /** Time within which an accepted configuration must be in force everywhere. */
