--- a/src/base/common/errors.ts
+++ b/src/base/common/errors.ts
@@ -59,12 +59,21 @@
 /** A peer could not be reached, or did not answer in time. */
 export class PeerError extends VError {
   readonly _tag = "PeerError";
+  /** Nothing listens at the peer's address, so its process is gone. */
+  readonly isRefused: boolean;
 
   constructor(detail: string, cause?: Error) {
     super({ name: "PeerError", cause }, "%s", detail);
+    this.isRefused = hasCode(cause, "ECONNREFUSED");
   }
 }
 
+/** Whether an error or one of its causes has a system error code. */
+function hasCode(err: unknown, code: string): boolean {
+  if (!(err instanceof Error)) return false;
+  return (err as { code?: unknown }).code === code || hasCode(err.cause, code);
+}
+
 /** Narrows an unknown thrown value to an Error. */
 export function toError(value: unknown): Error {
   return value instanceof Error ? value : new Error(String(value));
--- a/src/daemon/common/core.ts
+++ b/src/daemon/common/core.ts
@@ -131,7 +131,13 @@
       configurationVersion: () => configuration.version,
       isLogReachable: () => log.isDirect,
     });
-    const handOver = new HandOver({ self, views, peers, timing });
+    const handOver = new HandOver({
+      self,
+      views,
+      peers,
+      timing,
+      silenceOf: (member) => membership.silenceOf(member),
+    });
     const writer = new DurableWriter({ state, journal, membership, peers, scope });
     const copies = new HeldCopies();
     const busy = new BusyPrograms({ views, programs: state.programs, leaseMs: timing.leaseMs });
--- a/src/membership/common/hand_over.ts
+++ b/src/membership/common/hand_over.ts
@@ -40,6 +40,8 @@
   readonly views: ViewTable;
   readonly peers: PeerClients;
   readonly timing: DaemonSettings["timing"];
+  /** Time for which a run of an instance has been silent, in ms. */
+  readonly silenceOf: (member: Member) => Effect.Effect<number>;
 }
 
 export class HandOver {
@@ -123,7 +125,9 @@
       const lapse = this.#opts.timing.leaseMs;
       const isMember = ask.current.members.some((member) => isSameRun(member, owner));
       if (!isMember) {
-        yield* Effect.sleep(lapse);
+        // An owner that reads the log sees the view itself; one that does not has been silent since.
+        const silentMs = yield* this.#opts.silenceOf(owner);
+        yield* Effect.sleep(Math.max(0, lapse - silentMs));
         return Inheritance.Unclean;
       }
       const limit = this.#opts.timing.failureTimeoutMs + lapse;
--- a/src/membership/common/hand_over_test.ts
+++ b/src/membership/common/hand_over_test.ts
@@ -15,7 +15,13 @@
   const [a, b] = [member("a"), member("b")];
   const views = new ViewTable();
   const timing = { leaseMs: 0, failureTimeoutMs: 0 } as never;
-  const handOver = new HandOver({ self: a, views, peers: {} as PeerClients, timing });
+  const handOver = new HandOver({
+    self: a,
+    views,
+    peers: {} as PeerClients,
+    timing,
+    silenceOf: () => Effect.succeed(0),
+  });
   const work = Effect.gen(function* () {
     yield* handOver.start({ expect: () => {}, recover: () => Effect.never });
     views.apply(makeNextView(undefined, [a]));
--- a/src/membership/common/membership.ts
+++ b/src/membership/common/membership.ts
@@ -1,7 +1,8 @@
 /** Heartbeats between the instances, and proposals of views from them. */
 import { create } from "@bufbuild/protobuf";
 import type { Fiber, Scope } from "effect";
-import { Clock, Effect } from "effect";
+import { Clock, Effect, Result } from "effect";
+import type { PeerError } from "../../base/common/errors.ts";
 import type { HeartbeatRequest, HeartbeatResponse } from "../../base/common/gen/ragwortcleat/v1/peer_pb.ts";
 import {
   HeartbeatRequestSchema,
@@ -22,6 +23,8 @@
 const LIST_INTERVAL_MS = 500;
 /** Heartbeat intervals for which the wished members must stay the same before they are proposed. */
 const DEBOUNCE_HEARTBEATS = 2;
+/** Refused heartbeats in a row after which a peer's process counts as gone. */
+const REFUSALS_TO_GONE = 2;
 /** View checkpoints within one silence limit. */
 const CHECKPOINTS_PER_SILENCE = 3;
 
@@ -32,6 +35,8 @@
   lastHeardAt: number;
   viewNumber: number;
   logReachable: boolean;
+  /** Heartbeats refused in a row since the peer was last heard. */
+  refusals: number;
 }
 
 export interface IMembershipOptions {
@@ -96,6 +101,15 @@
     return this.#peers.get(address);
   }
 
+  /** Time for which a run of an instance has been silent, in ms; infinite if its process is gone. */
+  silenceOf(member: Member): Effect.Effect<number> {
+    return Effect.map(Clock.currentTimeMillis, (now) => {
+      const status = this.#peers.get(member.peerAddress);
+      if (status === undefined || !isSameRun(status.member, member) || isGone(status)) return Infinity;
+      return now - status.lastHeardAt;
+    });
+  }
+
   /** Asks the others to take this instance's slices over. */
   drain(): void {
     this.#opts.self.state = MemberState.DRAINING;
@@ -156,6 +170,7 @@
         lastHeardAt: now,
         viewNumber: status.viewNumber,
         logReachable: status.logReachable,
+        refusals: 0,
       });
       const version = status.configurationVersion;
       if (version > this.#opts.configurationVersion()) this.#onDidSeeConfiguration.fire({ address, version });
@@ -208,9 +223,10 @@
           timeoutMs: timing.failureTimeoutMs / 2,
           invoke: (client, signal) => client.heartbeat(req, { signal }),
         });
-        const res = yield* Effect.catch(reply, () => Effect.succeed(undefined));
-        if (res !== undefined) yield* this.#note(address, res);
-        if (res === undefined && this.#isForgotten(address)) break;
+        const outcome = yield* Effect.result(reply);
+        if (Result.isSuccess(outcome)) yield* this.#note(address, outcome.success);
+        else this.#noteFailure(address, outcome.failure);
+        if (Result.isFailure(outcome) && this.#isForgotten(address)) break;
         yield* Effect.sleep(timing.heartbeatMs);
       }
       this.#fibers.delete(address);
@@ -218,6 +234,11 @@
     });
   }
 
+  #noteFailure(address: string, err: PeerError): void {
+    const status = this.#peers.get(address);
+    if (status !== undefined) status.refusals = err.isRefused ? status.refusals + 1 : 0;
+  }
+
   #isForgotten(address: string): boolean {
     const members = this.#opts.views.current?.members ?? [];
     return !this.#listed.has(address) && !members.some((member) => member.peerAddress === address);
@@ -274,8 +295,11 @@
   #liveMembers(now: number): Member[] {
     const live = new Map([[this.#opts.self.instanceId, this.#opts.self]]);
     const heard = [...this.#peers.values()].sort((a, b) => a.lastHeardAt - b.lastHeardAt);
-    for (const { member, lastHeardAt } of heard) {
-      if (member === undefined || member.instanceId === this.#opts.self.instanceId) continue;
+    for (const status of heard) {
+      const { member, lastHeardAt } = status;
+      if (member === undefined || member.instanceId === this.#opts.self.instanceId || isGone(status)) {
+        continue;
+      }
       if (now - lastHeardAt <= this.#opts.timing.failureTimeoutMs) live.set(member.instanceId, member);
     }
     return [...live.values()].sort((a, b) => a.instanceId < b.instanceId ? -1 : 1);
@@ -296,6 +320,10 @@
   }
 }
 
+function isGone({ refusals }: IPeerStatus): boolean {
+  return refusals >= REFUSALS_TO_GONE;
+}
+
 function describe(members: readonly Member[]): string {
   return members.map((member) => `${member.instanceId}/${member.incarnation}/${member.state}`).join(" ");
 }
--- a/test/harness/cluster.ts
+++ b/test/harness/cluster.ts
@@ -3,7 +3,7 @@
  * passes a gate, so that it can be frozen, cut off or killed at any point.
  */
 import type { Transport } from "@connectrpc/connect";
-import { ConnectError, createRouterTransport } from "@connectrpc/connect";
+import { Code, ConnectError, createRouterTransport } from "@connectrpc/connect";
 import { Deferred, Effect, Exit, Scope } from "effect";
 import { TestClock } from "effect/testing";
 import { CallError, PlatformError } from "../../src/base/common/errors.ts";
@@ -40,6 +40,7 @@
 
 const STEP_MS = 5;
 const TURNS_PER_STEP = 4;
+const REFUSED = Object.assign(new Error("refused"), { code: "ECONNREFUSED" });
 export const ZONES = ["zone-a", "zone-b", "zone-c"];
 
 /** One instance and the state of its ways out. */
@@ -54,6 +55,8 @@
   /** Set while the instance is frozen. */
   frozen: Deferred.Deferred<void> | undefined;
   isLogCut: boolean;
+  /** Whether the instance and its peers do not reach each other. */
+  isPeerCut: boolean;
 }
 
 export interface IClusterOptions {
@@ -193,6 +196,7 @@
         death: Deferred.makeUnsafe<void>(),
         frozen: undefined,
         isLogCut: false,
+        isPeerCut: false,
       };
       this.nodes.set(id, node);
       this.#started.push(node);
@@ -221,6 +225,13 @@
     this.node(id).frozen = Deferred.makeUnsafe<void>();
   }
 
+  /** Cuts an instance off from its peers and from the log service. */
+  isolate(id: string): void {
+    const node = this.node(id);
+    node.isLogCut = true;
+    node.isPeerCut = true;
+  }
+
   thaw(id: string): void {
     const node = this.node(id);
     const { frozen } = node;
@@ -349,7 +360,10 @@
     const reach = async (address: string): Promise<Transport> => {
       await openGate(self());
       const target = this.nodes.get(address);
-      if (target === undefined || target.isDead || self().isDead) throw new ConnectError("unreachable");
+      if (target === undefined || target.isDead) {
+        throw new ConnectError("refused", Code.Unavailable, {}, [], REFUSED);
+      }
+      if (self().isDead || target.isPeerCut || self().isPeerCut) throw new ConnectError("unreachable");
       await openGate(target);
       return target.transport;
     };
