--- a/src/daemon/common/core.ts
+++ b/src/daemon/common/core.ts
@@ -22,6 +22,7 @@
 import { RelayedLogService } from "../../membership/common/relayed_log_service.ts";
 import { ViewTable } from "../../membership/common/view.ts";
 import { makePeerService } from "../../peer/common/peer_service.ts";
+import { Placement } from "../../placement/common/placement.ts";
 import { ConfigurationStore } from "../../platform/configuration/common/configuration_store.ts";
 import type { IInstanceList } from "../../platform/instances/common/instance_list.ts";
 import { Journal } from "../../platform/journal/common/journal.ts";
@@ -192,6 +193,16 @@
       isRunning: (programId) => calls.isRunning(programId),
     });
     const reconciler = new KvReconciler({ self, state, journal, registry, decisions, presetName });
+    const placement = new Placement({
+      self,
+      state,
+      journal,
+      membership,
+      registry,
+      configuration,
+      decisions,
+      leaseMs: timing.leaseMs,
+    });
     const peerService = makePeerService({
       membership,
       views,
@@ -218,6 +229,7 @@
       yield* checkpoints.start();
       yield* reaper.start();
       yield* reconciler.start();
+      yield* placement.start();
     });
     registerGauges(metrics, { state, journal, calls, admission, copies, configuration });
     return {
--- a/src/program/common/journal_state.ts
+++ b/src/program/common/journal_state.ts
@@ -1,28 +1,18 @@
 /** Everything that follows from the journal, and the rules by which its records take effect. */
-import type {
-  IntentRecorded,
-  OrderIssued,
-  Record,
-} from "../../base/common/gen/ragwortcleat/v1/journal_pb.ts";
+import type { IntentRecorded, Record } from "../../base/common/gen/ragwortcleat/v1/journal_pb.ts";
 import type { ViewTable } from "../../membership/common/view.ts";
 import type { IAppliedBatch } from "../../platform/journal/common/journal.ts";
 import { KeyTable } from "./key_table.ts";
+import { OrderTable } from "./order_table.ts";
 import { ProgramStore } from "./program_store.ts";
 import { StrikeTable } from "./strike_table.ts";
 
-/** An order with its fencing token. */
-export interface IIssuedOrder {
-  readonly order: OrderIssued;
-  readonly fencingToken: number;
-}
-
 export class JournalState {
   readonly views: ViewTable;
   readonly programs = new ProgramStore();
   readonly keys = new KeyTable();
   readonly strikes = new StrikeTable();
-  /** Latest order for each backend server and model. */
-  readonly orders = new Map<string, IIssuedOrder>();
+  readonly orders = new OrderTable();
   readonly #appliedLocally = new Set<Record>();
 
   constructor(views: ViewTable) {
@@ -75,8 +65,9 @@
       case "strikesCleared":
         return this.strikes.clear(body.value.fingerprint);
       case "order":
-        this.orders.set(orderKey(body.value), { order: body.value, fencingToken: offset });
-        return true;
+        return this.orders.issue(body.value, offset);
+      case "orderFinished":
+        return this.orders.finish(body.value);
       case undefined:
         return false;
     }
@@ -97,13 +88,9 @@
   }
 }
 
-/** Key of an order in {@link JournalState.orders}. */
-export function orderKey({ backendId, model }: Pick<OrderIssued, "backendId" | "model">): string {
-  return `${backendId} ${model}`;
-}
+/** Kinds of record that concern the region rather than one slice, so that any instance may write them. */
+const GLOBAL_KINDS = new Set(["view", "strike", "strikesCleared", "order", "orderFinished"]);
 
-/** Whether a record concerns the region rather than one slice, so that any instance may write it. */
 function isGlobal({ body }: Record): boolean {
-  return body.case === "view" || body.case === "strike" || body.case === "strikesCleared" ||
-    body.case === "order";
+  return GLOBAL_KINDS.has(body.case ?? "");
 }
--- /dev/null
+++ b/src/routing/node/http_model_engine_test.ts
@@ -0,0 +1,87 @@
+import type { AddressInfo, Server, Socket } from "node:net";
+import { createServer as createTcpServer } from "node:net";
+import { createServer } from "node:http";
+import test from "ava";
+import { Deferred, Effect, Fiber, Result } from "effect";
+import { TestClock } from "effect/testing";
+import { HttpClient } from "../../base/node/http_client.ts";
+import type { IEngineToken, IGenerateRequest } from "../common/model_engine.ts";
+import { BackendFailure } from "../common/model_engine.ts";
+import { HttpModelEngine } from "./http_model_engine.ts";
+
+const REQUEST: IGenerateRequest = {
+  attemptId: "a",
+  programId: "p",
+  model: "m",
+  messages: [],
+  maxTokens: 4,
+  priority: 0,
+};
+const PAST_ALL_LIMITS_MS = 120_000;
+
+function listen(server: Server): Promise<string> {
+  return new Promise((resolve) => {
+    server.listen(0, "127.0.0.1", () => resolve(`127.0.0.1:${(server.address() as AddressInfo).port}`));
+  });
+}
+
+test("11: a connection that falls silent is given up, and a new one works", async (t) => {
+  const arrived = Deferred.makeUnsafe<void>();
+  const sockets: Socket[] = [];
+  const server = createTcpServer((socket) => {
+    sockets.push(socket);
+    socket.on("error", () => {});
+    socket.once("data", () => {
+      // The first connection is lost track of; later ones work.
+      if (sockets.length > 1) socket.write("HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\n{}");
+      Deferred.doneUnsafe(arrived, Effect.void);
+    });
+  });
+  const client = new HttpClient();
+  const engine = new HttpModelEngine(client, await listen(server));
+  const work = Effect.gen(function* () {
+    const fiber = yield* Effect.forkChild(Effect.result(engine.report()));
+    yield* Deferred.await(arrived);
+    yield* TestClock.adjust(PAST_ALL_LIMITS_MS);
+    const outcome = yield* Fiber.join(fiber);
+    t.true(Result.isFailure(outcome) && outcome.failure.failure === BackendFailure.Silent);
+    yield* engine.report();
+    t.is(sockets.length, 2);
+  });
+  await Effect.runPromise(Effect.provide(work, TestClock.layer()));
+  client.dispose();
+  sockets.forEach((socket) => socket.destroy());
+  server.close();
+});
+
+test("events of another attempt are dropped and counted", async (t) => {
+  const events = [
+    { attemptId: "other", token: "x" },
+    { attemptId: "a", token: "y" },
+    { attemptId: "a", done: { promptTokens: 1, cachedTokens: 0, generatedTokens: 1 } },
+  ];
+  const server = createServer((req, res) => {
+    req.resume();
+    res.writeHead(200, { "content-type": "text/event-stream" });
+    events.forEach((event, id) => res.write(`id: ${id}\ndata: ${JSON.stringify(event)}\n\n`));
+    res.end();
+  });
+  const client = new HttpClient();
+  const engine = new HttpModelEngine(client, await listen(server));
+  const tokens: IEngineToken[] = [];
+  await Effect.runPromise(engine.generate(REQUEST, (token) => tokens.push(token)));
+  t.deepEqual(tokens, [{ eventId: 1, text: "y" }]);
+  t.is(engine.foreignEvents, 1);
+  client.dispose();
+  server.close();
+});
+
+test("a request that nothing listens for was not sent", async (t) => {
+  const server = createTcpServer();
+  const address = await listen(server);
+  await new Promise((resolve) => server.close(resolve));
+  const outcome = await Effect.runPromise(
+    Effect.result(new HttpModelEngine(new HttpClient(), address).report()),
+  );
+  t.true(Result.isFailure(outcome) && outcome.failure.failure === BackendFailure.NotSent);
+});
--- a/test/proofs/hazards_test.ts
+++ b/test/proofs/hazards_test.ts
@@ -62,3 +62,28 @@
       });
     }),
 });
+
+proof("11: a tool that hangs is left for another server", {
+  nodes: 2,
+  // Goes back to the server that failed.
+  sabotage: ({ core }) => {
+    const { chooseService } = core.registry;
+    replace(
+      core.registry,
+      "chooseService",
+      (service) => chooseService.call(core.registry, service, new Set(["s1"])),
+    );
+  },
+  scenario: (cluster) =>
+    Effect.gen(function* () {
+      cluster.services[0].faults.hanging = true;
+      const program = yield* cluster.drive(cluster.open("n0"));
+      const violations: string[] = [];
+      for (let step = 1; step <= 3; step++) {
+        const call = cluster.callService("n1", { program, step, operation: "read" });
+        const outcome = yield* cluster.drive(Effect.result(call));
+        if (Result.isFailure(outcome)) violations.push(`step ${step}: ${outcome.failure.message}`);
+      }
+      return violations;
+    }),
+});
--- a/test/stand_ins/engine_core.ts
+++ b/test/stand_ins/engine_core.ts
@@ -100,7 +100,7 @@
   readonly #attempts = new Map<string, IAttempt>();
   readonly #queue: IAttempt[] = [];
   readonly #kv = new Map<string, number>();
-  readonly #models: Set<string>;
+  readonly models: Set<string>;
   #events: ICacheEvent[] = [];
   #eventSequence = 0;
   #running = 0;
@@ -121,7 +121,7 @@
 
   constructor(opts: IEngineOptions) {
     this.#opts = opts;
-    this.#models = new Set(opts.models);
+    this.models = new Set(opts.models);
   }
 
   get id(): string {
@@ -207,8 +207,8 @@
           return failWith(BackendFailure.Rejected, "old fencing token");
         }
         this.#highestFence = Math.max(this.#highestFence, order.fencingToken);
-        if (order.action === EngineOrderAction.LoadModel) this.#models.add(order.model);
-        else this.#models.delete(order.model);
+        if (order.action === EngineOrderAction.LoadModel) this.models.add(order.model);
+        else this.models.delete(order.model);
         this.#lastReport = undefined;
         return Effect.void;
       }),
@@ -252,7 +252,7 @@
 
   #start(req: IGenerateRequest): Effect.Effect<IAttempt, BackendError> {
     return Effect.gen({ self: this }, function* () {
-      if (this.faults.leaving || !this.#models.has(req.model)) {
+      if (this.faults.leaving || !this.models.has(req.model)) {
         return yield* failWith(BackendFailure.Refused, "refused");
       }
       const attempt: IAttempt = {
@@ -360,7 +360,7 @@
       slots: this.#opts.slots,
       running: this.#running,
       queued: this.#queue.length,
-      models: [...this.#models],
+      models: [...this.models],
       kvCapacityTokens: this.#opts.kvCapacityTokens,
       kvUsedTokens: [...this.#kv.values()].reduce((sum, held) => sum + held, 0),
       prefillTokensPerSecond: this.#opts.prefillTokensPerSecond,
