Policy bench: the product's decision classes against baselines

Cause: the policy was unmeasured.

Change: bench:policy runs both deployments' mixes through the registry, admission, chooser and order classes of four instances against the stand-in engine, in virtual time, beside round robin, least loaded, sticky, and ours without its order.

--- /dev/null
+++ b/bench/policy/mixes.ts
@@ -0,0 +1,98 @@
+/** Programs of the two deployments, as the bench runs them. */
+import { readFileSync } from "node:fs";
+import type { Configuration } from "../../src/platform/settings/common/gen/configuration.ts";
+import { parseConfiguration } from "../../src/platform/settings/common/validation.ts";
+
+/** A kind of program with its share and shape. Ranges are drawn evenly. */
+export interface IKindOfProgram {
+  readonly kind: string;
+  readonly customer: string;
+  readonly share: number;
+  readonly turns: readonly [number, number];
+  /** Tokens of the first message. */
+  readonly firstTokens: readonly [number, number];
+  /** Tokens of each later message. */
+  readonly addedTokens: readonly [number, number];
+  readonly answerTokens: readonly [number, number];
+  readonly pauseMs: readonly [number, number];
+  /** Time from the start to the closing bell, 0 for none. */
+  readonly bellMs: number;
+}
+
+/** A deployment's engines and programs. */
+export interface IMix {
+  readonly name: string;
+  readonly engines: number;
+  readonly model: string;
+  readonly configuration: Configuration;
+  readonly kinds: readonly IKindOfProgram[];
+}
+
+const EXAMPLES = new URL("../../../examples/", import.meta.url);
+
+function configurationOf(name: string): Configuration {
+  return parseConfiguration(readFileSync(new URL(`${name}/configuration.jsonc`, EXAMPLES), "utf8"), name);
+}
+
+export const MIXES: readonly IMix[] = [
+  {
+    name: "brigalow",
+    engines: 10,
+    model: "agent-models",
+    configuration: configurationOf("brigalow"),
+    kinds: [
+      {
+        kind: "appraisal",
+        customer: "landholders",
+        share: 0.7,
+        turns: [2, 4],
+        firstTokens: [600, 1500],
+        addedTokens: [100, 400],
+        answerTokens: [30, 80],
+        pauseMs: [200, 1500],
+        bellMs: 30_000,
+      },
+      {
+        kind: "reconciliation",
+        customer: "sawmills",
+        share: 0.3,
+        turns: [6, 12],
+        firstTokens: [1500, 4000],
+        addedTokens: [500, 1500],
+        answerTokens: [60, 140],
+        pauseMs: [500, 3000],
+        bellMs: 0,
+      },
+    ],
+  },
+  {
+    name: "association",
+    engines: 8,
+    model: "dil-sunucu",
+    configuration: configurationOf("association"),
+    kinds: [
+      {
+        kind: "compliance",
+        customer: "members",
+        share: 0.6,
+        turns: [2, 4],
+        firstTokens: [2500, 3500],
+        addedTokens: [50, 200],
+        answerTokens: [60, 120],
+        pauseMs: [200, 1500],
+        bellMs: 0,
+      },
+      {
+        kind: "colour-matching",
+        customer: "buyers",
+        share: 0.4,
+        turns: [8, 14],
+        firstTokens: [400, 800],
+        addedTokens: [200, 600],
+        answerTokens: [40, 100],
+        pauseMs: [1500, 8000],
+        bellMs: 0,
+      },
+    ],
+  },
+];
--- a/test/stand_ins/engine_core.ts
+++ b/test/stand_ins/engine_core.ts
@@ -49,6 +49,8 @@
   readonly kvCapacityTokens: number;
   readonly prefillTokensPerSecond: number;
   readonly decodeTokensPerSecond: number;
+  /** Tokens that come at a time; more make long runs cheaper. */
+  readonly tokensPerStep?: number;
 }
 
 export const DEFAULT_ENGINE: Omit<IEngineOptions, "id" | "models"> = {
@@ -290,14 +292,17 @@
       this.stats.wastedPrefillTokens += Math.max(0, onceHeld - cachedTokens);
       yield* Effect.sleep((promptTokens - cachedTokens) / this.#opts.prefillTokensPerSecond * MS_PER_SECOND);
       const answer = this.#answer(messages, maxTokens);
-      for (const token of answer) {
-        yield* Effect.sleep(MS_PER_SECOND / this.#opts.decodeTokensPerSecond);
+      const stride = this.#opts.tokensPerStep ?? 1;
+      for (let at = 0; at < answer.length; at += stride) {
+        const tokens = answer.slice(at, at + stride);
+        yield* Effect.sleep(tokens.length * MS_PER_SECOND / this.#opts.decodeTokensPerSecond);
         if (attempt.failure !== undefined) return;
-        attempt.tokens.push(token);
-        this.stats.generatedTokens += 1;
+        attempt.tokens.push(...tokens);
+        this.stats.generatedTokens += tokens.length;
         attempt.changed.notify();
       }
       this.#store(programId, promptTokens + answer.length);
+      if (attempt.failure !== undefined) return;
       attempt.result = { usage: { promptTokens, cachedTokens, generatedTokens: answer.length } };
       attempt.changed.notify();
       this.#running -= 1;
