--- /dev/null
+++ b/bench/slopes.ts
@@ -0,0 +1,30 @@
+/** Measures the slopes that docs/CAPACITY.md is worked out from. Run with --expose-gc. */
+import { writeFileSync } from "node:fs";
+import process from "node:process";
+import { cac } from "cac";
+import { renderFields, renderTable } from "../src/cli/common/output.ts";
+import { measureEndToEnd } from "./slopes/end_to_end.ts";
+import { measureParts } from "./slopes/measures.ts";
+
+async function main({ out }: { out?: string }): Promise<void> {
+  const parts = measureParts();
+  const { slopes, ...endToEnd } = await measureEndToEnd();
+  const all = [...parts, ...slopes];
+  const rows = all.map(({ name, unit, slope, intercept, fit }) => ({
+    name,
+    slope: slope.toPrecision(4),
+    unit,
+    intercept: intercept.toPrecision(4),
+    fit: fit.toFixed(3),
+  }));
+  console.log(`${renderTable(rows)}\n\n${renderFields(endToEnd as unknown as Record<string, unknown>)}`);
+  if (out !== undefined) writeFileSync(out, `${JSON.stringify({ slopes: all, endToEnd }, undefined, 2)}\n`);
+  process.exit(0);
+}
+
+const cli = cac("npm run bench:slopes --");
+cli.command("", "Measure the cost of each part at several sizes")
+  .option("--out <file>", "Also write the figures as JSON")
+  .action(main);
+cli.help();
+cli.parse();
--- /dev/null
+++ b/bench/slopes/end_to_end.ts
@@ -0,0 +1,164 @@
+/** Cost of a call through real processes, against a direct call to the engine stand-in. */
+import { readFileSync } from "node:fs";
+import { build } from "hdr-histogram-js";
+import { Deployment, keyOf, pause } from "../../test/harness/processes.ts";
+import { TEST_CONFIGURATION } from "../../test/harness/configuration.ts";
+import type { ISlope } from "./fit.ts";
+import { fitSlope } from "./fit.ts";
+
+const CLOCK_TICKS_PER_SECOND = 100;
+const MICROS_PER_SECOND = 1_000_000;
+const PROGRAMS = 16;
+const CALLS = [50, 100, 200];
+const IDLE_MS = 5000;
+const MESSAGE = { role: "user", content: "answer:1" };
+
+export interface IEndToEnd {
+  readonly directP50Ms: number;
+  readonly directP99Ms: number;
+  readonly throughP50Ms: number;
+  readonly throughP99Ms: number;
+  /** Calls that the instances' processor time of one core second carried. */
+  readonly callsPerCoreSecond: number;
+  readonly appendsPerCall: number;
+  readonly slopes: readonly ISlope[];
+}
+
+/** Processor time of a process so far, in microseconds. */
+function cpuMicros(pid: number): number {
+  const fields = readFileSync(`/proc/${pid}/stat`, "utf8").split(") ")[1].split(" ");
+  return (Number(fields[11]) + Number(fields[12])) / CLOCK_TICKS_PER_SECOND * MICROS_PER_SECOND;
+}
+
+function makeDeployment(daemons: number): Deployment {
+  return new Deployment({
+    region: "bench",
+    zones: ["zone-a", "zone-b", "zone-c"],
+    daemons,
+    engines: { count: 2, models: "m" },
+    services: { count: 1, name: "api" },
+    customers: ["c"],
+    configuration: JSON.stringify(TEST_CONFIGURATION),
+  });
+}
+
+function totalCpu(deployment: Deployment): number {
+  return deployment.daemons.reduce((sum, { child }) => sum + cpuMicros(child.pid!), 0);
+}
+
+async function timeEach(
+  count: number,
+  work: (index: number) => Promise<void>,
+): Promise<{ p50: number; p99: number }> {
+  const histogram = build({ numberOfSignificantValueDigits: 3 });
+  for (let index = 0; index < count; index++) {
+    const startedAt = performance.now();
+    await work(index);
+    histogram.recordValue(Math.round((performance.now() - startedAt) * 1000));
+  }
+  return { p50: histogram.getValueAtPercentile(50) / 1000, p99: histogram.getValueAtPercentile(99) / 1000 };
+}
+
+async function callDirect(address: string, index: number): Promise<void> {
+  const body = {
+    attemptId: `d${index}`,
+    programId: `direct-${index % PROGRAMS}`,
+    model: "m",
+    messages: [MESSAGE],
+    maxTokens: 1,
+    priority: 0,
+  };
+  const reply = await fetch(`http://${address}/v1/generate`, { method: "POST", body: JSON.stringify(body) });
+  await reply.text();
+}
+
+/** Opens programs and returns a function that makes the next call of one of them. */
+async function openCallers(deployment: Deployment): Promise<(index: number) => Promise<void>> {
+  const headers = { authorization: `Bearer ${keyOf("c")}` };
+  const urlOf = (index: number) => deployment.daemons[index % deployment.daemons.length].callerUrl;
+  const opened = Array.from({ length: PROGRAMS }, async (_, index) => {
+    const reply = await fetch(`${urlOf(index)}/v1/programs`, {
+      method: "POST",
+      headers,
+      body: JSON.stringify({ kind: "quick" }),
+    });
+    return { id: (await reply.json() as { id: string }).id, step: 0 };
+  });
+  const programs = await Promise.all(opened);
+  return async (index) => {
+    const program = programs[index % PROGRAMS];
+    program.step += 1;
+    const reply = await fetch(`${urlOf(index)}/v1/programs/${program.id}/chat/completions`, {
+      method: "POST",
+      headers: { ...headers, "ragwortcleat-step": String(program.step), "ragwortcleat-history": "append" },
+      body: JSON.stringify({ model: "m", messages: [MESSAGE], max_tokens: 1 }),
+    });
+    await reply.text();
+    if (reply.status !== 200) throw new Error(`a call was answered ${reply.status}`);
+  };
+}
+
+async function appends(deployment: Deployment): Promise<number> {
+  const reply = await fetch(`${deployment.platformUrl}/control/stats`);
+  return (await reply.json() as { appends: number }).appends;
+}
+
+/** Measures calls on three instances, and idle instances at several sizes. */
+export async function measureEndToEnd(): Promise<IEndToEnd> {
+  const deployment = makeDeployment(3);
+  await deployment.start();
+  try {
+    const call = await openCallers(deployment);
+    await timeEach(PROGRAMS * 4, call);
+    const direct = await timeEach(CALLS[2], (index) => callDirect(deployment.engines[0].address, index));
+    const through = await timeEach(CALLS[2], call);
+    const idleBefore = totalCpu(deployment);
+    await pause(IDLE_MS);
+    const idlePerMs = (totalCpu(deployment) - idleBefore) / IDLE_MS;
+    const values: number[] = [];
+    const appendsBefore = await appends(deployment);
+    for (const count of CALLS) {
+      const before = totalCpu(deployment);
+      const startedAt = performance.now();
+      const lanes = Array.from({ length: PROGRAMS }, async (_, lane) => {
+        for (let index = lane; index < count * 4; index += PROGRAMS) await call(index);
+      });
+      await Promise.all(lanes);
+      values.push(totalCpu(deployment) - before - idlePerMs * (performance.now() - startedAt));
+    }
+    const calls = CALLS.reduce((sum, count) => sum + count * 4, 0);
+    const appendsPerCall = (await appends(deployment) - appendsBefore) / calls;
+    const perCall = fitSlope("processor time per call", {
+      unit: "µs per model call",
+      sizes: CALLS.map((count) => count * 4),
+      values,
+    });
+    return {
+      directP50Ms: direct.p50,
+      directP99Ms: direct.p99,
+      throughP50Ms: through.p50,
+      throughP99Ms: through.p99,
+      callsPerCoreSecond: MICROS_PER_SECOND / perCall.slope,
+      appendsPerCall,
+      slopes: [perCall, await measureIdle()],
+    };
+  } finally {
+    await deployment.stop();
+  }
+}
+
+/** Processor time of an idle instance, by the number of its peers. */
+async function measureIdle(): Promise<ISlope> {
+  const sizes = [2, 5, 9];
+  const values: number[] = [];
+  for (const peers of sizes) {
+    const deployment = makeDeployment(peers + 1);
+    await deployment.start();
+    await pause(1000);
+    const before = totalCpu(deployment);
+    await pause(IDLE_MS);
+    values.push((totalCpu(deployment) - before) / (peers + 1) / (IDLE_MS / 1000));
+    await deployment.stop();
+  }
+  return fitSlope("idle instance", { unit: "µs per second per peer", sizes, values });
+}
--- /dev/null
+++ b/bench/slopes/measures.ts
@@ -0,0 +1,277 @@
+/** Costs of single parts, measured in this process at several sizes. */
+import process from "node:process";
+import { create, toBinary } from "@bufbuild/protobuf";
+import type { Member, Record } from "../../src/base/common/gen/ragwortcleat/v1/journal_pb.ts";
+import {
+  BatchSchema,
+  KeyState,
+  MemberSchema,
+  MemberState,
+  RecordSchema,
+  TurnCompletedSchema,
+  ViewRecordSchema,
+} from "../../src/base/common/gen/ragwortcleat/v1/journal_pb.ts";
+import {
+  BudgetSchema,
+  CallKind,
+  ProgramSpecSchema,
+  TurnSchema,
+  TurnStatus,
+} from "../../src/base/common/gen/ragwortcleat/v1/common_pb.ts";
+import { HeartbeatRequestSchema } from "../../src/base/common/gen/ragwortcleat/v1/peer_pb.ts";
+import { encodeAnswer, encodeMessages } from "../../src/call/common/turns.ts";
+import { makeNextView, View, ViewTable } from "../../src/membership/common/view.ts";
+import { parseConfiguration } from "../../src/platform/settings/common/validation.ts";
+import { Journal } from "../../src/platform/journal/common/journal.ts";
+import { KeyTable } from "../../src/program/common/key_table.ts";
+import { JournalState } from "../../src/program/common/journal_state.ts";
+import { ProgramStore } from "../../src/program/common/program_store.ts";
+import { ExpectedFinishChooser } from "../../src/routing/common/engine_chooser.ts";
+import { EngineState } from "../../src/routing/common/engine_state.ts";
+import { TEST_CONFIGURATION } from "../../test/harness/configuration.ts";
+import { DEFAULT_ENGINE, EngineCore } from "../../test/stand_ins/engine_core.ts";
+import { Effect } from "effect";
+import type { ISlope } from "./fit.ts";
+import { fitSlope } from "./fit.ts";
+
+const MICROS_PER_MS = 1000;
+const ROUNDS = 5;
+/** Text of a turn: 300 tokens of request and 80 of answer. */
+const REQUEST_CHARS = 1200;
+const ANSWER_CHARS = 320;
+
+/** Heap that `make` leaves occupied, in bytes; its result is kept alive meanwhile. */
+function heapOf(make: () => unknown): number {
+  globalThis.gc!();
+  const before = process.memoryUsage();
+  const kept = make();
+  globalThis.gc!();
+  const after = process.memoryUsage();
+  const bytes = after.heapUsed + after.arrayBuffers - before.heapUsed - before.arrayBuffers;
+  return kept === undefined ? 0 : bytes;
+}
+
+/** Shortest of several runs, in microseconds. */
+function microsOf(work: () => void): number {
+  let best = Infinity;
+  for (let round = 0; round < ROUNDS; round++) {
+    const startedAt = performance.now();
+    work();
+    best = Math.min(best, (performance.now() - startedAt) * MICROS_PER_MS);
+  }
+  return best;
+}
+
+function member(index: number): Member {
+  const address = `10.0.${index >> 8}.${index & 255}:7101`;
+  return create(MemberSchema, {
+    instanceId: `entry-${index}`,
+    incarnation: "0123456789abcdef",
+    zone: `zone-${index % 11}`,
+    peerAddress: address,
+    callerAddress: address,
+    state: MemberState.ACTIVE,
+  });
+}
+
+function members(count: number): Member[] {
+  return Array.from({ length: count }, (_, index) => member(index));
+}
+
+function fillPrograms(store: ProgramStore, opts: { programs: number; turns: number }): ProgramStore {
+  for (let index = 0; index < opts.programs; index++) {
+    const programId = `region-${index.toString(16).padStart(16, "0")}`;
+    const budget = create(BudgetSchema, { generatedTokens: 1000 });
+    const spec = create(ProgramSpecSchema, {
+      programId,
+      customer: `customer-${index % 6500}`,
+      kind: "quick",
+      budget,
+    });
+    store.open(spec, []);
+    for (let step = 1; step <= opts.turns; step++) store.addTurn(programId, turn(step));
+  }
+  return store;
+}
+
+function turn(step: number) {
+  return create(TurnSchema, {
+    step,
+    kind: CallKind.MODEL,
+    target: "m",
+    request: encodeMessages([{ role: "user", content: `${step}${"x".repeat(REQUEST_CHARS)}` }] as never),
+    answer: encodeAnswer({
+      content: "y".repeat(ANSWER_CHARS),
+      promptTokens: 300,
+      cachedTokens: 0,
+      generatedTokens: 80,
+    }),
+    status: TurnStatus.SUCCEEDED,
+    generatedTokens: 80,
+    historyTokens: 380,
+    backendId: "engine-1",
+    fingerprint: 123456789n,
+  });
+}
+
+function turnRecord(step: number): Record {
+  const value = create(TurnCompletedSchema, { programId: "region-0123456789abcdef", turn: turn(step) });
+  return create(RecordSchema, { slice: 3, epoch: 1, body: { case: "turn", value } });
+}
+
+function engines(count: number): EngineState[] {
+  return Array.from({ length: count }, (_, index) => {
+    const client = new EngineCore({ ...DEFAULT_ENGINE, id: `e${index}`, models: ["m"] });
+    const engine = new EngineState({ id: `e${index}`, zone: "", address: "", client });
+    engine.update(Effect.runSync(client.report()), 0);
+    return engine;
+  });
+}
+
+function configurationText(customers: number): string {
+  const all = Object.fromEntries(
+    Array.from({ length: customers }, (_, index) => [`customer-${index}`, { weight: 1 }]),
+  );
+  return JSON.stringify({ ...TEST_CONFIGURATION, customers: all });
+}
+
+function over(
+  sizes: readonly number[],
+  measure: (size: number) => number,
+): { sizes: readonly number[]; values: number[] } {
+  return { sizes, values: sizes.map(measure) };
+}
+
+/** Measures all parts. */
+export function measureParts(): ISlope[] {
+  const few = [2000, 4000, 8000, 16_000];
+  const nodes = [12, 50, 100, 200, 400];
+  const call = {
+    programId: "p",
+    model: "m",
+    promptTokens: 1000,
+    expectedAnswerTokens: 80,
+    excluded: new Set<string>(),
+  };
+  const preset = parseConfiguration(JSON.stringify(TEST_CONFIGURATION), "bench").presets.ordinary;
+  return [
+    fitSlope("heap per program", {
+      unit: "bytes per program",
+      ...over(few, (programs) => heapOf(() => fillPrograms(new ProgramStore(), { programs, turns: 0 }))),
+    }),
+    fitSlope("heap per turn", {
+      unit: "bytes per turn of 380 tokens",
+      ...over(
+        [5000, 10_000, 20_000],
+        (turns) => heapOf(() => fillPrograms(new ProgramStore(), { programs: turns / 10, turns: 10 })),
+      ),
+    }),
+    fitSlope("heap per key", {
+      unit: "bytes per idempotency key",
+      ...over(few, (count) =>
+        heapOf(() => {
+          const keys = new KeyTable();
+          for (let index = 0; index < count; index++) {
+            keys.restore({
+              key: `customer/service/operation/program-${index}#1`,
+              state: KeyState.DONE,
+              programId: `program-${index}`,
+              step: 1,
+              fingerprint: 1n,
+              turn: undefined,
+              recordedAtMs: 0,
+            } as never);
+          }
+          return keys;
+        })),
+    }),
+    fitSlope("heap per engine", {
+      unit: "bytes per engine",
+      ...over(
+        [200, 400, 800, 1600],
+        (count) => heapOf(() => engines(count).map((engine) => Object.assign(engine, { client: undefined }))),
+      ),
+    }),
+    fitSlope("choice of an engine", {
+      unit: "µs per engine considered",
+      ...over([10, 50, 100, 400, 1000], (count) => {
+        const pool = engines(count);
+        const chooser = new ExpectedFinishChooser(() => preset);
+        return microsOf(() => {
+          for (let round = 0; round < 50; round++) chooser.choose(call, pool);
+        }) / 50;
+      }),
+    }),
+    fitSlope("view record", {
+      unit: "bytes per member",
+      ...over(nodes, (count) => toBinary(ViewRecordSchema, makeNextView(undefined, members(count))).length),
+    }),
+    fitSlope("view change", {
+      unit: "µs per member",
+      ...over(nodes, (count) => {
+        const before = new View(makeNextView(undefined, members(count)));
+        return microsOf(() => new ViewTable().apply(makeNextView(before, members(count - 1))));
+      }),
+    }),
+    fitSlope("heartbeat", {
+      unit: "bytes per heartbeat sent",
+      ...over(
+        [1, 2, 4, 8],
+        (count) =>
+          count *
+          toBinary(
+            HeartbeatRequestSchema,
+            create(HeartbeatRequestSchema, {
+              member: member(1),
+              viewNumber: 1000,
+              configurationVersion: 1e6,
+              logReachable: true,
+            }),
+          ).length,
+      ),
+    }),
+    fitSlope("configuration", {
+      unit: "bytes per customer",
+      ...over([10, 100, 1000, 6500], (count) => configurationText(count).length),
+    }),
+    fitSlope("configuration change", {
+      unit: "µs per customer",
+      ...over([10, 100, 1000, 6500], (count) => {
+        const text = configurationText(count);
+        return microsOf(() => void parseConfiguration(text, "bench"));
+      }),
+    }),
+    fitSlope("journal batch", {
+      unit: "bytes per turn record",
+      ...over([1, 10, 50, 100], (count) => {
+        const records = Array.from({ length: count }, (_, index) => turnRecord(index + 1));
+        return toBinary(
+          BatchSchema,
+          create(BatchSchema, { writer: "entry-1", incarnation: "0123456789abcdef", sequence: 1, records }),
+        ).length;
+      }),
+    }),
+    fitSlope("journal read", { unit: "µs per turn record", ...over([50, 100, 200, 400], applyMicros) }),
+  ];
+}
+
+/** Time to decode and apply a batch of turn records of programs that others own. */
+function applyMicros(count: number): number {
+  const records = Array.from({ length: count }, (_, index) => turnRecord(index + 1));
+  const data = toBinary(
+    BatchSchema,
+    create(BatchSchema, { writer: "entry-1", incarnation: "i", sequence: 1, records }),
+  );
+  return microsOf(() => {
+    const views = new ViewTable();
+    views.apply(makeNextView(undefined, [create(MemberSchema, { ...member(1), incarnation: "i" })]));
+    const state = new JournalState(views);
+    const journal = new Journal({
+      log: undefined as never,
+      writer: { instanceId: "other", incarnation: "o" },
+      apply: (batch) => state.applyBatch(batch),
+      appendIntervalMs: () => 0,
+    });
+    journal.applyEntry({ offset: 1, data });
+  });
+}
--- a/src/call/common/call_runner.ts
+++ b/src/call/common/call_runner.ts
@@ -107,6 +107,7 @@
         historyTokens: prompt + generatedTokens,
         backendId: engineId,
         fingerprint: run.fingerprint,
+        atMs: yield* Clock.currentTimeMillis,
       });
     });
   }
@@ -124,7 +125,9 @@
         checkLease,
       };
       const outcome = yield* this.#opts.services.dispatch(serviceJob);
-      return toServiceTurn(job, { call, outcome, operation });
+      const turn = toServiceTurn(job, { call, outcome, operation });
+      turn.atMs = yield* Clock.currentTimeMillis;
+      return turn;
     });
   }
 
--- a/src/daemon/common/core.ts
+++ b/src/daemon/common/core.ts
@@ -192,7 +192,15 @@
       configuration,
       isRunning: (programId) => calls.isRunning(programId),
     });
-    const reconciler = new KvReconciler({ self, state, journal, registry, decisions, presetName });
+    const reconciler = new KvReconciler({
+      self,
+      state,
+      journal,
+      registry,
+      decisions,
+      presetName,
+      keepKvMs: () => preset().keepKvMs,
+    });
     const placement = new Placement({
       self,
       state,
--- a/src/platform/journal/common/journal.ts
+++ b/src/platform/journal/common/journal.ts
@@ -177,7 +177,7 @@
         return false;
       }
       if (page.oldest > this.#next && this.#next > 0) this.#onDidLoseHistory.fire();
-      for (const entry of page.entries) this.#applyEntry(entry);
+      for (const entry of page.entries) this.applyEntry(entry);
       this.#next = page.next;
       this.unavailableSince = undefined;
       if (page.entries.length < READ_LIMIT) {
@@ -189,7 +189,8 @@
     });
   }
 
-  #applyEntry(entry: ILogEntry): void {
+  /** Applies one entry of the stream; repeated batches are dropped. */
+  applyEntry(entry: ILogEntry): void {
     const batch = fromBinary(BatchSchema, entry.data);
     const writer = `${batch.writer}/${batch.incarnation}`;
     if (batch.sequence <= (this.#lastSequences.get(writer) ?? 0)) return;
--- a/src/program/common/idle_reaper.ts
+++ b/src/program/common/idle_reaper.ts
@@ -22,8 +22,6 @@
 
 export class IdleReaper {
   readonly #opts: IIdleReaperOptions;
-  /** When this instance first saw a program at its present step, in ms of the clock. */
-  readonly #seen = new Map<string, { step: number; atMs: number }>();
 
   constructor(opts: IIdleReaperOptions) {
     this.#opts = opts;
@@ -50,28 +48,16 @@
 
   #findIdle(now: number): Program[] {
     const view = this.#opts.state.views.current;
-    const idle: Program[] = [];
-    for (const program of this.#opts.state.programs.all) {
-      if (program.hasEnded || !isSameRun(view?.ownerOf(program.slice), this.#opts.self)) {
-        this.#seen.delete(program.id);
-        continue;
-      }
+    return [...this.#opts.state.programs.all].filter((program) => {
+      if (program.hasEnded || !isSameRun(view?.ownerOf(program.slice), this.#opts.self)) return false;
       const kind = this.#opts.configuration.current?.programKinds[program.spec.kind];
-      const idleMs = this.#idleTime(program, now);
-      if (kind !== undefined && idleMs > kind.idleMs) idle.push(program);
-    }
-    return idle;
+      return kind !== undefined && now - program.lastActivityMs > kind.idleMs && !this.#isBusy(program);
+    });
   }
 
-  /** Time without a call; a program with an open sub-program or a running call is not idle. */
-  #idleTime(program: Program, now: number): number {
-    const seen = this.#seen.get(program.id);
+  /** A program with an open sub-program or a running call is not idle. */
+  #isBusy(program: Program): boolean {
     const hasOpenChild = this.#opts.state.programs.childrenOf(program.id).some((child) => !child.hasEnded);
-    const isBusy = hasOpenChild || this.#opts.isRunning(program.id);
-    if (seen === undefined || seen.step !== program.nextStep || isBusy) {
-      this.#seen.set(program.id, { step: program.nextStep, atMs: now });
-      return 0;
-    }
-    return now - seen.atMs;
+    return hasOpenChild || this.#opts.isRunning(program.id);
   }
 }
--- a/src/program/common/program_store.ts
+++ b/src/program/common/program_store.ts
@@ -16,6 +16,7 @@
   readonly ledger: BudgetLedger;
   readonly turns: Turn[] = [];
   ended: EndCause = EndCause.UNSPECIFIED;
+  /** Unix time in ms of the opening, the last turn or the end. */
   lastActivityMs: number;
 
   constructor(spec: ProgramSpec) {
@@ -93,6 +94,7 @@
     const program = this.#programs.get(programId);
     if (program === undefined || turn.step !== program.nextStep) return false;
     program.turns.push(turn);
+    program.lastActivityMs = Math.max(program.lastActivityMs, turn.atMs);
     for (const payer of this.chainOf(program)) {
       payer.ledger.settle({ tokens: turn.generatedTokens, calls: 1 });
     }
--- a/src/routing/common/kv_reconciler.ts
+++ b/src/routing/common/kv_reconciler.ts
@@ -1,6 +1,7 @@
 /**
- * Frees engine memory of programs that have ended: at once through their owner, and by comparing the
- * engines' holdings with the programs, so that what a dead owner left behind goes too.
+ * Frees engine memory: of programs that have ended, at once through their owner; by comparing the engines'
+ * holdings with the programs, so that what a dead owner left behind goes too; and of programs that have
+ * paused for long where memory is scarce.
  */
 import type { Scope } from "effect";
 import { Clock, Effect } from "effect";
@@ -18,6 +19,8 @@
 const RECONCILE_INTERVAL_MS = 3000;
 /** Oldest reading of the journal on which a program may be called unknown, in ms. */
 const MAX_JOURNAL_AGE_MS = 1000;
+/** Share of an engine's memory from which on it is scarce. */
+const SCARCE_FROM = 0.9;
 
 export interface IKvReconcilerOptions {
   readonly self: Member;
@@ -26,6 +29,14 @@
   readonly registry: BackendRegistry;
   readonly decisions: IDecisionLog;
   readonly presetName: () => string;
+  /** Longest pause after which a program's cache is kept while memory is scarce, in ms. */
+  readonly keepKvMs: () => number;
+}
+
+/** Why engine memory is freed. */
+enum ReleaseReason {
+  Ended = "the program has ended",
+  Paused = "memory is scarce and the program has paused for long",
 }
 
 export class KvReconciler {
@@ -54,7 +65,9 @@
     const holders = this.#opts.registry.engines.filter((engine) =>
       engine.cache.expectedTokens(program.id) > 0
     );
-    const releases = holders.map((engine) => this.#release(engine, [program.id]));
+    const releases = holders.map((engine) =>
+      this.#release(engine, { programIds: [program.id], reason: ReleaseReason.Ended })
+    );
     return Effect.asVoid(Effect.all(releases, { concurrency: "unbounded" }));
   }
 
@@ -82,8 +95,9 @@
       const ids = holdings.map(({ programId }) => programId);
       const ended = ids.filter((id) => this.#opts.state.programs.get(id)?.hasEnded === true);
       const orphans = yield* this.#findOrphans(engine, ids);
-      const done = [...ended, ...orphans];
-      if (done.length > 0) yield* this.#release(engine, done);
+      const paused = this.#findPaused(engine, { ids, now: yield* Clock.currentTimeMillis });
+      yield* this.#release(engine, { programIds: [...ended, ...orphans], reason: ReleaseReason.Ended });
+      yield* this.#release(engine, { programIds: paused, reason: ReleaseReason.Paused });
     });
   }
 
@@ -99,7 +113,21 @@
     });
   }
 
-  #release(engine: EngineState, programIds: readonly string[]): Effect.Effect<void> {
+  /** While an engine's memory is scarce, programs that have paused for long make room for others. */
+  #findPaused(engine: EngineState, { ids, now }: { ids: readonly string[]; now: number }): string[] {
+    const { kvUsedTokens, kvCapacityTokens } = engine.report ?? { kvUsedTokens: 0, kvCapacityTokens: 1 };
+    if (kvUsedTokens < kvCapacityTokens * SCARCE_FROM) return [];
+    return ids.filter((id) => {
+      const program = this.#opts.state.programs.get(id);
+      return program !== undefined && now - program.lastActivityMs > this.#opts.keepKvMs();
+    });
+  }
+
+  #release(
+    engine: EngineState,
+    { programIds, reason }: { programIds: readonly string[]; reason: ReleaseReason },
+  ): Effect.Effect<void> {
+    if (programIds.length === 0) return Effect.void;
     return engine.client.releaseKv(programIds).pipe(
       Effect.map(() => {
         for (const programId of programIds) {
@@ -109,7 +137,7 @@
             programId,
             step: 0,
             choice: engine.id,
-            reason: "release: the program has ended",
+            reason,
             preset: this.#opts.presetName(),
             candidates: [],
           });
--- a/test/proofs/engine_memory_test.ts
+++ b/test/proofs/engine_memory_test.ts
@@ -63,3 +63,25 @@
       return [...held(cluster), ...Result.isFailure(after) ? [] : ["an idle program still runs"]];
     }),
 });
+
+proof("4: long pauses make room where memory is scarce", {
+  nodes: 2,
+  engines: 1,
+  sabotage: (_, cluster) => hideHoldings(cluster),
+  scenario: (cluster) =>
+    Effect.gen(function* () {
+      const [engine] = cluster.engines;
+      const paused = yield* cluster.drive(cluster.open("n0"));
+      yield* cluster.drive(
+        cluster.callModel("n0", { program: paused, step: 1, content: "x".repeat(4 * 50_000) }),
+      );
+      yield* cluster.advance(61_000);
+      const active = yield* cluster.drive(cluster.open("n1"));
+      yield* cluster.drive(
+        cluster.callModel("n1", { program: active, step: 1, content: "x".repeat(4 * 8000) }),
+      );
+      yield* cluster.advance(RECONCILED_MS / 2);
+      const kept = engine.heldPrograms.join();
+      return kept === active ? [] : [`the engine holds ${kept}`];
+    }),
+});
