Order waiting calls by the opening of their program, not by attained service

Cause: at 100 % and more the p95 of the association's programs was as bad as least loaded's. Least attained service favours new programs; more of them are under way at once, and their histories push each other out of the engines' memory.

Ruled out: the choice of engines (sticky has the same p95 with that order).

Change: within a class, after the deadline, the program that was opened first goes first.

Conclusion: kept for the p95 of whole programs, which is what users measure.

--- a/bench/policy/simulation.ts
+++ b/bench/policy/simulation.ts
@@ -204,7 +204,6 @@
       const turns = draw(kind.turns);
       let idealMs = 0;
       let promptTokens = 0;
-      let attainedTokens = 0;
       for (let turn = 0; turn < turns; turn++) {
         const added = draw(turn === 0 ? kind.firstTokens : kind.addedTokens);
         const answer = draw(kind.answerTokens);
@@ -214,11 +213,10 @@
         idealMs +=
           (added / ENGINE.prefillTokensPerSecond + answer / ENGINE.decodeTokensPerSecond) * MS_PER_SECOND +
           pauseMs;
-        const call = { id, kind, messages, answer, promptTokens, deadlineMs, attainedTokens };
+        const call = { id, kind, messages, answer, promptTokens, deadlineMs, openedAtMs: startedAt };
         const text = yield* this.#call(instance, call);
         messages.push(create(MessageSchema, { role: "assistant", content: text }));
         promptTokens += answer;
-        attainedTokens += answer;
         yield* Effect.sleep(pauseMs);
       }
       for (const engine of this.#engines) yield* Effect.ignore(engine.releaseKv([id]));
@@ -243,7 +241,7 @@
       answer: number;
       promptTokens: number;
       deadlineMs: number;
-      attainedTokens: number;
+      openedAtMs: number;
     },
   ): Effect.Effect<string> {
     return Effect.gen({ self: this }, function* () {
@@ -253,7 +251,7 @@
       const ordered = {
         class: mix.configuration.programKinds[call.kind.kind].class,
         deadlineMs: call.deadlineMs,
-        attainedTokens: call.attainedTokens,
+        openedAtMs: call.openedAtMs,
         weight: mix.configuration.customers[call.kind.customer]?.weight ?? 1,
         queuedAtMs,
       };
--- a/bench/slopes/end_to_end.ts
+++ b/bench/slopes/end_to_end.ts
@@ -30,12 +30,12 @@
   return (Number(fields[11]) + Number(fields[12])) / CLOCK_TICKS_PER_SECOND * MICROS_PER_SECOND;
 }
 
-function makeDeployment(daemons: number): Deployment {
+function makeDeployment(daemons: number, engines = 2): Deployment {
   return new Deployment({
     region: "bench",
     zones: ["zone-a", "zone-b", "zone-c"],
     daemons,
-    engines: { count: 2, models: "m" },
+    engines: { count: engines, models: "m" },
     services: { count: 1, name: "api" },
     customers: ["c"],
     configuration: JSON.stringify(TEST_CONFIGURATION),
@@ -140,25 +140,35 @@
       throughP99Ms: through.p99,
       callsPerCoreSecond: MICROS_PER_SECOND / perCall.slope,
       appendsPerCall,
-      slopes: [perCall, await measureIdle()],
+      slopes: [perCall, await measureIdlePeers(), await measureIdleEngines()],
     };
   } finally {
     await deployment.stop();
   }
 }
 
-/** Processor time of an idle instance, by the number of its peers. */
-async function measureIdle(): Promise<ISlope> {
+/** Processor time of idle instances a second and instance. */
+async function idleMicros(opts: { daemons: number; engines: number }): Promise<number> {
+  const deployment = makeDeployment(opts.daemons, opts.engines);
+  await deployment.start();
+  await pause(1000);
+  const before = totalCpu(deployment);
+  await pause(IDLE_MS);
+  const spent = totalCpu(deployment) - before;
+  await deployment.stop();
+  return spent / opts.daemons / (IDLE_MS / 1000);
+}
+
+async function measureIdlePeers(): Promise<ISlope> {
   const sizes = [2, 5, 9];
   const values: number[] = [];
-  for (const peers of sizes) {
-    const deployment = makeDeployment(peers + 1);
-    await deployment.start();
-    await pause(1000);
-    const before = totalCpu(deployment);
-    await pause(IDLE_MS);
-    values.push((totalCpu(deployment) - before) / (peers + 1) / (IDLE_MS / 1000));
-    await deployment.stop();
-  }
-  return fitSlope("idle instance", { unit: "µs per second per peer", sizes, values });
+  for (const peers of sizes) values.push(await idleMicros({ daemons: peers + 1, engines: 2 }));
+  return fitSlope("idle, by peers", { unit: "µs per second per peer", sizes, values });
+}
+
+async function measureIdleEngines(): Promise<ISlope> {
+  const sizes = [2, 12, 24];
+  const values: number[] = [];
+  for (const engines of sizes) values.push(await idleMicros({ daemons: 1, engines }));
+  return fitSlope("idle, by engines", { unit: "µs per second per engine", sizes, values });
 }
--- a/bench/slopes/measures.ts
+++ b/bench/slopes/measures.ts
@@ -39,6 +39,8 @@
 /** Text of a turn: 300 tokens of request and 80 of answer. */
 const REQUEST_CHARS = 1200;
 const ANSWER_CHARS = 320;
+/** Request and reply headers of the two requests of a poll. */
+const POLL_HEADER_BYTES = 2 * 280;
 
 /** Heap that `make` leaves occupied, in bytes; its result is kept alive meanwhile. */
 function heapOf(make: () => unknown): number {
@@ -192,6 +194,17 @@
         (count) => heapOf(() => engines(count).map((engine) => Object.assign(engine, { client: undefined }))),
       ),
     }),
+    fitSlope("load report", {
+      unit: "bytes per engine and poll, headers included",
+      ...over(
+        [1, 10, 100],
+        (count) =>
+          engines(count).reduce(
+            (sum, { report }) => sum + JSON.stringify(report).length + POLL_HEADER_BYTES,
+            0,
+          ),
+      ),
+    }),
     fitSlope("choice of an engine", {
       unit: "µs per engine considered",
       ...over([10, 50, 100, 400, 1000], (count) => {
--- a/src/call/common/call_runner.ts
+++ b/src/call/common/call_runner.ts
@@ -90,7 +90,7 @@
           expectedAnswerTokens: charge.tokens,
           class: kind?.class ?? 0,
           deadlineMs: program.spec.deadlineMs,
-          attainedTokens: program.ledger.spent.tokens,
+          openedAtMs: program.spec.openedAtMs,
           weight,
           queuedAtMs: yield* Clock.currentTimeMillis,
         },
--- a/src/routing/common/program_order.ts
+++ b/src/routing/common/program_order.ts
@@ -7,8 +7,8 @@
   readonly class: number;
   /** Unix time in ms, 0 when there is none. */
   readonly deadlineMs: number;
-  /** Tokens that the program has had generated. */
-  readonly attainedTokens: number;
+  /** Unix time of the program's opening, in ms. */
+  readonly openedAtMs: number;
   /** Weight of the customer. */
   readonly weight: number;
   readonly queuedAtMs: number;
@@ -28,8 +28,8 @@
 const MAX_SLACK_STEPS = 999;
 
 /**
- * Class first, lifted by ageing, then the time to the deadline, then the least attained service for
- * the customer's weight, then arrival.
+ * Class first, lifted by ageing, then the time to the deadline, then the program that was opened first.
+ * Programs under way finish before new ones spread the engines' memory over more histories.
  */
 export class ClassDeadlineOrder implements IProgramOrder {
   readonly #preset: () => Preset;
@@ -41,8 +41,8 @@
   compare(a: IOrderedCall, b: IOrderedCall, now: number): number {
     const byPriority = this.priority(a, now) - this.priority(b, now);
     if (byPriority !== 0) return byPriority;
-    const byService = a.attainedTokens / a.weight - b.attainedTokens / b.weight;
-    return byService !== 0 ? byService : a.queuedAtMs - b.queuedAtMs;
+    const byOpening = a.openedAtMs - b.openedAtMs;
+    return byOpening !== 0 ? byOpening : a.queuedAtMs - b.queuedAtMs;
   }
 
   priority(call: IOrderedCall, now: number): number {
