--- a/bench/policy/policies.ts
+++ b/bench/policy/policies.ts
@@ -9,8 +9,6 @@
 import type { EngineState } from "../../src/routing/common/engine_state.ts";
 import type { IOrderedCall, IProgramOrder } from "../../src/routing/common/program_order.ts";
 import { ClassDeadlineOrder } from "../../src/routing/common/program_order.ts";
-import type { IKvKeeper } from "../../src/routing/common/kv_keeper.ts";
-import { ProtectedShareKeeper } from "../../src/routing/common/kv_keeper.ts";
 import { hash32 } from "../../src/base/common/hash.ts";
 
 /** A way to choose engines and to order calls. */
@@ -18,8 +16,6 @@
   readonly name: string;
   readonly makeChooser: (preset: Preset) => IEngineChooser;
   readonly makeOrder: (preset: Preset) => IProgramOrder;
-  /** Decides about caches over pauses; without one the engines evict as they will. */
-  readonly keeper?: IKvKeeper;
 }
 
 function usable(call: IRoutedCall, engines: readonly EngineState[]): EngineState[] {
@@ -78,12 +74,6 @@
     name: FIFO,
     makeChooser: (preset) => new ExpectedFinishChooser(() => preset),
     makeOrder: () => new FifoOrder(),
-    keeper: new ProtectedShareKeeper(),
-  },
-  {
-    name: OURS,
-    makeChooser: (preset) => new ExpectedFinishChooser(() => preset),
-    makeOrder: byClass,
-    keeper: new ProtectedShareKeeper(),
   },
+  { name: OURS, makeChooser: (preset) => new ExpectedFinishChooser(() => preset), makeOrder: byClass },
 ];
--- a/bench/policy/simulation.ts
+++ b/bench/policy/simulation.ts
@@ -289,10 +289,6 @@
         if (Result.isSuccess(outcome)) {
           const { promptTokens, generatedTokens } = outcome.success.usage;
           engine.cache.noteRun(call.id, promptTokens + generatedTokens);
-          if (this.#opts.policy.keeper?.isKept(call.id, engine) === false) {
-            engine.cache.forget(call.id);
-            yield* Effect.ignore(engine.client.releaseKv([call.id]));
-          }
           return fill("", call.answer);
         }
         excluded.add(engine.id);
--- a/src/call/common/model_dispatch.ts
+++ b/src/call/common/model_dispatch.ts
@@ -14,7 +14,6 @@
 import type { EngineAdmission, IAdmissionRequest } from "../../routing/common/engine_admission.ts";
 import type { IChoice } from "../../routing/common/engine_chooser.ts";
 import type { EngineState } from "../../routing/common/engine_state.ts";
-import type { IKvKeeper } from "../../routing/common/kv_keeper.ts";
 import type { IGenerateRequest, IGenerateResult } from "../../routing/common/model_engine.ts";
 import { BackendError, BackendFailure } from "../../routing/common/model_engine.ts";
 import type { IProgramOrder } from "../../routing/common/program_order.ts";
@@ -46,7 +45,6 @@
   readonly registry: BackendRegistry;
   readonly admission: EngineAdmission;
   readonly order: IProgramOrder;
-  readonly keeper: IKvKeeper;
   readonly retries: RetryBudget;
   readonly strikes: StrikeTable;
   readonly isolation: ISuspectIsolation;
@@ -123,7 +121,6 @@
         durationMs = (yield* Clock.currentTimeMillis) - startedAt;
         const { promptTokens, generatedTokens } = result.usage;
         engine.cache.noteRun(job.admission.programId, promptTokens + generatedTokens);
-        yield* this.#releaseUnlessKept(job, engine);
         return { result, engineId: engine.id };
       });
       const guarded = Effect.tapError(
@@ -138,21 +135,6 @@
     });
   }
 
-  /** Has the engine free the program's cache if that is not worth keeping; nothing waits for it. */
-  #releaseUnlessKept(job: IModelJob, engine: EngineState): Effect.Effect<void> {
-    const { programId } = job.admission;
-    if (this.#opts.keeper.isKept(programId, engine)) return Effect.void;
-    engine.cache.forget(programId);
-    this.#log(job, {
-      kind: DecisionKind.Kv,
-      choice: engine.id,
-      reason: "release: the engine's memory is contended",
-    });
-    return Effect.asVoid(
-      Effect.forkIn(Effect.ignore(engine.client.releaseKv([programId])), this.#opts.scope),
-    );
-  }
-
   #enter(job: IModelJob, excluded: ReadonlySet<string>): Effect.Effect<IChoice, CallError> {
     return this.#opts.admission.enter({ ...job.admission, excluded }).pipe(
       Effect.tap(({ engine, reason, candidates }) =>
--- a/src/daemon/common/core.ts
+++ b/src/daemon/common/core.ts
@@ -42,7 +42,6 @@
 import { BackendRegistry } from "../../routing/common/backend_registry.ts";
 import { EngineAdmission } from "../../routing/common/engine_admission.ts";
 import { ExpectedFinishChooser } from "../../routing/common/engine_chooser.ts";
-import { ProtectedShareKeeper } from "../../routing/common/kv_keeper.ts";
 import { KvReconciler } from "../../routing/common/kv_reconciler.ts";
 import type { MakeEngine } from "../../routing/common/model_engine.ts";
 import { ClassDeadlineOrder } from "../../routing/common/program_order.ts";
@@ -155,7 +154,6 @@
       registry,
       admission,
       order,
-      keeper: new ProtectedShareKeeper(),
       retries,
       strikes: state.strikes,
       isolation,
--- a/src/routing/common/cache_map.ts
+++ b/src/routing/common/cache_map.ts
@@ -11,15 +11,12 @@
 interface ICacheEntry {
   tokens: number;
   isCertain: boolean;
-  /** Whether this instance ran the program's last call there. */
-  isOwn: boolean;
 }
 
 /** Knowledge about one engine's cache. */
 export class CacheMap {
   readonly #entries = new Map<string, ICacheEntry>();
   #lastSequence = 0;
-  #ownEvictions = 0;
 
   get lastSequence(): number {
     return this.#lastSequence;
@@ -34,14 +31,7 @@
 
   /** A call of the program has just run on the engine. */
   noteRun(programId: string, tokens: number): void {
-    this.#entries.set(programId, { tokens, isCertain: true, isOwn: true });
-  }
-
-  /** Caches of this instance's programs that the engine evicted by itself since the last time. */
-  takeOwnEvictions(): number {
-    const evictions = this.#ownEvictions;
-    this.#ownEvictions = 0;
-    return evictions;
+    this.#entries.set(programId, { tokens, isCertain: true });
   }
 
   /** The engine was ordered to free the program's cache, or said that it did. */
@@ -70,19 +60,13 @@
   }
 
   #applyOne({ kind, programId, tokens }: ICacheEvent): void {
-    const entry = this.#entries.get(programId);
     if (kind === CacheEventKind.Evicted) {
-      if (entry?.isOwn) this.#ownEvictions += 1;
       this.#entries.delete(programId);
       return;
     }
-    const known = entry?.tokens ?? 0;
+    const known = this.#entries.get(programId)?.tokens ?? 0;
     // A late event tells of an earlier, shorter prefix than the one this instance saw run.
-    this.#entries.set(programId, {
-      tokens: Math.max(known, tokens),
-      isCertain: true,
-      isOwn: entry?.isOwn ?? false,
-    });
+    this.#entries.set(programId, { tokens: Math.max(known, tokens), isCertain: true });
   }
 
   #doubtAll(): void {
--- a/src/routing/common/engine_state.ts
+++ b/src/routing/common/engine_state.ts
@@ -8,14 +8,6 @@
 /** Weight of the newest report in the mean load; reports come about twice a second. */
 const LOAD_SMOOTHING = 0.25;
 
-const MIN_KEPT_SHARE = 0.05;
-/** Factor by which the kept share shrinks with a report after evictions. */
-const KEPT_SHARE_CUT = 0.95;
-/** Amount by which the kept share grows with a report while there is room. */
-const KEPT_SHARE_STEP = 0.005;
-/** Share of an engine's memory from which on it counts as full. */
-const FULL_FROM = 0.9;
-
 export enum BackendCondition {
   Live = "live",
   /** Finishes its calls and gets no new ones. */
@@ -41,8 +33,6 @@
   /** Mean of the calls that other instances have on the engine. */
   #othersMean = 0;
   meanCallMs = INITIAL_CALL_MS;
-  /** Share of this instance's programs whose caches are kept over their pauses. */
-  keptShare = 1;
 
   constructor(opts: { id: string; zone: string; address: string; client: IModelEngine }) {
     this.id = opts.id;
@@ -78,21 +68,10 @@
     this.#ownMean += (this.inFlight - this.#ownMean) * LOAD_SMOOTHING;
     this.report = report;
     this.reportedAt = now;
-    this.#adaptKeptShare(report);
     if (report.isLeaving) this.condition = BackendCondition.Leaving;
     else if (this.condition === BackendCondition.Suspect) this.condition = BackendCondition.Live;
   }
 
-  /** Evictions say that more is kept than fits; room without evictions says that more would fit. */
-  #adaptKeptShare({ kvUsedTokens, kvCapacityTokens }: ILoadReport): void {
-    if (this.cache.takeOwnEvictions() > 0) {
-      this.keptShare = Math.max(MIN_KEPT_SHARE, this.keptShare * KEPT_SHARE_CUT);
-      return;
-    }
-    if (kvUsedTokens > kvCapacityTokens * FULL_FROM) return;
-    this.keptShare = Math.min(1, this.keptShare + KEPT_SHARE_STEP);
-  }
-
   noteStart(): void {
     this.inFlight += 1;
   }
