Start new programs only where their history fits

Cause: at 100 % load three times the needed tokens were prefilled. Every new program started at once, so more histories were under way than the engines' memory holds, and each call found its cache gone. A backlog made more programs wait with half a history, which made it worse.

Change: the first call of a program waits until an engine has room for its history below 75 % of its memory. One that has waited longer than ageingMs starts all the same.

--- a/bench/policy/policies.ts
+++ b/bench/policy/policies.ts
@@ -16,6 +16,8 @@
   readonly name: string;
   readonly makeChooser: (preset: Preset) => IEngineChooser;
   readonly makeOrder: (preset: Preset) => IProgramOrder;
+  /** Whether new programs wait until their history fits into an engine's memory. */
+  readonly limitsStarts?: boolean;
 }
 
 function usable(call: IRoutedCall, engines: readonly EngineState[]): EngineState[] {
@@ -74,6 +76,12 @@
     name: FIFO,
     makeChooser: (preset) => new ExpectedFinishChooser(() => preset),
     makeOrder: () => new FifoOrder(),
+    limitsStarts: true,
+  },
+  {
+    name: OURS,
+    makeChooser: (preset) => new ExpectedFinishChooser(() => preset),
+    makeOrder: byClass,
+    limitsStarts: true,
   },
-  { name: OURS, makeChooser: (preset) => new ExpectedFinishChooser(() => preset), makeOrder: byClass },
 ];
--- a/bench/policy/simulation.ts
+++ b/bench/policy/simulation.ts
@@ -263,6 +263,7 @@
           customer: call.kind.customer,
           promptTokens: call.promptTokens,
           expectedAnswerTokens: call.answer,
+          isFirstCall: (this.#opts.policy.limitsStarts ?? false) && call.messages.length === 1,
           excluded,
         };
         const entered = yield* Effect.result(admission.enter(req));
--- a/bench/slopes/measures.ts
+++ b/bench/slopes/measures.ts
@@ -153,6 +153,7 @@
     model: "m",
     promptTokens: 1000,
     expectedAnswerTokens: 80,
+    isFirstCall: false,
     excluded: new Set<string>(),
   };
   const preset = parseConfiguration(JSON.stringify(TEST_CONFIGURATION), "bench").presets.ordinary;
--- a/src/call/common/call_runner.ts
+++ b/src/call/common/call_runner.ts
@@ -88,6 +88,7 @@
           customer: program.spec.customer,
           promptTokens,
           expectedAnswerTokens: charge.tokens,
+          isFirstCall: program.historyTokens === 0,
           class: kind?.class ?? 0,
           deadlineMs: program.spec.deadlineMs,
           openedAtMs: program.spec.openedAtMs,
--- a/src/routing/common/engine_admission.ts
+++ b/src/routing/common/engine_admission.ts
@@ -62,7 +62,7 @@
     return Effect.gen({ self: this }, function* () {
       const now = yield* Clock.currentTimeMillis;
       const isFirst = !this.#queue.some(({ req: other }) => this.#opts.order.compare(other, req, now) <= 0);
-      const choice = isFirst ? this.#tryEnter(req) : undefined;
+      const choice = isFirst ? this.#tryEnter(req, now) : undefined;
       if (choice !== undefined) return choice;
       yield* this.#checkQueue(req);
       const waiting = { req, granted: Deferred.makeUnsafe<IChoice>() };
@@ -91,20 +91,32 @@
     });
   }
 
-  #tryEnter(req: IAdmissionRequest): IChoice | undefined {
+  #tryEnter(req: IAdmissionRequest, now: number): IChoice | undefined {
     const { engineOvercommit } = this.#opts.preset();
     const withRoom = this.#opts.registry.engines.filter((engine) =>
-      engine.load < engine.slots * engineOvercommit
+      engine.load < engine.slots * engineOvercommit && this.#mayStart(req, { engine, now })
     );
     const choice = this.#opts.chooser.choose(req, withRoom);
-    choice?.engine.noteStart();
+    if (choice === undefined) return undefined;
+    choice.engine.noteStart();
+    if (req.isFirstCall) choice.engine.noteNewProgram(req.promptTokens);
     return choice;
   }
 
+  /**
+   * A new program starts where its history fits. Otherwise more programs would be under way than the
+   * engines can remember, and each would pay for its whole history at every call. One that has waited
+   * for long starts all the same: the memory may be held by programs that rest.
+   */
+  #mayStart(req: IAdmissionRequest, { engine, now }: { engine: EngineState; now: number }): boolean {
+    if (!req.isFirstCall || now - req.queuedAtMs > this.#opts.preset().ageingMs) return true;
+    return engine.hasMemoryFor(req.promptTokens);
+  }
+
   #serve(now: number): void {
     this.#queue.sort((a, b) => this.#opts.order.compare(a.req, b.req, now));
     for (const waiting of [...this.#queue]) {
-      const choice = this.#tryEnter(waiting.req);
+      const choice = this.#tryEnter(waiting.req, now);
       if (choice === undefined) continue;
       this.#queue.splice(this.#queue.indexOf(waiting), 1);
       Deferred.doneUnsafe(waiting.granted, Effect.succeed(choice));
--- a/src/routing/common/engine_chooser.ts
+++ b/src/routing/common/engine_chooser.ts
@@ -11,6 +11,8 @@
   /** Tokens of the history and of the new messages. */
   readonly promptTokens: number;
   readonly expectedAnswerTokens: number;
+  /** Whether the program has no history yet. */
+  readonly isFirstCall: boolean;
   /** Engines that have failed this call. */
   readonly excluded: ReadonlySet<string>;
 }
--- a/src/routing/common/engine_state.ts
+++ b/src/routing/common/engine_state.ts
@@ -8,6 +8,11 @@
 /** Weight of the newest report in the mean load; reports come about twice a second. */
 const LOAD_SMOOTHING = 0.25;
 
+/** Share of an engine's memory up to which new programs start; the rest is for histories to grow into. */
+const START_BELOW = 0.75;
+/** Factor by which programs sent earlier still count beside a new report. */
+const STARTED_DECAY = 0.5;
+
 export enum BackendCondition {
   Live = "live",
   /** Finishes its calls and gets no new ones. */
@@ -30,6 +35,8 @@
   inFlight = 0;
   /** Mean of this instance's own calls over the time that a report may lag behind. */
   #ownMean = 0;
+  /** Tokens of programs sent lately that reports may not show yet. */
+  #startedTokens = 0;
   /** Mean of the calls that other instances have on the engine. */
   #othersMean = 0;
   meanCallMs = INITIAL_CALL_MS;
@@ -59,6 +66,17 @@
       this.report.models.includes(model);
   }
 
+  /** Whether a new program's history fits into the engine's memory without pushing others out. */
+  hasMemoryFor(tokens: number): boolean {
+    const { kvUsedTokens, kvCapacityTokens } = this.report ?? { kvUsedTokens: 0, kvCapacityTokens: Infinity };
+    return kvUsedTokens + this.#startedTokens + tokens <= kvCapacityTokens * START_BELOW;
+  }
+
+  /** A new program has been sent to the engine; reports show its history only later. */
+  noteNewProgram(tokens: number): void {
+    this.#startedTokens += tokens;
+  }
+
   /** Takes a new report in; a changed boot id means that the cache is empty. */
   update(report: ILoadReport, now: number): void {
     if (this.report !== undefined && this.report.bootId !== report.bootId) this.cache.clear();
@@ -66,6 +84,7 @@
     const weight = this.report === undefined ? 1 : LOAD_SMOOTHING;
     this.#othersMean += (others - this.#othersMean) * weight;
     this.#ownMean += (this.inFlight - this.#ownMean) * LOAD_SMOOTHING;
+    this.#startedTokens *= STARTED_DECAY;
     this.report = report;
     this.reportedAt = now;
     if (report.isLeaving) this.condition = BackendCondition.Leaving;
