Bound starts without room, and refuse new programs by the pace of starts

Cause: at 130 % nearly every program waited longer than ageingMs and then started without room; and the expected wait counted slots, not starts, so that hardly any was refused.

Change: an engine without room takes one such program in 10 s from an instance. The expected wait of a new program is the number of those before it times the mean time between starts. Caches of long pauses make room from 70 % of an engine's memory on, below the level at which starts stop.

--- a/src/routing/common/engine_admission.ts
+++ b/src/routing/common/engine_admission.ts
@@ -14,6 +14,10 @@
 const MAX_QUEUE = 2000;
 /** Share of the queue from which on a customer is held to its weight. */
 const FAIR_SHARE_FROM = 0.5;
+/** Time between two starts on an engine without room for them. */
+const STARVED_START_INTERVAL_MS = 10_000;
+const MAX_START_INTERVAL_MS = 10_000;
+const START_SMOOTHING = 0.1;
 const MIN_RETRY_AFTER_MS = 250;
 const MAX_RETRY_AFTER_MS = 60_000;
 
@@ -37,6 +41,9 @@
 export class EngineAdmission {
   readonly #opts: IEngineAdmissionOptions;
   readonly #queue: IWaiting[] = [];
+  #lastStartAt = 0;
+  /** Mean time between two starts of programs. */
+  #startIntervalMs = 0;
 
   constructor(opts: IEngineAdmissionOptions) {
     this.#opts = opts;
@@ -99,18 +106,36 @@
     const choice = this.#opts.chooser.choose(req, withRoom);
     if (choice === undefined) return undefined;
     choice.engine.noteStart();
-    if (req.isFirstCall) choice.engine.noteNewProgram(req.promptTokens);
+    if (req.isFirstCall) {
+      choice.engine.noteNewProgram(req.promptTokens, now);
+      this.#noteStart(now);
+    }
     return choice;
   }
 
   /**
    * A new program starts where its history fits. Otherwise more programs would be under way than the
-   * engines can remember, and each would pay for its whole history at every call. One that has waited
-   * for long starts all the same: the memory may be held by programs that rest.
+   * engines can remember, and each would pay for its whole history at every call. Of those that have
+   * waited for long one starts now and then all the same: the memory may be held by programs that rest.
    */
   #mayStart(req: IAdmissionRequest, { engine, now }: { engine: EngineState; now: number }): boolean {
-    if (!req.isFirstCall || now - req.queuedAtMs > this.#opts.preset().ageingMs) return true;
-    return engine.hasMemoryFor(req.promptTokens);
+    if (!req.isFirstCall || engine.hasMemoryFor(req.promptTokens)) return true;
+    const isStarved = now - req.queuedAtMs > this.#opts.preset().ageingMs;
+    return isStarved && now - engine.lastNewProgramAt > STARVED_START_INTERVAL_MS;
+  }
+
+  /** Notes that a program has started, for the expected wait of those that follow. */
+  #noteStart(now: number): void {
+    const intervalMs = Math.min(now - this.#lastStartAt, MAX_START_INTERVAL_MS);
+    this.#lastStartAt = now;
+    this.#startIntervalMs += (intervalMs - this.#startIntervalMs) * START_SMOOTHING;
+  }
+
+  /** Expected time until a new program may start, from the pace at which others have. */
+  #expectedStartMs(req: IAdmissionRequest): number {
+    if (!req.isFirstCall) return 0;
+    const ahead = this.#queue.filter(({ req: other }) => other.isFirstCall).length;
+    return ahead * this.#startIntervalMs;
   }
 
   #serve(now: number): void {
@@ -135,7 +160,8 @@
     const slots = engines.reduce((sum, engine) => sum + engine.slots, 0);
     const engineWaitMs = Math.min(...engines.map(expectedWaitMs));
     const meanMs = engines.reduce((sum, engine) => sum + engine.meanCallMs, 0) / engines.length;
-    const waitMs = engineWaitMs + this.#queue.length * meanMs / slots;
+    const callWaitMs = engineWaitMs + this.#queue.length * meanMs / slots;
+    const waitMs = Math.max(callWaitMs, this.#expectedStartMs(req));
     const isFull = this.#queue.length >= MAX_QUEUE || this.#exceedsShare(req);
     if (!isFull && waitMs <= this.#opts.preset().maxQueueMs) return Effect.void;
     // The queue drains at the rate of the engines; by then there is room again.
--- /dev/null
+++ b/src/routing/common/engine_admission_test.ts
@@ -0,0 +1,126 @@
+import test from "ava";
+import { Effect, Fiber } from "effect";
+import { TestClock } from "effect/testing";
+import { TEST_CONFIGURATION } from "../../../test/harness/configuration.ts";
+import { DEFAULT_ENGINE, EngineCore } from "../../../test/stand_ins/engine_core.ts";
+import { Signal } from "../../base/common/signal.ts";
+import { parseConfiguration } from "../../platform/settings/common/validation.ts";
+import type { BackendRegistry } from "./backend_registry.ts";
+import type { IAdmissionRequest } from "./engine_admission.ts";
+import { EngineAdmission } from "./engine_admission.ts";
+import { ExpectedFinishChooser } from "./engine_chooser.ts";
+import { EngineState } from "./engine_state.ts";
+import type { ILoadReport } from "./model_engine.ts";
+import { ClassDeadlineOrder } from "./program_order.ts";
+
+const preset = () => parseConfiguration(JSON.stringify(TEST_CONFIGURATION), "test").presets.ordinary;
+
+function makeEngine(id: string, report: Partial<ILoadReport> = {}): EngineState {
+  const client = new EngineCore({ ...DEFAULT_ENGINE, id, models: ["m"] });
+  const engine = new EngineState({ id, zone: "", address: id, client });
+  engine.update({ ...Effect.runSync(client.report()), ...report }, 0);
+  return engine;
+}
+
+function makeRequest(opts: Partial<IAdmissionRequest> = {}): IAdmissionRequest {
+  return {
+    programId: "p",
+    model: "m",
+    customer: "c",
+    promptTokens: 1000,
+    expectedAnswerTokens: 10,
+    isFirstCall: false,
+    excluded: new Set(),
+    class: 1,
+    deadlineMs: 0,
+    openedAtMs: 0,
+    weight: 1,
+    queuedAtMs: 0,
+    ...opts,
+  };
+}
+
+function setUp(engines: EngineState[]): { admission: EngineAdmission; changed: Signal } {
+  const changed = new Signal();
+  const registry = { engines, changed } as unknown as BackendRegistry;
+  const chooser = new ExpectedFinishChooser(preset);
+  return {
+    admission: new EngineAdmission({ registry, chooser, order: new ClassDeadlineOrder(preset), preset }),
+    changed,
+  };
+}
+
+/** Runs a test under virtual time, with a function that lets waiting calls be served. */
+function run(
+  engines: EngineState[],
+  body: (admission: EngineAdmission, serve: Effect.Effect<void>) => Effect.Effect<void, unknown>,
+) {
+  const { admission, changed } = setUp(engines);
+  const serve = Effect.gen(function* () {
+    yield* Effect.yieldNow;
+    changed.notify();
+    yield* Effect.yieldNow;
+    yield* Effect.yieldNow;
+  });
+  const work = Effect.gen(function* () {
+    yield* admission.start();
+    yield* Effect.yieldNow;
+    yield* body(admission, serve);
+  });
+  return Effect.runPromise(Effect.provide(Effect.scoped(work), TestClock.layer()) as Effect.Effect<void>);
+}
+
+test("a new program waits for memory while one under way goes on", async (t) => {
+  const engine = makeEngine("e", { kvUsedTokens: 50_000 });
+  await run([engine], (admission, serve) =>
+    Effect.gen(function* () {
+      const waiting = yield* Effect.forkChild(
+        admission.enter(makeRequest({ programId: "new", isFirstCall: true })),
+      );
+      yield* serve;
+      t.is(admission.queueLength, 1);
+      t.is((yield* admission.enter(makeRequest({ class: 0 }))).engine, engine);
+      engine.update({ ...engine.report!, kvUsedTokens: 0 }, 0);
+      yield* serve;
+      t.is((yield* Fiber.join(waiting)).engine, engine);
+    }));
+});
+
+test("a new program that has waited for long starts without room, one at a time", async (t) => {
+  const engine = makeEngine("e", { kvUsedTokens: 60_000 });
+  await run([engine], (admission, serve) =>
+    Effect.gen(function* () {
+      yield* TestClock.adjust(1);
+      const requests = [1, 2].map((openedAtMs) =>
+        makeRequest({ programId: `p${openedAtMs}`, isFirstCall: true, openedAtMs })
+      );
+      const [first] = yield* Effect.all(requests.map((req) => Effect.forkChild(admission.enter(req))));
+      yield* serve;
+      yield* TestClock.adjust(preset().ageingMs + 1);
+      yield* serve;
+      yield* Fiber.join(first);
+      t.is(admission.queueLength, 1);
+    }));
+});
+
+test("a call that would wait too long is refused at once, with when to come back", async (t) => {
+  const engine = makeEngine("e", { running: 8, queued: 2000 });
+  await run([engine], (admission) =>
+    Effect.gen(function* () {
+      const err = yield* Effect.flip(admission.enter(makeRequest()));
+      t.true(err.retryAfterMs > 0);
+      t.is(admission.queueLength, 0);
+    }));
+});
+
+test("an interrupted call leaves the queue", async (t) => {
+  const engine = makeEngine("e", { running: 8, queued: 10 });
+  await run([engine], (admission, serve) =>
+    Effect.gen(function* () {
+      const waiting = yield* Effect.forkChild(admission.enter(makeRequest()));
+      yield* serve;
+      t.is(admission.queueLength, 1);
+      yield* Fiber.interrupt(waiting);
+      t.is(admission.queueLength, 0);
+    }));
+});
--- a/src/routing/common/engine_state.ts
+++ b/src/routing/common/engine_state.ts
@@ -40,6 +40,8 @@
   /** Mean of the calls that other instances have on the engine. */
   #othersMean = 0;
   meanCallMs = INITIAL_CALL_MS;
+  /** Time of the last start of a program from here, in ms of the clock. */
+  lastNewProgramAt = 0;
 
   constructor(opts: { id: string; zone: string; address: string; client: IModelEngine }) {
     this.id = opts.id;
@@ -73,7 +75,8 @@
   }
 
   /** A new program has been sent to the engine; reports show its history only later. */
-  noteNewProgram(tokens: number): void {
+  noteNewProgram(tokens: number, now: number): void {
+    this.lastNewProgramAt = now;
     this.#startedTokens += tokens;
   }
 
--- a/src/routing/common/kv_reconciler.ts
+++ b/src/routing/common/kv_reconciler.ts
@@ -20,7 +20,7 @@
 /** Oldest reading of the journal on which a program may be called unknown, in ms. */
 const MAX_JOURNAL_AGE_MS = 1000;
 /** Share of an engine's memory from which on it is scarce. */
-const SCARCE_FROM = 0.9;
+const SCARCE_FROM = 0.7;
 
 export interface IKvReconcilerOptions {
   readonly self: Member;
