Reuse connections to engines; end daemons with their launcher

Cause: the profile of a daemon under load showed a new connection for every model call: the reply was destroyed after its last event.

Change: a stream that was read to its end leaves its connection for the next request. The test launcher kills its daemons when it ends.

--- a/bench/slopes/end_to_end.ts
+++ b/bench/slopes/end_to_end.ts
@@ -103,8 +103,13 @@
   return (await reply.json() as { appends: number }).appends;
 }
 
-/** Measures calls on three instances, and idle instances at several sizes. */
+/** Measures calls on three instances, then idle instances at several sizes. */
 export async function measureEndToEnd(): Promise<IEndToEnd> {
+  const calls = await measureCalls();
+  return { ...calls, slopes: [...calls.slopes, await measureIdlePeers(), await measureIdleEngines()] };
+}
+
+async function measureCalls(): Promise<IEndToEnd> {
   const deployment = makeDeployment(3);
   await deployment.start();
   try {
@@ -140,7 +145,7 @@
       throughP99Ms: through.p99,
       callsPerCoreSecond: MICROS_PER_SECOND / perCall.slope,
       appendsPerCall,
-      slopes: [perCall, await measureIdlePeers(), await measureIdleEngines()],
+      slopes: [perCall],
     };
   } finally {
     await deployment.stop();
--- a/src/routing/node/http_model_engine.ts
+++ b/src/routing/node/http_model_engine.ts
@@ -1,6 +1,6 @@
 /** Adapter to a model engine over HTTP with server-sent events. */
 import type { IncomingMessage } from "node:http";
-import { Effect } from "effect";
+import { Effect, Exit } from "effect";
 import type { EventSourceMessage } from "eventsource-parser";
 import { createParser } from "eventsource-parser";
 import { toError } from "../../base/common/errors.ts";
@@ -62,7 +62,11 @@
       );
       if (res.statusCode !== 200) return yield* refuse(res);
       const result = this.#readStream(res, { attemptId: req.attemptId, onToken });
-      return yield* Effect.ensuring(result, Effect.sync(() => res.destroy()));
+      // A stream read to its end leaves its connection to the next request; any other is closed.
+      return yield* Effect.onExit(
+        result,
+        (exit) => Effect.sync(() => Exit.isSuccess(exit) ? res.resume() : res.destroy()),
+      );
     });
   }
 
--- a/test/harness/processes.ts
+++ b/test/harness/processes.ts
@@ -3,6 +3,7 @@
 import { fork } from "node:child_process";
 import { mkdtempSync, openSync, rmSync, writeFileSync } from "node:fs";
 import { createServer } from "node:net";
+import process from "node:process";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 import type { IInstanceInfo } from "../../src/platform/instances/common/instance_list.ts";
@@ -56,6 +57,8 @@
 
   constructor(plan: IDeploymentPlan) {
     this.plan = plan;
+    // Daemons do not end with their launcher by themselves.
+    process.on("exit", () => this.daemons.forEach(({ child }) => child.kill("SIGKILL")));
   }
 
   /** Starts everything and waits until all daemons are ready. */
