--- a/src/call/common/budget_keeper.ts
+++ b/src/call/common/budget_keeper.ts
@@ -9,10 +9,10 @@
 import type { DurableWriter } from "../../program/common/durable_writer.ts";
 import { Durability } from "../../program/common/durable_writer.ts";
 import type { Program, ProgramStore } from "../../program/common/program_store.ts";
+import { notOwner } from "../../program/common/refusals.ts";
 
 /** Calls for which budget is granted ahead with every record. */
 const CALLS_AHEAD = 2;
-const NOT_OWNER_RETRY_MS = 100;
 
 export interface IBudgetKeeper {
   /** Runs work with a charge reserved from the program and its ancestors. */
@@ -78,8 +78,7 @@
     const record = this.#writer.stamp(program.slice, { case: "granted", value });
     return Effect.flatMap(this.#writer.write(record), (durability) => {
       if (durability !== Durability.Rejected) return Effect.void;
-      const detail = "another instance owns the program";
-      return Effect.fail(new CallError(Reason.NOT_OWNER, { detail, retryAfterMs: NOT_OWNER_RETRY_MS }));
+      return Effect.fail(notOwner());
     });
   }
 }
--- a/src/call/common/call_run.ts
+++ b/src/call/common/call_run.ts
@@ -38,10 +38,6 @@
     return this.#tokens.join("");
   }
 
-  get tokenCount(): number {
-    return this.#tokens.length;
-  }
-
   addToken(text: string): void {
     this.#tokens.push(text);
     this.#changed.notify();
--- a/src/call/common/call_service.ts
+++ b/src/call/common/call_service.ts
@@ -17,6 +17,7 @@
 import type { BusyPrograms } from "../../program/common/busy_programs.ts";
 import type { JournalState } from "../../program/common/journal_state.ts";
 import type { Program } from "../../program/common/program_store.ts";
+import { notOwner, programEnded, unknownProgram } from "../../program/common/refusals.ts";
 import type { IBudgetKeeper } from "./budget_keeper.ts";
 import { CallRun } from "./call_run.ts";
 import type { ICallAnswer } from "./call_run.ts";
@@ -25,8 +26,6 @@
 import { answerTokens } from "./turns.ts";
 import type { ITurnRecorder } from "./turn_recorder.ts";
 
-const NOT_OWNER_RETRY_MS = 100;
-
 export interface ICallServiceOptions {
   readonly state: JournalState;
   readonly membership: Membership;
@@ -101,7 +100,7 @@
   #awaitOwnership(programId: string): Effect.Effect<void, CallError> {
     return Effect.gen({ self: this }, function* () {
       const isReady = yield* this.#opts.handOver.awaitReady(sliceOf(programId));
-      if (!isReady) yield* Effect.fail(notOwner("another instance owns the program"));
+      if (!isReady) yield* Effect.fail(notOwner());
     });
   }
 
@@ -109,7 +108,7 @@
   #find(req: CallRequest): Effect.Effect<Program, CallError> {
     const program = this.#opts.state.programs.get(req.programId);
     if (program?.spec.customer === req.customer) return Effect.succeed(program);
-    return Effect.fail(new CallError(Reason.UNKNOWN_PROGRAM, { detail: "there is no such program" }));
+    return Effect.fail(unknownProgram());
   }
 
   #checkStart(program: Program, req: CallRequest): Effect.Effect<void, CallError> {
@@ -121,7 +120,7 @@
         );
       }
       if (program.hasEnded) {
-        return yield* Effect.fail(new CallError(Reason.PROGRAM_ENDED, { detail: "the program has ended" }));
+        return yield* Effect.fail(programEnded("the program has ended"));
       }
       const kind = this.#opts.configuration.current?.programKinds[program.spec.kind];
       if (kind !== undefined && req.step > kind.maxTurns) {
@@ -180,10 +179,6 @@
   }
 }
 
-function notOwner(detail: string): CallError {
-  return new CallError(Reason.NOT_OWNER, { detail, retryAfterMs: NOT_OWNER_RETRY_MS });
-}
-
 function failUnknown(turn: Turn): Effect.Effect<void, CallError> {
   if (turn.status !== TurnStatus.OUTCOME_UNKNOWN) return Effect.void;
   return Effect.fail(
--- a/src/call/common/model_dispatch.ts
+++ b/src/call/common/model_dispatch.ts
@@ -5,7 +5,11 @@
 import { CallError } from "../../base/common/errors.ts";
 import { Ran, Reason } from "../../base/common/gen/ragwortcleat/v1/common_pb.ts";
 import type { Message } from "../../base/common/gen/ragwortcleat/v1/peer_pb.ts";
-import { RecordSchema } from "../../base/common/gen/ragwortcleat/v1/journal_pb.ts";
+import {
+  RecordSchema,
+  StrikeRecordedSchema,
+  StrikesClearedSchema,
+} from "../../base/common/gen/ragwortcleat/v1/journal_pb.ts";
 import type { IJournal } from "../../platform/journal/common/journal.ts";
 import type { IDecisionLog } from "../../platform/logging/common/decision_log.ts";
 import { DecisionKind } from "../../platform/logging/common/decision_log.ts";
@@ -205,14 +209,14 @@
   }
 
   #strike(fingerprint: bigint, crash: { backendId: string; bootId: string; atMs: number }): void {
-    const value = { $typeName: "ragwortcleat.v1.StrikeRecorded" as const, fingerprint, ...crash };
+    const value = create(StrikeRecordedSchema, { fingerprint, ...crash });
     this.#opts.strikes.add(value);
     this.#opts.journal.append(create(RecordSchema, { body: { case: "strike", value } }));
   }
 
   #clear(fingerprint: bigint): void {
     this.#opts.strikes.clear(fingerprint);
-    const value = { $typeName: "ragwortcleat.v1.StrikesCleared" as const, fingerprint };
+    const value = create(StrikesClearedSchema, { fingerprint });
     this.#opts.journal.append(create(RecordSchema, { body: { case: "strikesCleared", value } }));
   }
 
--- a/src/call/common/service_dispatch.ts
+++ b/src/call/common/service_dispatch.ts
@@ -18,6 +18,7 @@
 import type { IKeyEntry } from "../../program/common/key_table.ts";
 import type { JournalState } from "../../program/common/journal_state.ts";
 import type { Program } from "../../program/common/program_store.ts";
+import { notOwner } from "../../program/common/refusals.ts";
 import type { BackendRegistry, IServiceState } from "../../routing/common/backend_registry.ts";
 import { BackendError, BackendFailure } from "../../routing/common/model_engine.ts";
 import type { IServiceReply, IServiceRequest } from "../../routing/common/service_backend.ts";
@@ -197,7 +198,7 @@
   #fromRival(job: IServiceJob, key: string): Effect.Effect<ServiceOutcome, CallError> {
     const rival = this.#opts.state.keys.get(key);
     if (rival !== undefined) return this.#fromEntry(job, rival);
-    return Effect.fail(new CallError(Reason.NOT_OWNER, { detail: "the program has another owner" }));
+    return Effect.fail(notOwner());
   }
 
   #fromEntry(job: IServiceJob, entry: IKeyEntry): Effect.Effect<ServiceOutcome, CallError> {
--- a/src/call/common/suspect_isolation.ts
+++ b/src/call/common/suspect_isolation.ts
@@ -4,7 +4,6 @@
  */
 import { Clock, Effect } from "effect";
 import type { Member } from "../../base/common/gen/ragwortcleat/v1/journal_pb.ts";
-import { rendezvous } from "../../base/common/hash.ts";
 import type { PeerClients } from "../../membership/common/peer_client.ts";
 import type { ViewTable } from "../../membership/common/view.ts";
 import { isSameRun } from "../../membership/common/view.ts";
@@ -78,7 +77,7 @@
 
   #ask(req: IGrantRequest): Effect.Effect<boolean> {
     const { self, peers } = this.#opts;
-    const granter = this.#granterOf(req.engineId);
+    const granter = this.#opts.views.current?.actorFor(req.engineId);
     if (granter === undefined || isSameRun(granter, self)) return this.grant(req);
     const answer = peers.call(granter.peerAddress, {
       timeoutMs: ASK_TIMEOUT_MS,
@@ -91,7 +90,7 @@
     return Effect.suspend(() => {
       const { self, peers } = this.#opts;
       this.withdraw(req);
-      const granter = this.#granterOf(req.engineId);
+      const granter = this.#opts.views.current?.actorFor(req.engineId);
       if (granter === undefined || isSameRun(granter, self)) return Effect.void;
       return Effect.ignore(peers.call(granter.peerAddress, {
         timeoutMs: ASK_TIMEOUT_MS,
@@ -99,9 +98,4 @@
       }));
     });
   }
-
-  #granterOf(engineId: string): Member | undefined {
-    const members = this.#opts.views.current?.members ?? [];
-    return members[rendezvous(engineId, members.map(({ instanceId }) => instanceId))];
-  }
 }
--- a/src/daemon/common/core.ts
+++ b/src/daemon/common/core.ts
@@ -15,6 +15,7 @@
 import { SuspectIsolation } from "../../call/common/suspect_isolation.ts";
 import { TurnRecorder } from "../../call/common/turn_recorder.ts";
 import { OwnerRouter } from "../../entry/common/owner_router.ts";
+import { followPeersConfiguration } from "../../membership/common/configuration_gossip.ts";
 import { HandOver } from "../../membership/common/hand_over.ts";
 import { Membership } from "../../membership/common/membership.ts";
 import type { IPeerTransports } from "../../membership/common/peer_client.ts";
@@ -47,6 +48,7 @@
 import { ClassDeadlineOrder } from "../../routing/common/program_order.ts";
 import type { MakeServiceBackend } from "../../routing/common/service_backend.ts";
 
+import { registerGauges } from "./gauges.ts";
 import { randomIncarnation } from "./incarnation.ts";
 
 const MS_PER_SECOND = 1000;
@@ -260,79 +262,3 @@
     };
   });
 }
-
-const CONFIGURATION_TIMEOUT_MS = 1000;
-
-/** Fetches a newer configuration as soon as a peer reports one. */
-function followPeersConfiguration(
-  { membership, peers, configuration }: {
-    membership: Membership;
-    peers: PeerClients;
-    configuration: ConfigurationStore;
-  },
-): Effect.Effect<void, never, Scope.Scope> {
-  return Effect.gen(function* () {
-    const scope = yield* Effect.scope;
-    const context = yield* Effect.context<never>();
-    membership.onDidSeeConfiguration(({ address }) => {
-      const fetch = peers.call(address, {
-        timeoutMs: CONFIGURATION_TIMEOUT_MS,
-        invoke: (client, signal) => client.getConfiguration({}, { signal }),
-      });
-      const learn = Effect.map(fetch, ({ version, document }) => {
-        if (version > configuration.version) configuration.learn(version, document);
-      });
-      Effect.runForkWith(context)(Effect.forkIn(Effect.ignore(learn), scope));
-    });
-  });
-}
-
-function registerGauges(
-  metrics: Metrics,
-  { state, journal, calls, admission, copies, configuration }: {
-    state: JournalState;
-    journal: Journal;
-    calls: CallService;
-    admission: EngineAdmission;
-    copies: HeldCopies;
-    configuration: ConfigurationStore;
-  },
-): void {
-  metrics.gauge("programs", {
-    help: "Programs known, ended ones included.",
-    read: () => state.programs.size,
-  });
-  metrics.gauge("idempotency_keys", { help: "Keys remembered.", read: () => state.keys.size });
-  metrics.gauge("quarantined_requests", {
-    help: "Requests refused for crashes.",
-    read: () => state.strikes.quarantinedCount,
-  });
-  metrics.gauge("calls_running", {
-    help: "Calls under way on programs owned here.",
-    read: () => calls.runningCount,
-  });
-  metrics.gauge("calls_queued", {
-    help: "Calls that wait for an engine.",
-    read: () => admission.queueLength,
-  });
-  metrics.gauge("journal_backlog", {
-    help: "Records that wait for the journal.",
-    read: () => journal.backlog,
-  });
-  metrics.gauge("journal_appends", {
-    help: "Appends sent since the start.",
-    read: () => journal.appendCount,
-  });
-  metrics.gauge("copies_held", {
-    help: "Copies kept for others during an outage.",
-    read: () => copies.count,
-  });
-  metrics.gauge("configuration_version", {
-    help: "Offset of the configuration in force.",
-    read: () => configuration.version,
-  });
-  metrics.gauge("view_number", {
-    help: "Number of the view in force.",
-    read: () => state.views.current?.number ?? 0,
-  });
-}
--- /dev/null
+++ b/src/daemon/common/gauges.ts
@@ -0,0 +1,59 @@
+/** Values that are read when an instance's metrics are rendered. */
+import type { CallService } from "../../call/common/call_service.ts";
+import type { ConfigurationStore } from "../../platform/configuration/common/configuration_store.ts";
+import type { Journal } from "../../platform/journal/common/journal.ts";
+import type { Metrics } from "../../platform/metrics/common/metrics.ts";
+import type { HeldCopies } from "../../program/common/held_copies.ts";
+import type { JournalState } from "../../program/common/journal_state.ts";
+import type { EngineAdmission } from "../../routing/common/engine_admission.ts";
+
+/** Registers the gauges of one instance. */
+export function registerGauges(
+  metrics: Metrics,
+  { state, journal, calls, admission, copies, configuration }: {
+    state: JournalState;
+    journal: Journal;
+    calls: CallService;
+    admission: EngineAdmission;
+    copies: HeldCopies;
+    configuration: ConfigurationStore;
+  },
+): void {
+  metrics.gauge("programs", {
+    help: "Programs known, ended ones included.",
+    read: () => state.programs.size,
+  });
+  metrics.gauge("idempotency_keys", { help: "Keys remembered.", read: () => state.keys.size });
+  metrics.gauge("quarantined_requests", {
+    help: "Requests refused for crashes.",
+    read: () => state.strikes.quarantinedCount,
+  });
+  metrics.gauge("calls_running", {
+    help: "Calls under way on programs owned here.",
+    read: () => calls.runningCount,
+  });
+  metrics.gauge("calls_queued", {
+    help: "Calls that wait for an engine.",
+    read: () => admission.queueLength,
+  });
+  metrics.gauge("journal_backlog", {
+    help: "Records that wait for the journal.",
+    read: () => journal.backlog,
+  });
+  metrics.gauge("journal_appends", {
+    help: "Appends sent since the start.",
+    read: () => journal.appendCount,
+  });
+  metrics.gauge("copies_held", {
+    help: "Copies kept for others during an outage.",
+    read: () => copies.count,
+  });
+  metrics.gauge("configuration_version", {
+    help: "Offset of the configuration in force.",
+    read: () => configuration.version,
+  });
+  metrics.gauge("view_number", {
+    help: "Number of the view in force.",
+    read: () => state.views.current?.number ?? 0,
+  });
+}
--- a/src/entry/common/delivered_tokens.ts
+++ b/src/entry/common/delivered_tokens.ts
@@ -4,15 +4,6 @@
   readonly #tokens: string[] = [];
   #mismatch = false;
 
-  get count(): number {
-    return this.#tokens.length;
-  }
-
-  /** Whether a later attempt produced other tokens than those delivered. */
-  get hasMismatch(): boolean {
-    return this.#mismatch;
-  }
-
   /** Takes a token in; returns whether it is to be sent on. */
   accept(index: number, text: string): boolean {
     if (this.#mismatch) return false;
--- a/src/entry/node/caller_api.ts
+++ b/src/entry/node/caller_api.ts
@@ -94,8 +94,7 @@
   }
 
   #authenticate({ headers }: IHttpCall): Effect.Effect<string, CallError> {
-    const key = /^Bearer (\S+)$/.exec(headers.authorization ?? "")?.[1];
-    const customer = key === undefined ? undefined : this.#opts.keys.holderOf(key);
+    const customer = this.#opts.keys.holderOf(headers.authorization);
     if (customer !== undefined) return Effect.succeed(customer);
     return Effect.fail(new CallError(Reason.UNAUTHORIZED, { detail: "a customer's key is required" }));
   }
--- a/src/entry/node/key_ring.ts
+++ b/src/entry/node/key_ring.ts
@@ -29,9 +29,10 @@
     return ring;
   }
 
-  /** Name of the holder of a key, or undefined. */
-  holderOf(key: string): string | undefined {
-    return this.#holders.get(digest(key));
+  /** Name of the holder of the key in an `Authorization` header, or undefined. */
+  holderOf(authorization: string | undefined): string | undefined {
+    const key = /^Bearer (\S+)$/.exec(authorization ?? "")?.[1];
+    return key === undefined ? undefined : this.#holders.get(digest(key));
   }
 }
 
--- a/src/entry/node/operator_api.ts
+++ b/src/entry/node/operator_api.ts
@@ -84,8 +84,7 @@
   }
 
   #authenticate({ headers }: IHttpCall): Effect.Effect<string, CallError> {
-    const key = /^Bearer (\S+)$/.exec(headers.authorization ?? "")?.[1];
-    const operator = key === undefined ? undefined : this.#opts.keys.holderOf(key);
+    const operator = this.#opts.keys.holderOf(headers.authorization);
     if (operator !== undefined) return Effect.succeed(operator);
     return Effect.fail(new CallError(Reason.UNAUTHORIZED, { detail: "an operator's key is required" }));
   }
--- a/src/membership/common/view.ts
+++ b/src/membership/common/view.ts
@@ -63,6 +63,11 @@
     return this.#slices.flatMap((_, slice) => this.ownerOf(slice) === owner ? [slice] : []);
   }
 
+  /** The member that acts for a backend server, so that one alone does. */
+  actorFor(backendId: string): Member | undefined {
+    return this.members[rendezvous(backendId, this.members.map(({ instanceId }) => instanceId))];
+  }
+
   /** Record that repeats this view for readers that start later. */
   toCheckpoint(): ViewRecord {
     return create(ViewRecordSchema, {
--- a/src/placement/common/placement.ts
+++ b/src/placement/common/placement.ts
@@ -9,7 +9,6 @@
   OrderIssuedSchema,
   RecordSchema,
 } from "../../base/common/gen/ragwortcleat/v1/journal_pb.ts";
-import { rendezvous } from "../../base/common/hash.ts";
 import type { Membership } from "../../membership/common/membership.ts";
 import { isSameRun } from "../../membership/common/view.ts";
 import type { IConfigurationSource } from "../../platform/configuration/common/configuration_source.ts";
@@ -82,8 +81,7 @@
 
   /** Each engine gets its orders from one member. */
   #isOwn({ id }: EngineState): boolean {
-    const members = this.#opts.state.views.current?.members ?? [];
-    return isSameRun(members[rendezvous(id, members.map(({ instanceId }) => instanceId))], this.#opts.self);
+    return isSameRun(this.#opts.state.views.current?.actorFor(id), this.#opts.self);
   }
 
   #carryOut(planned: IPlannedOrder): Effect.Effect<void> {
--- a/src/program/common/durable_writer.ts
+++ b/src/program/common/durable_writer.ts
@@ -5,8 +5,8 @@
 import { create } from "@bufbuild/protobuf";
 import type { Scope } from "effect";
 import { Clock, Effect, Option } from "effect";
-import { CallError } from "../../base/common/errors.ts";
-import { Ran, Reason } from "../../base/common/gen/ragwortcleat/v1/common_pb.ts";
+import type { CallError } from "../../base/common/errors.ts";
+import { Ran } from "../../base/common/gen/ragwortcleat/v1/common_pb.ts";
 import type { Member, Record } from "../../base/common/gen/ragwortcleat/v1/journal_pb.ts";
 import { RecordSchema } from "../../base/common/gen/ragwortcleat/v1/journal_pb.ts";
 import { HeldCopySchema } from "../../base/common/gen/ragwortcleat/v1/peer_pb.ts";
@@ -14,14 +14,13 @@
 import type { PeerClients } from "../../membership/common/peer_client.ts";
 import type { IAppendReceipt, IJournal, IPendingRecord } from "../../platform/journal/common/journal.ts";
 import type { JournalState } from "./journal_state.ts";
+import { storeUnavailable } from "./refusals.ts";
 
 /** Time for which a record waits for the journal before copies are made. */
 const JOURNAL_PATIENCE_MS = 1500;
 const HOLD_TIMEOUT_MS = 500;
 /** Instances in zones other than the writer's that must hold a copy. */
 const COPIES_REQUIRED = 2;
-/** Advice to callers refused for want of the log service. */
-export const STORE_RETRY_AFTER_MS = 5000;
 
 /** How a record was made durable. */
 export enum Durability {
@@ -176,12 +175,3 @@
     return Effect.asVoid(Effect.forkIn(drop, this.#opts.scope));
   }
 }
-
-/** Refusal for want of the log service. */
-export function storeUnavailable(ran: Ran): CallError {
-  return new CallError(Reason.STORE_UNAVAILABLE, {
-    ran,
-    retryAfterMs: STORE_RETRY_AFTER_MS,
-    detail: "the log service cannot be reached",
-  });
-}
--- a/src/program/common/program_service.ts
+++ b/src/program/common/program_service.ts
@@ -7,7 +7,6 @@
   BudgetSchema,
   EndCause,
   ProgramSpecSchema,
-  Ran,
   Reason,
 } from "../../base/common/gen/ragwortcleat/v1/common_pb.ts";
 import { ProgramEndedSchema, ProgramOpenedSchema } from "../../base/common/gen/ragwortcleat/v1/journal_pb.ts";
@@ -20,10 +19,10 @@
 import type { JournalState } from "./journal_state.ts";
 import type { Program } from "./program_store.ts";
 import { Program as NewProgram } from "./program_store.ts";
+import { notOwner, programEnded, unknownProgram } from "./refusals.ts";
 
 /** Budget granted with the opening, so that the first call needs no grant of its own. */
 const FIRST_GRANT = { tokens: 1024, calls: 2 };
-const NOT_OWNER_RETRY_MS = 100;
 const PAUSED_RETRY_MS = 10_000;
 
 export interface IEndRequest {
@@ -63,8 +62,7 @@
       const durability = yield* this.#opts.writer.write(record);
       const program = this.#opts.state.programs.get(spec.programId);
       if (program !== undefined) return yield* sameCustomer(program, asked.customer);
-      const reason = durability === Durability.Rejected ? Reason.NOT_OWNER : Reason.UNKNOWN_PROGRAM;
-      return yield* Effect.fail(new CallError(reason, { retryAfterMs: NOT_OWNER_RETRY_MS }));
+      return yield* Effect.fail(durability === Durability.Rejected ? notOwner() : unknownProgram());
     });
   }
 
@@ -117,7 +115,7 @@
     const parent = state.programs.get(asked.parentId);
     if (parent === undefined || parent.spec.customer !== asked.customer) return Effect.fail(unknownProgram());
     if (parent.hasEnded) {
-      return Effect.fail(new CallError(Reason.PROGRAM_ENDED, { detail: "the parent has ended" }));
+      return Effect.fail(programEnded("the parent has ended"));
     }
     return Effect.succeed(kind);
   }
@@ -137,15 +135,3 @@
 function sameCustomer(program: Program, customer: string): Effect.Effect<Program, CallError> {
   return program.spec.customer === customer ? Effect.succeed(program) : Effect.fail(unknownProgram());
 }
-
-function unknownProgram(): CallError {
-  return new CallError(Reason.UNKNOWN_PROGRAM, { detail: "there is no such program" });
-}
-
-function notOwner(): CallError {
-  return new CallError(Reason.NOT_OWNER, {
-    ran: Ran.NOT_RUN,
-    retryAfterMs: NOT_OWNER_RETRY_MS,
-    detail: "another instance owns the program",
-  });
-}
--- a/src/routing/common/kv_reconciler.ts
+++ b/src/routing/common/kv_reconciler.ts
@@ -6,7 +6,6 @@
 import type { Scope } from "effect";
 import { Clock, Effect } from "effect";
 import type { Member } from "../../base/common/gen/ragwortcleat/v1/journal_pb.ts";
-import { rendezvous } from "../../base/common/hash.ts";
 import { isSameRun } from "../../membership/common/view.ts";
 import type { IJournal } from "../../platform/journal/common/journal.ts";
 import type { IDecisionLog } from "../../platform/logging/common/decision_log.ts";
@@ -83,9 +82,7 @@
 
   /** Each engine is reconciled by one member. */
   #isOwn({ id }: EngineState): boolean {
-    const members = this.#opts.state.views.current?.members ?? [];
-    const index = rendezvous(id, members.map(({ instanceId }) => instanceId));
-    return isSameRun(members[index], this.#opts.self);
+    return isSameRun(this.#opts.state.views.current?.actorFor(id), this.#opts.self);
   }
 
   #reconcile(engine: EngineState): Effect.Effect<void> {
--- a/test/harness/cluster.ts
+++ b/test/harness/cluster.ts
@@ -34,6 +34,8 @@
 import type { IModelEngine } from "../../src/routing/common/model_engine.ts";
 import type { IServiceBackend } from "../../src/routing/common/service_backend.ts";
 import { TEST_CONFIGURATION } from "./configuration.ts";
+import type { IFreezable } from "./gates.ts";
+import { gate, passGate } from "./gates.ts";
 import { DEFAULT_ENGINE, EngineCore } from "../stand_ins/engine_core.ts";
 import { LogCore } from "../stand_ins/log_core.ts";
 import { ServiceCore } from "../stand_ins/service_core.ts";
@@ -44,7 +46,7 @@
 export const ZONES = ["zone-a", "zone-b", "zone-c"];
 
 /** One instance and the state of its ways out. */
-export interface INode {
+export interface INode extends IFreezable {
   readonly id: string;
   readonly core: ICore;
   readonly scope: Scope.Closeable;
@@ -52,8 +54,6 @@
   isDead: boolean;
   /** Done when the instance is killed. */
   readonly death: Deferred.Deferred<void>;
-  /** Set while the instance is frozen. */
-  frozen: Deferred.Deferred<void> | undefined;
   isLogCut: boolean;
   /** Whether the instance and its peers do not reach each other. */
   isPeerCut: boolean;
@@ -358,13 +358,13 @@
 
   #transportsOf(self: () => INode): IPeerTransports {
     const reach = async (address: string): Promise<Transport> => {
-      await openGate(self());
+      await passGate(self());
       const target = this.nodes.get(address);
       if (target === undefined || target.isDead) {
         throw new ConnectError("refused", Code.Unavailable, {}, [], REFUSED);
       }
       if (self().isDead || target.isPeerCut || self().isPeerCut) throw new ConnectError("unreachable");
-      await openGate(target);
+      await passGate(target);
       return target.transport;
     };
     return {
@@ -380,23 +380,3 @@
 function macrotask(): Effect.Effect<void> {
   return Effect.promise(() => new Promise<void>((resolve) => setImmediate(resolve)));
 }
-
-function openGate({ frozen }: INode): Promise<void> | void {
-  return frozen === undefined ? undefined : Effect.runPromise(Deferred.await(frozen));
-}
-
-/** Holds every call of an interface back while the instance is frozen. */
-function gate<T extends object>(self: () => INode, target: T): T {
-  return new Proxy(target, {
-    get(object, name) {
-      const member = Reflect.get(object, name) as unknown;
-      if (typeof member !== "function") return member;
-      return (...args: unknown[]) =>
-        Effect.suspend(() => {
-          const work = () => member.apply(object, args) as Effect.Effect<unknown, unknown>;
-          const { frozen } = self();
-          return frozen === undefined ? work() : Effect.flatMap(Deferred.await(frozen), work);
-        });
-    },
-  });
-}
--- a/test/stand_ins/engine_core.ts
+++ b/test/stand_ins/engine_core.ts
@@ -116,7 +116,6 @@
     generatedTokens: 0,
     prefilledTokens: 0,
     wastedPrefillTokens: 0,
-    kvTokenMs: 0,
     crashes: 0,
   };
   readonly #everHeld = new Map<string, number>();
@@ -179,10 +178,6 @@
     );
   }
 
-  importKv(): Effect.Effect<void, BackendError> {
-    return failWith(BackendFailure.Rejected, "not offered");
-  }
-
   report(): Effect.Effect<ILoadReport, BackendError> {
     return Effect.gen({ self: this }, function* () {
       yield* this.#checkUp();
