--- a/src/daemon/node/daemon.ts
+++ b/src/daemon/node/daemon.ts
@@ -16,7 +16,7 @@
 import { drainCore } from "../common/drain.ts";
 import type { ILoadedSettings } from "./settings_file.ts";
 
-/** Time that the others get to notice that this instance takes no new connections. */
+/** Time in which the balancer notices and clients give up their connections, in ms. */
 const UNREADY_MS = 300;
 
 /** A running daemon. */
@@ -69,6 +69,7 @@
       const startedAt = yield* Clock.currentTimeMillis;
       isDraining = true;
       logger.info("draining");
+      http.announceStop();
       yield* Effect.sleep(UNREADY_MS);
       http.stopAccepting();
       yield* drainCore(core, () => http.activeCount === 0);
--- a/src/entry/common/owner_router.ts
+++ b/src/entry/common/owner_router.ts
@@ -92,6 +92,7 @@
       let lostAt: number | undefined;
       let wasSent = false;
       while (true) {
+        const triedAt = yield* Clock.currentTimeMillis;
         const owner = this.#opts.views.current?.ownerOf(slice);
         if (owner !== undefined) {
           const outcome = yield* Effect.result(use(owner));
@@ -101,6 +102,8 @@
           wasSent ||= err instanceof PeerError;
         }
         const now = yield* Clock.currentTimeMillis;
+        // A call that an owner had for long has been without one only since it was lost.
+        if (now - triedAt > OWNER_PATIENCE_MS) lostAt = undefined;
         lostAt ??= now;
         if (now - lostAt > OWNER_PATIENCE_MS) return yield* Effect.fail(withoutOwner(wasSent));
         yield* Effect.sleep(RETRY_MS);
--- a/src/entry/node/http_server.ts
+++ b/src/entry/node/http_server.ts
@@ -73,9 +73,14 @@
     });
   }
 
+  /** Has clients give up their connections after the next reply. */
+  announceStop(): void {
+    this.#isStopping = true;
+  }
+
   /** Takes no new connections; the requests under way go on. */
   stopAccepting(): void {
-    this.#isStopping = true;
+    this.announceStop();
     this.#server.close();
     this.#server.closeIdleConnections();
   }
--- a/src/platform/settings/common/gen/configuration.ts
+++ b/src/platform/settings/common/gen/configuration.ts
@@ -74,7 +74,7 @@
    */
   engineOvercommit: number;
   /**
-   * Waiting time, in ms, that lifts a call by one class.
+   * Waiting time, in ms, that lifts a call by one class, and after which a new program may start without room for its history.
    */
   ageingMs: number;
   /**
@@ -279,7 +279,7 @@
           "minimum": 100,
           "maximum": 3600000,
           "default": 30000,
-          "description": "Waiting time, in ms, that lifts a call by one class."
+          "description": "Waiting time, in ms, that lifts a call by one class, and after which a new program may start without room for its history."
         },
         "retryShare": {
           "type": "number",
--- a/src/program/common/held_copies.ts
+++ b/src/program/common/held_copies.ts
@@ -17,7 +17,9 @@
     if (this.#count + copies.length > MAX_HELD_COPIES) return false;
     for (const copy of copies) {
       const key = ownerKey(copy);
-      this.#copies.set(key, [...this.#copies.get(key) ?? [], copy]);
+      const held = this.#copies.get(key);
+      if (held === undefined) this.#copies.set(key, [copy]);
+      else held.push(copy);
     }
     this.#count += copies.length;
     return true;
--- a/test/harness/cluster.ts
+++ b/test/harness/cluster.ts
@@ -2,11 +2,10 @@
  * Instances in one process under virtual time, over in-memory stand-ins. Every way out of an instance
  * passes a gate, so that it can be frozen, cut off or killed at any point.
  */
-import type { Transport } from "@connectrpc/connect";
-import { Code, ConnectError, createRouterTransport } from "@connectrpc/connect";
+import { createRouterTransport } from "@connectrpc/connect";
 import { Deferred, Effect, Exit, Scope } from "effect";
 import { TestClock } from "effect/testing";
-import { CallError, PlatformError } from "../../src/base/common/errors.ts";
+import { CallError } from "../../src/base/common/errors.ts";
 import type { ProgramSnapshot } from "../../src/base/common/gen/ragwortcleat/v1/journal_pb.ts";
 import type { CallRequest } from "../../src/base/common/gen/ragwortcleat/v1/peer_pb.ts";
 import { CallRequestSchema, PeerService } from "../../src/base/common/gen/ragwortcleat/v1/peer_pb.ts";
@@ -23,10 +22,8 @@
 import type { ICore } from "../../src/daemon/common/core.ts";
 import { makeCore } from "../../src/daemon/common/core.ts";
 import { drainCore } from "../../src/daemon/common/drain.ts";
-import type { IPeerTransports } from "../../src/membership/common/peer_client.ts";
 import type { IInstanceInfo } from "../../src/platform/instances/common/instance_list.ts";
 import { InstanceRole, InstanceState } from "../../src/platform/instances/common/instance_list.ts";
-import type { ILogService } from "../../src/platform/log/common/log_service.ts";
 import { CONFIGURATION_STREAM } from "../../src/platform/log/common/log_service.ts";
 import { encodePublication, NO_VERSION } from "../../src/platform/configuration/common/publication.ts";
 import { NullLogger } from "../../src/platform/logging/common/logger.ts";
@@ -34,29 +31,23 @@
 import type { IModelEngine } from "../../src/routing/common/model_engine.ts";
 import type { IServiceBackend } from "../../src/routing/common/service_backend.ts";
 import { TEST_CONFIGURATION } from "./configuration.ts";
-import type { IFreezable } from "./gates.ts";
-import { gate, passGate } from "./gates.ts";
+import type { IGated } from "./gates.ts";
+import { gate, gateLog, gateTransports } from "./gates.ts";
 import { DEFAULT_ENGINE, EngineCore } from "../stand_ins/engine_core.ts";
 import { LogCore } from "../stand_ins/log_core.ts";
 import { ServiceCore } from "../stand_ins/service_core.ts";
 
 const STEP_MS = 5;
 const TURNS_PER_STEP = 4;
-const REFUSED = Object.assign(new Error("refused"), { code: "ECONNREFUSED" });
 export const ZONES = ["zone-a", "zone-b", "zone-c"];
 
 /** One instance and the state of its ways out. */
-export interface INode extends IFreezable {
+export interface INode extends IGated {
   readonly id: string;
   readonly core: ICore;
   readonly scope: Scope.Closeable;
-  transport: Transport;
-  isDead: boolean;
   /** Done when the instance is killed. */
   readonly death: Deferred.Deferred<void>;
-  isLogCut: boolean;
-  /** Whether the instance and its peers do not reach each other. */
-  isPeerCut: boolean;
 }
 
 export interface IClusterOptions {
@@ -174,9 +165,9 @@
         makeCore(settings, {
           addresses: { peerAddress: id, callerAddress: id },
           outside: {
-            log: this.#logOf(self),
+            log: gateLog(self, this.log),
             instances: { list: () => Effect.sync(() => this.#list()) },
-            transports: this.#transportsOf(self),
+            transports: gateTransports(self, (address) => this.nodes.get(address)),
             makeEngine: (address) =>
               gate(self, this.engines.find(({ id }) => id === address) as IModelEngine),
             makeService: (address) =>
@@ -345,36 +336,6 @@
       ...this.services.map(({ id }) => entry(id, InstanceRole.Service, "api")),
     ];
   }
-
-  #logOf(self: () => INode): ILogService {
-    const log = gate(self, this.log as ILogService);
-    const pass = <A>(work: () => Effect.Effect<A, PlatformError>) =>
-      Effect.suspend(() => self().isLogCut ? Effect.fail(new PlatformError("cut")) : work());
-    return {
-      append: (stream, data) => pass(() => log.append(stream, data)),
-      read: (stream, opts) => pass(() => log.read(stream, opts)),
-    };
-  }
-
-  #transportsOf(self: () => INode): IPeerTransports {
-    const reach = async (address: string): Promise<Transport> => {
-      await passGate(self());
-      const target = this.nodes.get(address);
-      if (target === undefined || target.isDead) {
-        throw new ConnectError("refused", Code.Unavailable, {}, [], REFUSED);
-      }
-      if (self().isDead || target.isPeerCut || self().isPeerCut) throw new ConnectError("unreachable");
-      await passGate(target);
-      return target.transport;
-    };
-    return {
-      get: (address) => ({
-        unary: async (...args) => (await reach(address)).unary(...args),
-        stream: async (...args) => (await reach(address)).stream(...args),
-      }),
-      reset: () => {},
-    };
-  }
 }
 
 function macrotask(): Effect.Effect<void> {
