Take caches along from leaving engines

Cause: a program on a leaving engine paid for its whole history again on the next one.

Ruled out: importing on every change of engine (a transfer and its orders cost more than a short prefill; only leaving engines are sure to lose the cache).

Change: before a call on an engine without the program's cache, the cache is imported from a leaving engine that has 200 tokens or more of it, and released there.

Measured: proof with a history of 2000 tokens: below 3000 tokens prefilled in both calls and nothing left at the source; with the export off the history is prefilled again.

--- a/src/call/common/model_dispatch.ts
+++ b/src/call/common/model_dispatch.ts
@@ -18,6 +18,7 @@
 import type { EngineAdmission, IAdmissionRequest } from "../../routing/common/engine_admission.ts";
 import type { IChoice } from "../../routing/common/engine_chooser.ts";
 import type { EngineState } from "../../routing/common/engine_state.ts";
+import { BackendCondition } from "../../routing/common/engine_state.ts";
 import type { IGenerateRequest, IGenerateResult } from "../../routing/common/model_engine.ts";
 import { BackendError, BackendFailure } from "../../routing/common/model_engine.ts";
 import type { IProgramOrder } from "../../routing/common/program_order.ts";
@@ -30,6 +31,8 @@
 const MAX_RESUMES = 2;
 const RETRY_BACKOFF_MS = 20;
 const RETRY_AFTER_MS = 1000;
+/** Smallest cache that is worth a transfer, in tokens. */
+const MIN_IMPORTED_TOKENS = 200;
 
 export interface IModelJob {
   readonly run: CallRun;
@@ -119,6 +122,7 @@
       let durationMs: number | undefined;
       const bootId = engine.report?.bootId ?? "";
       const body = Effect.gen({ self: this }, function* () {
+        yield* this.#bringCache(job, engine);
         const generate = Effect.andThen(job.checkLease, this.#generate(job, engine));
         const isSuspect = this.#opts.strikes.isSuspect(opts.fingerprint);
         const result = yield* isSuspect ? this.#opts.isolation.runApart(engine.id, generate) : generate;
@@ -139,6 +143,30 @@
     });
   }
 
+  /** Takes the program's cache along from an engine that is leaving. The call goes on without it if that fails. */
+  #bringCache(job: IModelJob, engine: EngineState): Effect.Effect<void> {
+    const { programId } = job.admission;
+    if (engine.cache.expectedTokens(programId) > 0) return Effect.void;
+    const source = this.#opts.registry.engines.find(({ condition, cache }) =>
+      condition === BackendCondition.Leaving && cache.expectedTokens(programId) >= MIN_IMPORTED_TOKENS
+    );
+    if (source === undefined) return Effect.void;
+    const tokens = source.cache.expectedTokens(programId);
+    return engine.client.importKv(programId, source.address).pipe(
+      Effect.flatMap(() => {
+        engine.cache.noteRun(programId, tokens);
+        source.cache.forget(programId);
+        this.#log(job, {
+          kind: DecisionKind.Kv,
+          choice: engine.id,
+          reason: `import from leaving ${source.id}`,
+        });
+        return source.client.releaseKv([programId]);
+      }),
+      Effect.ignore,
+    );
+  }
+
   #enter(job: IModelJob, excluded: ReadonlySet<string>): Effect.Effect<IChoice, CallError> {
     return this.#opts.admission.enter({ ...job.admission, excluded }).pipe(
       Effect.tap(({ engine, reason, candidates }) =>
--- a/src/routing/common/model_engine.ts
+++ b/src/routing/common/model_engine.ts
@@ -117,6 +117,8 @@
   /** Frees the KV cache of programs. Done when it succeeds. */
   releaseKv(programIds: readonly string[]): Effect.Effect<void, BackendError>;
   listKv(): Effect.Effect<readonly IKvHolding[], BackendError>;
+  /** Copies a program's KV cache from another engine, named by its address. */
+  importKv(programId: string, fromAddress: string): Effect.Effect<void, BackendError>;
   report(): Effect.Effect<ILoadReport, BackendError>;
   cacheEvents(after: number): Effect.Effect<readonly ICacheEvent[], BackendError>;
   order(order: IEngineOrder): Effect.Effect<void, BackendError>;
--- a/src/routing/node/http_model_engine.ts
+++ b/src/routing/node/http_model_engine.ts
@@ -83,6 +83,11 @@
     return Effect.map(reply, ({ holdings }) => holdings);
   }
 
+  importKv(programId: string, fromAddress: string): Effect.Effect<void, BackendError> {
+    const body = { programId, from: fromAddress };
+    return Effect.asVoid(this.#control("POST", { path: "/v1/kv/import", body }));
+  }
+
   report(): Effect.Effect<ILoadReport, BackendError> {
     return this.#control("GET", { path: "/v1/load" });
   }
--- a/test/harness/cluster.ts
+++ b/test/harness/cluster.ts
@@ -73,7 +73,9 @@
   private constructor(opts: IClusterOptions) {
     this.#opts = opts;
     for (let index = 0; index < (opts.engines ?? 3); index++) {
-      this.engines.push(new EngineCore({ ...DEFAULT_ENGINE, id: `e${index}`, models: ["m"] }));
+      const exportFrom = (address: string, programId: string) =>
+        Effect.sync(() => this.engines.find(({ id }) => id === address)?.exportKv(programId) ?? 0);
+      this.engines.push(new EngineCore({ ...DEFAULT_ENGINE, id: `e${index}`, models: ["m"], exportFrom }));
     }
     for (let index = 0; index < (opts.services ?? 2); index++) {
       this.services.push(new ServiceCore(`s${index}`, this.counts));
--- a/test/proofs/leaving_test.ts
+++ b/test/proofs/leaving_test.ts
@@ -55,3 +55,26 @@
       return leaver.arrivals === 0 ? [] : [`${leaver.arrivals} calls went to the leaving server`];
     }),
 });
+
+proof("8: a program takes its cache along from a leaving engine", {
+  nodes: 2,
+  engines: 2,
+  sabotage: (_, cluster) => {
+    for (const engine of cluster.engines) replace(engine, "exportKv", () => 0);
+  },
+  scenario: (cluster) =>
+    Effect.gen(function* () {
+      const program = yield* cluster.drive(cluster.open("n0"));
+      yield* cluster.drive(cluster.callModel("n0", { program, step: 1, content: "x".repeat(8000) }));
+      const source = cluster.engines.find(({ heldPrograms }) => heldPrograms.length > 0)!;
+      cluster.leaving.add(source.id);
+      yield* cluster.advance(FEW_SECONDS_MS);
+      yield* cluster.drive(cluster.callModel("n1", { program, step: 2, content: "more" }));
+      const wasted = cluster.engines.reduce((sum, { stats }) => sum + stats.prefilledTokens, 0);
+      const left = source.heldPrograms.length;
+      return [
+        ...wasted < 3000 ? [] : [`${wasted} tokens prefilled`],
+        ...left === 0 ? [] : ["the source still holds it"],
+      ];
+    }),
+});
--- a/test/stand_ins/engine_core.ts
+++ b/test/stand_ins/engine_core.ts
@@ -51,6 +51,8 @@
   readonly decodeTokensPerSecond: number;
   /** Tokens that come at a time; more make long runs cheaper. */
   readonly tokensPerStep?: number;
+  /** Reads the tokens that another engine holds for a program, to import them. */
+  readonly exportFrom?: (address: string, programId: string) => Effect.Effect<number, BackendError>;
 }
 
 export const DEFAULT_ENGINE: Omit<IEngineOptions, "id" | "models"> = {
@@ -178,6 +180,20 @@
     );
   }
 
+  importKv(programId: string, fromAddress: string): Effect.Effect<void, BackendError> {
+    const fetched = this.#opts.exportFrom?.(fromAddress, programId) ?? Effect.succeed(0);
+    return Effect.flatMap(Effect.andThen(this.#checkUp(), fetched), (tokens) => {
+      if (tokens === 0) return failWith(BackendFailure.Rejected, "nothing to import");
+      this.#store(programId, tokens);
+      return Effect.void;
+    });
+  }
+
+  /** Tokens that the engine holds for a program. */
+  exportKv(programId: string): number {
+    return this.faults.crashed ? 0 : this.#kv.get(programId) ?? 0;
+  }
+
   report(): Effect.Effect<ILoadReport, BackendError> {
     return Effect.gen({ self: this }, function* () {
       yield* this.#checkUp();
--- a/test/stand_ins/engine_main.ts
+++ b/test/stand_ins/engine_main.ts
@@ -3,7 +3,7 @@
 import type { ServerResponse } from "node:http";
 import { Effect, Exit, Fiber } from "effect";
 import { NOT_EXECUTED_HEADER } from "../../src/routing/node/http_backend.ts";
-import type { IEngineOrder, IGenerateRequest } from "../../src/routing/common/model_engine.ts";
+import type { IEngineOrder, IGenerateRequest, IKvHolding } from "../../src/routing/common/model_engine.ts";
 import { BackendError, BackendFailure } from "../../src/routing/common/model_engine.ts";
 import type { IEngineFaults } from "./engine_core.ts";
 import { DEFAULT_ENGINE, EngineCore } from "./engine_core.ts";
@@ -13,7 +13,15 @@
 const QUEUE_COMMENT_MS = 1000;
 const [port, id, models] = process.argv.slice(2);
 const bootId = `${id}-${process.pid}`;
-const engine = new EngineCore({ ...DEFAULT_ENGINE, id, models: models.split(",") });
+const engine = new EngineCore({ ...DEFAULT_ENGINE, id, models: models.split(","), exportFrom: fetchTokens });
+
+function fetchTokens(address: string, programId: string): Effect.Effect<number> {
+  return Effect.promise(async () => {
+    const reply = await fetch(`http://${address}/v1/kv`);
+    const { holdings } = await reply.json() as { holdings: IKvHolding[] };
+    return holdings.find((holding) => holding.programId === programId)?.tokens ?? 0;
+  });
+}
 
 async function generate({ body, headers, res }: IShellCall): Promise<void> {
   const req = parseBody<IGenerateRequest>(body);
@@ -60,6 +68,10 @@
     Effect.runPromise(engine.cancel(parseBody<{ attemptId: string }>(body).attemptId)),
   "POST /v1/kv/release": ({ body }) =>
     Effect.runPromise(engine.releaseKv(parseBody<{ programIds: string[] }>(body).programIds)),
+  "POST /v1/kv/import": ({ body }) => {
+    const { programId, from } = parseBody<{ programId: string; from: string }>(body);
+    return Effect.runPromise(engine.importKv(programId, from));
+  },
   "GET /v1/kv": async () => ({ holdings: await Effect.runPromise(engine.listKv()) }),
   "GET /v1/load": async () => ({ ...await Effect.runPromise(engine.report()), bootId }),
   "GET /v1/cache-events": async ({ url }) => ({
