Proof: a late order on an engine that ignores tokens is put right

Cause: the proofs had only engines that check tokens.

Change: a scenario with an engine that ignores them; the plan is compared again and the order given anew.

Measured: repaired within 6 s of virtual time; not with orders switched off.

--- a/test/proofs/placement_test.ts
+++ b/test/proofs/placement_test.ts
@@ -1,4 +1,5 @@
 import { Deferred, Effect, Fiber } from "effect";
+import { EngineOrderAction } from "../../src/routing/common/model_engine.ts";
 import type { Cluster } from "../harness/cluster.ts";
 import { TEST_CONFIGURATION } from "../harness/configuration.ts";
 import { proof, replace } from "./proof.ts";
@@ -86,3 +87,22 @@
       return exit._tag === "Failure" ? [] : ["the late order took effect"];
     }),
 });
+
+proof("11: a late order on an engine that ignores tokens is put right", {
+  nodes: 3,
+  engines: 3,
+  configuration: {
+    ...TEST_CONFIGURATION,
+    models: { m: { replicas: 3 } },
+    placement: { fencingIgnoredBy: ["e1"] },
+  },
+  sabotage: ({ core }) => replace(core.state.orders, "issue", () => false),
+  scenario: (cluster) =>
+    Effect.gen(function* () {
+      const engine = cluster.engines[1];
+      engine.faults.checksFencing = false;
+      yield* engine.order({ action: EngineOrderAction.UnloadModel, model: "m", fencingToken: 0 });
+      yield* cluster.advance(6000);
+      return engine.models.has("m") ? [] : ["the model is missing"];
+    }),
+});
