Quarantine requests that crash servers of plain services

Cause: strikes counted for engines alone; a repeatable call that crashes its server was tried on up to four.

Change: after a broken connection the server is probed on a new one; if nothing listens the request gets a strike. Check, isolation and clearing are one class for engines and services.

A restart that is quicker than the probe is not seen as a crash.

--- a/src/call/common/fingerprint.ts
+++ b/src/call/common/fingerprint.ts
@@ -20,3 +20,8 @@
 export function promptFingerprint(model: string, messages: readonly Message[]): bigint {
   return hash64(JSON.stringify([model, messages.map(({ role, content }) => [role, content])]));
 }
+
+/** Hash of what a backend server of a plain service is given. */
+export function servicePayloadFingerprint(target: string, body: Uint8Array): bigint {
+  return hash64(JSON.stringify([target, new TextDecoder().decode(body)]));
+}
--- a/src/call/common/model_dispatch.ts
+++ b/src/call/common/model_dispatch.ts
@@ -1,19 +1,11 @@
 /** Runs a model call on an engine: choice, retries, resumption, and care with requests that crash engines. */
-import { create } from "@bufbuild/protobuf";
 import type { Scope } from "effect";
 import { Clock, Effect, Result } from "effect";
 import { CallError } from "../../base/common/errors.ts";
 import { Ran, Reason } from "../../base/common/gen/ragwortcleat/v1/common_pb.ts";
 import type { Message } from "../../base/common/gen/ragwortcleat/v1/peer_pb.ts";
-import {
-  RecordSchema,
-  StrikeRecordedSchema,
-  StrikesClearedSchema,
-} from "../../base/common/gen/ragwortcleat/v1/journal_pb.ts";
-import type { IJournal } from "../../platform/journal/common/journal.ts";
 import type { IDecisionLog } from "../../platform/logging/common/decision_log.ts";
 import { DecisionKind } from "../../platform/logging/common/decision_log.ts";
-import type { StrikeTable } from "../../program/common/strike_table.ts";
 import type { BackendRegistry } from "../../routing/common/backend_registry.ts";
 import type { EngineAdmission, IAdmissionRequest } from "../../routing/common/engine_admission.ts";
 import type { IChoice } from "../../routing/common/engine_chooser.ts";
@@ -24,8 +16,8 @@
 import type { IProgramOrder } from "../../routing/common/program_order.ts";
 import type { CallRun } from "./call_run.ts";
 import { promptFingerprint } from "./fingerprint.ts";
+import type { Quarantine } from "./quarantine.ts";
 import type { RetryBudget } from "./retry_budget.ts";
-import type { ISuspectIsolation } from "./suspect_isolation.ts";
 
 const MAX_ATTEMPTS = 4;
 const MAX_RESUMES = 2;
@@ -53,9 +45,7 @@
   readonly admission: EngineAdmission;
   readonly order: IProgramOrder;
   readonly retries: RetryBudget;
-  readonly strikes: StrikeTable;
-  readonly isolation: ISuspectIsolation;
-  readonly journal: IJournal;
+  readonly quarantine: Quarantine;
   readonly decisions: IDecisionLog;
   readonly presetName: () => string;
   /** Run of this instance, by which its attempts differ from those of all others. */
@@ -78,12 +68,8 @@
       const fingerprint = promptFingerprint(job.admission.model, job.messages);
       for (let attempt = 1;; attempt++) {
         yield* this.#checkQuarantine(job, fingerprint);
-        const wasSuspect = this.#opts.strikes.isSuspect(fingerprint);
         const outcome = yield* Effect.result(this.#attempt(job, { excluded, fingerprint }));
-        if (Result.isSuccess(outcome)) {
-          if (wasSuspect) this.#clear(fingerprint);
-          return outcome.success;
-        }
+        if (Result.isSuccess(outcome)) return outcome.success;
         if (outcome.failure instanceof CallError) return yield* Effect.fail(outcome.failure);
         yield* this.#checkRetry(outcome.failure, attempt);
         this.#logRetry(job, outcome.failure);
@@ -94,10 +80,11 @@
   }
 
   #checkQuarantine(job: IModelJob, fingerprint: bigint): Effect.Effect<void, CallError> {
-    if (!this.#opts.strikes.isQuarantined(fingerprint)) return Effect.void;
-    this.#log(job, { kind: DecisionKind.Quarantine, choice: "", reason: "engines crashed while running it" });
-    const detail = "backend servers crashed while they ran this request";
-    return Effect.fail(new CallError(Reason.QUARANTINED, { ran: Ran.UNKNOWN, detail }));
+    return Effect.tapError(
+      this.#opts.quarantine.check(fingerprint),
+      (err) =>
+        Effect.sync(() => this.#log(job, { kind: DecisionKind.Quarantine, choice: "", reason: err.message })),
+    );
   }
 
   /** Fails if the call may not be tried again. */
@@ -123,9 +110,11 @@
       const bootId = engine.report?.bootId ?? "";
       const body = Effect.gen({ self: this }, function* () {
         yield* this.#bringCache(job, engine);
-        const generate = Effect.andThen(job.checkLease, this.#generate(job, engine));
-        const isSuspect = this.#opts.strikes.isSuspect(opts.fingerprint);
-        const result = yield* isSuspect ? this.#opts.isolation.runApart(engine.id, generate) : generate;
+        const attempt = Effect.andThen(job.checkLease, this.#generate(job, engine));
+        const result = yield* this.#opts.quarantine.guard(opts.fingerprint, {
+          backendId: engine.id,
+          attempt,
+        });
         durationMs = (yield* Clock.currentTimeMillis) - startedAt;
         const { promptTokens, generatedTokens } = result.usage;
         engine.cache.noteRun(job.admission.programId, promptTokens + generatedTokens);
@@ -228,26 +217,10 @@
       if (!hasCrashed) return;
       this.#opts.registry.suspect(at.engine);
       if (err.isNotRun) return;
-      this.#strike(at.fingerprint, {
-        backendId: at.engine.id,
-        bootId: at.bootId,
-        atMs: yield* Clock.currentTimeMillis,
-      });
+      yield* this.#opts.quarantine.strike(at.fingerprint, { backendId: at.engine.id, bootId: at.bootId });
     });
   }
 
-  #strike(fingerprint: bigint, crash: { backendId: string; bootId: string; atMs: number }): void {
-    const value = create(StrikeRecordedSchema, { fingerprint, ...crash });
-    this.#opts.strikes.add(value);
-    this.#opts.journal.append(create(RecordSchema, { body: { case: "strike", value } }));
-  }
-
-  #clear(fingerprint: bigint): void {
-    this.#opts.strikes.clear(fingerprint);
-    const value = create(StrikesClearedSchema, { fingerprint });
-    this.#opts.journal.append(create(RecordSchema, { body: { case: "strikesCleared", value } }));
-  }
-
   #logRetry(job: IModelJob, err: BackendError): void {
     this.#log(job, { kind: DecisionKind.Retry, choice: "", reason: err.message });
   }
--- /dev/null
+++ b/src/call/common/quarantine.ts
@@ -0,0 +1,70 @@
+/** Strikes against requests during which backend servers crashed, shared by all instances. */
+import { create } from "@bufbuild/protobuf";
+import { Clock, Effect } from "effect";
+import { CallError } from "../../base/common/errors.ts";
+import { Ran, Reason } from "../../base/common/gen/ragwortcleat/v1/common_pb.ts";
+import {
+  RecordSchema,
+  StrikeRecordedSchema,
+  StrikesClearedSchema,
+} from "../../base/common/gen/ragwortcleat/v1/journal_pb.ts";
+import type { IJournal } from "../../platform/journal/common/journal.ts";
+import type { StrikeTable } from "../../program/common/strike_table.ts";
+import type { ISuspectIsolation } from "./suspect_isolation.ts";
+
+/** One crash of a backend server. */
+export interface ICrash {
+  readonly backendId: string;
+  /** Run of the backend server that crashed. */
+  readonly bootId: string;
+}
+
+export interface IQuarantineOptions {
+  readonly strikes: StrikeTable;
+  readonly isolation: ISuspectIsolation;
+  readonly journal: IJournal;
+}
+
+export class Quarantine {
+  readonly #opts: IQuarantineOptions;
+
+  constructor(opts: IQuarantineOptions) {
+    this.#opts = opts;
+  }
+
+  /** Fails for good if the request is quarantined. */
+  check(fingerprint: bigint): Effect.Effect<void, CallError> {
+    return Effect.suspend(() => {
+      if (!this.#opts.strikes.isQuarantined(fingerprint)) return Effect.void;
+      const detail = "backend servers crashed while they ran this request";
+      return Effect.fail(new CallError(Reason.QUARANTINED, { ran: Ran.UNKNOWN, detail }));
+    });
+  }
+
+  /** Runs an attempt; a request under suspicion runs apart from others, and is cleared if it completes. */
+  guard<A, E>(
+    fingerprint: bigint,
+    { backendId, attempt }: { backendId: string; attempt: Effect.Effect<A, E> },
+  ): Effect.Effect<A, E> {
+    return Effect.suspend(() => {
+      if (!this.#opts.strikes.isSuspect(fingerprint)) return attempt;
+      const clear = Effect.sync(() => this.#clear(fingerprint));
+      return Effect.tap(this.#opts.isolation.runApart(backendId, attempt), () => clear);
+    });
+  }
+
+  /** Counts a crash against a request that was under way. */
+  strike(fingerprint: bigint, crash: ICrash): Effect.Effect<void> {
+    return Effect.map(Clock.currentTimeMillis, (atMs) => {
+      const value = create(StrikeRecordedSchema, { fingerprint, ...crash, atMs });
+      this.#opts.strikes.add(value);
+      this.#opts.journal.append(create(RecordSchema, { body: { case: "strike", value } }));
+    });
+  }
+
+  #clear(fingerprint: bigint): void {
+    if (!this.#opts.strikes.clear(fingerprint)) return;
+    const value = create(StrikesClearedSchema, { fingerprint });
+    this.#opts.journal.append(create(RecordSchema, { body: { case: "strikesCleared", value } }));
+  }
+}
--- a/src/call/common/service_dispatch.ts
+++ b/src/call/common/service_dispatch.ts
@@ -22,6 +22,8 @@
 import type { BackendRegistry, IServiceState } from "../../routing/common/backend_registry.ts";
 import { BackendError, BackendFailure } from "../../routing/common/model_engine.ts";
 import type { IServiceReply, IServiceRequest } from "../../routing/common/service_backend.ts";
+import { servicePayloadFingerprint } from "./fingerprint.ts";
+import type { Quarantine } from "./quarantine.ts";
 import type { RetryBudget } from "./retry_budget.ts";
 
 const MAX_ATTEMPTS = 4;
@@ -57,6 +59,7 @@
   readonly state: JournalState;
   readonly writer: DurableWriter;
   readonly retries: RetryBudget;
+  readonly quarantine: Quarantine;
   readonly decisions: IDecisionLog;
   readonly presetName: () => string;
 }
@@ -136,6 +139,9 @@
     opts: { excluded: Set<string>; key: string },
   ): Effect.Effect<ServiceOutcome, CallError | BackendError> {
     return Effect.gen({ self: this }, function* () {
+      const { call } = job;
+      const fingerprint = servicePayloadFingerprint(`${call.service}/${call.operation}`, call.body);
+      yield* this.#opts.quarantine.check(fingerprint);
       const backend = yield* this.#choose(job, opts.excluded);
       backend.inFlight += 1;
       const req: IServiceRequest = {
@@ -145,20 +151,35 @@
         idempotencyKey: opts.key,
         isRepeatable: job.operation.repeatable,
       };
-      const sent = this.#send(backend, { req, timeoutMs: job.operation.timeoutMs });
-      const reply = yield* Effect.ensuring(
-        sent,
-        Effect.sync(() => {
-          backend.inFlight -= 1;
-        }),
-      ).pipe(Effect.tapError(() => {
-        opts.excluded.add(backend.id);
-        return this.#opts.registry.penalize(backend);
-      }));
+      const attempt = this.#send(backend, { req, timeoutMs: job.operation.timeoutMs });
+      const sent = this.#opts.quarantine.guard(fingerprint, { backendId: backend.id, attempt });
+      const left = Effect.sync(() => {
+        backend.inFlight -= 1;
+      });
+      const reply = yield* Effect.ensuring(sent, left).pipe(
+        Effect.tapError((err) => this.#onFailure(err, { backend, excluded: opts.excluded, fingerprint })),
+      );
       return { kind: ServiceOutcomeKind.Reply, reply, backendId: backend.id };
     });
   }
 
+  /** Avoids the backend server, and finds out whether it crashed under the request. */
+  #onFailure(
+    err: BackendError,
+    at: { backend: IServiceState; excluded: Set<string>; fingerprint: bigint },
+  ): Effect.Effect<void> {
+    return Effect.gen({ self: this }, function* () {
+      at.excluded.add(at.backend.id);
+      yield* this.#opts.registry.penalize(at.backend);
+      if (err.failure !== BackendFailure.Broken) return;
+      const probe = yield* Effect.result(at.backend.client.probe());
+      const hasCrashed = Result.isFailure(probe) && probe.failure.failure === BackendFailure.NotSent;
+      if (!hasCrashed) return;
+      const bootId = String(yield* Clock.currentTimeMillis);
+      yield* this.#opts.quarantine.strike(at.fingerprint, { backendId: at.backend.id, bootId });
+    });
+  }
+
   #send(
     backend: IServiceState,
     { req, timeoutMs }: { req: IServiceRequest; timeoutMs: number },
--- a/src/daemon/common/core.ts
+++ b/src/daemon/common/core.ts
@@ -10,6 +10,7 @@
 import { CallRunner } from "../../call/common/call_runner.ts";
 import { CallService } from "../../call/common/call_service.ts";
 import { ModelDispatch } from "../../call/common/model_dispatch.ts";
+import { Quarantine } from "../../call/common/quarantine.ts";
 import { RetryBudget } from "../../call/common/retry_budget.ts";
 import { ServiceDispatch } from "../../call/common/service_dispatch.ts";
 import { SuspectIsolation } from "../../call/common/suspect_isolation.ts";
@@ -152,20 +153,27 @@
     const admission = new EngineAdmission({ registry, chooser, order, preset });
     const retries = new RetryBudget(() => preset().retryShare);
     const isolation = new SuspectIsolation({ self, views, peers });
+    const quarantine = new Quarantine({ strikes: state.strikes, isolation, journal });
     const models = new ModelDispatch({
       registry,
       admission,
       order,
       retries,
-      strikes: state.strikes,
-      isolation,
-      journal,
+      quarantine,
       decisions,
       presetName,
       incarnation: self.incarnation,
       scope,
     });
-    const services = new ServiceDispatch({ registry, state, writer, retries, decisions, presetName });
+    const services = new ServiceDispatch({
+      registry,
+      state,
+      writer,
+      retries,
+      quarantine,
+      decisions,
+      presetName,
+    });
     const recorder = new TurnRecorder({ self, state, writer, busy, peers });
     const calls: CallService = new CallService({
       state,
--- a/test/proofs/hazards_test.ts
+++ b/test/proofs/hazards_test.ts
@@ -1,6 +1,7 @@
 import { Effect, Result } from "effect";
 import { Reason } from "../../src/base/common/gen/ragwortcleat/v1/common_pb.ts";
 import { POISON } from "../stand_ins/engine_core.ts";
+import { POISON_BODY } from "../stand_ins/service_core.ts";
 import type { Cluster } from "../harness/cluster.ts";
 import { proof, replace } from "./proof.ts";
 
@@ -87,3 +88,26 @@
       return violations;
     }),
 });
+
+proof("11: a request that crashes servers of a service is quarantined after two", {
+  nodes: 2,
+  services: 5,
+  sabotage: ({ core }) => replace(core.state.strikes, "add", () => true),
+  scenario: (cluster) =>
+    Effect.gen(function* () {
+      for (const via of ["n0", "n1"]) {
+        const program = yield* cluster.drive(cluster.open(via));
+        const body = JSON.stringify({ content: POISON_BODY });
+        const call = cluster.callService(via, { program, step: 1, operation: "read", body });
+        yield* cluster.drive(Effect.result(call));
+      }
+      const crashed = cluster.services.filter(({ faults }) => faults.crashed).length;
+      const program = yield* cluster.drive(cluster.open("n0"));
+      const other = cluster.callService("n0", { program, step: 1, operation: "read" });
+      const outcome = yield* cluster.drive(Effect.result(other));
+      return [
+        ...crashed <= 2 ? [] : [`${crashed} servers crashed`],
+        ...Result.isSuccess(outcome) ? [] : ["no server is left"],
+      ];
+    }),
+});
--- a/test/stand_ins/service_core.ts
+++ b/test/stand_ins/service_core.ts
@@ -7,6 +7,9 @@
 } from "../../src/routing/common/service_backend.ts";
 import { BackendError, BackendFailure } from "../../src/routing/common/model_engine.ts";
 
+/** Content that crashes the server. */
+export const POISON_BODY = "crash-the-server";
+
 export interface IServiceFaults {
   crashed: boolean;
   /** Refuses requests before running them. */
@@ -48,6 +51,10 @@
     return Effect.gen({ self: this }, function* () {
       if (this.faults.crashed) return yield* failWith(BackendFailure.NotSent);
       this.arrivals += 1;
+      if (new TextDecoder().decode(req.body).includes(POISON_BODY)) {
+        this.faults.crashed = true;
+        return yield* failWith(BackendFailure.Broken);
+      }
       if (this.faults.refusing) return yield* failWith(BackendFailure.Refused);
       if (this.faults.delayMs > 0) yield* Effect.sleep(this.faults.delayMs);
       const key = req.idempotencyKey === "" ? `${req.service}/${req.operation}` : req.idempotencyKey;
