--- a/scripts/prove.mjs
+++ b/scripts/prove.mjs
@@ -27,10 +27,14 @@
 const args = ["ava", "--tap", "--match", wanted === undefined ? "*: *" : `${wanted}: *`];
 const child = spawn("npx", args, { stdio: ["ignore", "pipe", "ignore"] });
 const results = [];
+/** Whether the lines to come tell of a failure. */
+let isFailing = false;
 createInterface({ input: child.stdout }).on("line", (line) => {
+  if (isFailing && line.startsWith("  ")) console.error(line);
   const match = /^(not ok|ok) \d+ - (?:.* › )?(\S+) › (\d+): (.*)$/.exec(line);
   if (match === null) return;
   const [, verdict, file, point, title] = match;
+  isFailing = verdict === "not ok";
   results.push({ point: Number(point), file, title, isProved: verdict === "ok" });
 });
 child.on("close", () => {
