Rename the layer of the platform's services

Cause: the adapter for the users' platform takes the folder platform/ at the root; a layer of the same name inside src/ would be confused with it. Ruled out: an alias, which would keep both names.

--- a/bench/policy/mixes.ts
+++ b/bench/policy/mixes.ts
@@ -1,7 +1,7 @@
 /** Programs of the two deployments, as the bench runs them. */
 import { readFileSync } from "node:fs";
-import type { Configuration } from "../../src/platform/settings/common/gen/configuration.ts";
-import { parseConfiguration } from "../../src/platform/settings/common/validation.ts";
+import type { Configuration } from "../../src/services/settings/common/gen/configuration.ts";
+import { parseConfiguration } from "../../src/services/settings/common/validation.ts";
 
 /** A kind of program with its share and shape. Ranges are drawn evenly. */
 export interface IKindOfProgram {
--- a/bench/policy/policies.ts
+++ b/bench/policy/policies.ts
@@ -1,5 +1,5 @@
 /** The policies that are compared: four baselines and the product's own. */
-import type { Preset } from "../../src/platform/settings/common/gen/configuration.ts";
+import type { Preset } from "../../src/services/settings/common/gen/configuration.ts";
 import type { IChoice, IEngineChooser, IRoutedCall } from "../../src/routing/common/engine_chooser.ts";
 import {
   ChoiceReason,
--- a/bench/slopes/measures.ts
+++ b/bench/slopes/measures.ts
@@ -21,8 +21,8 @@
 import { HeartbeatRequestSchema } from "../../src/base/common/gen/ragwortcleat/v1/peer_pb.ts";
 import { encodeAnswer, encodeMessages } from "../../src/call/common/turns.ts";
 import { makeNextView, View, ViewTable } from "../../src/membership/common/view.ts";
-import { parseConfiguration } from "../../src/platform/settings/common/validation.ts";
-import { Journal } from "../../src/platform/journal/common/journal.ts";
+import { parseConfiguration } from "../../src/services/settings/common/validation.ts";
+import { Journal } from "../../src/services/journal/common/journal.ts";
 import { KeyTable } from "../../src/program/common/key_table.ts";
 import { JournalState } from "../../src/program/common/journal_state.ts";
 import { ProgramStore } from "../../src/program/common/program_store.ts";
--- a/scripts/check_layers.mjs
+++ b/scripts/check_layers.mjs
@@ -6,7 +6,7 @@
 /** Layers from the lowest up; features of one layer may import each other only in this order. */
 const ORDER = [
   "base",
-  "platform",
+  "services",
   "membership",
   "program",
   "routing",
--- a/scripts/generate_schemas.ts
+++ b/scripts/generate_schemas.ts
@@ -18,7 +18,7 @@
   { file: "open_program", out: "open_program", constant: "OPEN_PROGRAM_SCHEMA" },
   { file: "chat_completion", out: "chat_completion", constant: "CHAT_COMPLETION_SCHEMA" },
 ];
-const OUT_DIR = "src/platform/settings/common/gen";
+const OUT_DIR = "src/services/settings/common/gen";
 
 /** Marks properties with a default as present, as they are once validation has filled them in. */
 function requireDefaulted(node: ISchemaNode): void {
--- a/src/call/common/call_service.ts
+++ b/src/call/common/call_service.ts
@@ -13,7 +13,7 @@
 import { sliceOf } from "../../base/common/ids.ts";
 import type { HandOver } from "../../membership/common/hand_over.ts";
 import type { Membership } from "../../membership/common/membership.ts";
-import type { IConfigurationSource } from "../../platform/configuration/common/configuration_source.ts";
+import type { IConfigurationSource } from "../../services/configuration/common/configuration_source.ts";
 import type { BusyPrograms } from "../../program/common/busy_programs.ts";
 import type { JournalState } from "../../program/common/journal_state.ts";
 import type { Program } from "../../program/common/program_store.ts";
--- a/src/call/common/quarantine.ts
+++ b/src/call/common/quarantine.ts
@@ -8,7 +8,7 @@
   StrikeRecordedSchema,
   StrikesClearedSchema,
 } from "../../base/common/gen/ragwortcleat/v1/journal_pb.ts";
-import type { IJournal } from "../../platform/journal/common/journal.ts";
+import type { IJournal } from "../../services/journal/common/journal.ts";
 import type { StrikeTable } from "../../program/common/strike_table.ts";
 import type { ISuspectIsolation } from "./suspect_isolation.ts";
 
--- a/src/call/common/service_dispatch.ts
+++ b/src/call/common/service_dispatch.ts
@@ -11,9 +11,9 @@
   KeyState,
 } from "../../base/common/gen/ragwortcleat/v1/journal_pb.ts";
 import type { ServiceCall } from "../../base/common/gen/ragwortcleat/v1/peer_pb.ts";
-import type { IDecisionLog } from "../../platform/logging/common/decision_log.ts";
-import { DecisionKind } from "../../platform/logging/common/decision_log.ts";
-import type { Operation } from "../../platform/settings/common/gen/configuration.ts";
+import type { IDecisionLog } from "../../services/logging/common/decision_log.ts";
+import { DecisionKind } from "../../services/logging/common/decision_log.ts";
+import type { Operation } from "../../services/settings/common/gen/configuration.ts";
 import type { DurableWriter } from "../../program/common/durable_writer.ts";
 import type { IKeyEntry } from "../../program/common/key_table.ts";
 import type { JournalState } from "../../program/common/journal_state.ts";
--- a/src/cli/common/document_diff.ts
+++ b/src/cli/common/document_diff.ts
@@ -1,5 +1,5 @@
 /** Differences between two configurations, by the path of the key. */
-import type { Configuration } from "../../platform/settings/common/gen/configuration.ts";
+import type { Configuration } from "../../services/settings/common/gen/configuration.ts";
 
 export interface IDifference {
   readonly key: string;
--- a/src/cli/node/publisher.ts
+++ b/src/cli/node/publisher.ts
@@ -2,10 +2,10 @@
 import { Clock, Effect } from "effect";
 import VError from "verror";
 import type { PlatformError } from "../../base/common/errors.ts";
-import type { IAcceptedConfiguration, IJudgement } from "../../platform/configuration/common/publication.ts";
-import { encodePublication, judge, NO_VERSION } from "../../platform/configuration/common/publication.ts";
-import type { ILogService } from "../../platform/log/common/log_service.ts";
-import { CONFIGURATION_STREAM } from "../../platform/log/common/log_service.ts";
+import type { IAcceptedConfiguration, IJudgement } from "../../services/configuration/common/publication.ts";
+import { encodePublication, judge, NO_VERSION } from "../../services/configuration/common/publication.ts";
+import type { ILogService } from "../../services/log/common/log_service.ts";
+import { CONFIGURATION_STREAM } from "../../services/log/common/log_service.ts";
 
 const READ_LIMIT = 500;
 const READ_WAIT_MS = 1000;
--- a/src/daemon/common/gauges.ts
+++ b/src/daemon/common/gauges.ts
@@ -1,8 +1,8 @@
 /** Values that are read when an instance's metrics are rendered. */
 import type { CallService } from "../../call/common/call_service.ts";
-import type { ConfigurationStore } from "../../platform/configuration/common/configuration_store.ts";
-import type { Journal } from "../../platform/journal/common/journal.ts";
-import type { Metrics } from "../../platform/metrics/common/metrics.ts";
+import type { ConfigurationStore } from "../../services/configuration/common/configuration_store.ts";
+import type { Journal } from "../../services/journal/common/journal.ts";
+import type { Metrics } from "../../services/metrics/common/metrics.ts";
 import type { HeldCopies } from "../../program/common/held_copies.ts";
 import type { JournalState } from "../../program/common/journal_state.ts";
 import type { EngineAdmission } from "../../routing/common/engine_admission.ts";
--- a/src/daemon/node/settings_file.ts
+++ b/src/daemon/node/settings_file.ts
@@ -3,8 +3,8 @@
 import { dirname, resolve } from "node:path";
 import VError from "verror";
 import { KeyRing } from "../../entry/node/key_ring.ts";
-import type { DaemonSettings } from "../../platform/settings/common/gen/daemon_settings.ts";
-import { parseDaemonSettings } from "../../platform/settings/common/validation.ts";
+import type { DaemonSettings } from "../../services/settings/common/gen/daemon_settings.ts";
+import { parseDaemonSettings } from "../../services/settings/common/validation.ts";
 
 export class SettingsFileError extends VError {
   readonly _tag = "SettingsFileError";
--- a/src/entry/common/bodies.ts
+++ b/src/entry/common/bodies.ts
@@ -4,10 +4,10 @@
 import { Effect } from "effect";
 import { CallError } from "../../base/common/errors.ts";
 import { Reason } from "../../base/common/gen/ragwortcleat/v1/common_pb.ts";
-import type { ChatCompletionBody } from "../../platform/settings/common/gen/chat_completion.ts";
-import { CHAT_COMPLETION_SCHEMA } from "../../platform/settings/common/gen/chat_completion.ts";
-import type { OpenProgramBody } from "../../platform/settings/common/gen/open_program.ts";
-import { OPEN_PROGRAM_SCHEMA } from "../../platform/settings/common/gen/open_program.ts";
+import type { ChatCompletionBody } from "../../services/settings/common/gen/chat_completion.ts";
+import { CHAT_COMPLETION_SCHEMA } from "../../services/settings/common/gen/chat_completion.ts";
+import type { OpenProgramBody } from "../../services/settings/common/gen/open_program.ts";
+import { OPEN_PROGRAM_SCHEMA } from "../../services/settings/common/gen/open_program.ts";
 
 const ajv = new Ajv({ useDefaults: true });
 const validateOpening = ajv.compile<OpenProgramBody>(OPEN_PROGRAM_SCHEMA);
--- a/src/entry/node/caller_api.ts
+++ b/src/entry/node/caller_api.ts
@@ -21,7 +21,7 @@
 import { childId } from "../../base/common/ids.ts";
 import type { ICallAnswer } from "../../call/common/call_run.ts";
 import { decodeAnswer, decodeMessages } from "../../call/common/turns.ts";
-import type { Metrics } from "../../platform/metrics/common/metrics.ts";
+import type { Metrics } from "../../services/metrics/common/metrics.ts";
 import { badRequest, checkJson, parseChat, parseOpening } from "../common/bodies.ts";
 import { DeliveredTokens } from "../common/delivered_tokens.ts";
 import type { OwnerRouter } from "../common/owner_router.ts";
--- a/src/entry/node/http_server.ts
+++ b/src/entry/node/http_server.ts
@@ -5,7 +5,7 @@
 import { Effect, Fiber } from "effect";
 import { CallError, toError } from "../../base/common/errors.ts";
 import { Ran, Reason } from "../../base/common/gen/ragwortcleat/v1/common_pb.ts";
-import type { ILogger } from "../../platform/logging/common/logger.ts";
+import type { ILogger } from "../../services/logging/common/logger.ts";
 import { problemHeaders, toProblem } from "../common/problem.ts";
 
 const MAX_BODY_BYTES = 8 * 1024 * 1024;
--- a/src/membership/common/configuration_gossip.ts
+++ b/src/membership/common/configuration_gossip.ts
@@ -1,7 +1,7 @@
 /** Brings newer configurations from peers, for instances that do not reach the log service. */
 import type { Scope } from "effect";
 import { Effect } from "effect";
-import type { ConfigurationStore } from "../../platform/configuration/common/configuration_store.ts";
+import type { ConfigurationStore } from "../../services/configuration/common/configuration_store.ts";
 import type { Membership } from "./membership.ts";
 import type { PeerClients } from "./peer_client.ts";
 
--- a/src/membership/common/hand_over.ts
+++ b/src/membership/common/hand_over.ts
@@ -6,7 +6,7 @@
 import { Deferred, Effect, Option } from "effect";
 import type { BusyProgram, ReleaseSlicesResponse } from "../../base/common/gen/ragwortcleat/v1/peer_pb.ts";
 import type { Member } from "../../base/common/gen/ragwortcleat/v1/journal_pb.ts";
-import type { DaemonSettings } from "../../platform/settings/common/gen/daemon_settings.ts";
+import type { DaemonSettings } from "../../services/settings/common/gen/daemon_settings.ts";
 import type { PeerClients } from "./peer_client.ts";
 import type { IViewChange, View, ViewTable } from "./view.ts";
 import { isSameRun } from "./view.ts";
--- a/src/membership/common/membership.ts
+++ b/src/membership/common/membership.ts
@@ -12,10 +12,10 @@
 import { MemberState, RecordSchema } from "../../base/common/gen/ragwortcleat/v1/journal_pb.ts";
 import type { Event } from "../../base/common/emitter.ts";
 import { Emitter } from "../../base/common/emitter.ts";
-import type { IInstanceList } from "../../platform/instances/common/instance_list.ts";
-import { InstanceRole, InstanceState } from "../../platform/instances/common/instance_list.ts";
-import type { IJournal } from "../../platform/journal/common/journal.ts";
-import type { DaemonSettings } from "../../platform/settings/common/gen/daemon_settings.ts";
+import type { IInstanceList } from "../../services/instances/common/instance_list.ts";
+import { InstanceRole, InstanceState } from "../../services/instances/common/instance_list.ts";
+import type { IJournal } from "../../services/journal/common/journal.ts";
+import type { DaemonSettings } from "../../services/settings/common/gen/daemon_settings.ts";
 import type { PeerClients } from "./peer_client.ts";
 import type { ViewTable } from "./view.ts";
 import { isSameRun, makeNextView } from "./view.ts";
--- a/src/membership/common/relayed_log_service.ts
+++ b/src/membership/common/relayed_log_service.ts
@@ -2,8 +2,8 @@
 import type { Scope } from "effect";
 import { Effect } from "effect";
 import { PlatformError } from "../../base/common/errors.ts";
-import type { ILogPage, ILogReadOptions, ILogService } from "../../platform/log/common/log_service.ts";
-import { JOURNAL_STREAM } from "../../platform/log/common/log_service.ts";
+import type { ILogPage, ILogReadOptions, ILogService } from "../../services/log/common/log_service.ts";
+import { JOURNAL_STREAM } from "../../services/log/common/log_service.ts";
 import type { PeerClients } from "./peer_client.ts";
 
 /** Time between two probes of the direct way after it failed. */
--- a/src/membership/common/view.ts
+++ b/src/membership/common/view.ts
@@ -16,7 +16,7 @@
 import { Emitter } from "../../base/common/emitter.ts";
 import { rendezvous } from "../../base/common/hash.ts";
 import { SLICE_COUNT } from "../../base/common/ids.ts";
-import type { IJournalWriter } from "../../platform/journal/common/journal.ts";
+import type { IJournalWriter } from "../../services/journal/common/journal.ts";
 
 /** Owner of a slice when no member is active. */
 const NO_OWNER = 0xffffffff;
--- a/src/placement/common/placement.ts
+++ b/src/placement/common/placement.ts
@@ -11,10 +11,10 @@
 } from "../../base/common/gen/ragwortcleat/v1/journal_pb.ts";
 import type { Membership } from "../../membership/common/membership.ts";
 import { isSameRun } from "../../membership/common/view.ts";
-import type { IConfigurationSource } from "../../platform/configuration/common/configuration_source.ts";
-import type { IJournal } from "../../platform/journal/common/journal.ts";
-import type { IDecisionLog } from "../../platform/logging/common/decision_log.ts";
-import { DecisionKind } from "../../platform/logging/common/decision_log.ts";
+import type { IConfigurationSource } from "../../services/configuration/common/configuration_source.ts";
+import type { IJournal } from "../../services/journal/common/journal.ts";
+import type { IDecisionLog } from "../../services/logging/common/decision_log.ts";
+import { DecisionKind } from "../../services/logging/common/decision_log.ts";
 import type { JournalState } from "../../program/common/journal_state.ts";
 import { ORDER_LIFETIME_MS } from "../../program/common/order_table.ts";
 import type { BackendRegistry } from "../../routing/common/backend_registry.ts";
--- a/src/placement/common/placement_plan.ts
+++ b/src/placement/common/placement_plan.ts
@@ -1,6 +1,6 @@
 /** Which engine should hold which model. The same on every instance that knows the same engines. */
 import { hash64 } from "../../base/common/hash.ts";
-import type { Configuration } from "../../platform/settings/common/gen/configuration.ts";
+import type { Configuration } from "../../services/settings/common/gen/configuration.ts";
 import type { EngineState } from "../../routing/common/engine_state.ts";
 import { BackendCondition } from "../../routing/common/engine_state.ts";
 import { EngineOrderAction } from "../../routing/common/model_engine.ts";
--- a/src/program/common/checkpoints.ts
+++ b/src/program/common/checkpoints.ts
@@ -6,7 +6,7 @@
 import { RecordSchema } from "../../base/common/gen/ragwortcleat/v1/journal_pb.ts";
 import { sliceOf } from "../../base/common/ids.ts";
 import { isSameRun } from "../../membership/common/view.ts";
-import type { IJournal } from "../../platform/journal/common/journal.ts";
+import type { IJournal } from "../../services/journal/common/journal.ts";
 import type { DurableWriter } from "./durable_writer.ts";
 import type { JournalState } from "./journal_state.ts";
 import { makeKeySnapshot } from "./key_table.ts";
--- a/src/program/common/durable_writer.ts
+++ b/src/program/common/durable_writer.ts
@@ -12,7 +12,7 @@
 import { HeldCopySchema } from "../../base/common/gen/ragwortcleat/v1/peer_pb.ts";
 import type { Membership } from "../../membership/common/membership.ts";
 import type { PeerClients } from "../../membership/common/peer_client.ts";
-import type { IAppendReceipt, IJournal, IPendingRecord } from "../../platform/journal/common/journal.ts";
+import type { IAppendReceipt, IJournal, IPendingRecord } from "../../services/journal/common/journal.ts";
 import type { JournalState } from "./journal_state.ts";
 import { storeUnavailable } from "./refusals.ts";
 
--- a/src/program/common/idle_reaper.ts
+++ b/src/program/common/idle_reaper.ts
@@ -4,7 +4,7 @@
 import { EndCause } from "../../base/common/gen/ragwortcleat/v1/common_pb.ts";
 import type { Member } from "../../base/common/gen/ragwortcleat/v1/journal_pb.ts";
 import { isSameRun } from "../../membership/common/view.ts";
-import type { IConfigurationSource } from "../../platform/configuration/common/configuration_source.ts";
+import type { IConfigurationSource } from "../../services/configuration/common/configuration_source.ts";
 import type { JournalState } from "./journal_state.ts";
 import type { ProgramService } from "./program_service.ts";
 import type { Program } from "./program_store.ts";
--- a/src/program/common/journal_state.ts
+++ b/src/program/common/journal_state.ts
@@ -1,7 +1,7 @@
 /** Everything that follows from the journal, and the rules by which its records take effect. */
 import type { IntentRecorded, Record } from "../../base/common/gen/ragwortcleat/v1/journal_pb.ts";
 import type { ViewTable } from "../../membership/common/view.ts";
-import type { IAppliedBatch } from "../../platform/journal/common/journal.ts";
+import type { IAppliedBatch } from "../../services/journal/common/journal.ts";
 import { KeyTable } from "./key_table.ts";
 import { OrderTable } from "./order_table.ts";
 import { ProgramStore } from "./program_store.ts";
--- a/src/program/common/program_service.ts
+++ b/src/program/common/program_service.ts
@@ -12,8 +12,8 @@
 import { ProgramEndedSchema, ProgramOpenedSchema } from "../../base/common/gen/ragwortcleat/v1/journal_pb.ts";
 import { sliceOf } from "../../base/common/ids.ts";
 import type { HandOver } from "../../membership/common/hand_over.ts";
-import type { IConfigurationSource } from "../../platform/configuration/common/configuration_source.ts";
-import type { ProgramKind } from "../../platform/settings/common/gen/configuration.ts";
+import type { IConfigurationSource } from "../../services/configuration/common/configuration_source.ts";
+import type { ProgramKind } from "../../services/settings/common/gen/configuration.ts";
 import type { DurableWriter } from "./durable_writer.ts";
 import { Durability } from "./durable_writer.ts";
 import type { JournalState } from "./journal_state.ts";
--- a/src/program/common/slice_recovery.ts
+++ b/src/program/common/slice_recovery.ts
@@ -5,7 +5,7 @@
 import type { ISliceReceiver } from "../../membership/common/hand_over.ts";
 import { Inheritance } from "../../membership/common/hand_over.ts";
 import type { PeerClients } from "../../membership/common/peer_client.ts";
-import type { IJournal } from "../../platform/journal/common/journal.ts";
+import type { IJournal } from "../../services/journal/common/journal.ts";
 import type { BusyPrograms } from "./busy_programs.ts";
 import type { DurableWriter } from "./durable_writer.ts";
 import type { HeldCopies } from "./held_copies.ts";
--- a/src/routing/common/backend_registry.ts
+++ b/src/routing/common/backend_registry.ts
@@ -2,8 +2,8 @@
 import type { Fiber, Scope } from "effect";
 import { Clock, Effect } from "effect";
 import { Signal } from "../../base/common/signal.ts";
-import type { IInstanceInfo, IInstanceList } from "../../platform/instances/common/instance_list.ts";
-import { InstanceRole, InstanceState } from "../../platform/instances/common/instance_list.ts";
+import type { IInstanceInfo, IInstanceList } from "../../services/instances/common/instance_list.ts";
+import { InstanceRole, InstanceState } from "../../services/instances/common/instance_list.ts";
 import { BackendCondition, EngineState } from "./engine_state.ts";
 import type { MakeEngine } from "./model_engine.ts";
 import type { IServiceBackend, MakeServiceBackend } from "./service_backend.ts";
--- a/src/routing/common/engine_admission.ts
+++ b/src/routing/common/engine_admission.ts
@@ -3,7 +3,7 @@
 import { Clock, Deferred, Effect } from "effect";
 import { CallError } from "../../base/common/errors.ts";
 import { Reason } from "../../base/common/gen/ragwortcleat/v1/common_pb.ts";
-import type { Preset } from "../../platform/settings/common/gen/configuration.ts";
+import type { Preset } from "../../services/settings/common/gen/configuration.ts";
 import type { BackendRegistry } from "./backend_registry.ts";
 import type { IChoice, IEngineChooser, IRoutedCall } from "./engine_chooser.ts";
 import { expectedWaitMs } from "./engine_chooser.ts";
--- a/src/routing/common/engine_admission_test.ts
+++ b/src/routing/common/engine_admission_test.ts
@@ -4,7 +4,7 @@
 import { TEST_CONFIGURATION } from "../../../test/harness/configuration.ts";
 import { DEFAULT_ENGINE, EngineCore } from "../../../test/stand_ins/engine_core.ts";
 import { Signal } from "../../base/common/signal.ts";
-import { parseConfiguration } from "../../platform/settings/common/validation.ts";
+import { parseConfiguration } from "../../services/settings/common/validation.ts";
 import type { BackendRegistry } from "./backend_registry.ts";
 import type { IAdmissionRequest } from "./engine_admission.ts";
 import { EngineAdmission } from "./engine_admission.ts";
--- a/src/routing/common/engine_chooser.ts
+++ b/src/routing/common/engine_chooser.ts
@@ -1,5 +1,5 @@
 /** Choice of the engine for a call. */
-import type { Preset } from "../../platform/settings/common/gen/configuration.ts";
+import type { Preset } from "../../services/settings/common/gen/configuration.ts";
 import type { EngineState } from "./engine_state.ts";
 
 const MS_PER_SECOND = 1000;
--- a/src/routing/common/program_order.ts
+++ b/src/routing/common/program_order.ts
@@ -1,5 +1,5 @@
 /** Order in which waiting calls go, and the priority that engines get. */
-import type { Preset } from "../../platform/settings/common/gen/configuration.ts";
+import type { Preset } from "../../services/settings/common/gen/configuration.ts";
 
 /** What the order of a call depends on. */
 export interface IOrderedCall {
--- a/test/harness/gates.ts
+++ b/test/harness/gates.ts
@@ -4,7 +4,7 @@
 import { Deferred, Effect } from "effect";
 import { PlatformError } from "../../src/base/common/errors.ts";
 import type { IPeerTransports } from "../../src/membership/common/peer_client.ts";
-import type { ILogService } from "../../src/platform/log/common/log_service.ts";
+import type { ILogService } from "../../src/services/log/common/log_service.ts";
 
 const REFUSED = Object.assign(new Error("refused"), { code: "ECONNREFUSED" });
 
--- a/test/harness/processes.ts
+++ b/test/harness/processes.ts
@@ -6,11 +6,11 @@
 import process from "node:process";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
-import type { IInstanceInfo } from "../../src/platform/instances/common/instance_list.ts";
-import { InstanceRole, InstanceState } from "../../src/platform/instances/common/instance_list.ts";
-import { CONFIGURATION_STREAM } from "../../src/platform/log/common/log_service.ts";
-import { encodePublication, NO_VERSION } from "../../src/platform/configuration/common/publication.ts";
-import type { DaemonSettings } from "../../src/platform/settings/common/gen/daemon_settings.ts";
+import type { IInstanceInfo } from "../../src/services/instances/common/instance_list.ts";
+import { InstanceRole, InstanceState } from "../../src/services/instances/common/instance_list.ts";
+import { CONFIGURATION_STREAM } from "../../src/services/log/common/log_service.ts";
+import { encodePublication, NO_VERSION } from "../../src/services/configuration/common/publication.ts";
+import type { DaemonSettings } from "../../src/services/settings/common/gen/daemon_settings.ts";
 
 const HOST = "127.0.0.1";
 const STAND_INS = new URL("../stand_ins/", import.meta.url);
--- a/test/proofs/configuration_test.ts
+++ b/test/proofs/configuration_test.ts
@@ -1,5 +1,5 @@
 import { Effect } from "effect";
-import { NO_VERSION } from "../../src/platform/configuration/common/publication.ts";
+import { NO_VERSION } from "../../src/services/configuration/common/publication.ts";
 import type { Cluster } from "../harness/cluster.ts";
 import { TEST_CONFIGURATION } from "../harness/configuration.ts";
 import { proof, replace } from "./proof.ts";
--- a/test/stand_ins/log_core.ts
+++ b/test/stand_ins/log_core.ts
@@ -7,7 +7,7 @@
   ILogPage,
   ILogReadOptions,
   ILogService,
-} from "../../src/platform/log/common/log_service.ts";
+} from "../../src/services/log/common/log_service.ts";
 
 /** Faults that a test flips. */
 export interface ILogFaults {
--- a/test/stand_ins/platform_main.ts
+++ b/test/stand_ins/platform_main.ts
@@ -2,7 +2,7 @@
 import process from "node:process";
 import { Buffer } from "node:buffer";
 import { Effect } from "effect";
-import type { IInstanceInfo } from "../../src/platform/instances/common/instance_list.ts";
+import type { IInstanceInfo } from "../../src/services/instances/common/instance_list.ts";
 import type { ILogFaults } from "./log_core.ts";
 import { LogCore } from "./log_core.ts";
 import { parseBody, serve } from "./http_shell.ts";
