Record exactly what programs have spent; bound what a crash can charge

Ruled out: charging nothing (a runaway program could spend unrecorded tokens in each of several ownerships). Change: a record holds spent, running turns and room ahead; entries settle running turns with the next owner. A program without a record may get one turn and a third of its budget, of which the next owner counts the third.

--- a/src/turns/common/owned_slices.ts
+++ b/src/turns/common/owned_slices.ts
@@ -90,7 +90,7 @@
       const spending = ledger.begin(req, yield* Clock.currentTimeMillis);
       if (spending === Spending.Spent) return TurnVerdict.SPENT;
       if (spending === Spending.Granted) {
-        journal.noteSpending();
+        if (ledger.isDirty) journal.noteSpending();
         return TurnVerdict.GRANTED;
       }
       const isRecorded = yield* Effect.timeoutOption(journal.recordProgram(req.programId), RECORD_TIMEOUT_MS);
--- a/src/turns/common/slice_journal.ts
+++ b/src/turns/common/slice_journal.ts
@@ -25,8 +25,6 @@
 const MAX_APPEND_BYTES = 1_500_000;
 /** Time between two checkpoints, in ms: bounds what a new owner reads, and the log's size. */
 const CHECKPOINT_INTERVAL_MS = 120_000;
-/** How long after an unclean end a program may come back of which no record tells, in ms. */
-const UNCLEAN_MS = 120_000;
 
 /** What an append holds beside spending, and who waits for it. */
 interface IPending {
@@ -169,14 +167,15 @@
       const end = yield* this.#readFrom(0, (record) => state.apply(record));
       const now = yield* Clock.currentTimeMillis;
       if (state.writer !== this.#opts.writer) {
-        const claim = create(SliceClaimSchema, { instance: this.#opts.instance, atMs: now });
+        if (!state.isReleased) state.ledger.markUnclean(now);
+        const { uncleanAtMs } = state.ledger;
+        const claim = create(SliceClaimSchema, { instance: this.#opts.instance, atMs: now, uncleanAtMs });
         const outcome = yield* this.#append([{ case: "claim", value: claim }], end);
         if (!outcome.isAppended) return false;
         this.#end = outcome.end;
       } else {
         this.#end = end;
       }
-      if (!state.isReleased) state.ledger.markUnclean(now + UNCLEAN_MS);
       if (this.#state !== JournalState.Opening) return true;
       this.#slice = state;
       this.#checkpointAtMs = now;
@@ -186,7 +185,7 @@
         slice,
         writer: String(writer),
         end: this.#end,
-        isClean: state.isReleased,
+        isClean: state.ledger.uncleanAtMs !== now,
         programs: state.ledger.size,
         turns: state.turns.size,
       });
@@ -332,7 +331,8 @@
       const { ledger, turns } = this.#slice;
       turns.forget(now);
       const records: readonly ISpendingRecord[] = ledger.snapshot(now);
-      const claim = create(SliceClaimSchema, { instance: this.#opts.instance, atMs: now });
+      const { uncleanAtMs } = ledger;
+      const claim = create(SliceClaimSchema, { instance: this.#opts.instance, atMs: now, uncleanAtMs });
       const chunks = chunked([
         { case: "claim", value: claim },
         ...spendingEvents(records),
--- a/src/turns/common/slice_state.ts
+++ b/src/turns/common/slice_state.ts
@@ -4,6 +4,7 @@
 import {
   KeptTurnSchema,
   ProgramSpendingSchema,
+  RunningTurnSchema,
   TurnPieceSchema,
 } from "../../base/common/gen/ragwortcleat/v1/turns_pb.ts";
 import { KeptTurns } from "./kept_turns.ts";
@@ -39,6 +40,7 @@
       case "claim":
         this.#writer = writer;
         this.#isReleased = false;
+        this.ledger.markUnclean(event.value.uncleanAtMs);
         break;
       case "release":
         this.#isReleased = true;
@@ -77,5 +79,8 @@
 }
 
 export function spendingEvents(records: readonly ISpendingRecord[]): SliceEvent[] {
-  return records.map((record) => ({ case: "spending", value: create(ProgramSpendingSchema, record) }));
+  return records.map(({ running, ...record }) => {
+    const turns = running.map((turn) => create(RunningTurnSchema, turn));
+    return { case: "spending", value: create(ProgramSpendingSchema, { ...record, running: turns }) };
+  });
 }
--- a/src/turns/common/spending_ledger.ts
+++ b/src/turns/common/spending_ledger.ts
@@ -1,9 +1,14 @@
 /** What the programs of one slice have spent of their token budgets. */
 
-/** Share of a budget that a program may spend before its first record is in the log. */
-const UNRECORDED_SHARE = 0.5;
-/** Further turns for which a record leaves room: an outage of the store stops no program inside it. */
-const TURNS_AHEAD = 2;
+/**
+ * Share of a budget that may be at risk in a crash: granted without a record, and counted as spent by
+ * the next owner. A third leaves a program that spends as usual enough to finish.
+ */
+const UNRECORDED_SHARE = 0.36;
+/** Share of what is left of a budget for which a record leaves room. */
+const AHEAD_SHARE = 0.5;
+/** Turns of room from which on the next record is written. */
+const LOW_ROOM_TURNS = 2;
 /** Factor on the retention after which spending is forgotten: covers clocks that differ and long turns. */
 const RETENTION_MARGIN = 2;
 
@@ -26,24 +31,34 @@
   readonly retainMs: number;
 }
 
-/** A program's record in the log: no more than the limit is granted before a further record. */
+export interface IRunningTurn {
+  readonly turnId: string;
+  readonly maxTokens: number;
+}
+
+/** A program's record in the log. */
 export interface ISpendingRecord {
   readonly programId: string;
-  readonly limit: number;
+  /** Tokens of turns that have ended. */
+  readonly spent: number;
+  readonly running: readonly IRunningTurn[];
+  /** What may be granted beyond spent and running before a further record. */
+  readonly ahead: number;
   readonly atMs: number;
   readonly retainMs: number;
 }
 
 interface IProgramSpending {
   readonly programId: string;
-  /** Tokens of turns that have ended. */
+  /** Tokens of turns that have ended, and what an earlier owner may have granted without a record. */
   spent: number;
   /** Most tokens of each running turn. */
   readonly running: Map<string, number>;
-  /** Limit of the newest record in the log; undefined without one. */
-  recorded: number | undefined;
-  /** Limit that the next record will have. */
-  wanted: number;
+  /** Up to where the newest record reaches; undefined without one. */
+  limit: number | undefined;
+  /** Up to where the program may go without a record. */
+  readonly unrecorded: number;
+  budget: number;
   lastUsedMs: number;
   retainMs: number;
 }
@@ -53,53 +68,65 @@
  * programs, where an append before each turn would cost a call to the store and its latency; and
  * outages of the store, in which programs go on inside what is recorded.
  *
- * Safety does not rest on time. After an unclean end of an ownership, a program with a record counts
- * as having spent its limit; one without counts as having spent what may go unrecorded, and gets
- * nothing further unrecorded.
+ * Safety does not rest on time. After an unclean end of an ownership, all that a record left room for
+ * counts as spent. A program without a record may have got one turn and a share of its budget: the
+ * share counts as spent, and nothing further is granted before a record. So whatever is forgotten, a
+ * program gets at most its budget and one turn.
  */
 export class SpendingLedger {
   readonly #programs = new Map<string, IProgramSpending>();
   readonly #dirty = new Set<IProgramSpending>();
-  /** Until when programs without a record may have spent something under an earlier owner. */
-  #uncleanUntilMs = 0;
+  /** When an ownership was last found to have ended without a release. */
+  #uncleanAtMs = 0;
 
   get size(): number {
     return this.#programs.size;
   }
 
-  /** Notes that the ownership before this one ended without a release. */
-  markUnclean(untilMs: number): void {
-    this.#uncleanUntilMs = Math.max(this.#uncleanUntilMs, untilMs);
+  get uncleanAtMs(): number {
+    return this.#uncleanAtMs;
+  }
+
+  /** Notes when an ownership was found to have ended without a release. */
+  markUnclean(atMs: number): void {
+    this.#uncleanAtMs = Math.max(this.#uncleanAtMs, atMs);
   }
 
   /** Takes up a record read from the log. */
-  restore({ programId, limit, atMs, retainMs }: ISpendingRecord): void {
-    const fresh = { programId, running: new Map<string, number>() };
-    this.#programs.set(programId, {
-      ...fresh,
-      spent: limit,
-      recorded: limit,
-      wanted: limit,
+  restore({ programId, spent, running, ahead, atMs, retainMs }: ISpendingRecord): void {
+    const program: IProgramSpending = {
+      programId,
+      spent: spent + ahead,
+      running: new Map(running.map(({ turnId, maxTokens }) => [turnId, maxTokens])),
+      limit: 0,
+      unrecorded: 0,
+      budget: 0,
       lastUsedMs: atMs,
       retainMs,
-    });
+    };
+    program.limit = committed(program);
+    this.#programs.set(programId, program);
   }
 
   begin(grant: ITurnGrant, now: number): Spending {
     const program = this.#programs.get(grant.programId) ?? this.#open(grant, now);
     program.lastUsedMs = now;
     program.retainMs = Math.max(program.retainMs, grant.retainMs);
+    program.budget = grant.budget;
     if (!program.running.has(grant.turnId)) {
       if (committed(program) + grant.maxTokens > grant.budget) return Spending.Spent;
       program.running.set(grant.turnId, grant.maxTokens);
     }
-    return this.#check(program, { ...grant, now });
+    if (isLow(program, grant.maxTokens)) this.#dirty.add(program);
+    if (committed(program) <= reach(program)) return Spending.Granted;
+    this.#dirty.add(program);
+    return Spending.GrantedWhenRecorded;
   }
 
   /** Whether the log holds a record for all that the program has been granted. */
   isRecorded(programId: string): boolean {
     const program = this.#programs.get(programId);
-    return program !== undefined && committed(program) <= (program.recorded ?? 0);
+    return program !== undefined && program.limit !== undefined && committed(program) <= program.limit;
   }
 
   /** Notes what a turn has handed out; a turn that is not known (any more) changes nothing. */
@@ -111,51 +138,44 @@
     program.spent += Math.min(tokens, most);
   }
 
-  /** Records to append; each supersedes the program's earlier ones. */
+  /** Whether records wait to be appended. */
+  get isDirty(): boolean {
+    return this.#dirty.size > 0;
+  }
+
+  /** Records to append; each supersedes the program's earlier ones, from now on also in what is granted. */
   takeDirty(now: number): ISpendingRecord[] {
-    const records = [...this.#dirty].map(({ programId, wanted, retainMs }) => ({
-      programId,
-      limit: wanted,
-      atMs: now,
-      retainMs,
-    }));
+    const records = [...this.#dirty].map((program) =>
+      this.#toRecord(program, { now, ahead: aheadOf(program) })
+    );
     this.#dirty.clear();
     return records;
   }
 
   /** Notes that records are in the log. */
   noteRecorded(records: readonly ISpendingRecord[]): void {
-    for (const { programId, limit } of records) {
-      const program = this.#programs.get(programId);
-      if (program !== undefined) program.recorded = limit;
+    for (const record of records) {
+      const program = this.#programs.get(record.programId);
+      if (program !== undefined) program.limit = limitOf(record);
     }
   }
 
-  /** Records that hold exactly what is spent and running, for the end of an ownership. */
+  /** Records without room, for the end of an ownership. */
   settle(now: number): ISpendingRecord[] {
     this.#dirty.clear();
-    return [...this.#programs.values()].filter((program) => committed(program) !== program.recorded)
-      .map((program) => ({
-        programId: program.programId,
-        limit: committed(program),
-        atMs: now,
-        retainMs: program.retainMs,
-      }));
+    return [...this.#programs.values()].map((program) => this.#toRecord(program, { now, ahead: 0 }));
   }
 
   /** Records of all programs, for a checkpoint. */
   snapshot(now: number): ISpendingRecord[] {
-    this.forget(now);
-    return [...this.#programs.values()].map((program) => ({
-      programId: program.programId,
-      limit: program.wanted,
-      atMs: program.lastUsedMs,
-      retainMs: program.retainMs,
-    }));
+    this.#forget(now);
+    return [...this.#programs.values()].map((program) =>
+      this.#toRecord(program, { now: program.lastUsedMs, ahead: aheadOf(program) })
+    );
   }
 
   /** Drops programs that have been idle beyond their retention. */
-  forget(now: number): void {
+  #forget(now: number): void {
     for (const [programId, { running, lastUsedMs, retainMs }] of this.#programs) {
       if (running.size === 0 && now - lastUsedMs > retainMs * RETENTION_MARGIN) {
         this.#programs.delete(programId);
@@ -163,13 +183,16 @@
     }
   }
 
-  #open({ programId, budget, retainMs }: ITurnGrant, now: number): IProgramSpending {
+  #open({ programId, maxTokens, budget, retainMs }: ITurnGrant, now: number): IProgramSpending {
+    const atRisk = Math.max(0, Math.min(Math.floor(budget * UNRECORDED_SHARE), budget - maxTokens));
+    const isUnclean = now < this.#uncleanAtMs + retainMs * RETENTION_MARGIN;
     const program: IProgramSpending = {
       programId,
-      spent: now < this.#uncleanUntilMs ? unrecorded(budget) : 0,
+      spent: isUnclean ? atRisk : 0,
       running: new Map(),
-      recorded: undefined,
-      wanted: 0,
+      limit: undefined,
+      unrecorded: isUnclean ? 0 : maxTokens + atRisk,
+      budget,
       lastUsedMs: now,
       retainMs,
     };
@@ -177,29 +200,42 @@
     return program;
   }
 
-  #check(program: IProgramSpending, { maxTokens, budget, now }: ITurnGrant & { now: number }): Spending {
-    const used = committed(program);
-    if (used + maxTokens > program.wanted) {
-      program.wanted = Math.min(
-        Math.max(budget, used),
-        Math.max(unrecorded(budget), used + maxTokens * TURNS_AHEAD),
-      );
-      if (program.wanted > (program.recorded ?? 0)) this.#dirty.add(program);
-    }
-    if (used <= (program.recorded ?? 0)) return Spending.Granted;
-    const isFresh = program.recorded === undefined && now >= this.#uncleanUntilMs;
-    return isFresh && used <= unrecorded(budget) ? Spending.Granted : Spending.GrantedWhenRecorded;
+  #toRecord(program: IProgramSpending, { now, ahead }: { now: number; ahead: number }): ISpendingRecord {
+    const { programId, spent, retainMs } = program;
+    const running = [...program.running].map(([turnId, maxTokens]) => ({ turnId, maxTokens }));
+    const record = { programId, spent, running, ahead, atMs: now, retainMs };
+    if (program.limit !== undefined) program.limit = Math.min(program.limit, limitOf(record));
+    return record;
   }
 }
 
 /** Most that a program can have handed out so far. */
-function committed({ spent, running }: IProgramSpending): number {
+function committed({ spent, running }: Pick<IProgramSpending, "spent" | "running">): number {
   let sum = spent;
   for (const most of running.values()) sum += most;
   return sum;
 }
 
-/** Tokens that a program may spend without a record. */
-function unrecorded(budget: number): number {
-  return Math.floor(budget * UNRECORDED_SHARE);
+/** Up to where a program may go now. */
+function reach({ limit, unrecorded }: IProgramSpending): number {
+  return limit ?? unrecorded;
+}
+
+/** Whether a program has no record, or one that it will soon reach. */
+function isLow(program: IProgramSpending, maxTokens: number): boolean {
+  if (program.limit === undefined) return true;
+  const room = program.limit - committed(program);
+  return program.limit < program.budget && room < maxTokens * LOW_ROOM_TURNS;
+}
+
+/** Room of the next record. It never ends below what may be granted while the record is on its way. */
+function aheadOf(program: IProgramSpending): number {
+  const used = committed(program);
+  const half = Math.floor(Math.max(0, program.budget - used) * AHEAD_SHARE);
+  const unrecorded = program.limit === undefined ? Math.max(0, program.unrecorded - used) : 0;
+  return Math.max(half, unrecorded);
+}
+
+function limitOf({ spent, running, ahead }: ISpendingRecord): number {
+  return running.reduce((sum, { maxTokens }) => sum + maxTokens, spent + ahead);
 }
