Refuse new programs while engines are crowded, at their first turn only

Change: the owner tells whether a program has had a turn yet; a new one is refused by the mean crowding, the less important kind earlier. A server is not taken as silent while it is crowded. Late turns rank one step behind. Requests wait up to 0.6 s for the first configuration after a start.

--- a/src/call/common/gateway_refusal.ts
+++ b/src/call/common/gateway_refusal.ts
@@ -22,6 +22,8 @@
   NoConfiguration = "no-configuration",
   NoBackend = "no-backend",
   BackendsFull = "backends-full",
+  /** Another program would make those under way late. */
+  Overloaded = "overloaded",
   BudgetSpent = "budget-spent",
   BudgetUnavailable = "budget-unavailable",
   TurnUnknown = "turn-unknown",
--- a/src/call/common/gateway_relay.ts
+++ b/src/call/common/gateway_relay.ts
@@ -4,11 +4,12 @@
 import type { BackendLoads } from "../../routing/common/backend_loads.ts";
 import type { IBackendChoice, IBackendChooser } from "../../routing/common/backend_chooser.ts";
 import { EngineChooser, ServiceChooser } from "../../routing/common/backend_chooser.ts";
+import type { IProgramAdmission } from "../../routing/common/program_admission.ts";
 import type { PromptCacheMap } from "../../routing/common/prompt_cache_map.ts";
 import type { BackendDirectory } from "../../services/backends/common/backend_directory.ts";
 import type { ILogger } from "../../services/logging/common/logger.ts";
 import type { Metrics } from "../../services/metrics/common/metrics.ts";
-import type { IEngineInfo, IRoute, RouteTable } from "../../services/routes/common/route_table.ts";
+import type { IEngineInfo, RouteTable } from "../../services/routes/common/route_table.ts";
 import { isRepeatable, pickService, RouteKind } from "../../services/routes/common/route_table.ts";
 import type { IChain, TurnClient } from "../../turns/common/turn_client.ts";
 import { ChainState } from "../../turns/common/turn_client.ts";
@@ -35,6 +36,9 @@
 const ABSENT_RETRY_MS = 500;
 /** Longest wait for the owner of a budget or of a kept turn, in ms: a slice changes hands in less. */
 const OWNER_PATIENCE_MS = 1500;
+/** Longest wait for the first configuration and list of servers after a start, in ms: a few calls to the store. */
+const START_PATIENCE_MS = 600;
+const START_POLL_MS = 20;
 /** Least time without a sign after which a repeatable request goes to another server, in ms. */
 const MIN_SILENCE_MS = 700;
 /** Multiple of a route's target after which a server counts as silent. */
@@ -46,6 +50,7 @@
 /** Urgency on engines of the most important route, and the step between two priorities. */
 const FIRST_URGENCY = 3;
 const URGENCY_STEP = 2;
+const LATE_URGENCY = 1;
 const LAST_URGENCY = 9;
 
 export interface IGatewayRelayOptions {
@@ -55,6 +60,7 @@
   readonly loads: BackendLoads;
   readonly caches: PromptCacheMap;
   readonly turns: TurnClient;
+  readonly admission: IProgramAdmission;
   readonly upstream: IUpstream;
   readonly logger: ILogger;
   readonly metrics: Metrics;
@@ -87,6 +93,7 @@
         return this.#refuseEarly(sink, finalRefusal(GatewayStatus.BadRequest, RefusalReason.NoIdentity));
       }
       const { routes } = this.#opts;
+      yield* this.#awaitConfiguration();
       const route = routes.find(req.host, req.target);
       if (route === undefined) return this.#refuseEarly(sink, this.#noRoute(), req);
       const now = yield* Clock.currentTimeMillis;
@@ -103,6 +110,16 @@
     });
   }
 
+  /** Waits a little for the first configuration after a start. */
+  #awaitConfiguration(): Effect.Effect<void> {
+    return Effect.gen({ self: this }, function* () {
+      for (let waitedMs = 0; waitedMs < START_PATIENCE_MS; waitedMs += START_POLL_MS) {
+        if (this.#opts.routes.configuration !== undefined && this.#opts.directory.size > 0) return;
+        yield* Effect.sleep(START_POLL_MS);
+      }
+    });
+  }
+
   #noRoute(): IRefusal {
     if (this.#opts.routes.configuration === undefined) {
       return notRun(RefusalReason.NoConfiguration, ABSENT_RETRY_MS);
@@ -149,12 +166,15 @@
       };
       const begin = this.#opts.turns.begin(grant, patienceMs);
       const chained = this.#loadChain(call, patienceMs);
-      const [verdict, chain] = yield* Effect.all([begin, chained], { concurrency: "unbounded" });
+      const [begun, chain] = yield* Effect.all([begin, chained], { concurrency: "unbounded" });
+      const verdict = begun?.verdict;
       if (verdict === TurnVerdict.SPENT) {
         return finalRefusal(GatewayStatus.BudgetSpent, RefusalReason.BudgetSpent);
       }
       if (verdict !== TurnVerdict.GRANTED) return notRun(RefusalReason.BudgetUnavailable, ABSENT_RETRY_MS);
       const serve = Effect.suspend(() => {
+        const refusal = begun?.isFresh ? this.#admit(call) : undefined;
+        if (refusal !== undefined) return Effect.succeed(refusal);
         if (chain instanceof Object) {
           const body = chain.contents.length === 0 ? req.body : Buffer.concat([...chain.contents, req.body]);
           return this.#serve({ call, sink, body, chain });
@@ -205,6 +225,14 @@
     });
   }
 
+  /** Decides on a program before its first turn, by how crowded the engines are. */
+  #admit({ route, service }: RelayedCall): IRefusal | undefined {
+    const { directory, loads, admission, random } = this.#opts;
+    const crowding = directory.usable(service).map(({ id, slots }) => loads.running(id) / slots);
+    const verdict = admission.decide({ crowding, priority: route.priority, random: random() });
+    return verdict.isAdmitted ? undefined : notRun(RefusalReason.Overloaded, verdict.retryAfterMs);
+  }
+
   /** A request that has not run anywhere is promised so; otherwise its outcome is unknown. */
   #noBackend({ runs, refusals }: RelayedCall): IRefusal {
     if (runs > 0) return finalRefusal(GatewayStatus.BadGateway, RefusalReason.OutcomeUnknown);
@@ -283,7 +311,7 @@
       const headers = this.#opts.codec.dispatchHeaders(req, {
         deadlineMs: Math.max(1, Math.floor(call.deadlineAtMs - now)),
         instanceId: choice.backend.id,
-        urgency: req.prompt === undefined ? undefined : urgencyOf(call.route),
+        urgency: req.prompt === undefined ? undefined : urgencyOf(call),
         lastEventId: call.lastEventId,
         bodyLength: body.length,
       });
@@ -308,9 +336,11 @@
   /** Gives a repeatable request's server a limited time for its first sign. */
   #orSilent<T>(
     work: Effect.Effect<T, UpstreamError>,
-    { route, runs }: RelayedCall,
+    { route, runs, choice }: RelayedCall,
   ): Effect.Effect<T, UpstreamError> {
-    if (!isRepeatable(route) || runs + 1 >= route.attempts) return work;
+    // On a crowded engine a request waits for a slot without a sign.
+    const isCrowded = choice!.running >= choice!.backend.slots;
+    if (isCrowded || !isRepeatable(route) || runs + 1 >= route.attempts) return work;
     const silenceMs = Math.max(MIN_SILENCE_MS, route.targetMs * SILENCE_TARGETS);
     return Effect.timeoutOrElse(work, {
       duration: silenceMs,
@@ -472,8 +502,11 @@
   return isSuccess(head) && !head.isSigned;
 }
 
-function urgencyOf({ priority }: IRoute): number {
-  return Math.min(LAST_URGENCY, FIRST_URGENCY + priority * URGENCY_STEP);
+/** Rank on an engine: late requests behind all that can be on time. */
+function urgencyOf({ route, req }: RelayedCall): number {
+  const isLate = (req.program?.finishMs ?? 1) <= 0;
+  const rank = FIRST_URGENCY + route.priority * URGENCY_STEP + (isLate ? LATE_URGENCY : 0);
+  return Math.min(LAST_URGENCY, rank);
 }
 
 function writeRefusal(sink: IAnswerSink, { status, reason, retryAfterMs }: IRefusal): void {
--- a/src/call/common/relayed_call.ts
+++ b/src/call/common/relayed_call.ts
@@ -58,6 +58,7 @@
       program: req.program?.programId,
       budget: req.program?.budget,
       maxTokens: req.prompt?.maxTokens,
+      slackMs: req.program?.finishMs,
       route: route.name,
       version: this.configurationVersion,
       status: this.status,
--- a/src/daemon/node/gateway.ts
+++ b/src/daemon/node/gateway.ts
@@ -14,6 +14,7 @@
 import { LoadDatagrams } from "../../peer/node/load_datagrams.ts";
 import { BackendLoads } from "../../routing/common/backend_loads.ts";
 import { PromptCacheMap } from "../../routing/common/prompt_cache_map.ts";
+import { CrowdingAdmission } from "../../routing/common/program_admission.ts";
 import { BackendDirectory } from "../../services/backends/common/backend_directory.ts";
 import type { ILogger } from "../../services/logging/common/logger.ts";
 import { Metrics } from "../../services/metrics/common/metrics.ts";
@@ -108,6 +109,7 @@
       loads,
       caches,
       turns,
+      admission: new CrowdingAdmission(),
       upstream,
       logger,
       metrics,
--- a/src/peer/common/turn_service.ts
+++ b/src/peer/common/turn_service.ts
@@ -20,7 +20,7 @@
   const { owned, group } = opts;
   const run = Effect.runPromiseWith(opts.context);
   return {
-    beginTurn: (req) => run(Effect.map(owned.begin(req), (verdict) => ({ verdict }))),
+    beginTurn: (req) => run(owned.begin(req)),
     endTurn: (req) => run(Effect.map(owned.end(req), (isOwner) => ({ isOwner }))),
     storeTurn: async ({ turn }) => {
       const isStored = turn === undefined ? undefined : await run(owned.store(turn));
--- a/src/turns/common/owned_slices.ts
+++ b/src/turns/common/owned_slices.ts
@@ -35,6 +35,12 @@
   readonly scope: Scope.Closeable;
 }
 
+/** Whether a turn may run, and whether it is the first of its program that does. */
+export interface IBegunTurn {
+  readonly verdict: TurnVerdict;
+  readonly isFresh: boolean;
+}
+
 /** Result of a look-up: whether this instance owns the slice, and what it found. */
 export interface ILoadedTurn {
   readonly isOwner: boolean;
@@ -82,10 +88,17 @@
     });
   }
 
-  begin(req: BeginTurnRequest): Effect.Effect<TurnVerdict> {
+  begin(req: BeginTurnRequest): Effect.Effect<IBegunTurn> {
     return Effect.gen({ self: this }, function* () {
       const journal = yield* this.#find(req.programId);
-      if (journal === undefined) return TurnVerdict.NOT_OWNER;
+      if (journal === undefined) return { verdict: TurnVerdict.NOT_OWNER, isFresh: false };
+      const isFresh = journal.slice.ledger.isFresh(req.programId, req.turnId);
+      return { verdict: yield* this.#grant(journal, req), isFresh };
+    });
+  }
+
+  #grant(journal: SliceJournal, req: BeginTurnRequest): Effect.Effect<TurnVerdict> {
+    return Effect.gen({ self: this }, function* () {
       const { ledger } = journal.slice;
       const spending = ledger.begin(req, yield* Clock.currentTimeMillis);
       if (spending === Spending.Spent) return TurnVerdict.SPENT;
--- a/src/turns/common/spending_ledger.ts
+++ b/src/turns/common/spending_ledger.ts
@@ -123,6 +123,13 @@
     return Spending.GrantedWhenRecorded;
   }
 
+  /** Whether a program has handed out nothing yet and has no other turn running. */
+  isFresh(programId: string, turnId: string): boolean {
+    const program = this.#programs.get(programId);
+    if (program === undefined) return true;
+    return program.spent === 0 && [...program.running.keys()].every((running) => running === turnId);
+  }
+
   /** Whether the log holds a record for all that the program has been granted. */
   isRecorded(programId: string): boolean {
     const program = this.#programs.get(programId);
--- a/src/turns/common/turn_client.ts
+++ b/src/turns/common/turn_client.ts
@@ -20,7 +20,7 @@
 import type { ServiceClients } from "../../membership/common/peer_client.ts";
 import type { ILogger } from "../../services/logging/common/logger.ts";
 import { KeptTurns } from "./kept_turns.ts";
-import type { OwnedSlices } from "./owned_slices.ts";
+import type { IBegunTurn, OwnedSlices } from "./owned_slices.ts";
 import type { SliceGroup } from "./slice_group.ts";
 import type { ITurnGrant } from "./spending_ledger.ts";
 
@@ -84,7 +84,7 @@
   }
 
   /** Asks for a turn; undefined when no owner could be asked in time. */
-  begin(grant: ITurnGrant, patienceMs: number): Effect.Effect<TurnVerdict | undefined> {
+  begin(grant: ITurnGrant, patienceMs: number): Effect.Effect<IBegunTurn | undefined> {
     const req = create(BeginTurnRequestSchema, grant);
     return this.#retry(patienceMs, () => this.#beginOnce(req));
   }
@@ -163,13 +163,12 @@
     });
   }
 
-  #beginOnce(req: BeginTurnRequest): Effect.Effect<TurnVerdict | undefined, PeerError> {
+  #beginOnce(req: BeginTurnRequest): Effect.Effect<IBegunTurn | undefined, PeerError> {
     const owner = this.#ownerOf(req.programId);
-    const verdict = owner === this.#opts.address ? this.#opts.owned.begin(req) : Effect.map(
-      this.#call(owner, (client, signal) => client.beginTurn(req, { signal }), CALL_TIMEOUT_MS),
-      (res) => res?.verdict,
-    );
-    return Effect.map(verdict, (value) => value === TurnVerdict.NOT_OWNER ? undefined : value);
+    const begun = owner === this.#opts.address
+      ? this.#opts.owned.begin(req)
+      : this.#call(owner, (client, signal) => client.beginTurn(req, { signal }), CALL_TIMEOUT_MS);
+    return Effect.map(begun, (res) => res?.verdict === TurnVerdict.NOT_OWNER ? undefined : res);
   }
 
   #endOnce(req: EndTurnRequest): Effect.Effect<true | undefined, PeerError> {
