Let a server that is listed no longer finish what it runs

Ruled out: the change of limits (an idle change was near by chance); the server breaking off (it ended as 'cut'). Change: the pool of a dropped server ends idle connections only.

--- a/src/base/node/guarded_agent.ts
+++ b/src/base/node/guarded_agent.ts
@@ -13,12 +13,22 @@
 
 export class GuardedAgent extends Agent {
   readonly #guards = new WeakMap<Socket, () => void>();
+  #isRetired = false;
 
   constructor(opts: AgentOptions) {
     super({ keepAlive: true, noDelay: true, ...opts });
   }
 
+  /** Ends idle connections, now and as they become idle; requests under way go on. */
+  retire(): void {
+    this.#isRetired = true;
+    for (const sockets of Object.values(this.freeSockets)) {
+      for (const socket of sockets ?? []) socket.destroy();
+    }
+  }
+
   override keepSocketAlive(socket: IPooledSocket): boolean {
+    if (this.#isRetired) return false;
     const idleMs = announcedIdleMs(socket._httpMessage?.res);
     if (idleMs !== undefined && idleMs <= IDLE_MARGIN_MS) return false;
     // The method returns whether the connection is kept; its type declaration omits that.
--- a/src/call/node/http_upstream.ts
+++ b/src/call/node/http_upstream.ts
@@ -69,9 +69,9 @@
     });
   }
 
-  /** Ends the idle connections to a server that is gone. */
+  /** Ends the idle connections to a server that is listed no longer; what it still runs goes on. */
   forget({ id }: IBackendEntry): void {
-    this.#agents.get(id)?.destroy();
+    this.#agents.get(id)?.retire();
     this.#agents.delete(id);
   }
 
