--- a/src/call/common/gateway_relay.ts
+++ b/src/call/common/gateway_relay.ts
@@ -11,7 +11,7 @@
 import type { Metrics } from "../../services/metrics/common/metrics.ts";
 import type { IEngineInfo, RouteTable } from "../../services/routes/common/route_table.ts";
 import { isRepeatable, pickService, RouteKind } from "../../services/routes/common/route_table.ts";
-import type { IChain, TurnClient } from "../../turns/common/turn_client.ts";
+import type { IChain, ITurnClient } from "../../turns/common/turn_client.ts";
 import { ChainState } from "../../turns/common/turn_client.ts";
 import { EventSplitter } from "./event_splitter.ts";
 import type { IRefusal } from "./gateway_refusal.ts";
@@ -59,7 +59,7 @@
   readonly directory: BackendDirectory;
   readonly loads: BackendLoads;
   readonly caches: PromptCacheMap;
-  readonly turns: TurnClient;
+  readonly turns: ITurnClient;
   readonly admission: IProgramAdmission;
   readonly upstream: IUpstream;
   readonly logger: ILogger;
--- /dev/null
+++ b/src/call/common/gateway_relay_test.ts
@@ -0,0 +1,397 @@
+import test from "ava";
+import { Effect, Fiber } from "effect";
+import { TestClock } from "effect/testing";
+import { TurnVerdict } from "../../base/common/gen/ragwortcleat/v1/turns_pb.ts";
+import { BackendLoads } from "../../routing/common/backend_loads.ts";
+import type { IProgramAdmission } from "../../routing/common/program_admission.ts";
+import { CrowdingAdmission } from "../../routing/common/program_admission.ts";
+import { PromptCacheMap } from "../../routing/common/prompt_cache_map.ts";
+import { BackendDirectory } from "../../services/backends/common/backend_directory.ts";
+import { NullLogger } from "../../services/logging/common/logger.ts";
+import { Metrics } from "../../services/metrics/common/metrics.ts";
+import type { IRoute } from "../../services/routes/common/route_table.ts";
+import { RouteKind, RouteTable } from "../../services/routes/common/route_table.ts";
+import type { IEndedTurn, IFinishedTurn, ITurnClient } from "../../turns/common/turn_client.ts";
+import { ChainState } from "../../turns/common/turn_client.ts";
+import { GatewayRelay } from "./gateway_relay.ts";
+import type { IAnswerSink, ICallCodec, IUpstream, IUpstreamAnswer, IUpstreamRequest } from "./opaque_call.ts";
+import { UpstreamError, UpstreamFault } from "./opaque_call.ts";
+
+/** One scripted reaction of a server. */
+interface IReaction {
+  readonly status?: number;
+  readonly isNotRun?: boolean;
+  readonly isSigned?: boolean;
+  readonly chunks?: readonly string[];
+  /** Fault before the head. */
+  readonly fault?: UpstreamFault;
+  /** Breaks off after the chunks. */
+  readonly isCut?: boolean;
+  /** Never answers. */
+  readonly isSilent?: boolean;
+}
+
+class FakeUpstream implements IUpstream {
+  readonly sent: (IUpstreamRequest & { readonly backendId: string })[] = [];
+  readonly #script: IReaction[];
+
+  constructor(script: readonly IReaction[]) {
+    this.#script = [...script];
+  }
+
+  send({ id }: { id: string }, req: IUpstreamRequest): Effect.Effect<IUpstreamAnswer, UpstreamError> {
+    return Effect.suspend(() => {
+      this.sent.push({ ...req, backendId: id });
+      const reaction = this.#script.shift() ?? {};
+      if (reaction.isSilent) return Effect.never;
+      if (reaction.fault !== undefined) return Effect.fail(new UpstreamError(reaction.fault));
+      const { status = 200, isNotRun = false, isSigned = true, chunks = [], isCut = false } = reaction;
+      const head = { status, headers: ["x-from", id], requestId: req.requestId, isNotRun, isSigned };
+      const read = (onChunk: (chunk: Uint8Array) => void) =>
+        Effect.suspend(() => {
+          for (const chunk of chunks) onChunk(Buffer.from(chunk));
+          return isCut ? Effect.fail(new UpstreamError(UpstreamFault.Broken)) : Effect.void;
+        });
+      return Effect.succeed({ head, body: { read, drain: () => {}, discard: () => {} } });
+    });
+  }
+}
+
+class FakeTurns implements ITurnClient {
+  verdict: TurnVerdict | undefined = TurnVerdict.GRANTED;
+  isFresh = false;
+  isKept = true;
+  readonly ended: IEndedTurn[] = [];
+  readonly kept: IFinishedTurn[] = [];
+
+  begin() {
+    return Effect.succeed(
+      this.verdict === undefined ? undefined : { verdict: this.verdict, isFresh: this.isFresh },
+    );
+  }
+
+  end(turn: IEndedTurn) {
+    return Effect.sync(() => {
+      this.ended.push(turn);
+    });
+  }
+
+  load(turnId: string) {
+    if (turnId === "gone") return Effect.succeed({ state: ChainState.Unknown as const });
+    return Effect.succeed({
+      state: ChainState.Found as const,
+      chain: { contents: [Buffer.from("before ")], refs: [] },
+    });
+  }
+
+  keep(finished: IFinishedTurn) {
+    this.kept.push(finished);
+    return Effect.succeed(this.isKept);
+  }
+}
+
+class FakeSink implements IAnswerSink {
+  status = 0;
+  headers: readonly string[] = [];
+  text = "";
+  isEnded = false;
+  isAborted = false;
+
+  get isBegun(): boolean {
+    return this.status !== 0;
+  }
+
+  whole(status: number, headers: readonly string[], body: Uint8Array): void {
+    this.begin(status, headers);
+    this.write(body);
+    this.end();
+  }
+
+  begin(status: number, headers: readonly string[]): void {
+    this.status = status;
+    this.headers = headers;
+  }
+
+  write(chunk: Uint8Array): void {
+    this.text += Buffer.from(chunk).toString();
+  }
+
+  end(): void {
+    this.isEnded = true;
+  }
+
+  abort(): void {
+    this.isAborted = true;
+  }
+}
+
+const CODEC: ICallCodec = {
+  readRequest: ({ method, target, headers, body }) => ({
+    id: "r1",
+    method,
+    target,
+    host: "h",
+    headers,
+    body,
+    deadlineMs: 3000,
+    lastEventId: undefined,
+    affinityKey: undefined,
+    prompt: { model: "m", promptTokens: 100, maxTokens: 50, parts: [] },
+    program: {
+      programId: "p",
+      lineId: "l",
+      finishMs: 1000,
+      budget: 1000,
+      previousTurnId: headers.includes("previous") ? headers[headers.indexOf("previous") + 1] : undefined,
+    },
+  }),
+  dispatchHeaders: (_req, { lastEventId }) => lastEventId === undefined ? [] : ["last", lastEventId],
+  readAnswer: () => ({ status: 0, headers: [], requestId: undefined, isNotRun: false, isSigned: false }),
+};
+
+const ROUTE: IRoute = {
+  name: "r",
+  host: "h",
+  prefix: "/",
+  kind: RouteKind.Unsafe,
+  services: [{ service: "s", weight: 1 }],
+  timeoutMs: 3000,
+  targetMs: 200,
+  priority: 0,
+  attempts: 2,
+  isSticky: false,
+  isResumable: false,
+  keepsHistory: false,
+  retainMs: 0,
+};
+const STREAM: Partial<IRoute> = { kind: RouteKind.Stream, retainMs: 60_000 };
+
+interface ISetup {
+  readonly route?: Partial<IRoute>;
+  readonly script?: readonly IReaction[];
+  readonly turns?: FakeTurns;
+  readonly headers?: readonly string[];
+  readonly backends?: number;
+  readonly admission?: IProgramAdmission;
+  readonly isStale?: boolean;
+  readonly target?: string;
+}
+
+/** Sends one request through a relay; the clock runs while it is under way. */
+async function relay(setup: ISetup) {
+  const { route = {}, script = [], headers = [], backends = 3, target = "/x" } = setup;
+  const turns = setup.turns ?? new FakeTurns();
+  const logger = new NullLogger();
+  const routes = new RouteTable();
+  const engine = { slots: 4, kvTokens: 1000, tokensPerEvent: 22 };
+  routes.adopt({
+    version: 1,
+    routes: [{ ...ROUTE, ...route, prefix: "/x" }],
+    services: new Map([["s", { name: "s", maxConnections: 10, engine }]]),
+    limits: { maxHeaderBytes: 1, maxBodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 },
+  });
+  const directory = new BackendDirectory(logger, () => 0);
+  for (let i = 0; i < backends; i++) {
+    const id = `b${i}`;
+    directory.put({
+      id,
+      service: "s",
+      host: "h",
+      port: 1,
+      zone: "z",
+      slots: 4,
+      isDraining: false,
+      startedAtMs: 0,
+    });
+  }
+  const upstream = new FakeUpstream(script);
+  const sink = new FakeSink();
+  const gateway = new GatewayRelay({
+    codec: CODEC,
+    routes,
+    directory,
+    loads: new BackendLoads(() => 0),
+    caches: new PromptCacheMap(),
+    turns,
+    admission: setup.admission ?? new CrowdingAdmission(),
+    upstream,
+    logger,
+    metrics: new Metrics(),
+    zone: "z",
+    random: () => 0.5,
+    isConfigurationStale: () => setup.isStale ?? false,
+  });
+  const work = Effect.gen(function* () {
+    const req = { method: "POST", target, headers, body: Buffer.from("new") };
+    const fiber = yield* Effect.forkChild(gateway.handle(req, sink));
+    for (let i = 0; i < 40; i++) yield* TestClock.adjust(100);
+    yield* Fiber.join(fiber);
+  });
+  await Effect.runPromise(Effect.provide(work, TestClock.layer()));
+  return { sink, sent: upstream.sent, turns };
+}
+
+function event(id: number, data = `d${id}`): string {
+  return `id: ${id}\ndata: ${data}\n\n`;
+}
+
+test("an answer is passed on whole", async (t) => {
+  const { sink, sent } = await relay({ script: [{ status: 200, chunks: ["a", "b"] }] });
+  t.is(sink.status, 200);
+  t.is(sink.text, "ab");
+  t.is(sent.length, 1);
+});
+
+test("a request that may not be repeated is sent once, whatever happens after it left", async (t) => {
+  for (
+    const reaction of [{ fault: UpstreamFault.Broken }, { chunks: ["a"], isCut: true }, { isSilent: true }]
+  ) {
+    const { sink, sent } = await relay({ script: [reaction] });
+    t.is(sent.length, 1);
+    t.true(sink.status === 502 || sink.status === 504);
+  }
+});
+
+test("a request that certainly did not run goes to another server", async (t) => {
+  for (const reaction of [{ fault: UpstreamFault.NotSent }, { status: 503, isNotRun: true }]) {
+    const { sink, sent } = await relay({ script: [reaction, { chunks: ["a"] }] });
+    t.is(sink.status, 200);
+    t.not(sent[0].backendId, sent[1].backendId);
+  }
+});
+
+test("a server's promise without proof is not passed on for what may have run", async (t) => {
+  const { sink, sent } = await relay({ script: [{ status: 503 }] });
+  t.is(sink.status, 502);
+  t.is(sent.length, 1);
+});
+
+test("a failure that the server reports as run is passed on as it is", async (t) => {
+  const { sink } = await relay({ script: [{ status: 500, chunks: ["no"] }] });
+  t.is(sink.status, 500);
+  t.is(sink.text, "no");
+});
+
+test("a success without the server's signature is never passed on", async (t) => {
+  const { sink } = await relay({ script: [{ isSigned: false, chunks: ["a"] }] });
+  t.is(sink.status, 502);
+});
+
+test("full servers are reported as not run, with when to come back", async (t) => {
+  const full = { status: 503, isNotRun: true };
+  const { sink, sent } = await relay({ script: [full, full, full, full], backends: 3 });
+  t.is(sink.status, 503);
+  t.is(sent.length, 3);
+  t.true(Number(sink.headers[sink.headers.indexOf("retry-after") + 1]) > 0);
+});
+
+test("a safe request goes on to another server, as often as its route allows", async (t) => {
+  const broken = { fault: UpstreamFault.Broken };
+  const route = { kind: RouteKind.Safe, attempts: 2 };
+  const again = await relay({ route, script: [broken, { chunks: ["a"] }] });
+  t.is(again.sink.status, 200);
+  const never = await relay({ route, script: [broken, broken, { chunks: ["a"] }] });
+  t.is(never.sink.status, 502);
+  t.is(never.sent.length, 2);
+});
+
+test("a safe request leaves a server that gives no sign", async (t) => {
+  const route = { kind: RouteKind.Safe, attempts: 2 };
+  const { sink, sent } = await relay({ route, script: [{ isSilent: true }, { chunks: ["a"] }] });
+  t.is(sink.status, 200);
+  t.is(sent.length, 2);
+});
+
+test("a stream is resumed behind the last whole event", async (t) => {
+  const { sink, sent } = await relay({
+    route: { ...STREAM, isResumable: true },
+    script: [{ chunks: [event(1), "id: 2\nda"], isCut: true }, { chunks: [event(2), event(3)] }],
+  });
+  t.is(sink.text, event(1) + event(2) + event(3));
+  t.deepEqual(sent[1].headers, ["last", "1"]);
+  t.true(sink.isEnded);
+});
+
+test("events that come again are left out", async (t) => {
+  const { sink } = await relay({
+    route: { ...STREAM, isResumable: true },
+    script: [{ chunks: [event(1), event(2)], isCut: true }, { chunks: [event(1), event(2), event(3)] }],
+  });
+  t.is(sink.text, event(1) + event(2) + event(3));
+});
+
+test("a stream that may not be resumed is broken off, never ended", async (t) => {
+  const { sink, sent } = await relay({ route: STREAM, script: [{ chunks: [event(1)], isCut: true }] });
+  t.true(sink.isAborted);
+  t.false(sink.isEnded);
+  t.is(sent.length, 1);
+});
+
+test("a turn tells what it handed out, also when it broke off", async (t) => {
+  const { turns } = await relay({ route: STREAM, script: [{ chunks: [event(1), event(2)], isCut: true }] });
+  t.deepEqual(turns.ended, [{ programId: "p", turnId: "r1", tokens: 44 }]);
+});
+
+test("a spent budget is told before anything runs", async (t) => {
+  const turns = new FakeTurns();
+  turns.verdict = TurnVerdict.SPENT;
+  const { sink, sent } = await relay({ route: STREAM, turns });
+  t.is(sink.status, 402);
+  t.is(sent.length, 0);
+});
+
+test("without an owner a turn has not run and may come back", async (t) => {
+  const turns = new FakeTurns();
+  turns.verdict = undefined;
+  const { sink, sent } = await relay({ route: STREAM, turns });
+  t.is(sink.status, 503);
+  t.true(sink.headers.includes("retry-after"));
+  t.is(sent.length, 0);
+});
+
+test("the engine gets the chain before the new input, and the turn is kept whole", async (t) => {
+  const { sent, turns } = await relay({
+    route: { ...STREAM, keepsHistory: true },
+    headers: ["previous", "t0"],
+    script: [{ chunks: [event(1, "x"), event(2, "y")] }],
+  });
+  t.is(Buffer.from(sent[0].body).toString(), "before new");
+  t.is(Buffer.from(turns.kept[0].content).toString(), "newx\ny\n");
+});
+
+test("the end of a turn that could not be kept is not passed on", async (t) => {
+  const turns = new FakeTurns();
+  turns.isKept = false;
+  const { sink } = await relay({
+    route: { ...STREAM, keepsHistory: true },
+    turns,
+    script: [{ chunks: [event(1)] }],
+  });
+  t.true(sink.isAborted);
+  t.false(sink.isEnded);
+});
+
+test("a turn that is not known is never said not to exist", async (t) => {
+  const { sink, sent } = await relay({
+    route: { ...STREAM, keepsHistory: true },
+    headers: ["previous", "gone"],
+  });
+  t.is(sink.status, 503);
+  t.is(sent.length, 0);
+});
+
+test("a burst's new programs are refused, turns of programs under way are not", async (t) => {
+  const turns = new FakeTurns();
+  const admission: IProgramAdmission = { decide: () => ({ isAdmitted: false, retryAfterMs: 500 }) };
+  const later = await relay({ route: STREAM, turns, admission, script: [{ chunks: [event(1)] }] });
+  t.is(later.sink.status, 200);
+  turns.isFresh = true;
+  const fresh = await relay({ route: STREAM, turns, admission });
+  t.is(fresh.sink.status, 503);
+  t.is(fresh.sent.length, 0);
+});
+
+test("an unknown route is not found, but unknown while the configuration may be old", async (t) => {
+  t.is((await relay({ target: "/other" })).sink.status, 404);
+  t.is((await relay({ target: "/other", isStale: true })).sink.status, 503);
+});
--- a/src/turns/common/slice_journal.ts
+++ b/src/turns/common/slice_journal.ts
@@ -27,8 +27,13 @@
 const CHECKPOINT_INTERVAL_MS = 120_000;
 
 /** What an append holds beside spending, and who waits for it. */
-interface IPending {
+interface IAppend {
   readonly events: readonly SliceEvent[];
+  /** Turn that the events tell of. */
+  readonly turn?: KeptTurn;
+}
+
+interface IPending extends IAppend {
   readonly done: Deferred.Deferred<boolean>;
 }
 
@@ -93,10 +98,7 @@
   storeTurn(turn: KeptTurn): Effect.Effect<boolean> {
     return Effect.suspend(() => {
       if (this.#slice.turns.get(turn.turnId) !== undefined) return Effect.succeed(true);
-      return Effect.map(this.#enqueue(turnEvents(turn)), (isStored) => {
-        if (isStored) this.#slice.turns.put(turn);
-        return isStored;
-      });
+      return this.#enqueue({ events: turnEvents(turn), turn });
     });
   }
 
@@ -109,7 +111,7 @@
   recordProgram(programId: string): Effect.Effect<boolean> {
     return Effect.gen({ self: this }, function* () {
       while (!this.#slice.ledger.isRecorded(programId)) {
-        if (!(yield* this.#enqueue([]))) return false;
+        if (!(yield* this.#enqueue({ events: [] }))) return false;
       }
       return true;
     });
@@ -122,7 +124,7 @@
       // A claim may be in the log already; without a release behind it the next owner must assume the worst.
       if (this.#state === JournalState.Opening) return Effect.andThen(this.awaitOpen(), this.release());
       const release: SliceEvent = { case: "release", value: create(SliceReleaseSchema) };
-      return Effect.asVoid(this.#enqueue([release]));
+      return Effect.asVoid(this.#enqueue({ events: [release] }));
     });
   }
 
@@ -135,10 +137,10 @@
     this.#wake.notify();
   }
 
-  #enqueue(events: readonly SliceEvent[]): Effect.Effect<boolean> {
+  #enqueue(append: IAppend): Effect.Effect<boolean> {
     return Effect.suspend(() => {
       if (this.#state === JournalState.Closed) return Effect.succeed(false);
-      const pending = { events, done: Deferred.makeUnsafe<boolean>() };
+      const pending = { ...append, done: Deferred.makeUnsafe<boolean>() };
       this.#pending.push(pending);
       this.#hasUrgent = true;
       this.#wake.notify();
@@ -241,7 +243,10 @@
       const records = isRelease ? ledger.settle(now) : ledger.takeDirty(now);
       const events = [...spendingEvents(records), ...batch.flatMap((pending) => pending.events)];
       const isAppended = events.length === 0 || (yield* this.#appendSurely(events));
-      if (isAppended) ledger.noteRecorded(records);
+      if (isAppended) {
+        ledger.noteRecorded(records);
+        for (const { turn } of batch) if (turn !== undefined) this.#slice.turns.put(turn);
+      }
       for (const { done } of batch) Deferred.doneUnsafe(done, Effect.succeed(isAppended));
       if (isRelease || !isAppended) this.close();
       else yield* this.#maintain(now);
--- a/src/turns/common/spending_ledger.ts
+++ b/src/turns/common/spending_ledger.ts
@@ -76,7 +76,7 @@
 export class SpendingLedger {
   readonly #programs = new Map<string, IProgramSpending>();
   readonly #dirty = new Set<IProgramSpending>();
-  /** When an ownership was last found to have ended without a release. */
+  /** When an ownership was last found to have ended without a release; 0 if never. */
   #uncleanAtMs = 0;
 
   get size(): number {
@@ -192,7 +192,7 @@
 
   #open({ programId, maxTokens, budget, retainMs }: ITurnGrant, now: number): IProgramSpending {
     const atRisk = Math.max(0, Math.min(Math.floor(budget * UNRECORDED_SHARE), budget - maxTokens));
-    const isUnclean = now < this.#uncleanAtMs + retainMs * RETENTION_MARGIN;
+    const isUnclean = this.#uncleanAtMs > 0 && now < this.#uncleanAtMs + retainMs * RETENTION_MARGIN;
     const program: IProgramSpending = {
       programId,
       spent: isUnclean ? atRisk : 0,
--- a/src/turns/common/turn_client.ts
+++ b/src/turns/common/turn_client.ts
@@ -74,7 +74,27 @@
   readonly retainMs: number;
 }
 
-export class TurnClient {
+/** Budgets and kept turns, wherever their owners are. */
+export interface ITurnClient {
+  /** Asks for a turn; undefined when no owner could be asked in time. */
+  begin(grant: ITurnGrant, patienceMs: number): Effect.Effect<IBegunTurn | undefined>;
+  /** Tells the owner what a turn has handed out. */
+  end(turn: IEndedTurn): Effect.Effect<void>;
+  /** The chain that ends with a turn. */
+  load(turnId: string, patienceMs: number): Effect.Effect<ChainResult>;
+  /** Keeps a finished turn; true once it is in the log. */
+  keep(finished: IFinishedTurn, patienceMs: number): Effect.Effect<boolean>;
+}
+
+/** A turn that is over, however it ended. */
+export interface IEndedTurn {
+  readonly programId: string;
+  readonly turnId: string;
+  /** Tokens handed to the caller. */
+  readonly tokens: number;
+}
+
+export class TurnClient implements ITurnClient {
   readonly #opts: ITurnClientOptions;
   /** Turns that passed through this instance; their content never changes. */
   readonly #recent = new KeptTurns();
@@ -83,21 +103,18 @@
     this.#opts = opts;
   }
 
-  /** Asks for a turn; undefined when no owner could be asked in time. */
   begin(grant: ITurnGrant, patienceMs: number): Effect.Effect<IBegunTurn | undefined> {
     const req = create(BeginTurnRequestSchema, grant);
     return this.#retry(patienceMs, () => this.#beginOnce(req));
   }
 
-  /** Tells the owner what a turn has handed out. */
-  end(turn: { programId: string; turnId: string; tokens: number }): Effect.Effect<void> {
+  end(turn: IEndedTurn): Effect.Effect<void> {
     const req = create(EndTurnRequestSchema, turn);
     return Effect.map(this.#retry(END_PATIENCE_MS, () => this.#endOnce(req)), (isTold) => {
       if (!isTold) this.#opts.logger.warn("turn-end-untold", turn);
     });
   }
 
-  /** The chain that ends with a turn. */
   load(turnId: string, patienceMs: number): Effect.Effect<ChainResult> {
     return Effect.gen({ self: this }, function* () {
       const last = yield* this.#loadTurn(turnId, patienceMs);
@@ -118,7 +135,6 @@
     });
   }
 
-  /** Keeps a finished turn; true once it is in the log. */
   keep(finished: IFinishedTurn, patienceMs: number): Effect.Effect<boolean> {
     return Effect.gen({ self: this }, function* () {
       const now = yield* Clock.currentTimeMillis;
