--- a/scripts/check_layers.mjs
+++ b/scripts/check_layers.mjs
@@ -1,4 +1,7 @@
-/** Checks that imports point downwards through the layers and that common/ is free of Node APIs. */
+/**
+ * Checks that imports point downwards through the layers, that common/ is free of Node APIs, and that
+ * nothing in src/ knows the adapter or its platform's names.
+ */
 import { readdirSync, readFileSync } from "node:fs";
 import { dirname, join, normalize } from "node:path";
 import process from "node:process";
@@ -18,6 +21,9 @@
   "daemon",
   "cli",
 ];
+/** Names of the users' platform, which only the adapter may know. */
+const PLATFORM_NAMES =
+  /\blog-(append|read|newest|join|leave|commit|owners|trim)\b|\bkeyed\.(op|servers)\b|\b(KeepContext|RetainS|PathPrefix)\b|Ragwortcleat-[A-Z]/;
 const IMPORT = /(?:from|import)\s*\(?\s*"([^"]+)"/g;
 
 function* walk(dir) {
@@ -33,9 +39,12 @@
 let files = 0;
 for (const path of walk("src")) {
   files += 1;
+  const text = readFileSync(path, "utf8");
+  const foreign = PLATFORM_NAMES.exec(text);
+  if (foreign !== null) faults.push(`${path}: ${foreign[0]} is a name of the platform`);
   const isTest = path.endsWith("_test.ts");
   const isCommon = path.includes("/common/");
-  for (const [, target] of readFileSync(path, "utf8").matchAll(IMPORT)) {
+  for (const [, target] of text.matchAll(IMPORT)) {
     if (isCommon && !isTest && target.startsWith("node:")) {
       faults.push(`${path}: common code imports ${target}`);
     }
--- /dev/null
+++ b/src/call/common/event_splitter_test.ts
@@ -0,0 +1,49 @@
+import test from "ava";
+import fc from "fast-check";
+import { EventSplitter } from "./event_splitter.ts";
+
+/** Feeds bytes in pieces and returns the events. */
+function split(bytes: Buffer, cuts: readonly number[]) {
+  const splitter = new EventSplitter();
+  const points = [...new Set([0, ...cuts.map((cut) => cut % (bytes.length + 1)), bytes.length])].sort((
+    a,
+    b,
+  ) => a - b);
+  const events = points.slice(1).flatMap((to, index) => splitter.push(bytes.subarray(points[index], to)));
+  return { events, rest: splitter.rest };
+}
+
+test("ids and data are read, several lines joined", (t) => {
+  const [event] = split(Buffer.from("id: 7\ndata: a\ndata:b\n\n"), []).events;
+  t.is(event.id, "7");
+  t.is(event.data, "a\nb");
+});
+
+test("lines may end with carriage returns", (t) => {
+  const { events } = split(Buffer.from("id: 1\r\ndata: a\r\n\r\nid: 2\r\ndata: b\r\n\r\n"), []);
+  t.deepEqual(events.map(({ id, data }) => [id, data]), [["1", "a"], ["2", "b"]]);
+});
+
+test("a cut-off event stays behind", (t) => {
+  const { events, rest } = split(Buffer.from("id: 1\ndata: a\n\nid: 2\nda"), []);
+  t.is(events.length, 1);
+  t.is(Buffer.from(rest).toString(), "id: 2\nda");
+});
+
+test("however the stream is cut, the same bytes and events come out", (t) => {
+  const line = fc.constantFrom("data: x", "id: 4", ":", "a", "data:", "", "\r");
+  const stream = fc.array(line, { maxLength: 30 }).map((lines) => Buffer.from(lines.join("\n")));
+  fc.assert(
+    fc.property(stream, fc.array(fc.nat(200), { maxLength: 12 }), (bytes, cuts) => {
+      const whole = split(bytes, []);
+      const pieces = split(bytes, cuts);
+      const out = Buffer.concat([...pieces.events.map((event) => event.bytes), pieces.rest]);
+      return out.equals(bytes) && pieces.events.length === whole.events.length &&
+        pieces.events.every(({ id, data }, index) =>
+          id === whole.events[index].id && data === whole.events[index].data
+        );
+    }),
+    { seed: 7, numRuns: 2000 },
+  );
+  t.pass();
+});
--- /dev/null
+++ b/src/services/store/common/keyed_topic_follower_test.ts
@@ -0,0 +1,90 @@
+import test from "ava";
+import type { Scope } from "effect";
+import { Effect } from "effect";
+import { TestClock } from "effect/testing";
+import { LogFault, PartitionedLogCore } from "../../../../test/stand_ins/partitioned_log_core.ts";
+import { NullLogger } from "../../logging/common/logger.ts";
+import { KeyedTopicFollower } from "./keyed_topic_follower.ts";
+
+const TOPIC = "keyed.things";
+
+function setUp() {
+  const log = new PartitionedLogCore();
+  const follower = new KeyedTopicFollower({
+    log,
+    topic: TOPIC,
+    waitMs: 0,
+    pauseMs: 100,
+    logger: new NullLogger(),
+  });
+  const seen: string[] = [];
+  follower.onDidUpdate(({ key, value, isAfterOutage }) =>
+    seen.push(`${key}=${value === undefined ? "-" : Buffer.from(value)}${isAfterOutage ? "!" : ""}`)
+  );
+  return { log, follower, seen };
+}
+
+function run(work: Effect.Effect<void, never, Scope.Scope>): Promise<void> {
+  return Effect.runPromise(Effect.provide(Effect.scoped(work), TestClock.layer()));
+}
+
+test("the newest values come first, then changes in order", async (t) => {
+  const { log, follower, seen } = setUp();
+  log.putKey(TOPIC, "a", Buffer.from("1"));
+  log.putKey(TOPIC, "a", Buffer.from("2"));
+  await run(Effect.gen(function* () {
+    yield* follower.start();
+    yield* TestClock.adjust(150);
+    log.putKey(TOPIC, "b", Buffer.from("3"));
+    log.putKey(TOPIC, "a", undefined);
+    yield* TestClock.adjust(150);
+  }));
+  t.deepEqual(seen, ["a=2", "b=3", "a=-"]);
+});
+
+test("a deleted history is read anew, and what is gone is noticed", async (t) => {
+  const { log, follower, seen } = setUp();
+  log.putKey(TOPIC, "a", Buffer.from("1"));
+  log.putKey(TOPIC, "b", Buffer.from("1"));
+  await run(Effect.gen(function* () {
+    yield* follower.start();
+    yield* TestClock.adjust(150);
+    log.putKey(TOPIC, "a", undefined);
+    log.putKey(TOPIC, "c", Buffer.from("2"));
+    log.compact(TOPIC);
+    yield* TestClock.adjust(350);
+  }));
+  t.deepEqual(seen, ["a=1", "b=1", "a=-", "c=2"]);
+});
+
+test("what is read after an outage says so", async (t) => {
+  const { log, follower, seen } = setUp();
+  log.putKey(TOPIC, "a", Buffer.from("1"));
+  let regained = 0;
+  follower.onDidRegain(() => regained += 1);
+  await run(Effect.gen(function* () {
+    yield* follower.start();
+    yield* TestClock.adjust(150);
+    log.fault = LogFault.Refuse;
+    yield* TestClock.adjust(1000);
+    t.true(follower.isFailing);
+    log.putKey(TOPIC, "a", undefined);
+    log.fault = LogFault.None;
+    yield* TestClock.adjust(1000);
+  }));
+  t.deepEqual(seen, ["a=1", "a=-!"]);
+  t.is(regained, 1);
+});
+
+test("a peer's reading counts only if it is further", async (t) => {
+  const { log, follower, seen } = setUp();
+  log.putKey(TOPIC, "a", Buffer.from("1"));
+  await run(Effect.gen(function* () {
+    yield* follower.start();
+    yield* TestClock.adjust(150);
+    follower.adopt({ items: [], end: 1 });
+    follower.adopt({ items: [{ key: "b", value: Buffer.from("2"), offset: 4 }], end: 5 });
+    follower.adopt({ items: [{ key: "a", value: Buffer.from("0"), offset: 0 }], end: 2 });
+  }));
+  t.deepEqual(seen, ["a=1", "a=-!", "b=2!"]);
+});
