Refuse requests that have crashed three servers

Change: strikes by the hash of the content and its caller, told to the others with the load reports, cleared when the request passes; requests without a body and a caller are never counted, since many look the same.

--- a/src/call/common/gateway_relay.ts
+++ b/src/call/common/gateway_relay.ts
@@ -13,6 +13,7 @@
 import { isRepeatable, pickService, RouteKind } from "../../services/routes/common/route_table.ts";
 import type { IChain, ITurnClient } from "../../turns/common/turn_client.ts";
 import { ChainState } from "../../turns/common/turn_client.ts";
+import type { CrashStrikes, IRequestContent } from "./crash_strikes.ts";
 import { EventSplitter } from "./event_splitter.ts";
 import type { IRefusal } from "./gateway_refusal.ts";
 import { finalRefusal, GatewayStatus, notRun, RefusalReason } from "./gateway_refusal.ts";
@@ -34,6 +35,8 @@
 const FULL_RETRY_MS = 300;
 /** When a caller comes back to an owner or a server that could not be found, in ms. */
 const ABSENT_RETRY_MS = 500;
+/** When the caller of a request that crashes servers may come back, in ms: beyond the life of its strikes. */
+const CRASHING_RETRY_MS = 60_000;
 /** Longest wait for the owner of a budget or of a kept turn, in ms: a slice changes hands in less. */
 const OWNER_PATIENCE_MS = 1500;
 /** Longest wait for the first configuration and list of servers after a start, in ms: a few calls to the store. */
@@ -61,6 +64,7 @@
   readonly caches: PromptCacheMap;
   readonly turns: ITurnClient;
   readonly admission: IProgramAdmission;
+  readonly strikes: CrashStrikes;
   readonly upstream: IUpstream;
   readonly logger: ILogger;
   readonly metrics: Metrics;
@@ -96,6 +100,9 @@
       yield* this.#awaitConfiguration();
       const route = routes.find(req.host, req.target);
       if (route === undefined) return this.#refuseEarly(sink, this.#noRoute(), req);
+      if (this.#opts.strikes.isCrashing(contentOf(req))) {
+        return this.#refuseEarly(sink, notRun(RefusalReason.Crashing, CRASHING_RETRY_MS), req);
+      }
       const now = yield* Clock.currentTimeMillis;
       const service = pickService(route.services, this.#opts.random());
       const call = new RelayedCall(req, { route, service, now, configurationVersion: routes.version });
@@ -210,7 +217,10 @@
         if (choice === undefined) return this.#noBackend(call);
         call.choice = choice;
         const outcome = yield* this.#attempt(attempt, choice);
-        if (outcome === AttemptOutcome.Done) return undefined;
+        if (outcome === AttemptOutcome.Done) {
+          this.#opts.strikes.notePass(contentOf(call.req));
+          return undefined;
+        }
         call.excluded.add(choice.backend.id);
         if (outcome === AttemptOutcome.NotRun) {
           call.refusals += 1;
@@ -290,6 +300,7 @@
       const id = call.choice!.backend.id;
       this.#opts.loads.noteFailure(id);
       if (fault !== UpstreamFault.NotSent) call.runs += 1;
+      if (fault === UpstreamFault.Broken) this.#opts.strikes.noteCrash(contentOf(call.req));
       this.#opts.metrics.count("backend_faults", { fault });
       const { runs, events } = call;
       this.#opts.logger.warn("backend-failed", {
@@ -490,6 +501,10 @@
   }
 }
 
+function contentOf({ method, target, body, program, affinityKey }: IOpaqueRequest): IRequestContent {
+  return { method, target, body, caller: program?.lineId ?? affinityKey ?? "" };
+}
+
 function isTurn({ req, route }: RelayedCall): boolean {
   return route.kind === RouteKind.Stream && route.retainMs > 0 && req.program?.budget !== undefined;
 }
--- a/src/call/common/gateway_relay_test.ts
+++ b/src/call/common/gateway_relay_test.ts
@@ -13,6 +13,7 @@
 import { RouteKind, RouteTable } from "../../services/routes/common/route_table.ts";
 import type { IEndedTurn, IFinishedTurn, ITurnClient } from "../../turns/common/turn_client.ts";
 import { ChainState } from "../../turns/common/turn_client.ts";
+import { CrashStrikes } from "./crash_strikes.ts";
 import { GatewayRelay } from "./gateway_relay.ts";
 import type { IAnswerSink, ICallCodec, IUpstream, IUpstreamAnswer, IUpstreamRequest } from "./opaque_call.ts";
 import { UpstreamError, UpstreamFault } from "./opaque_call.ts";
@@ -175,6 +176,7 @@
   readonly admission?: IProgramAdmission;
   readonly isStale?: boolean;
   readonly target?: string;
+  readonly strikes?: CrashStrikes;
 }
 
 /** Sends one request through a relay; the clock runs while it is under way. */
@@ -213,6 +215,7 @@
     loads: new BackendLoads(() => 0),
     caches: new PromptCacheMap(),
     turns,
+    strikes: setup.strikes ?? new CrashStrikes(() => 0),
     admission: setup.admission ?? new CrowdingAdmission(),
     upstream,
     logger,
@@ -395,3 +398,12 @@
   t.is((await relay({ target: "/other" })).sink.status, 404);
   t.is((await relay({ target: "/other", isStale: true })).sink.status, 503);
 });
+
+test("a request that has crashed three servers is refused before a fourth", async (t) => {
+  const strikes = new CrashStrikes(() => 0);
+  const script = [{ fault: UpstreamFault.Broken }];
+  for (let i = 0; i < 3; i++) t.is((await relay({ strikes, script })).sink.status, 502);
+  const { sink, sent } = await relay({ strikes, script });
+  t.is(sink.status, 503);
+  t.is(sent.length, 0);
+});
--- a/src/daemon/node/gateway.ts
+++ b/src/daemon/node/gateway.ts
@@ -4,6 +4,7 @@
 import { Clock, Effect } from "effect";
 import type { KeyedSnapshot } from "../../base/common/gen/ragwortcleat/v1/turns_pb.ts";
 import { TurnService } from "../../base/common/gen/ragwortcleat/v1/turns_pb.ts";
+import { CrashStrikes } from "../../call/common/crash_strikes.ts";
 import { GatewayRelay } from "../../call/common/gateway_relay.ts";
 import type { ICallCodec } from "../../call/common/opaque_call.ts";
 import { HttpUpstream } from "../../call/node/http_upstream.ts";
@@ -74,6 +75,7 @@
     const directory = new BackendDirectory(logger, now);
     const loads = new BackendLoads(now);
     const caches = new PromptCacheMap();
+    const strikes = new CrashStrikes(now);
     const upstream = yield* own(new HttpUpstream(codec));
     const transports = yield* own(new Http1Transports());
     const peers: TurnClients = new ServiceClients(TurnService, transports);
@@ -110,6 +112,7 @@
       caches,
       turns,
       admission: new CrowdingAdmission(),
+      strikes,
       upstream,
       logger,
       metrics,
@@ -124,6 +127,7 @@
         host: parseAddress(address).host,
         port: settings.datagramPort,
         loads,
+        strikes,
         peerHosts: () => group.peers.map((peer) => parseAddress(peer).host),
         logger,
       }),
--- a/src/peer/node/load_datagrams.ts
+++ b/src/peer/node/load_datagrams.ts
@@ -1,11 +1,12 @@
-/** Tells the other instances which load this one puts on backend servers, by datagrams. */
+/** Tells the other instances which load this one puts on backend servers and which crashes it saw, by datagrams. */
 import type { Socket } from "node:dgram";
 import { createSocket } from "node:dgram";
 import { create, fromBinary, toBinary } from "@bufbuild/protobuf";
 import type { Scope } from "effect";
 import { Effect } from "effect";
 import { toError } from "../../base/common/errors.ts";
-import { LoadDigestSchema } from "../../base/common/gen/ragwortcleat/v1/turns_pb.ts";
+import { CrashStrikeSchema, LoadDigestSchema } from "../../base/common/gen/ragwortcleat/v1/turns_pb.ts";
+import type { CrashStrikes } from "../../call/common/crash_strikes.ts";
 import type { BackendLoads } from "../../routing/common/backend_loads.ts";
 import type { ILogger } from "../../services/logging/common/logger.ts";
 
@@ -20,6 +21,7 @@
   /** The same on all instances. */
   readonly port: number;
   readonly loads: BackendLoads;
+  readonly strikes: CrashStrikes;
   /** Hosts of the other instances. */
   readonly peerHosts: () => readonly string[];
   readonly logger: ILogger;
@@ -64,12 +66,15 @@
 
   #send(hosts: readonly string[]): void {
     const own = this.#opts.loads.own();
-    if (own.size === 0 && !this.#hadLoad) return;
-    this.#hadLoad = own.size > 0;
+    const strikes = this.#opts.strikes.own().map((strike) => create(CrashStrikeSchema, strike));
+    const isIdle = own.size === 0 && strikes.length === 0;
+    if (isIdle && !this.#hadLoad) return;
+    this.#hadLoad = !isIdle;
+    const { instance } = this.#opts;
     const loads = [...own].map(([backendId, running]) => ({ backendId, running }));
     const message = toBinary(
       LoadDigestSchema,
-      create(LoadDigestSchema, { instance: this.#opts.instance, loads }),
+      create(LoadDigestSchema, { instance, loads, strikes }),
     );
     for (const host of hosts) this.#socket.send(message, this.#opts.port, host, (err) => this.#noteSent(err));
   }
@@ -82,9 +87,10 @@
 
   #receive(message: Uint8Array): void {
     try {
-      const { instance, loads } = fromBinary(LoadDigestSchema, message);
+      const { instance, loads, strikes } = fromBinary(LoadDigestSchema, message);
       const running = new Map(loads.map((load) => [load.backendId, load.running]));
       this.#opts.loads.noteReport({ instance, running });
+      this.#opts.strikes.noteReport(instance, strikes);
     } catch (err) {
       this.#opts.logger.warn("load-datagram-unreadable", { error: toError(err).message });
     }
