Bear a caller that leaves between two writes; tests of the front

Cause: reading the front for ways to end the process: a write on a closed response emits an error that nobody heard, which ends a Node process. Ruled out: stopping writes by a flag (the interrupt arrives later than the close). Change: the sink listens for errors of its response. Figures: 6 tests, among them a smuggled request and a body beyond the bound.

--- a/src/entry/node/gateway_front.ts
+++ b/src/entry/node/gateway_front.ts
@@ -1,5 +1,6 @@
 /** HTTP server for callers of opaque requests, and the probe that tells whether it takes them. */
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
+import type { AddressInfo } from "node:net";
 import { createServer } from "node:http";
 import type { Context } from "effect";
 import { Effect, Fiber } from "effect";
@@ -51,6 +52,11 @@
     return this.#active;
   }
 
+  /** Where the server listens. */
+  get address(): AddressInfo | string | null {
+    return this.#server.address();
+  }
+
   listen({ host, port }: { host: string; port: number }): Promise<void> {
     return new Promise((resolve, reject) => {
       this.#server.once("error", reject);
@@ -146,6 +152,8 @@
   constructor(res: ServerResponse, isStopping: () => boolean) {
     this.#res = res;
     this.#isStopping = isStopping;
+    // A caller may leave between two writes; the request's fiber is interrupted, the write's error says no more.
+    res.on("error", () => {});
   }
 
   get isBegun(): boolean {
--- /dev/null
+++ b/src/entry/node/gateway_front_test.ts
@@ -0,0 +1,123 @@
+import type { AddressInfo, Socket } from "node:net";
+import { connect } from "node:net";
+import { get } from "node:http";
+import test from "ava";
+import { Context, Deferred, Effect } from "effect";
+import type { GatewayRelay } from "../../call/common/gateway_relay.ts";
+import type { IAnswerSink, IRawRequest } from "../../call/common/opaque_call.ts";
+import { NullLogger } from "../../services/logging/common/logger.ts";
+import { GatewayFront } from "./gateway_front.ts";
+
+type Handler = (raw: IRawRequest, sink: IAnswerSink) => Effect.Effect<void>;
+
+async function listen(handle: Handler): Promise<{ front: GatewayFront; port: number }> {
+  const relay = { handle } as unknown as GatewayRelay;
+  const front = new GatewayFront({ relay, logger: new NullLogger(), context: Context.empty() });
+  await front.listen({ host: "127.0.0.1", port: 0 });
+  return { front, port: (front.address as AddressInfo).port };
+}
+
+function ask(port: number, path = "/"): Promise<{ status: number; connection: string; body: string }> {
+  return new Promise((resolve, reject) => {
+    get({ host: "127.0.0.1", port, path, agent: false }, (res) => {
+      let body = "";
+      res.on("data", (chunk) => body += chunk);
+      res.on(
+        "end",
+        () => resolve({ status: res.statusCode!, connection: res.headers.connection ?? "", body }),
+      );
+      res.on("error", reject);
+    }).on("error", reject);
+  });
+}
+
+const UNTIL_CLOSED = (socket: Socket) =>
+  new Promise<string>((resolve) => {
+    let text = "";
+    socket.on("data", (chunk) => text += chunk);
+    socket.on("close", () => resolve(text));
+  });
+
+test("an answer goes out whole, without the connection's headers of the server", async (t) => {
+  const { front, port } = await listen((raw, sink) =>
+    Effect.sync(() => sink.whole(201, ["X-A", "1", "Transfer-Encoding", "chunked"], Buffer.from(raw.target)))
+  );
+  t.deepEqual(await ask(port, "/a/../b"), { status: 201, connection: "close", body: "/a/../b" });
+  front.dispose();
+});
+
+test("a caller that leaves interrupts its request, and late writes end nothing", async (t) => {
+  const left = Deferred.makeUnsafe<void>();
+  const { front, port } = await listen((_raw, sink) => {
+    const begin = Effect.sync(() => {
+      sink.begin(200, []);
+      sink.write(Buffer.from("first"));
+    });
+    const writeLate = Effect.sync(() => {
+      sink.write(Buffer.from("late"));
+      sink.end();
+      Deferred.doneUnsafe(left, Effect.void);
+    });
+    return Effect.onInterrupt(Effect.andThen(begin, Effect.never), () => writeLate);
+  });
+  const socket = connect(port, "127.0.0.1", () => socket.write("GET / HTTP/1.1\r\nHost: h\r\n\r\n"));
+  socket.once("data", () => socket.destroy());
+  await Effect.runPromise(Deferred.await(left));
+  t.pass();
+  front.dispose();
+});
+
+test("an aborted answer does not look complete", async (t) => {
+  const { front, port } = await listen((_raw, sink) =>
+    Effect.sync(() => {
+      sink.begin(200, []);
+      sink.write(Buffer.from("part"));
+      setImmediate(() => sink.abort());
+    })
+  );
+  await t.throwsAsync(ask(port));
+  front.dispose();
+});
+
+test("a stopping front tells callers to give up their connections", async (t) => {
+  const { front, port } = await listen((_raw, sink) =>
+    Effect.sync(() => sink.whole(200, [], Buffer.from("x")))
+  );
+  front.announceStop();
+  const socket = connect(port, "127.0.0.1", () => socket.write("GET / HTTP/1.1\r\nHost: h\r\n\r\n"));
+  t.regex(await UNTIL_CLOSED(socket), /Connection: close/);
+  front.dispose();
+});
+
+test("a body beyond the bound is refused, and its rest is no request", async (t) => {
+  const { front, port } = await listen(() => Effect.die("not to be called"));
+  front.limit({ maxHeaderBytes: 1000, maxBodyBytes: 10, headerTimeoutMs: 1000, idleTimeoutMs: 1000 });
+  const socket = connect(port, "127.0.0.1", () => {
+    socket.write(
+      `POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 40\r\n\r\n${"GET /x HTTP/1.1\r\n".repeat(2)}xxxxxx`,
+    );
+  });
+  const text = await UNTIL_CLOSED(socket);
+  t.is(text.match(/HTTP\/1\.1 /g)?.length, 1);
+  t.regex(text, /^HTTP\/1\.1 413/);
+  front.dispose();
+});
+
+test("two requests inside one framing are not taken apart", async (t) => {
+  const targets: string[] = [];
+  const { front, port } = await listen((raw, sink) =>
+    Effect.sync(() => {
+      targets.push(raw.target);
+      sink.whole(200, [], Buffer.from("x"));
+    })
+  );
+  const smuggled = "GET /smuggled HTTP/1.1\r\nHost: h\r\n\r\n";
+  const socket = connect(port, "127.0.0.1", () => {
+    socket.write(
+      `POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n${smuggled}`,
+    );
+  });
+  await UNTIL_CLOSED(socket);
+  t.false(targets.includes("/smuggled"));
+  front.dispose();
+});
