--- a/src/call/common/gateway_relay.ts
+++ b/src/call/common/gateway_relay.ts
@@ -35,6 +35,8 @@
 const FULL_RETRY_MS = 300;
 /** When a caller comes back to an owner or a server that could not be found, in ms. */
 const ABSENT_RETRY_MS = 500;
+/** When a caller comes back while the store does not take a program's record, in ms: outages last seconds. */
+const STORE_RETRY_MS = 1200;
 /** When the caller of a request that crashes servers may come back, in ms: beyond the life of its strikes. */
 const CRASHING_RETRY_MS = 60_000;
 /** Longest wait for the owner of a budget or of a kept turn, in ms: a slice changes hands in less. */
@@ -178,6 +180,9 @@
       if (verdict === TurnVerdict.SPENT) {
         return finalRefusal(GatewayStatus.BudgetSpent, RefusalReason.BudgetSpent);
       }
+      if (verdict === TurnVerdict.NOT_RECORDED) {
+        return notRun(RefusalReason.BudgetUnavailable, STORE_RETRY_MS);
+      }
       if (verdict !== TurnVerdict.GRANTED) return notRun(RefusalReason.BudgetUnavailable, ABSENT_RETRY_MS);
       const serve = Effect.suspend(() => {
         const refusal = begun?.isFresh ? this.#admit(call) : undefined;
--- a/src/turns/common/owned_slices.ts
+++ b/src/turns/common/owned_slices.ts
@@ -17,6 +17,8 @@
 const OPEN_TIMEOUT_MS = 400;
 /** Longest wait for a record in the log, in ms: beyond it the caller is told to come back. */
 const RECORD_TIMEOUT_MS = 1000;
+/** The same while the store does not answer, in ms: one more try, then the caller is told at once. */
+const STALLED_TIMEOUT_MS = 200;
 /** Longest wait for an orderly release, in ms: a slice that cannot be released is closed as it is. */
 const RELEASE_TIMEOUT_MS = 600;
 
@@ -106,7 +108,8 @@
         if (ledger.isDirty) journal.noteSpending();
         return TurnVerdict.GRANTED;
       }
-      const isRecorded = yield* Effect.timeoutOption(journal.recordProgram(req.programId), RECORD_TIMEOUT_MS);
+      const patienceMs = journal.isStalled ? STALLED_TIMEOUT_MS : RECORD_TIMEOUT_MS;
+      const isRecorded = yield* Effect.timeoutOption(journal.recordProgram(req.programId), patienceMs);
       if (isRecorded._tag === "Some" && isRecorded.value) return TurnVerdict.GRANTED;
       ledger.end(req.programId, { turnId: req.turnId, tokens: 0 });
       return isRecorded._tag === "Some" ? TurnVerdict.NOT_OWNER : TurnVerdict.NOT_RECORDED;
--- a/src/turns/common/slice_journal.ts
+++ b/src/turns/common/slice_journal.ts
@@ -69,6 +69,7 @@
   #end = 0;
   #appendNumber = 0;
   #hasUrgent = false;
+  #isStalled = false;
   #checkpointAtMs = 0;
 
   constructor(opts: ISliceJournalOptions) {
@@ -79,6 +80,11 @@
     return this.#state;
   }
 
+  /** Whether the last append failed, so that further ones will have to wait for the store. */
+  get isStalled(): boolean {
+    return this.#isStalled;
+  }
+
   /** The slice's programs and turns; valid while the journal is open. */
   get slice(): SliceState {
     return this.#slice;
@@ -187,7 +193,7 @@
         slice,
         writer: String(writer),
         end: this.#end,
-        isClean: state.ledger.uncleanAtMs !== now,
+        isClean: state.isReleased,
         programs: state.ledger.size,
         turns: state.turns.size,
       });
@@ -276,9 +282,11 @@
         const outcome = yield* Effect.result(this.#append(events, this.#end));
         if (outcome._tag === "Success" && outcome.success.isAppended) {
           this.#end = outcome.success.end;
+          this.#isStalled = false;
           return true;
         }
         if (outcome._tag === "Failure") {
+          this.#isStalled = true;
           yield* this.#logFailure("slice-append-failed", outcome.failure);
           yield* Effect.sleep(RETRY_PAUSE_MS);
           if (outcome.failure.fault === StoreFault.Refused) continue;
@@ -304,6 +312,7 @@
         if (records.length === 0) return undefined;
         if (own.length === records.length) {
           this.#end = end;
+          this.#isStalled = false;
           return true;
         }
         const { slice, writer } = this.#opts;
--- a/src/turns/common/slice_journal_test.ts
+++ b/src/turns/common/slice_journal_test.ts
@@ -107,11 +107,14 @@
   await run(Effect.gen(function* () {
     const journal = yield* open(log, 1n);
     log.fault = LogFault.Refuse;
+    t.false(journal.isStalled);
     const stored = yield* Effect.forkChild(journal.storeTurn(turnOf("a")));
     yield* TestClock.adjust(5000);
+    t.true(journal.isStalled);
     log.fault = LogFault.None;
     yield* TestClock.adjust(1000);
     t.true(yield* Fiber.join(stored));
+    t.false(journal.isStalled);
   }));
 });
 
