Split the relay: attempts at servers, passing of streams

Ruled out: other names; no behaviour changes. Change: backend_attempts.ts, stream_relay.ts; a turn that could not be kept is logged with 502, since it has run.

--- /dev/null
+++ b/src/call/common/backend_attempts.ts
@@ -0,0 +1,240 @@
+/** Chooses backend servers for a request and tries them. */
+import { Clock, Effect } from "effect";
+import type { IBackendChoice, IBackendChooser } from "../../routing/common/backend_chooser.ts";
+import { EngineChooser, ServiceChooser } from "../../routing/common/backend_chooser.ts";
+import type { BackendLoads } from "../../routing/common/backend_loads.ts";
+import type { PromptCacheMap } from "../../routing/common/prompt_cache_map.ts";
+import type { BackendDirectory } from "../../services/backends/common/backend_directory.ts";
+import type { ILogger } from "../../services/logging/common/logger.ts";
+import type { Metrics } from "../../services/metrics/common/metrics.ts";
+import type { IEngineInfo, RouteTable } from "../../services/routes/common/route_table.ts";
+import { isRepeatable, RouteKind } from "../../services/routes/common/route_table.ts";
+import type { CrashStrikes } from "./crash_strikes.ts";
+import { finalRefusal, GatewayStatus, RefusalReason } from "./gateway_refusal.ts";
+import type { IAnswerHead, IAnswerSink, ICallCodec, IUpstream, IUpstreamAnswer } from "./opaque_call.ts";
+import { UpstreamError, UpstreamFault } from "./opaque_call.ts";
+import type { RelayedCall } from "./relayed_call.ts";
+import { AttemptOutcome } from "./relayed_call.ts";
+import { StreamRelay } from "./stream_relay.ts";
+
+/** Least time without a sign after which a repeatable request goes to another server, in ms. */
+const MIN_SILENCE_MS = 700;
+/** Multiple of a route's target after which a server counts as silent. */
+const SILENCE_TARGETS = 4;
+/** Statuses by which a server would promise that the request has not run. */
+const PROMISES = new Set([408, 421, 429, 503]);
+/** Urgency on engines of the most important route, and the step between two priorities. */
+const FIRST_URGENCY = 3;
+const URGENCY_STEP = 2;
+const LATE_URGENCY = 1;
+const LAST_URGENCY = 9;
+
+export interface IBackendAttemptsOptions {
+  readonly codec: ICallCodec;
+  readonly routes: RouteTable;
+  readonly directory: BackendDirectory;
+  readonly loads: BackendLoads;
+  readonly caches: PromptCacheMap;
+  readonly strikes: CrashStrikes;
+  readonly upstream: IUpstream;
+  readonly logger: ILogger;
+  readonly metrics: Metrics;
+  /** Availability zone of this instance. */
+  readonly zone: string;
+}
+
+/** A request as it is sent, and where its answer goes. */
+export interface IAttempt {
+  readonly call: RelayedCall;
+  readonly sink: IAnswerSink;
+  readonly body: Uint8Array;
+  /** What must be done before a stream's end is passed on; false when it failed. */
+  readonly beforeEnd: Effect.Effect<boolean>;
+}
+
+export class BackendAttempts {
+  readonly #opts: IBackendAttemptsOptions;
+
+  constructor(opts: IBackendAttemptsOptions) {
+    this.#opts = opts;
+  }
+
+  /** The server for a request; undefined when none may take it. */
+  choose(call: RelayedCall): IBackendChoice | undefined {
+    const { req, service, excluded } = call;
+    const chooser = this.#chooserOf(service);
+    const demand = {
+      zone: this.#opts.zone,
+      affinity: req.program?.lineId ?? req.affinityKey ?? "",
+      parts: req.prompt?.parts ?? [],
+      promptTokens: req.prompt?.promptTokens ?? 0,
+      maxTokens: req.prompt?.maxTokens ?? 0,
+      excluded,
+    };
+    const affinity = call.route.kind === RouteKind.Stream ? demand.affinity : req.affinityKey ?? "";
+    return chooser.choose({ ...demand, affinity }, this.#opts.directory.usable(service));
+  }
+
+  #chooserOf(service: string): IBackendChooser {
+    const engine = this.engineOf(service);
+    return engine === undefined
+      ? new ServiceChooser(this.#opts.loads)
+      : new EngineChooser(engine, this.#opts);
+  }
+
+  /** Undefined for plain services. */
+  engineOf(service: string): IEngineInfo | undefined {
+    return this.#opts.routes.service(service)?.engine;
+  }
+
+  /** Sends a request to the server that was chosen for it, and passes the answer on. */
+  run(attempt: IAttempt, choice: IBackendChoice): Effect.Effect<AttemptOutcome> {
+    const { loads } = this.#opts;
+    const { id } = choice.backend;
+    return Effect.suspend(() => {
+      loads.noteStart(id);
+      return this.#tryOnce(attempt, choice);
+    }).pipe(
+      Effect.catchTag(
+        "UpstreamError",
+        (err) =>
+          Effect.map(
+            this.#noteFault(attempt.call, err),
+            () => err.fault === UpstreamFault.NotSent ? AttemptOutcome.NotRun : AttemptOutcome.Failed,
+          ),
+      ),
+      Effect.ensuring(Effect.sync(() => loads.noteEnd(id))),
+    );
+  }
+
+  #noteFault(call: RelayedCall, { fault, message }: UpstreamError): Effect.Effect<void> {
+    return Effect.sync(() => {
+      const id = call.choice!.backend.id;
+      this.#opts.loads.noteFailure(id);
+      if (fault !== UpstreamFault.NotSent) call.runs += 1;
+      if (fault === UpstreamFault.Broken) this.#opts.strikes.noteCrash(call.content);
+      this.#opts.metrics.count("backend_faults", { fault });
+      const { runs, events } = call;
+      this.#opts.logger.warn("backend-failed", {
+        request: call.req.id,
+        backend: id,
+        fault,
+        runs,
+        events,
+        error: message,
+      });
+    });
+  }
+
+  #tryOnce(attempt: IAttempt, choice: IBackendChoice): Effect.Effect<AttemptOutcome, UpstreamError> {
+    return Effect.gen({ self: this }, function* () {
+      const { call, body } = attempt;
+      const { req } = call;
+      const now = yield* Clock.currentTimeMillis;
+      const headers = this.#opts.codec.dispatchHeaders(req, {
+        deadlineMs: Math.max(1, Math.floor(call.deadlineAtMs - now)),
+        instanceId: choice.backend.id,
+        urgency: req.prompt === undefined ? undefined : urgencyOf(call),
+        lastEventId: call.lastEventId,
+        bodyLength: body.length,
+      });
+      const send = this.#opts.upstream.send(choice.backend, {
+        requestId: req.id,
+        method: req.method,
+        target: req.target,
+        headers,
+        body,
+      });
+      const answer = yield* this.#orSilent(send, call);
+      this.#opts.loads.noteAnswer(choice.backend.id);
+      if (answer.head.isNotRun) {
+        answer.body.drain();
+        return AttemptOutcome.NotRun;
+      }
+      const isStream = call.route.kind === RouteKind.Stream && isSuccess(answer.head);
+      return yield* isStream ? this.#passStream(attempt, answer) : this.#passWhole(attempt, answer);
+    });
+  }
+
+  /** Gives a repeatable request's server a limited time for its first sign. */
+  #orSilent<T>(
+    work: Effect.Effect<T, UpstreamError>,
+    { route, runs, choice }: RelayedCall,
+  ): Effect.Effect<T, UpstreamError> {
+    // On a crowded engine a request waits for a slot without a sign.
+    const isCrowded = choice!.running >= choice!.backend.slots;
+    if (isCrowded || !isRepeatable(route) || runs + 1 >= route.attempts) return work;
+    const silenceMs = Math.max(MIN_SILENCE_MS, route.targetMs * SILENCE_TARGETS);
+    return Effect.timeoutOrElse(work, {
+      duration: silenceMs,
+      orElse: () => Effect.fail(new UpstreamError(UpstreamFault.Silent)),
+    });
+  }
+
+  #passWhole(
+    { call, sink }: IAttempt,
+    { head, body }: IUpstreamAnswer,
+  ): Effect.Effect<AttemptOutcome, UpstreamError> {
+    return Effect.gen({ self: this }, function* () {
+      const chunks: Uint8Array[] = [];
+      yield* body.read((chunk) => chunks.push(chunk));
+      call.runs += 1;
+      const now = yield* Clock.currentTimeMillis;
+      if (isSuccess(head)) this.#opts.loads.notePace(call.choice!.backend.id, now - call.startedAtMs);
+      const mayRepeat = isRepeatable(call.route) && call.runs < call.route.attempts;
+      if (head.status >= 500 && mayRepeat) return AttemptOutcome.Failed;
+      if (isUnsigned(head) || PROMISES.has(head.status)) return AttemptOutcome.Failed;
+      call.status = head.status;
+      sink.whole(head.status, head.headers, Buffer.concat(chunks));
+      return AttemptOutcome.Done;
+    });
+  }
+
+  #passStream(
+    attempt: IAttempt,
+    { head, body }: IUpstreamAnswer,
+  ): Effect.Effect<AttemptOutcome, UpstreamError> {
+    return Effect.gen({ self: this }, function* () {
+      const { call, sink } = attempt;
+      if (isUnsigned(head)) {
+        body.discard();
+        return yield* Effect.fail(new UpstreamError(UpstreamFault.Broken));
+      }
+      const relay = new StreamRelay(call, { sink, head });
+      yield* Effect.raceFirst(body.read((chunk) => relay.push(chunk)), relay.awaitSilence());
+      call.runs += 1;
+      this.#notePrompt(call);
+      const pace = relay.paceMs;
+      if (pace !== undefined) this.#opts.loads.notePace(call.choice!.backend.id, pace);
+      if (!(yield* attempt.beforeEnd)) {
+        call.refuse(finalRefusal(GatewayStatus.BadGateway, RefusalReason.HistoryUnavailable));
+        sink.abort();
+        return AttemptOutcome.Done;
+      }
+      relay.finish();
+      call.status = head.status;
+      return AttemptOutcome.Done;
+    });
+  }
+
+  #notePrompt({ req, service, choice }: RelayedCall): void {
+    const engine = this.engineOf(service);
+    if (engine === undefined || req.prompt === undefined) return;
+    this.#opts.caches.use(choice!.backend.id, { parts: req.prompt.parts, capacity: engine.kvTokens });
+  }
+}
+
+function isSuccess({ status }: IAnswerHead): boolean {
+  return status >= 200 && status < 300;
+}
+
+function isUnsigned(head: IAnswerHead): boolean {
+  return isSuccess(head) && !head.isSigned;
+}
+
+/** Rank on an engine: late requests behind all that can be on time. */
+function urgencyOf({ route, req }: RelayedCall): number {
+  const isLate = (req.program?.finishMs ?? 1) <= 0;
+  const rank = FIRST_URGENCY + route.priority * URGENCY_STEP + (isLate ? LATE_URGENCY : 0);
+  return Math.min(LAST_URGENCY, rank);
+}
--- a/src/call/common/relayed_call.ts
+++ b/src/call/common/relayed_call.ts
@@ -1,6 +1,7 @@
 /** State of one request on its way through the gateway. */
 import type { IBackendChoice } from "../../routing/common/backend_chooser.ts";
 import type { IRoute } from "../../services/routes/common/route_table.ts";
+import type { IRequestContent } from "./crash_strikes.ts";
 import type { GatewayStatus, IRefusal, RefusalReason } from "./gateway_refusal.ts";
 import type { IOpaqueRequest } from "./opaque_call.ts";
 
@@ -50,6 +51,11 @@
     this.lastEventId = req.lastEventId;
   }
 
+  /** The request's content and caller, by which crashes are counted. */
+  get content(): IRequestContent {
+    return contentOf(this.req);
+  }
+
   /** Fields of the request's line in the log. */
   describe(now: number): object {
     const { req, route, choice } = this;
@@ -84,3 +90,8 @@
     return refusal.status;
   }
 }
+
+/** What a caller's repetition of a request shares with it. */
+export function contentOf({ method, target, body, program, affinityKey }: IOpaqueRequest): IRequestContent {
+  return { method, target, body, caller: program?.lineId ?? affinityKey ?? "" };
+}
