Flush the last log lines until they are written; tests of the line writer

Cause: the end of a process waited a fixed 50 ms for its last lines, written or not. Ruled out: writing them synchronously (a reader that does not read would hold the process). Change: the flush ends with the write, or after half a second. Figures: 2 tests; a reader that does not read loses more than 3000 of 5000 lines of 1 KB, and nothing waits.

--- a/src/services/logging/node/line_writer.ts
+++ b/src/services/logging/node/line_writer.ts
@@ -4,6 +4,9 @@
 
 /** Longest time that a line waits for others, in ms: fewer, larger writes. */
 const FLUSH_INTERVAL_MS = 50;
+/** Longest wait for the last lines at the end of the process, in ms. */
+const MAX_FLUSH_MS = 500;
+const FLUSH_POLL_MS = 5;
 /** Bytes of lines that wait for a slow reader; what comes beyond them is dropped and counted. */
 const MAX_WAITING_BYTES = 1024 * 1024;
 
@@ -35,10 +38,12 @@
     this.#timer ??= setTimeout(() => this.#flush(), FLUSH_INTERVAL_MS).unref();
   }
 
-  /** Writes what waits now, before the process ends. */
-  flush(): Promise<void> {
+  /** Writes what waits, before the process ends; gives up on a reader that does not read. */
+  async flush(): Promise<void> {
     this.#flush();
-    return new Promise((resolve) => setTimeout(resolve, FLUSH_INTERVAL_MS));
+    for (let waitedMs = 0; this.#isWriting && waitedMs < MAX_FLUSH_MS; waitedMs += FLUSH_POLL_MS) {
+      await new Promise((resolve) => setTimeout(resolve, FLUSH_POLL_MS));
+    }
   }
 
   #flush(): void {
--- /dev/null
+++ b/src/services/logging/node/line_writer_test.ts
@@ -0,0 +1,24 @@
+import { mkdtempSync, openSync, readFileSync } from "node:fs";
+import { execFileSync } from "node:child_process";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import test from "ava";
+import { LineWriter } from "./line_writer.ts";
+
+test("lines come out whole and in order", async (t) => {
+  const file = join(mkdtempSync(join(tmpdir(), "ragwortcleat-log-")), "log");
+  const writer = new LineWriter(openSync(file, "w"));
+  for (let i = 0; i < 1000; i++) writer.write(`line ${i}`);
+  await writer.flush();
+  t.is(readFileSync(file, "utf8"), Array.from({ length: 1000 }, (_, i) => `line ${i}\n`).join(""));
+  t.is(writer.dropped, 0);
+});
+
+test("a reader that does not read loses lines, and nothing waits for it", (t) => {
+  const fifo = join(mkdtempSync(join(tmpdir(), "ragwortcleat-log-")), "fifo");
+  execFileSync("mkfifo", [fifo]);
+  const writer = new LineWriter(openSync(fifo, "r+"));
+  const line = "x".repeat(1000);
+  for (let i = 0; i < 5000; i++) writer.write(line);
+  t.true(writer.dropped > 3000, String(writer.dropped));
+});
