Refuse new programs later: at nine tenths of the slots

Change: 0.9 for the most important kind, 0.7 for the next. The test of the order no longer names levels between the old bounds; it checks the order at all levels, and both ends.

--- a/src/routing/common/backend_chooser_test.ts
+++ b/src/routing/common/backend_chooser_test.ts
@@ -130,9 +130,13 @@
   t.true(admitted > without, `${without} ${admitted}`);
 });
 
-test("the less important kind is refused first", (t) => {
+test("the less important kind is refused first, never the other way round", (t) => {
   const admission = new CrowdingAdmission();
-  const crowding = [0.5, 0.55];
-  t.true(admission.decide({ crowding, priority: 0, random: 0 }).isAdmitted);
-  t.false(admission.decide({ crowding, priority: 1, random: 0 }).isAdmitted);
+  const levels = Array.from({ length: 40 }, (_, level) => level / 20);
+  const admits = (priority: number, share: number) =>
+    admission.decide({ crowding: [share], priority, random: 0 }).isAdmitted;
+  t.true(levels.some((share) => admits(0, share) && !admits(1, share)));
+  t.false(levels.some((share) => !admits(0, share) && admits(1, share)));
+  t.true(admits(0, 0.3) && admits(1, 0.3));
+  t.false(admits(0, 1) || admits(1, 1));
 });
--- a/src/routing/common/program_admission.ts
+++ b/src/routing/common/program_admission.ts
@@ -1,13 +1,12 @@
 /** Decides whether a program may begin while the engines are crowded. */
 
 /**
- * Share of the engines' slots in use from which on programs of the most important kind are refused.
- * All requests of an engine share its pace: beyond about half of the slots a token takes half as long
- * again as alone, which is all the room that programs' objectives leave.
+ * Share of the engines' slots in use from which on programs of the most important kind are refused:
+ * with more under way each of their turns would wait for a slot, and all would end late.
  */
-const FULL_SHARE = 0.6;
+const FULL_SHARE = 0.9;
 /** By how much earlier each less important kind is refused, as a share of the slots. */
-const PRIORITY_STEP = 0.12;
+const PRIORITY_STEP = 0.2;
 /** Least share from which any kind is refused. */
 const MIN_SHARE = 0.3;
 /** When a refused program comes back, in ms: about the time in which a crowded engine ends a turn. */
