Usual terms in comments and names of the gateway

Cause: read as a newcomer, some names and comments spoke in images (beliefs, told, handed out). Ruled out: changes of behaviour; the call for a peer's state has another name on both sides.

--- a/src/call/common/crash_strikes.ts
+++ b/src/call/common/crash_strikes.ts
@@ -24,7 +24,7 @@
   readonly method: string;
   readonly target: string;
   readonly body: Uint8Array;
-  /** Who sends it, as far as it tells; empty otherwise. */
+  /** Identity of the sender, where the request has one; empty otherwise. */
   readonly caller: string;
 }
 
--- a/src/call/common/gateway_relay.ts
+++ b/src/call/common/gateway_relay.ts
@@ -12,7 +12,7 @@
 import type { IAnswerSink, IOpaqueRequest, IRawRequest } from "./opaque_call.ts";
 import { AttemptOutcome, contentOf, RelayedCall } from "./relayed_call.ts";
 
-/** Refusals by full servers after which the caller is told to come back. */
+/** Refusals by full servers after which the request is refused. */
 const MAX_REFUSALS = 4;
 /** When a caller comes back to full servers, in ms: a few answers later. */
 const FULL_RETRY_MS = 300;
@@ -115,7 +115,7 @@
     });
   }
 
-  /** Asks for the budget and the chain before a turn, and tells afterwards what it has handed out. */
+  /** Asks for the budget and the chain before a turn, and reports afterwards what it has delivered. */
   #serveTurn(call: RelayedCall, sink: IAnswerSink): Effect.Effect<IRefusal | undefined> {
     return Effect.gen({ self: this }, function* () {
       const { req, route } = call;
--- a/src/daemon/common/gateway_core.ts
+++ b/src/daemon/common/gateway_core.ts
@@ -35,8 +35,8 @@
 const BACKENDS_PAUSE_MS = 600;
 /** Time limit of a short call to a peer, in ms. */
 const PEER_TIMEOUT_MS = 300;
-/** Pause between two looks at a peer's beliefs while the store does not answer, in ms. */
-const BELIEFS_INTERVAL_MS = 700;
+/** Pause between two looks at a peer's snapshot while the store does not answer, in ms. */
+const SNAPSHOT_INTERVAL_MS = 700;
 
 /** What a gateway needs from outside. */
 export interface IGatewayOutside {
@@ -121,11 +121,11 @@
     });
   }
 
-  /** Hands all slices over and tells the peers so. */
+  /** Hands all slices over and notifies the peers. */
   leave(): Effect.Effect<void> {
     return Effect.gen({ self: this }, function* () {
       yield* this.group.leave();
-      const tell = (peer: string) => Effect.forkChild(this.#tellReassigned(peer));
+      const tell = (peer: string) => Effect.forkChild(this.#notifyReassigned(peer));
       yield* Effect.forEach(this.group.peers, tell, { discard: true });
     });
   }
@@ -188,45 +188,45 @@
   #followPeers(): Effect.Effect<void> {
     return Effect.gen({ self: this }, function* () {
       while (true) {
-        yield* Effect.sleep(BELIEFS_INTERVAL_MS);
+        yield* Effect.sleep(SNAPSHOT_INTERVAL_MS);
         if (!this.configuration.isFailing && !this.backends.isFailing) continue;
         const { seeds, peerAddress } = this.#settings;
         const known = [...new Set([...this.group.peers, ...seeds])].filter((peer) => peer !== peerAddress);
         if (known.length === 0) continue;
-        const beliefs = yield* this.#fetchBeliefs(known[Math.floor(this.#outside.random() * known.length)]);
-        if (beliefs === undefined) continue;
-        if (beliefs.configuration !== undefined) this.configuration.adopt(itemsOf(beliefs.configuration));
-        if (beliefs.backends !== undefined) this.backends.adopt(itemsOf(beliefs.backends));
-        if (beliefs.owners.length > 0) this.group.adopt(tableOf(beliefs));
+        const snapshot = yield* this.#fetchSnapshot(known[Math.floor(this.#outside.random() * known.length)]);
+        if (snapshot === undefined) continue;
+        if (snapshot.configuration !== undefined) this.configuration.adopt(itemsOf(snapshot.configuration));
+        if (snapshot.backends !== undefined) this.backends.adopt(itemsOf(snapshot.backends));
+        if (snapshot.owners.length > 0) this.group.adopt(tableOf(snapshot));
       }
     });
   }
 
-  #fetchBeliefs(peer: string) {
+  #fetchSnapshot(peer: string) {
     const call = this.#peers.call(peer, {
       timeoutMs: PEER_TIMEOUT_MS,
-      invoke: (client, signal) => client.getBeliefs({}, { signal }),
+      invoke: (client, signal) => client.getSnapshot({}, { signal }),
     });
     return Effect.catchTag(call, "PeerError", (err) => {
-      this.#outside.logger.info("peer-not-asked", { peer, error: err.message });
+      this.#outside.logger.info("peer-snapshot-failed", { peer, error: err.message });
       return Effect.succeed(undefined);
     });
   }
 
   #fetchTable(peer: string): Effect.Effect<IOwnerTable | undefined> {
     return Effect.map(
-      this.#fetchBeliefs(peer),
-      (beliefs) => beliefs === undefined ? undefined : tableOf(beliefs),
+      this.#fetchSnapshot(peer),
+      (snapshot) => snapshot === undefined ? undefined : tableOf(snapshot),
     );
   }
 
-  #tellReassigned(peer: string): Effect.Effect<void> {
+  #notifyReassigned(peer: string): Effect.Effect<void> {
     const call = this.#peers.call(peer, {
       timeoutMs: PEER_TIMEOUT_MS,
       invoke: (client, signal) => client.reassigned({}, { signal }),
     });
-    // A peer that is not told learns it with its next renewal.
-    const log = (err: Error) => this.#outside.logger.info("peer-not-told", { peer, error: err.message });
+    // A peer that is not notified learns it with its next renewal.
+    const log = (err: Error) => this.#outside.logger.info("peer-not-notified", { peer, error: err.message });
     return Effect.asVoid(Effect.catchTag(call, "PeerError", (err) => Effect.sync(() => log(err))));
   }
 }
--- a/src/peer/common/turn_service.ts
+++ b/src/peer/common/turn_service.ts
@@ -27,7 +27,7 @@
       return { isOwner: isStored !== undefined, isStored: isStored === true };
     },
     loadTurn: ({ turnId }) => run(owned.load(turnId)),
-    getBeliefs: () => ({
+    getSnapshot: () => ({
       configuration: snapshotOf(opts.configuration.snapshot()),
       backends: snapshotOf(opts.backends.snapshot()),
       generation: group.table.generation,
--- a/src/services/settings/common/gen/gateway_settings.ts
+++ b/src/services/settings/common/gen/gateway_settings.ts
@@ -25,7 +25,7 @@
    */
   probeAddress: string;
   /**
-   * Address for the other instances, as HOST:PORT; names the instance in the group that deals out slices.
+   * Address for the other instances, as HOST:PORT; names the instance in the group that assigns slices.
    */
   peerAddress: string;
   /**
@@ -106,7 +106,7 @@
     "peerAddress": {
       "type": "string",
       "pattern": "^[^:]+:\\d+$",
-      "description": "Address for the other instances, as HOST:PORT; names the instance in the group that deals out slices."
+      "description": "Address for the other instances, as HOST:PORT; names the instance in the group that assigns slices."
     },
     "datagramPort": {
       "type": "integer",
--- a/src/services/store/common/keyed_topic_follower.ts
+++ b/src/services/store/common/keyed_topic_follower.ts
@@ -1,4 +1,4 @@
-/** Follows a keyed topic of the store and tells of each key's newest value. */
+/** Follows a keyed topic of the store and reports each key's newest value. */
 import type { Scope } from "effect";
 import { Clock, Effect } from "effect";
 import type { Event } from "../../../base/common/emitter.ts";
--- a/src/turns/common/owned_slices.ts
+++ b/src/turns/common/owned_slices.ts
@@ -15,9 +15,9 @@
 
 /** Longest wait for a slice that is being recovered, in ms: a recovery takes a few calls to the store. */
 const OPEN_TIMEOUT_MS = 400;
-/** Longest wait for a record in the log, in ms: beyond it the caller is told to come back. */
+/** Longest wait for a record in the log, in ms: beyond it the turn is refused. */
 const RECORD_TIMEOUT_MS = 1000;
-/** The same while the store does not answer, in ms: one more try, then the caller is told at once. */
+/** The same while the store does not answer, in ms: one more try. */
 const STALLED_TIMEOUT_MS = 200;
 /** Longest wait for an orderly release, in ms: a slice that cannot be released is closed as it is. */
 const RELEASE_TIMEOUT_MS = 600;
--- a/src/turns/common/slice_group.ts
+++ b/src/turns/common/slice_group.ts
@@ -1,4 +1,4 @@
-/** Which instance owns which slice: a group of the platform's log deals them out. */
+/** Which instance owns which slice: a group of the platform's log assigns them. */
 import type { Scope } from "effect";
 import { Clock, Effect } from "effect";
 import type { Event } from "../../base/common/emitter.ts";
--- a/src/turns/common/spending_ledger.ts
+++ b/src/turns/common/spending_ledger.ts
@@ -123,7 +123,7 @@
     return Spending.GrantedWhenRecorded;
   }
 
-  /** Whether a program has handed out nothing yet and has no other turn running. */
+  /** Whether a program has delivered nothing yet and has no other turn running. */
   isFresh(programId: string, turnId: string): boolean {
     const program = this.#programs.get(programId);
     if (program === undefined) return true;
@@ -136,7 +136,7 @@
     return program !== undefined && program.limit !== undefined && committed(program) <= program.limit;
   }
 
-  /** Notes what a turn has handed out; a turn that is not known (any more) changes nothing. */
+  /** Notes what a turn has delivered; a turn that is not known (any more) changes nothing. */
   end(programId: string, { turnId, tokens }: { turnId: string; tokens: number }): void {
     const program = this.#programs.get(programId);
     const most = program?.running.get(turnId);
@@ -216,7 +216,7 @@
   }
 }
 
-/** Most that a program can have handed out so far. */
+/** Most that a program can have delivered so far. */
 function committed({ spent, running }: Pick<IProgramSpending, "spent" | "running">): number {
   let sum = spent;
   for (const most of running.values()) sum += most;
--- a/src/turns/common/turn_client.ts
+++ b/src/turns/common/turn_client.ts
@@ -78,7 +78,7 @@
 export interface ITurnClient {
   /** Asks for a turn; undefined when no owner could be asked in time. */
   begin(grant: ITurnGrant, patienceMs: number): Effect.Effect<IBegunTurn | undefined>;
-  /** Tells the owner what a turn has handed out. */
+  /** Reports to the owner what a turn has delivered. */
   end(turn: IEndedTurn): Effect.Effect<void>;
   /** The chain that ends with a turn. */
   load(turnId: string, patienceMs: number): Effect.Effect<ChainResult>;
@@ -90,7 +90,7 @@
 export interface IEndedTurn {
   readonly programId: string;
   readonly turnId: string;
-  /** Tokens handed to the caller. */
+  /** Tokens delivered to the caller. */
   readonly tokens: number;
 }
 
@@ -110,8 +110,8 @@
 
   end(turn: IEndedTurn): Effect.Effect<void> {
     const req = create(EndTurnRequestSchema, turn);
-    return Effect.map(this.#retry(END_PATIENCE_MS, () => this.#endOnce(req)), (isTold) => {
-      if (!isTold) this.#opts.logger.warn("turn-end-untold", turn);
+    return Effect.map(this.#retry(END_PATIENCE_MS, () => this.#endOnce(req)), (isReported) => {
+      if (!isReported) this.#opts.logger.warn("turn-end-unreported", turn);
     });
   }
 
