Revert: read what has arrived before idle connections are closed at a stop

So the fault is not shown, and the change answers nothing known. Ruled out: keeping it on suspicion. Conclusion: reverted.

--- a/src/entry/node/gateway_front.ts
+++ b/src/entry/node/gateway_front.ts
@@ -5,7 +5,6 @@
 import type { Context } from "effect";
 import { Effect, Fiber } from "effect";
 import { toError } from "../../base/common/errors.ts";
-import { closeGracefully } from "../../base/node/graceful_close.ts";
 import type { GatewayRelay } from "../../call/common/gateway_relay.ts";
 import { GatewayStatus, RefusalReason } from "../../call/common/gateway_refusal.ts";
 import type { IAnswerSink } from "../../call/common/opaque_call.ts";
@@ -80,7 +79,8 @@
   /** Takes no new connections; requests under way go on. */
   stopAccepting(): void {
     this.announceStop();
-    closeGracefully(this.#server);
+    this.#server.close();
+    this.#server.closeIdleConnections();
   }
 
   dispose(): void {
--- a/src/entry/node/http_server.ts
+++ b/src/entry/node/http_server.ts
@@ -4,7 +4,6 @@
 import type { Context } from "effect";
 import { Effect, Fiber } from "effect";
 import { CallError, toError } from "../../base/common/errors.ts";
-import { closeGracefully } from "../../base/node/graceful_close.ts";
 import { Ran, Reason } from "../../base/common/gen/ragwortcleat/v1/common_pb.ts";
 import type { ILogger } from "../../services/logging/common/logger.ts";
 import { problemHeaders, toProblem } from "../common/problem.ts";
@@ -82,7 +81,8 @@
   /** Takes no new connections; the requests under way go on. */
   stopAccepting(): void {
     this.announceStop();
-    closeGracefully(this.#server);
+    this.#server.close();
+    this.#server.closeIdleConnections();
   }
 
   dispose(): void {
