--- a/src/daemon/node/daemon.ts
+++ b/src/daemon/node/daemon.ts
@@ -1,6 +1,7 @@
 /** One instance as a process: its listeners, its start and its graceful stop. */
 import type { Scope } from "effect";
 import { Clock, Effect } from "effect";
+import { own } from "../../base/common/owned.ts";
 import { HttpClient } from "../../base/node/http_client.ts";
 import { CallerApi } from "../../entry/node/caller_api.ts";
 import { HttpServer } from "../../entry/node/http_server.ts";
@@ -85,10 +86,6 @@
   return isMember && core.handOver.isSettled && core.configuration.version >= 0;
 }
 
-function own<T extends { dispose(): void }>(resource: T): Effect.Effect<T, never, Scope.Scope> {
-  return Effect.acquireRelease(Effect.succeed(resource), () => Effect.sync(() => resource.dispose()));
-}
-
 function addressOf({ host, port }: { host: string; port: number }): string {
   return `${host}:${port}`;
 }
--- a/src/daemon/node/gateway.ts
+++ b/src/daemon/node/gateway.ts
@@ -2,6 +2,7 @@
 import { randomBytes } from "node:crypto";
 import type { Scope } from "effect";
 import { Clock, Effect } from "effect";
+import { own } from "../../base/common/owned.ts";
 import type { ICallCodec } from "../../call/common/opaque_call.ts";
 import { HttpUpstream } from "../../call/node/http_upstream.ts";
 import { GatewayFront, ProbeServer } from "../../entry/node/gateway_front.ts";
@@ -136,7 +137,3 @@
   const at = address.lastIndexOf(":");
   return { host: address.slice(0, at), port: Number(address.slice(at + 1)) };
 }
-
-function own<T extends { dispose(): void }>(resource: T): Effect.Effect<T, never, Scope.Scope> {
-  return Effect.acquireRelease(Effect.succeed(resource), () => Effect.sync(() => resource.dispose()));
-}
--- a/src/entry/node/gateway_front.ts
+++ b/src/entry/node/gateway_front.ts
@@ -5,6 +5,8 @@
 import type { Context } from "effect";
 import { Effect, Fiber } from "effect";
 import { toError } from "../../base/common/errors.ts";
+import type { IListenAddress } from "../../base/node/listen.ts";
+import { listen } from "../../base/node/listen.ts";
 import type { GatewayRelay } from "../../call/common/gateway_relay.ts";
 import { GatewayStatus, RefusalReason } from "../../call/common/gateway_refusal.ts";
 import type { IAnswerSink } from "../../call/common/opaque_call.ts";
@@ -57,11 +59,8 @@
     return this.#server.address();
   }
 
-  listen({ host, port }: { host: string; port: number }): Promise<void> {
-    return new Promise((resolve, reject) => {
-      this.#server.once("error", reject);
-      this.#server.listen(port, host, resolve);
-    });
+  listen(address: IListenAddress): Promise<void> {
+    return listen(this.#server, address);
   }
 
   /** Puts bounds on callers in force. */
@@ -212,11 +211,8 @@
     });
   }
 
-  listen({ host, port }: { host: string; port: number }): Promise<void> {
-    return new Promise((resolve, reject) => {
-      this.#server.once("error", reject);
-      this.#server.listen(port, host, resolve);
-    });
+  listen(address: IListenAddress): Promise<void> {
+    return listen(this.#server, address);
   }
 
   dispose(): void {
--- a/src/entry/node/http_server.ts
+++ b/src/entry/node/http_server.ts
@@ -5,6 +5,8 @@
 import { Effect, Fiber } from "effect";
 import { CallError, toError } from "../../base/common/errors.ts";
 import { Ran, Reason } from "../../base/common/gen/ragwortcleat/v1/common_pb.ts";
+import type { IListenAddress } from "../../base/node/listen.ts";
+import { listen } from "../../base/node/listen.ts";
 import type { ILogger } from "../../services/logging/common/logger.ts";
 import { problemHeaders, toProblem } from "../common/problem.ts";
 
@@ -66,11 +68,8 @@
     return this.#active;
   }
 
-  listen({ host, port }: { host: string; port: number }): Promise<void> {
-    return new Promise((resolve, reject) => {
-      this.#server.once("error", reject);
-      this.#server.listen(port, host, resolve);
-    });
+  listen(address: IListenAddress): Promise<void> {
+    return listen(this.#server, address);
   }
 
   /** Has clients give up their connections after the next reply. */
--- a/src/peer/node/http1_transports.ts
+++ b/src/peer/node/http1_transports.ts
@@ -5,6 +5,8 @@
 import { connectNodeAdapter, createConnectTransport } from "@connectrpc/connect-node";
 import { TurnService } from "../../base/common/gen/ragwortcleat/v1/turns_pb.ts";
 import { GuardedAgent } from "../../base/node/guarded_agent.ts";
+import type { IListenAddress } from "../../base/node/listen.ts";
+import { listen } from "../../base/node/listen.ts";
 import type { IPeerTransports } from "../../membership/common/peer_client.ts";
 
 const MAX_MESSAGE_BYTES = 8 * 1024 * 1024;
@@ -51,11 +53,8 @@
     this.#server = createServer({ noDelay: true, keepAliveTimeout: IDLE_MS }, handler);
   }
 
-  listen({ host, port }: { host: string; port: number }): Promise<void> {
-    return new Promise((resolve, reject) => {
-      this.#server.once("error", reject);
-      this.#server.listen(port, host, resolve);
-    });
+  listen(address: IListenAddress): Promise<void> {
+    return listen(this.#server, address);
   }
 
   dispose(): void {
--- a/src/peer/node/http2_transports.ts
+++ b/src/peer/node/http2_transports.ts
@@ -4,6 +4,8 @@
 import type { ServiceImpl, Transport } from "@connectrpc/connect";
 import { connectNodeAdapter, createConnectTransport, Http2SessionManager } from "@connectrpc/connect-node";
 import { PeerService } from "../../base/common/gen/ragwortcleat/v1/peer_pb.ts";
+import type { IListenAddress } from "../../base/node/listen.ts";
+import { listen } from "../../base/node/listen.ts";
 import type { IPeerTransports } from "../../membership/common/peer_client.ts";
 
 /** Time between two pings of a connection with calls under way. */
@@ -60,11 +62,8 @@
     });
   }
 
-  listen({ host, port }: { host: string; port: number }): Promise<void> {
-    return new Promise((resolve, reject) => {
-      this.#server.once("error", reject);
-      this.#server.listen(port, host, resolve);
-    });
+  listen(address: IListenAddress): Promise<void> {
+    return listen(this.#server, address);
   }
 
   dispose(): void {
