--- a/src/call/common/call_service.ts
+++ b/src/call/common/call_service.ts
@@ -16,8 +16,9 @@
 import type { IConfigurationSource } from "../../services/configuration/common/configuration_source.ts";
 import type { BusyPrograms } from "../../program/common/busy_programs.ts";
 import type { JournalState } from "../../program/common/journal_state.ts";
+import type { ProgramFinder } from "../../program/common/program_finder.ts";
 import type { Program } from "../../program/common/program_store.ts";
-import { notOwner, programEnded, unknownProgram } from "../../program/common/refusals.ts";
+import { notOwner, programEnded } from "../../program/common/refusals.ts";
 import type { IBudgetKeeper } from "./budget_keeper.ts";
 import { CallRun } from "./call_run.ts";
 import type { ICallAnswer } from "./call_run.ts";
@@ -28,6 +29,7 @@
 
 export interface ICallServiceOptions {
   readonly state: JournalState;
+  readonly finder: ProgramFinder;
   readonly membership: Membership;
   readonly handOver: HandOver;
   readonly busy: BusyPrograms;
@@ -72,7 +74,7 @@
       if (joined !== undefined) return yield* joined;
       yield* this.#awaitOwnership(req.programId);
       yield* this.#opts.busy.awaitFree(req.programId);
-      const program = yield* this.#find(req);
+      const program = yield* this.#opts.finder.find(req.programId, req.customer);
       const rejoined = this.#join(req);
       if (rejoined !== undefined) return yield* rejoined;
       const fingerprint = requestFingerprint(req);
@@ -104,13 +106,6 @@
     });
   }
 
-  /** A customer's program; one of another customer is as unknown as one that does not exist. */
-  #find(req: CallRequest): Effect.Effect<Program, CallError> {
-    const program = this.#opts.state.programs.get(req.programId);
-    if (program?.spec.customer === req.customer) return Effect.succeed(program);
-    return Effect.fail(unknownProgram());
-  }
-
   #checkStart(program: Program, req: CallRequest): Effect.Effect<void, CallError> {
     return Effect.gen({ self: this }, function* () {
       if (req.step > program.nextStep) {
--- a/src/daemon/common/core.ts
+++ b/src/daemon/common/core.ts
@@ -40,6 +40,7 @@
 import { IdleReaper } from "../../program/common/idle_reaper.ts";
 import { JournalState } from "../../program/common/journal_state.ts";
 import { ProgramService } from "../../program/common/program_service.ts";
+import { ProgramFinder } from "../../program/common/program_finder.ts";
 import { SliceRecovery } from "../../program/common/slice_recovery.ts";
 import { BackendRegistry } from "../../routing/common/backend_registry.ts";
 import { EngineAdmission } from "../../routing/common/engine_admission.ts";
@@ -146,7 +147,8 @@
     const copies = new HeldCopies();
     const busy = new BusyPrograms({ views, programs: state.programs, leaseMs: timing.leaseMs });
     const recovery = new SliceRecovery({ self, state, journal, writer, copies, busy, peers });
-    const programs = new ProgramService({ state, writer, handOver, configuration });
+    const finder = new ProgramFinder(state, journal);
+    const programs = new ProgramService({ state, finder, writer, handOver, configuration });
     const registry = new BackendRegistry({ ...outside });
     const order = new ClassDeadlineOrder(preset);
     const chooser = new ExpectedFinishChooser(preset);
@@ -177,6 +179,7 @@
     const recorder = new TurnRecorder({ self, state, writer, busy, peers });
     const calls: CallService = new CallService({
       state,
+      finder,
       membership,
       handOver,
       busy,
--- a/src/entry/node/http_server.ts
+++ b/src/entry/node/http_server.ts
@@ -1,6 +1,8 @@
 /** HTTP server for callers and operators: reads requests, finds their route, and writes replies. */
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
 import { createServer } from "node:http";
+import type { AddressInfo } from "node:net";
+import { Server as NetServer } from "node:net";
 import type { Context } from "effect";
 import { Effect, Fiber } from "effect";
 import { CallError, toError } from "../../base/common/errors.ts";
@@ -68,6 +70,11 @@
     return this.#active;
   }
 
+  /** Where the server listens. */
+  get address(): AddressInfo | string | null {
+    return this.#server.address();
+  }
+
   listen(address: IListenAddress): Promise<void> {
     return listen(this.#server, address);
   }
@@ -77,11 +84,11 @@
     this.#isStopping = true;
   }
 
-  /** Takes no new connections; the requests under way go on. */
+  /** Takes no new connections; those that are open go on until the end, also idle ones. */
   stopAccepting(): void {
     this.announceStop();
-    this.#server.close();
-    this.#server.closeIdleConnections();
+    // Closing the HTTP server would close connections that look idle because a request on them is not read yet.
+    NetServer.prototype.close.call(this.#server);
   }
 
   dispose(): void {
--- /dev/null
+++ b/src/entry/node/http_server_test.ts
@@ -0,0 +1,38 @@
+import { Agent, request } from "node:http";
+import type { AddressInfo } from "node:net";
+import { Context, Effect } from "effect";
+import test from "ava";
+import { NullLogger } from "../../services/logging/common/logger.ts";
+import { HttpServer } from "./http_server.ts";
+
+interface IReply {
+  readonly status: number | undefined;
+  readonly connection: string | undefined;
+}
+
+function get(port: number, agent: Agent): Promise<IReply> {
+  return new Promise((resolve, reject) => {
+    const req = request({ port, host: "127.0.0.1", path: "/x", agent }, (res) => {
+      res.resume();
+      res.on("end", () => resolve({ status: res.statusCode, connection: res.headers.connection }));
+    });
+    req.on("error", reject);
+    req.end();
+  });
+}
+
+test("a stopping server answers on the connections that it has", async (t) => {
+  const routes = [{ method: "GET", pattern: "/x", handler: () => Effect.succeed({ status: 200, body: {} }) }];
+  const server = new HttpServer({ routes, logger: new NullLogger(), context: Context.empty() });
+  await server.listen({ host: "127.0.0.1", port: 0 });
+  const { port } = server.address as AddressInfo;
+  const agent = new Agent({ keepAlive: true, maxSockets: 1 });
+  t.teardown(() => {
+    agent.destroy();
+    server.dispose();
+  });
+  t.like(await get(port, agent), { status: 200, connection: "keep-alive" });
+  server.stopAccepting();
+  t.deepEqual(await get(port, agent), { status: 200, connection: "close" });
+  await t.throwsAsync(get(port, new Agent()), { code: "ECONNREFUSED" });
+});
--- a/src/program/common/program_service.ts
+++ b/src/program/common/program_service.ts
@@ -17,6 +17,7 @@
 import type { DurableWriter } from "./durable_writer.ts";
 import { Durability } from "./durable_writer.ts";
 import type { JournalState } from "./journal_state.ts";
+import type { ProgramFinder } from "./program_finder.ts";
 import type { Program } from "./program_store.ts";
 import { Program as NewProgram } from "./program_store.ts";
 import { notOwner, programEnded, unknownProgram } from "./refusals.ts";
@@ -34,6 +35,7 @@
 
 export interface IProgramServiceOptions {
   readonly state: JournalState;
+  readonly finder: ProgramFinder;
   readonly writer: DurableWriter;
   readonly handOver: HandOver;
   readonly configuration: IConfigurationSource;
@@ -70,9 +72,7 @@
   end({ programId, customer, cause }: IEndRequest): Effect.Effect<Program, CallError> {
     return Effect.gen({ self: this }, function* () {
       yield* this.#awaitOwnership(programId);
-      const program = this.#opts.state.programs.get(programId);
-      if (program === undefined) return yield* Effect.fail(unknownProgram());
-      if (customer !== undefined) yield* sameCustomer(program, customer);
+      const program = yield* this.#opts.finder.find(programId, customer);
       if (program.hasEnded) return program;
       const atMs = yield* Clock.currentTimeMillis;
       const value = create(ProgramEndedSchema, { programId, cause, atMs });
@@ -87,9 +87,7 @@
   get(programId: string, customer: string): Effect.Effect<Program, CallError> {
     return Effect.gen({ self: this }, function* () {
       yield* this.#awaitOwnership(programId);
-      const program = this.#opts.state.programs.get(programId);
-      if (program === undefined) return yield* Effect.fail(unknownProgram());
-      return yield* sameCustomer(program, customer);
+      return yield* this.#opts.finder.find(programId, customer);
     });
   }
 
@@ -101,7 +99,7 @@
   }
 
   #checkOpening(asked: ProgramSpec): Effect.Effect<ProgramKind, CallError> {
-    const { configuration, state } = this.#opts;
+    const { configuration, finder } = this.#opts;
     const kind = configuration.current?.programKinds[asked.kind];
     if (kind === undefined) {
       const detail = `there is no program kind ${asked.kind}`;
@@ -112,12 +110,10 @@
       return Effect.fail(new CallError(Reason.DRAINING, { retryAfterMs: PAUSED_RETRY_MS, detail }));
     }
     if (asked.parentId === "") return Effect.succeed(kind);
-    const parent = state.programs.get(asked.parentId);
-    if (parent === undefined || parent.spec.customer !== asked.customer) return Effect.fail(unknownProgram());
-    if (parent.hasEnded) {
-      return Effect.fail(programEnded("the parent has ended"));
-    }
-    return Effect.succeed(kind);
+    return Effect.flatMap(
+      finder.find(asked.parentId, asked.customer),
+      (parent) => parent.hasEnded ? Effect.fail(programEnded("the parent has ended")) : Effect.succeed(kind),
+    );
   }
 }
 
--- a/src/services/journal/common/journal.ts
+++ b/src/services/journal/common/journal.ts
@@ -5,7 +5,7 @@
  */
 import { create, fromBinary, toBinary } from "@bufbuild/protobuf";
 import type { Scope } from "effect";
-import { Clock, Deferred, Effect } from "effect";
+import { Clock, Deferred, Effect, Option } from "effect";
 import type { Batch, Record } from "../../../base/common/gen/ragwortcleat/v1/journal_pb.ts";
 import { BatchSchema } from "../../../base/common/gen/ragwortcleat/v1/journal_pb.ts";
 import type { Event } from "../../../base/common/emitter.ts";
@@ -16,6 +16,8 @@
 
 const READ_LIMIT = 500;
 const READ_WAIT_MS = 200;
+/** Time for which a question waits for a fresh read of the end, in ms: several reads that wait for news. */
+const CONFIRM_PATIENCE_MS = 1500;
 const RETRY_MIN_MS = 20;
 const RETRY_MAX_MS = 500;
 const MAX_BATCH_RECORDS = 500;
@@ -56,6 +58,11 @@
    * batch is, and stand first in it, so that they reflect all that goes before them.
    */
   appendCurrent(make: () => readonly Record[]): Effect.Effect<void>;
+  /**
+   * Waits until a read of the stream's end that began at `at` or later has come back. Returns false when
+   * the log service does not give one in time.
+   */
+  awaitConfirmed(at: number): Effect.Effect<boolean>;
   /** Time of the last confirmed read of the stream's end, in ms of the clock; 0 before the first. */
   readonly confirmedAt: number;
   /** Time since which the log service has been failing, in ms of the clock, or undefined. */
@@ -141,6 +148,13 @@
     });
   }
 
+  awaitConfirmed(at: number): Effect.Effect<boolean> {
+    const wait = Effect.gen({ self: this }, function* () {
+      while (this.confirmedAt < at) yield* this.#readDone.wait();
+    });
+    return Effect.map(Effect.timeoutOption(wait, CONFIRM_PATIENCE_MS), Option.isSome);
+  }
+
   #withdraw(queued: IQueuedRecord): boolean {
     const index = this.#queue.indexOf(queued);
     if (index < 0) return false;
--- a/test/harness/cluster.ts
+++ b/test/harness/cluster.ts
@@ -189,6 +189,7 @@
         death: Deferred.makeUnsafe<void>(),
         frozen: undefined,
         isLogCut: false,
+        logReadDelayMs: 0,
         isPeerCut: false,
       };
       this.nodes.set(id, node);
--- a/test/harness/gates.ts
+++ b/test/harness/gates.ts
@@ -16,6 +16,8 @@
   readonly transport: Transport;
   isDead: boolean;
   isLogCut: boolean;
+  /** Time by which the answers to reads of the log come late, in ms. */
+  logReadDelayMs: number;
   /** Whether the instance and its peers do not reach each other. */
   isPeerCut: boolean;
 }
@@ -48,7 +50,8 @@
     Effect.suspend(() => self().isLogCut ? Effect.fail(new PlatformError("cut")) : work());
   return {
     append: (stream, data) => pass(() => gated.append(stream, data)),
-    read: (stream, opts) => pass(() => gated.read(stream, opts)),
+    read: (stream, opts) =>
+      pass(() => Effect.tap(gated.read(stream, opts), () => Effect.sleep(self().logReadDelayMs))),
   };
 }
 
--- a/test/proofs/history_test.ts
+++ b/test/proofs/history_test.ts
@@ -3,6 +3,9 @@
 import { Durability } from "../../src/program/common/durable_writer.ts";
 import { proof, replace } from "./proof.ts";
 
+/** Time by which an instance learns late what stands in the journal, in ms; under a lease's length. */
+const LATE_READ_MS = 400;
+
 /** Runs a program's first steps, then returns those whose turn is missing on the present owner. */
 function missingAfter(
   cluster: Cluster,
@@ -49,6 +52,27 @@
   scenario: (cluster) => missingAfter(cluster, { steps: 3, failure: (owner) => cluster.kill(owner) }),
 });
 
+/** Believes that the journal has been read to its end. */
+function readBehind({ core }: INode): void {
+  replace(core.journal, "awaitConfirmed", () => Effect.succeed(true));
+}
+
+proof("2: a sub-program's owner that reads the journal late knows the parent", {
+  nodes: 3,
+  sabotage: readBehind,
+  scenario: (cluster) =>
+    Effect.gen(function* () {
+      const id = "test-parent";
+      const names = Array.from({ length: 20 }, (_, index) => `test-child-${index}`);
+      const childId = names.find((name) => cluster.ownerOf(name) !== cluster.ownerOf(id))!;
+      cluster.node(cluster.ownerOf(childId)).logReadDelayMs = LATE_READ_MS;
+      yield* cluster.advance(2 * LATE_READ_MS);
+      const parentId = yield* cluster.drive(cluster.open("n0", { id }));
+      const opened = yield* cluster.drive(Effect.result(cluster.open("n0", { id: childId, parentId })));
+      return Result.isSuccess(opened) ? [] : [`the parent is unknown: ${opened.failure.message}`];
+    }),
+});
+
 proof("2: two instances killed at once", {
   nodes: 5,
   sabotage: answerEarly,
