A line of turns finds the engine that holds its history through any instance

Cause: 88 % of the turns that come through another instance than the one before moved to an engine that has to read their history again (a line grows by 1000 to 6000 tokens a turn), since an instance knew only what it had placed itself.

Ruled out: asking the engines for their caches (priced, late, and one reader for each engine and instance).

Change: the end of a turn tells the program's owner where its prompt was read (PromptHomes, in memory only); the next turn's grant brings it back. Beginnings that requests had read go into the load reports, so that an instance that starts anew does not crowd the few engines that it knows.

--- a/src/call/common/backend_attempts.ts
+++ b/src/call/common/backend_attempts.ts
@@ -9,6 +9,7 @@
 import type { Metrics } from "../../services/metrics/common/metrics.ts";
 import type { IEngineInfo, RouteTable } from "../../services/routes/common/route_table.ts";
 import { isRepeatable, RouteKind } from "../../services/routes/common/route_table.ts";
+import type { IPromptHome } from "../../turns/common/turn_client.ts";
 import type { CrashStrikes } from "./crash_strikes.ts";
 import { finalRefusal, GatewayStatus, RefusalReason } from "./gateway_refusal.ts";
 import type { IAnswerHead, IAnswerSink, ICallCodec, IUpstream, IUpstreamAnswer } from "./opaque_call.ts";
@@ -217,6 +218,24 @@
     });
   }
 
+  /** Takes up which engine holds the prompt's beginning, as the program's owner says. */
+  noteHome({ req }: RelayedCall, { backendId, partId, tokens }: IPromptHome): void {
+    const { directory, caches } = this.#opts;
+    if (!directory.has(backendId)) return;
+    for (const part of req.prompt?.parts ?? []) {
+      const isLast = part.id === partId;
+      caches.hear({ backendId, partId: part.id, tokens: isLast ? tokens : part.tokens });
+      if (isLast) return;
+    }
+  }
+
+  /** Where a turn's prompt has been read; undefined when no engine has begun with it. */
+  homeOf({ req, choice, events }: RelayedCall, tokens: number): IPromptHome | undefined {
+    const last = req.prompt?.parts.at(-1);
+    if (last === undefined || choice === undefined || events === 0) return undefined;
+    return { partId: last.id, backendId: choice.backend.id, tokens: last.tokens + tokens };
+  }
+
   #notePrompt({ req, service, choice }: RelayedCall): void {
     const engine = this.engineOf(service);
     if (engine === undefined || req.prompt === undefined) return;
--- a/src/call/common/gateway_relay.ts
+++ b/src/call/common/gateway_relay.ts
@@ -127,6 +127,7 @@
         maxTokens: req.prompt?.maxTokens ?? 0,
         budget: program.budget!,
         retainMs: route.retainMs,
+        partIds: (req.prompt?.parts ?? []).map(({ id }) => id),
       };
       const begin = this.#opts.turns.begin(grant, patienceMs);
       const chained = this.#loadChain(call, patienceMs);
@@ -140,6 +141,7 @@
       }
       if (verdict !== TurnVerdict.GRANTED) return notRun(RefusalReason.BudgetUnavailable, ABSENT_RETRY_MS);
       const serve = Effect.suspend(() => {
+        if (begun?.home !== undefined) this.#attempts.noteHome(call, begun.home);
         const refusal = begun?.isFresh ? this.#admit(call) : undefined;
         if (refusal !== undefined) return Effect.succeed(refusal);
         if (chain instanceof Object) {
@@ -153,7 +155,8 @@
       });
       const end = () => {
         const tokens = call.events * (this.#attempts.engineOf(call.service)?.tokensPerEvent ?? 0);
-        return this.#opts.turns.end({ programId: program.programId, turnId: req.id, tokens });
+        const home = this.#attempts.homeOf(call, tokens);
+        return this.#opts.turns.end({ programId: program.programId, turnId: req.id, tokens, home });
       };
       return yield* Effect.onExit(serve, () => Effect.asVoid(Effect.forkDetach(Effect.suspend(end))));
     });
--- a/src/call/common/gateway_relay_test.ts
+++ b/src/call/common/gateway_relay_test.ts
@@ -1,7 +1,9 @@
 import test from "ava";
+import { create } from "@bufbuild/protobuf";
 import { Effect, Fiber } from "effect";
 import { TestClock } from "effect/testing";
-import { TurnVerdict } from "../../base/common/gen/ragwortcleat/v1/turns_pb.ts";
+import type { PromptHome } from "../../base/common/gen/ragwortcleat/v1/turns_pb.ts";
+import { PromptHomeSchema, TurnVerdict } from "../../base/common/gen/ragwortcleat/v1/turns_pb.ts";
 import { BackendLoads } from "../../routing/common/backend_loads.ts";
 import type { IProgramAdmission } from "../../routing/common/program_admission.ts";
 import { CrowdingAdmission } from "../../routing/common/program_admission.ts";
@@ -62,12 +64,15 @@
   verdict: TurnVerdict | undefined = TurnVerdict.GRANTED;
   isFresh = false;
   isKept = true;
+  home: PromptHome | undefined;
   readonly ended: IEndedTurn[] = [];
   readonly kept: IFinishedTurn[] = [];
 
   begin() {
     return Effect.succeed(
-      this.verdict === undefined ? undefined : { verdict: this.verdict, isFresh: this.isFresh },
+      this.verdict === undefined
+        ? undefined
+        : { verdict: this.verdict, isFresh: this.isFresh, home: this.home },
     );
   }
 
@@ -137,7 +142,7 @@
     deadlineMs: 3000,
     lastEventId: undefined,
     affinityKey: undefined,
-    prompt: { model: "m", promptTokens: 100, maxTokens: 50, parts: [] },
+    prompt: { model: "m", promptTokens: 900, maxTokens: 50, parts: PARTS },
     program: {
       programId: "p",
       lineId: "l",
@@ -150,6 +155,8 @@
   readAnswer: () => ({ status: 0, headers: [], requestId: undefined, isNotRun: false, isSigned: false }),
 };
 
+const PARTS = [{ id: "shared", tokens: 400 }, { id: "line", tokens: 500 }];
+
 const ROUTE: IRoute = {
   name: "r",
   host: "h",
@@ -331,8 +338,10 @@
 });
 
 test("a turn tells what it handed out, also when it broke off", async (t) => {
-  const { turns } = await relay({ route: STREAM, script: [{ chunks: [event(1), event(2)], isCut: true }] });
-  t.deepEqual(turns.ended, [{ programId: "p", turnId: "r1", tokens: 44 }]);
+  const script = [{ chunks: [event(1), event(2)], isCut: true }];
+  const { turns, sent } = await relay({ route: STREAM, script });
+  const home = { partId: "line", backendId: sent[0].backendId, tokens: 544 };
+  t.deepEqual(turns.ended, [{ programId: "p", turnId: "r1", tokens: 44, home }]);
 });
 
 test("a spent budget is told before anything runs", async (t) => {
@@ -407,3 +416,13 @@
   t.is(sink.status, 503);
   t.is(sent.length, 0);
 });
+
+test("a turn goes where the program's owner says that its line was read, and tells where it was", async (t) => {
+  for (const backendId of ["b0", "b1", "b2"]) {
+    const turns = new FakeTurns();
+    turns.home = create(PromptHomeSchema, { partId: "line", backendId, tokens: 480 });
+    const { sent } = await relay({ route: STREAM, turns, script: [{ chunks: ["id: 1\n\n"] }] });
+    t.is(sent[0].backendId, backendId);
+    t.deepEqual(turns.ended[0].home, { partId: "line", backendId, tokens: 522 });
+  }
+});
--- a/src/daemon/common/gateway_core.ts
+++ b/src/daemon/common/gateway_core.ts
@@ -64,6 +64,7 @@
   readonly routes = new RouteTable();
   readonly directory: BackendDirectory;
   readonly loads: BackendLoads;
+  readonly caches = new PromptCacheMap();
   readonly strikes: CrashStrikes;
   readonly configuration: KeyedTopicFollower;
   readonly backends: KeyedTopicFollower;
@@ -72,7 +73,6 @@
   readonly relay: GatewayRelay;
   readonly #settings: GatewaySettings;
   readonly #outside: IGatewayOutside;
-  readonly #caches = new PromptCacheMap();
   readonly #peers: TurnClients;
 
   constructor(settings: GatewaySettings, outside: IGatewayOutside) {
@@ -145,7 +145,7 @@
       routes: this.routes,
       directory: this.directory,
       loads: this.loads,
-      caches: this.#caches,
+      caches: this.caches,
       turns,
       admission: new CrowdingAdmission(),
       strikes: this.strikes,
@@ -162,7 +162,7 @@
     this.directory.onDidRemove((entry) => {
       this.#outside.forgetBackend(entry);
       this.loads.forget(entry);
-      this.#caches.forget(entry.id);
+      this.caches.forget(entry.id);
     });
     this.configuration.onDidUpdate((update) => this.#noteConfiguration(update));
     this.backends.onDidUpdate((update) => this.#noteBackend(update));
--- a/src/daemon/node/gateway.ts
+++ b/src/daemon/node/gateway.ts
@@ -91,6 +91,7 @@
         host: peer.host,
         port: settings.datagramPort,
         loads: core.loads,
+        caches: core.caches,
         strikes: core.strikes,
         peerHosts: () => core.group.peers.map((address) => parseAddress(address).host),
         logger,
--- a/src/peer/node/load_datagrams.ts
+++ b/src/peer/node/load_datagrams.ts
@@ -1,13 +1,18 @@
-/** Tells the other instances which load this one puts on backend servers and which crashes it saw, by datagrams. */
+/** Tells the other instances by datagrams of the load on backend servers, of what engines have read, and of crashes. */
 import type { Socket } from "node:dgram";
 import { createSocket } from "node:dgram";
 import { create, fromBinary, toBinary } from "@bufbuild/protobuf";
 import type { Scope } from "effect";
 import { Effect } from "effect";
 import { toError } from "../../base/common/errors.ts";
-import { CrashStrikeSchema, LoadDigestSchema } from "../../base/common/gen/ragwortcleat/v1/turns_pb.ts";
+import {
+  CrashStrikeSchema,
+  LoadDigestSchema,
+  PromptHomeSchema,
+} from "../../base/common/gen/ragwortcleat/v1/turns_pb.ts";
 import type { CrashStrikes } from "../../call/common/crash_strikes.ts";
 import type { BackendLoads } from "../../routing/common/backend_loads.ts";
+import type { PromptCacheMap } from "../../routing/common/prompt_cache_map.ts";
 import type { ILogger } from "../../services/logging/common/logger.ts";
 
 /** Least time between two reports, in ms: a fraction of the time that a request takes. */
@@ -21,6 +26,7 @@
   /** The same on all instances. */
   readonly port: number;
   readonly loads: BackendLoads;
+  readonly caches: PromptCacheMap;
   readonly strikes: CrashStrikes;
   /** Hosts of the other instances. */
   readonly peerHosts: () => readonly string[];
@@ -67,14 +73,15 @@
   #send(hosts: readonly string[]): void {
     const own = this.#opts.loads.own();
     const strikes = this.#opts.strikes.own().map((strike) => create(CrashStrikeSchema, strike));
-    const isIdle = own.size === 0 && strikes.length === 0;
+    const prefixes = this.#opts.caches.takePrefixes().map((prefix) => create(PromptHomeSchema, prefix));
+    const isIdle = own.size === 0 && strikes.length === 0 && prefixes.length === 0;
     if (isIdle && !this.#hadLoad) return;
     this.#hadLoad = !isIdle;
     const { instance } = this.#opts;
     const loads = [...own].map(([backendId, running]) => ({ backendId, running }));
     const message = toBinary(
       LoadDigestSchema,
-      create(LoadDigestSchema, { instance, loads, strikes }),
+      create(LoadDigestSchema, { instance, loads, strikes, prefixes }),
     );
     for (const host of hosts) this.#socket.send(message, this.#opts.port, host, (err) => this.#noteSent(err));
   }
@@ -87,10 +94,11 @@
 
   #receive(message: Uint8Array): void {
     try {
-      const { instance, loads, strikes } = fromBinary(LoadDigestSchema, message);
+      const { instance, loads, strikes, prefixes } = fromBinary(LoadDigestSchema, message);
       const running = new Map(loads.map((load) => [load.backendId, load.running]));
       this.#opts.loads.noteReport({ instance, running });
       this.#opts.strikes.noteReport(instance, strikes);
+      for (const prefix of prefixes) this.#opts.caches.hear(prefix);
     } catch (err) {
       this.#opts.logger.warn("load-datagram-unreadable", { error: toError(err).message });
     }
--- a/src/routing/common/backend_chooser_test.ts
+++ b/src/routing/common/backend_chooser_test.ts
@@ -52,6 +52,26 @@
   t.is(engines.choose(demand, backends)?.backend.id, "b");
 });
 
+test("an instance that learns late who has read a beginning does not crowd one engine", (t) => {
+  const { engines, caches, loads, backends } = setUp();
+  const beginning = PARTS.slice(0, 1);
+  caches.use("a", { parts: PARTS, capacity: ENGINE.kvTokens });
+  for (const backendId of ["b", "c"]) caches.hear({ backendId, partId: beginning[0].id, tokens: 12_000 });
+  for (let i = 0; i < 6; i++) {
+    const parts = [...beginning, { id: `line-${i}`, tokens: 800 }];
+    loads.noteStart(engines.choose(demandOf({ parts }), backends)!.backend.id);
+  }
+  t.deepEqual(backends.map(({ id }) => loads.running(id)), [2, 2, 2]);
+});
+
+test("what others read is not told on as one's own", (t) => {
+  const { caches } = setUp();
+  caches.hear({ backendId: "b", partId: "shared", tokens: 12_000 });
+  caches.use("a", { parts: PARTS, capacity: ENGINE.kvTokens });
+  t.deepEqual(caches.takePrefixes(), [{ backendId: "a", partId: "shared", tokens: 12_000 }]);
+  t.deepEqual(caches.takePrefixes(), []);
+});
+
 test("a crowded engine is left even if it holds the prompt", (t) => {
   const { engines, caches, loads, backends } = setUp();
   caches.use("b", { parts: PARTS, capacity: ENGINE.kvTokens });
--- a/src/services/backends/common/backend_directory.ts
+++ b/src/services/backends/common/backend_directory.ts
@@ -46,6 +46,10 @@
     return this.#listed.size;
   }
 
+  has(id: string): boolean {
+    return this.#listed.has(id);
+  }
+
   get(id: string): IBackendEntry | undefined {
     return this.#listed.get(id)?.entry;
   }
--- a/src/turns/common/owned_slices.ts
+++ b/src/turns/common/owned_slices.ts
@@ -5,11 +5,13 @@
   BeginTurnRequest,
   EndTurnRequest,
   KeptTurn,
+  PromptHome,
 } from "../../base/common/gen/ragwortcleat/v1/turns_pb.ts";
 import { TurnVerdict } from "../../base/common/gen/ragwortcleat/v1/turns_pb.ts";
 import { hash32 } from "../../base/common/hash.ts";
 import type { ILogger } from "../../services/logging/common/logger.ts";
 import type { IPartition, IPartitionedLog } from "../../services/store/common/partitioned_log.ts";
+import { PromptHomes } from "./prompt_homes.ts";
 import { JournalState, SliceJournal } from "./slice_journal.ts";
 import { Spending } from "./spending_ledger.ts";
 
@@ -41,6 +43,8 @@
 export interface IBegunTurn {
   readonly verdict: TurnVerdict;
   readonly isFresh: boolean;
+  /** Engine that holds the longest part of the prompt, as far as the program's earlier turns tell. */
+  readonly home?: PromptHome | undefined;
 }
 
 /** Result of a look-up: whether this instance owns the slice, and what it found. */
@@ -52,6 +56,7 @@
 export class OwnedSlices {
   readonly #opts: IOwnedSlicesOptions;
   readonly #owned = new Map<number, IOwned>();
+  readonly #homes = new PromptHomes();
 
   constructor(opts: IOwnedSlicesOptions) {
     this.#opts = opts;
@@ -95,7 +100,7 @@
       const journal = yield* this.#find(req.programId);
       if (journal === undefined) return { verdict: TurnVerdict.NOT_OWNER, isFresh: false };
       const isFresh = journal.slice.ledger.isFresh(req.programId, req.turnId);
-      return { verdict: yield* this.#grant(journal, req), isFresh };
+      return { verdict: yield* this.#grant(journal, req), isFresh, home: this.#homes.find(req.partIds) };
     });
   }
 
@@ -117,8 +122,9 @@
   }
 
   /** Notes the end of a turn; false when this instance does not own the program. */
-  end({ programId, turnId, tokens }: EndTurnRequest): Effect.Effect<boolean> {
+  end({ programId, turnId, tokens, home }: EndTurnRequest): Effect.Effect<boolean> {
     return Effect.map(this.#find(programId), (journal) => {
+      if (journal !== undefined && home !== undefined) this.#homes.note(home);
       journal?.slice.ledger.end(programId, { turnId, tokens });
       return journal !== undefined;
     });
--- a/src/turns/common/turn_client.ts
+++ b/src/turns/common/turn_client.ts
@@ -13,6 +13,7 @@
   BeginTurnRequestSchema,
   EndTurnRequestSchema,
   KeptTurnSchema,
+  PromptHomeSchema,
   TurnRefSchema,
   TurnVerdict,
 } from "../../base/common/gen/ragwortcleat/v1/turns_pb.ts";
@@ -77,7 +78,7 @@
 /** Budgets and kept turns, wherever their owners are. */
 export interface ITurnClient {
   /** Asks for a turn; undefined when no owner could be asked in time. */
-  begin(grant: ITurnGrant, patienceMs: number): Effect.Effect<IBegunTurn | undefined>;
+  begin(demand: ITurnDemand, patienceMs: number): Effect.Effect<IBegunTurn | undefined>;
   /** Reports to the owner what a turn has delivered. */
   end(turn: IEndedTurn): Effect.Effect<void>;
   /** The chain that ends with a turn. */
@@ -92,6 +93,22 @@
   readonly turnId: string;
   /** Tokens delivered to the caller. */
   readonly tokens: number;
+  /** Where the prompt was read; undefined when it was not. */
+  readonly home: IPromptHome | undefined;
+}
+
+/** The engine that read a part of a prompt. */
+export interface IPromptHome {
+  readonly partId: string;
+  readonly backendId: string;
+  /** Tokens of the part, with those that were generated after it. */
+  readonly tokens: number;
+}
+
+/** Asks for a turn. */
+export interface ITurnDemand extends ITurnGrant {
+  /** Parts of the prompt in order. */
+  readonly partIds: readonly string[];
 }
 
 export class TurnClient implements ITurnClient {
@@ -103,13 +120,14 @@
     this.#opts = opts;
   }
 
-  begin(grant: ITurnGrant, patienceMs: number): Effect.Effect<IBegunTurn | undefined> {
-    const req = create(BeginTurnRequestSchema, grant);
+  begin(demand: ITurnDemand, patienceMs: number): Effect.Effect<IBegunTurn | undefined> {
+    const req = create(BeginTurnRequestSchema, { ...demand, partIds: [...demand.partIds] });
     return this.#retry(patienceMs, () => this.#beginOnce(req));
   }
 
   end(turn: IEndedTurn): Effect.Effect<void> {
-    const req = create(EndTurnRequestSchema, turn);
+    const home = turn.home === undefined ? undefined : create(PromptHomeSchema, turn.home);
+    const req = create(EndTurnRequestSchema, { ...turn, home });
     return Effect.map(this.#retry(END_PATIENCE_MS, () => this.#endOnce(req)), (isReported) => {
       if (!isReported) this.#opts.logger.warn("turn-end-unreported", turn);
     });
