Slices that are dealt anew while their owner lives are handed over in person

The former owners lived but could not append a release, so every such slice counted as ended without one (isClean false), for twice the retention of turns: new programs wait for their record before their first turn.

Change: a claim names where its owner is reached; the next owner asks it once, before its own claim. The former owner ends its ownership at once and answers with what it has granted, running turns included; the next owner takes that up and need not assume the worst. An answer that is lost, or an owner that is gone, counts as before. Nothing is granted while a release is on its way. Failed appends are logged when they begin and when they end, not seven times a second.

Safety: the former owner grants nothing after its answer; its appends in flight move the end, so that the claim fails and the log is read anew; a third owner that finds the second's claim unreleased charges as before, and the second grants handed-over programs nothing without a record.

--- a/src/daemon/common/gateway_core.ts
+++ b/src/daemon/common/gateway_core.ts
@@ -22,6 +22,8 @@
 import { KeyedTopicFollower } from "../../services/store/common/keyed_topic_follower.ts";
 import type { IKeyedItems, IPartition } from "../../services/store/common/partitioned_log.ts";
 import type { IPlatformAdapter } from "../../services/store/common/platform_adapter.ts";
+import type { IHeldSlice } from "../../turns/common/slice_journal.ts";
+import type { ISpendingRecord } from "../../turns/common/spending_ledger.ts";
 import { OwnedSlices } from "../../turns/common/owned_slices.ts";
 import type { IOwnerTable } from "../../turns/common/slice_group.ts";
 import { SliceGroup } from "../../turns/common/slice_group.ts";
@@ -98,8 +100,9 @@
     });
     const partitions = slicePartitions(settings);
     const { newWriter } = outside;
-    this.owned = new OwnedSlices({ ...follow, instance: settings.instance, partitions, newWriter });
-    const address = settings.peerAddress;
+    const { instance, peerAddress: address } = settings;
+    const askRelease = (held: IHeldSlice) => this.#askRelease(held);
+    this.owned = new OwnedSlices({ ...follow, instance, address, partitions, newWriter, askRelease });
     const askPeer = (peer: string) => this.#fetchTable(peer);
     this.group = new SliceGroup({ ...follow, address, partitions, owned: this.owned, askPeer });
     this.relay = this.#makeRelay();
@@ -220,6 +223,20 @@
     );
   }
 
+  #askRelease({ slice, writer, holder }: IHeldSlice): Effect.Effect<readonly ISpendingRecord[] | undefined> {
+    const call = this.#peers.call(holder, {
+      timeoutMs: PEER_TIMEOUT_MS,
+      invoke: (client, signal) => client.releaseSlice({ slice, writer }, { signal }),
+    });
+    return call.pipe(
+      Effect.map(({ isReleased, programs }) => isReleased ? programs : undefined),
+      Effect.catchTag("PeerError", (err) => {
+        this.#outside.logger.info("slice-not-released", { slice, holder, error: err.message });
+        return Effect.succeed(undefined);
+      }),
+    );
+  }
+
   #notifyReassigned(peer: string): Effect.Effect<void> {
     const call = this.#peers.call(peer, {
       timeoutMs: PEER_TIMEOUT_MS,
--- a/src/turns/common/owned_slices.ts
+++ b/src/turns/common/owned_slices.ts
@@ -12,7 +12,9 @@
 import type { ILogger } from "../../services/logging/common/logger.ts";
 import type { IPartition, IPartitionedLog } from "../../services/store/common/partitioned_log.ts";
 import { PromptHomes } from "./prompt_homes.ts";
+import type { AskRelease } from "./slice_journal.ts";
 import { JournalState, SliceJournal } from "./slice_journal.ts";
+import type { ISpendingRecord } from "./spending_ledger.ts";
 import { Spending } from "./spending_ledger.ts";
 
 /** Longest wait for a slice that is being recovered, in ms: a recovery takes a few calls to the store. */
@@ -28,6 +30,9 @@
   readonly log: IPartitionedLog;
   readonly logger: ILogger;
   readonly instance: string;
+  /** Where peers reach this instance. */
+  readonly address: string;
+  readonly askRelease: AskRelease;
   /** Partition of each slice, by its number. */
   readonly partitions: readonly IPartition[];
   /** Draws the identity of a new ownership. */
@@ -95,6 +100,29 @@
     });
   }
 
+  /**
+   * Ends the ownership of a slice for its next owner, and tells what was granted; undefined when this
+   * instance does not have that ownership.
+   */
+  releaseFor({ slice, writer }: { slice: number; writer: bigint }): Effect.Effect<
+    readonly ISpendingRecord[] | undefined
+  > {
+    return Effect.gen({ self: this }, function* () {
+      const now = yield* Clock.currentTimeMillis;
+      const owned = this.#owned.get(slice);
+      if (owned?.journal.writer !== writer || owned.journal.state !== JournalState.Open) return undefined;
+      const granted = owned.journal.handOver(now);
+      this.#owned.delete(slice);
+      this.#opts.logger.info("slice-handed-over", {
+        slice,
+        writer: String(writer),
+        programs: granted.length,
+      });
+      yield* ScopeModule.close(owned.scope, Exit.void);
+      return granted;
+    });
+  }
+
   begin(req: BeginTurnRequest): Effect.Effect<IBegunTurn> {
     return Effect.gen({ self: this }, function* () {
       const journal = yield* this.#find(req.programId);
@@ -152,21 +180,15 @@
       if (journal?.state === JournalState.Opening) {
         yield* Effect.timeoutOption(journal.awaitOpen(), OPEN_TIMEOUT_MS);
       }
-      return journal?.state === JournalState.Open ? journal : undefined;
+      return journal?.state === JournalState.Open && !journal.isReleasing ? journal : undefined;
     });
   }
 
   #open(slice: number): Effect.Effect<void> {
     return Effect.gen({ self: this }, function* () {
-      const { log, logger, instance, partitions, newWriter } = this.#opts;
-      const journal = new SliceJournal({
-        slice,
-        partition: partitions[slice],
-        instance,
-        writer: newWriter(),
-        log,
-        logger,
-      });
+      const { partitions, newWriter, ...rest } = this.#opts;
+      const partition = partitions[slice];
+      const journal = new SliceJournal({ ...rest, slice, partition, writer: newWriter() });
       const scope = yield* ScopeModule.make();
       yield* ScopeModule.provide(journal.start(), scope);
       this.#owned.set(slice, { journal, scope });
--- a/src/turns/common/owned_slices_test.ts
+++ b/src/turns/common/owned_slices_test.ts
@@ -8,16 +8,24 @@
   KeptTurnSchema,
   TurnVerdict,
 } from "../../base/common/gen/ragwortcleat/v1/turns_pb.ts";
+import type { IPartitionedLog } from "../../services/store/common/partitioned_log.ts";
+import { StoreError, StoreFault } from "../../services/store/common/partitioned_log.ts";
 import { NullLogger } from "../../services/logging/common/logger.ts";
 import { OwnedSlices } from "./owned_slices.ts";
 
 let writers = 0n;
 
-function ownedOf(log: PartitionedLogCore, instance: string): OwnedSlices {
+function ownedOf(log: IPartitionedLog, instance: string, peers: OwnedSlices[] = []): OwnedSlices {
   return new OwnedSlices({
     log,
     logger: new NullLogger(),
     instance,
+    address: instance,
+    askRelease: (held) =>
+      Effect.map(
+        Effect.forEach(peers, (peer) => peer.releaseFor(held)),
+        (all) => all.find((granted) => granted !== undefined),
+      ),
     partitions: [0, 1, 2, 3].map((part) => ({ topic: "slices-0", part })),
     newWriter: () => ++writers,
   });
@@ -104,3 +112,62 @@
     t.is((yield* a.begin(beginOf("3"))).verdict, TurnVerdict.NOT_OWNER);
   }));
 });
+
+/** A log whose appends can be refused to one instance alone. */
+function refusable(log: PartitionedLogCore): { log: IPartitionedLog; isRefusing: boolean } {
+  const refusal = new StoreError(StoreFault.Refused, "refused");
+  const self = {
+    isRefusing: false,
+    log: new Proxy<IPartitionedLog>(log, {
+      get(target, name) {
+        if (name === "append" && self.isRefusing) return () => Effect.fail(refusal);
+        const member = Reflect.get(target, name) as unknown;
+        return typeof member === "function" ? member.bind(target) : member;
+      },
+    }),
+  };
+  return self;
+}
+
+test("a slice that is dealt anew while its owner lives changes hands in person, with or without the store", async (t) => {
+  const log = new PartitionedLogCore();
+  await run(Effect.gen(function* () {
+    const refused = refusable(log);
+    const a = ownedOf(refused.log, "a");
+    const b = ownedOf(log, "b", [a]);
+    yield* a.assign(ALL);
+    yield* a.begin(beginOf("1", 1700));
+    const end = { programId: "p", turnId: "1", tokens: 100, home: undefined };
+    yield* a.end({ $typeName: "ragwortcleat.v1.EndTurnRequest", ...end });
+    yield* Effect.sleep(1000);
+    refused.isRefusing = true;
+    yield* a.begin(beginOf("unrecorded", 1700));
+    yield* a.end({ $typeName: "ragwortcleat.v1.EndTurnRequest", ...end, turnId: "unrecorded" });
+    yield* b.assign(ALL);
+    // Nothing is charged for what the former owner might have granted.
+    t.is((yield* b.begin(beginOf("2", 1700))).verdict, TurnVerdict.GRANTED);
+    t.is((yield* a.begin(beginOf("3", 1700))).verdict, TurnVerdict.NOT_OWNER);
+    t.is((yield* b.begin(beginOf("4", 1700))).verdict, TurnVerdict.GRANTED);
+    t.is((yield* b.begin(beginOf("5", 1700))).verdict, TurnVerdict.GRANTED);
+    // 200 tokens were delivered and three turns run: what was granted without a record counts.
+    t.is((yield* b.begin(beginOf("6", 1700))).verdict, TurnVerdict.SPENT);
+    yield* Effect.sleep(500);
+    log.fault = LogFault.Refuse;
+    const fresh = { ...beginOf("7", 9000), programId: "q" };
+    t.is((yield* b.begin(fresh)).verdict, TurnVerdict.GRANTED);
+  }));
+});
+
+test("a slice whose owner does not answer is taken over, and counts as ended without a release", async (t) => {
+  const log = new PartitionedLogCore();
+  await run(Effect.gen(function* () {
+    const [a, b] = [ownedOf(log, "a"), ownedOf(log, "b")];
+    yield* a.assign(ALL);
+    yield* Effect.sleep(1000);
+    yield* b.assign(ALL);
+    yield* Effect.sleep(500);
+    log.fault = LogFault.Refuse;
+    const fresh = { ...beginOf("1", 9000), programId: "q" };
+    t.is((yield* b.begin(fresh)).verdict, TurnVerdict.NOT_RECORDED);
+  }));
+});
--- a/src/turns/common/slice_journal.ts
+++ b/src/turns/common/slice_journal.ts
@@ -45,10 +45,27 @@
   Closed = "closed",
 }
 
+/** An ownership of a slice at another instance. */
+export interface IHeldSlice {
+  readonly slice: number;
+  readonly writer: bigint;
+  /** Where peers reach the owner. */
+  readonly holder: string;
+}
+
+/**
+ * Asks the former owner of a slice to end its ownership. Returns what it has granted; undefined when it does
+ * not answer or does not have that ownership any more.
+ */
+export type AskRelease = (held: IHeldSlice) => Effect.Effect<readonly ISpendingRecord[] | undefined>;
+
 export interface ISliceJournalOptions {
   readonly slice: number;
   readonly partition: IPartition;
   readonly instance: string;
+  /** Where peers reach this instance. */
+  readonly address: string;
+  readonly askRelease: AskRelease;
   /** Random identity of this ownership. */
   readonly writer: bigint;
   readonly log: IPartitionedLog;
@@ -71,6 +88,10 @@
   #hasUrgent = false;
   #isStalled = false;
   #checkpointAtMs = 0;
+  #isReleasing = false;
+  #hasFailedToOpen = false;
+  /** Former owner that was asked to release the slice, and what it answered. */
+  #asked: { readonly writer: bigint; readonly granted: readonly ISpendingRecord[] | undefined } | undefined;
 
   constructor(opts: ISliceJournalOptions) {
     this.#opts = opts;
@@ -80,6 +101,15 @@
     return this.#state;
   }
 
+  get writer(): bigint {
+    return this.#opts.writer;
+  }
+
+  /** Whether a release is on its way; what were granted now would be missing in it. */
+  get isReleasing(): boolean {
+    return this.#isReleasing;
+  }
+
   /** Whether the last append failed, so that further ones will have to wait for the store. */
   get isStalled(): boolean {
     return this.#isStalled;
@@ -124,16 +154,24 @@
   }
 
   /** Appends what is left and a release, so that the next owner knows that nothing went unrecorded. */
-  release(): Effect.Effect<void> {
+  release(): Effect.Effect<boolean> {
     return Effect.suspend(() => {
-      if (this.#state === JournalState.Closed) return Effect.void;
+      if (this.#state === JournalState.Closed) return Effect.succeed(false);
       // A claim may be in the log already; without a release behind it the next owner must assume the worst.
       if (this.#state === JournalState.Opening) return Effect.andThen(this.awaitOpen(), this.release());
+      this.#isReleasing = true;
       const release: SliceEvent = { case: "release", value: create(SliceReleaseSchema) };
-      return Effect.asVoid(this.#enqueue({ events: [release] }));
+      return this.#enqueue({ events: [release] });
     });
   }
 
+  /** Ends the ownership at once, and tells what was granted under it. */
+  handOver(now: number): ISpendingRecord[] {
+    const granted = this.#slice.ledger.settle(now);
+    this.close();
+    return granted;
+  }
+
   /** Ends the ownership as it is. */
   close(): void {
     if (this.#state === JournalState.Closed) return;
@@ -160,7 +198,7 @@
         const isClaimed = yield* this.#tryOpen().pipe(
           Effect.catchTag(
             "StoreError",
-            (err) => Effect.as(this.#logFailure("slice-open-failed", err), false),
+            (err) => Effect.as(this.#logOpenFailure(err), false),
           ),
         );
         if (!isClaimed) yield* Effect.sleep(RETRY_PAUSE_MS);
@@ -175,10 +213,9 @@
       const end = yield* this.#readFrom(0, (record) => state.apply(record));
       const now = yield* Clock.currentTimeMillis;
       if (state.writer !== this.#opts.writer) {
-        if (!state.isReleased) state.ledger.markUnclean(now);
+        if (!state.isReleased) yield* this.#settleFormer(state, now);
         const { uncleanAtMs } = state.ledger;
-        const claim = create(SliceClaimSchema, { instance: this.#opts.instance, atMs: now, uncleanAtMs });
-        const outcome = yield* this.#append([{ case: "claim", value: claim }], end);
+        const outcome = yield* this.#append([this.#claim(now, uncleanAtMs)], end);
         if (!outcome.isAppended) return false;
         this.#end = outcome.end;
       } else {
@@ -193,7 +230,7 @@
         slice,
         writer: String(writer),
         end: this.#end,
-        isClean: state.isReleased,
+        isClean: state.isReleased || this.#asked?.granted !== undefined,
         programs: state.ledger.size,
         turns: state.turns.size,
       });
@@ -202,6 +239,29 @@
     });
   }
 
+  #claim(atMs: number, uncleanAtMs: number): SliceEvent {
+    const { instance, address } = this.#opts;
+    return { case: "claim", value: create(SliceClaimSchema, { instance, address, atMs, uncleanAtMs }) };
+  }
+
+  /**
+   * Has a former owner that lives tell what it has granted; it grants nothing more. Otherwise all that it may
+   * have granted counts as spent, and new programs wait for their records for as long as turns are kept.
+   * Load pattern: all slices are dealt anew at once, or the store refuses some instances and serves the others.
+   */
+  #settleFormer({ writer, holder, ledger }: SliceState, now: number): Effect.Effect<void> {
+    return Effect.gen({ self: this }, function* () {
+      const { slice, address, askRelease } = this.#opts;
+      const isAskable = writer !== undefined && holder !== "" && holder !== address;
+      if (isAskable && this.#asked?.writer !== writer) {
+        this.#asked = { writer, granted: yield* askRelease({ slice, writer, holder }) };
+      }
+      const granted = isAskable ? this.#asked?.granted : undefined;
+      if (granted === undefined) return ledger.markUnclean(now);
+      for (const record of granted) ledger.restore(record);
+    });
+  }
+
   /** Reads all records from an offset on; returns the offset after the last. */
   #readFrom(from: number, apply: (record: SliceRecord) => void): Effect.Effect<number, StoreError> {
     return Effect.gen({ self: this }, function* () {
@@ -282,12 +342,12 @@
         const outcome = yield* Effect.result(this.#append(events, this.#end));
         if (outcome._tag === "Success" && outcome.success.isAppended) {
           this.#end = outcome.success.end;
-          this.#isStalled = false;
+          this.#noteAppended();
           return true;
         }
         if (outcome._tag === "Failure") {
+          if (!this.#isStalled) yield* this.#logFailure("slice-append-failed", outcome.failure);
           this.#isStalled = true;
-          yield* this.#logFailure("slice-append-failed", outcome.failure);
           yield* Effect.sleep(RETRY_PAUSE_MS);
           if (outcome.failure.fault === StoreFault.Refused) continue;
         }
@@ -298,6 +358,11 @@
     });
   }
 
+  #noteAppended(): void {
+    if (this.#isStalled) this.#opts.logger.info("slice-append-regained", { slice: this.#opts.slice });
+    this.#isStalled = false;
+  }
+
   /**
    * Reads what stands behind the last known record: the append itself, whose answer was lost, or
    * another instance's claim. Undefined when nothing does, or the store does not answer.
@@ -312,17 +377,15 @@
         if (records.length === 0) return undefined;
         if (own.length === records.length) {
           this.#end = end;
-          this.#isStalled = false;
+          this.#noteAppended();
           return true;
         }
         const { slice, writer } = this.#opts;
         this.#opts.logger.warn("slice-claimed-by-other", { slice, writer: String(writer) });
         return false;
       }),
-      Effect.catchTag(
-        "StoreError",
-        (err) => Effect.as(this.#logFailure("slice-read-failed", err), undefined),
-      ),
+      // The append that is being looked for failed before, which was logged; it goes on failing with this read.
+      Effect.catchTag("StoreError", () => Effect.succeed(undefined)),
     );
   }
 
@@ -345,10 +408,8 @@
       const { ledger, turns } = this.#slice;
       turns.forget(now);
       const records: readonly ISpendingRecord[] = ledger.snapshot(now);
-      const { uncleanAtMs } = ledger;
-      const claim = create(SliceClaimSchema, { instance: this.#opts.instance, atMs: now, uncleanAtMs });
       const chunks = chunked([
-        { case: "claim", value: claim },
+        this.#claim(now, ledger.uncleanAtMs),
         ...spendingEvents(records),
         ...[...turns.values()].flatMap(turnEvents),
       ]);
@@ -362,6 +423,13 @@
     });
   }
 
+  /** Tells the first failure only: the opening is tried again until it succeeds, which is told. */
+  #logOpenFailure(err: StoreError): Effect.Effect<void> {
+    if (this.#hasFailedToOpen) return Effect.void;
+    this.#hasFailedToOpen = true;
+    return this.#logFailure("slice-open-failed", err);
+  }
+
   #logFailure(event: string, { fault, message }: StoreError): Effect.Effect<void> {
     return Effect.sync(() =>
       this.#opts.logger.warn(event, { slice: this.#opts.slice, fault, error: message })
--- a/src/turns/common/slice_journal_test.ts
+++ b/src/turns/common/slice_journal_test.ts
@@ -16,6 +16,8 @@
     slice: 0,
     partition: PARTITION,
     instance: `i${writer}`,
+    address: `i${writer}:1`,
+    askRelease: () => Effect.succeed(undefined),
     writer,
     log,
     logger: new NullLogger(),
--- a/src/turns/common/slice_state.ts
+++ b/src/turns/common/slice_state.ts
@@ -1,6 +1,11 @@
 /** State of one slice, as its records in the log tell. */
 import { create, fromBinary, toBinary } from "@bufbuild/protobuf";
-import type { KeptTurn, SliceRecord, TurnPiece } from "../../base/common/gen/ragwortcleat/v1/turns_pb.ts";
+import type {
+  KeptTurn,
+  ProgramSpending,
+  SliceRecord,
+  TurnPiece,
+} from "../../base/common/gen/ragwortcleat/v1/turns_pb.ts";
 import {
   KeptTurnSchema,
   ProgramSpendingSchema,
@@ -23,12 +28,18 @@
   readonly #pieces = new Map<string, Uint8Array[]>();
   #writer: bigint | undefined;
   #isReleased = true;
+  #holder = "";
 
   /** Identity of the newest ownership; undefined before the first. */
   get writer(): bigint | undefined {
     return this.#writer;
   }
 
+  /** Where peers reach the newest owner; empty before the first. */
+  get holder(): string {
+    return this.#holder;
+  }
+
   /** Whether the newest ownership recorded all that it granted before it ended. */
   get isReleased(): boolean {
     return this.#isReleased;
@@ -40,6 +51,7 @@
       case "claim":
         this.#writer = writer;
         this.#isReleased = false;
+        this.#holder = event.value.address;
         this.ledger.markUnclean(event.value.uncleanAtMs);
         break;
       case "release":
@@ -79,8 +91,12 @@
 }
 
 export function spendingEvents(records: readonly ISpendingRecord[]): SliceEvent[] {
+  return spendingMessages(records).map((value) => ({ case: "spending", value }));
+}
+
+export function spendingMessages(records: readonly ISpendingRecord[]): ProgramSpending[] {
   return records.map(({ running, ...record }) => {
     const turns = running.map((turn) => create(RunningTurnSchema, turn));
-    return { case: "spending", value: create(ProgramSpendingSchema, { ...record, running: turns }) };
+    return create(ProgramSpendingSchema, { ...record, running: turns });
   });
 }
