Gauges of a gateway, a line for lost log lines, the previous turn in request lines

Cause: an operator could not see from the metrics how old an instance's beliefs are, nor from the logs that lines were lost, nor which turn a "turn-unknown" refusal was about.

Change: gauges (ages of configuration and server list, slices, kept bytes, active requests, lost lines), the event log-lines-dropped once a slow reader reads again, previousTurn in request lines.

--- a/src/call/common/relayed_call.ts
+++ b/src/call/common/relayed_call.ts
@@ -65,6 +65,7 @@
       budget: req.program?.budget,
       maxTokens: req.prompt?.maxTokens,
       slackMs: req.program?.finishMs,
+      previousTurn: req.program?.previousTurnId,
       route: route.name,
       version: this.configurationVersion,
       status: this.status,
--- /dev/null
+++ b/src/daemon/common/gateway_gauges_test.ts
@@ -0,0 +1,28 @@
+import test from "ava";
+import type { GatewayCore } from "./gateway_core.ts";
+import { registerGatewayGauges } from "./gateway_gauges.ts";
+import { Metrics } from "../../services/metrics/common/metrics.ts";
+
+test("gauges tell the age of what is believed, and that nothing is known yet", (t) => {
+  const metrics = new Metrics();
+  const core = {
+    metrics,
+    routes: { configuration: undefined },
+    directory: { size: 3 },
+    owned: { slices: [1, 2], keptBytes: 10 },
+    group: { peers: ["a"] },
+    configuration: { lastReadMs: 400 },
+    backends: { lastReadMs: 900 },
+  } as unknown as GatewayCore;
+  registerGatewayGauges({ core, activeRequests: () => 7, droppedLines: () => 0, now: () => 1000 });
+  const text = metrics.render();
+  for (
+    const line of [
+      "ragwortcleat_configuration_version -1",
+      "ragwortcleat_configuration_age_ms 600",
+      "ragwortcleat_backends_age_ms 100",
+      "ragwortcleat_slices_owned 2",
+      "ragwortcleat_requests_active 7",
+    ]
+  ) t.true(text.includes(line), line);
+});
--- a/src/daemon/node/gateway.ts
+++ b/src/daemon/node/gateway.ts
@@ -13,6 +13,7 @@
 import type { GatewaySettings } from "../../services/settings/common/gen/gateway_settings.ts";
 import type { IPlatformAdapter } from "../../services/store/common/platform_adapter.ts";
 import { GatewayCore } from "../common/gateway_core.ts";
+import { registerGatewayGauges } from "../common/gateway_gauges.ts";
 
 const MS_PER_SECOND = 1000;
 /** Time in which the balancer notices that an instance stops, in ms: two probes a second apart, and their lag. */
@@ -26,6 +27,8 @@
   readonly adapter: IPlatformAdapter;
   readonly codec: ICallCodec;
   readonly logger: ILogger;
+  /** Log lines lost to a slow reader since the start. */
+  readonly droppedLogLines: () => number;
 }
 
 /** A running gateway. */
@@ -37,7 +40,7 @@
 /** Starts a gateway; it ends with the scope. */
 export function startGateway(
   settings: GatewaySettings,
-  { adapter, codec, logger }: IGatewayPlatform,
+  { adapter, codec, logger, droppedLogLines }: IGatewayPlatform,
 ): Effect.Effect<IGateway, Error, Scope.Scope> {
   return Effect.gen(function* () {
     const upstream = yield* own(new HttpUpstream(codec));
@@ -56,6 +59,12 @@
     });
     const context = yield* Effect.context<never>();
     const front: GatewayFront = yield* own(new GatewayFront({ relay: core.relay, logger, context }));
+    registerGatewayGauges({
+      core,
+      activeRequests: () => front.activeCount,
+      droppedLines: droppedLogLines,
+      now: Date.now,
+    });
     let isStopping = false;
     yield* listenInside(core, { settings, logger, isReady: () => !isStopping && core.isServing });
     yield* core.start();
--- a/src/services/logging/node/line_writer.ts
+++ b/src/services/logging/node/line_writer.ts
@@ -1,6 +1,8 @@
 /** Writes log lines to standard output without ever waiting for its reader. */
 import { write } from "node:fs";
 import process from "node:process";
+import type { Event } from "../../../base/common/emitter.ts";
+import { Emitter } from "../../../base/common/emitter.ts";
 
 /** Longest time that a line waits for others, in ms: fewer, larger writes. */
 const FLUSH_INTERVAL_MS = 50;
@@ -14,7 +16,11 @@
   readonly #fd: number;
   #lines: string[] = [];
   #waitingBytes = 0;
+  readonly #onDidDrop = new Emitter<number>();
+  /** Lines were dropped since the last time, and there is room again. */
+  readonly onDidDrop: Event<number> = this.#onDidDrop.event;
   #dropped = 0;
+  #reported = 0;
   #isWriting = false;
   #timer: NodeJS.Timeout | undefined;
 
@@ -56,6 +62,13 @@
     this.#writeRest(bytes);
   }
 
+  #reportDropped(): void {
+    const count = this.#dropped - this.#reported;
+    if (count === 0 || this.#waitingBytes > MAX_WAITING_BYTES) return;
+    this.#reported = this.#dropped;
+    this.#onDidDrop.fire(count);
+  }
+
   #writeRest(bytes: Uint8Array): void {
     write(this.#fd, bytes, (err, written) => {
       const done = err === null ? written : err.code === "EAGAIN" ? 0 : bytes.length;
@@ -65,6 +78,7 @@
       }
       this.#isWriting = false;
       this.#waitingBytes = this.#lines.reduce((sum, line) => sum + line.length + 1, 0);
+      this.#reportDropped();
       if (this.#lines.length > 0) this.#flush();
     });
   }
