Tools: explain a request, report a run, status of an instance

Change: ragwortcleat explain ID [FILES] orders the lines that bear on a request and names the likeliest causes, each reason of a refusal has one; report draws latency, refusals and changes over time into one page (vega-lite, rendered without a browser); status prints the gauges. Lines may come in any order and with a collector's prefix.

--- /dev/null
+++ b/src/cli/common/gauges_test.ts
@@ -0,0 +1,14 @@
+import test from "ava";
+import { readGauges } from "./gauges.ts";
+
+test("series without labels are read, the rest is passed over", (t) => {
+  const text = [
+    "# TYPE ragwortcleat_slices_owned gauge",
+    "ragwortcleat_slices_owned 3",
+    'ragwortcleat_request_ms{quantile="0.5"} 4',
+    "other_value 5",
+    "ragwortcleat_odd NaN",
+    "",
+  ].join("\n");
+  t.deepEqual(readGauges(text), { slices_owned: 3 });
+});
--- /dev/null
+++ b/src/cli/common/request_story_test.ts
@@ -0,0 +1,96 @@
+import test from "ava";
+import { RefusalReason } from "../../call/common/gateway_refusal.ts";
+import type { ILogLine } from "./log_line.ts";
+import { parseLogLine } from "./log_line.ts";
+import { renderStory } from "./render_story.ts";
+import { causesOf } from "./request_causes.ts";
+import { tellRequest } from "./request_story.ts";
+
+function at(seconds: number, instance: string, fields: { event: string; [name: string]: unknown }): ILogLine {
+  const time = new Date(1_000_000 + seconds * 1000).toISOString();
+  return parseLogLine(`12.3 collector ${JSON.stringify({ time, level: "info", instance, ...fields })}`)!;
+}
+
+test("text that is no line of an instance is passed over", (t) => {
+  for (const text of ["", "plain", "{", "{}", "[1]", '{"time":"x","instance":"i","event":"e"}', "{null}"]) {
+    t.is(parseLogLine(text), undefined, text);
+  }
+});
+
+test("a refusal for want of the store names the store and whom it refused", (t) => {
+  const lines = [
+    at(10, "i2", {
+      event: "request",
+      request: "r",
+      program: "p",
+      status: 503,
+      reason: "budget-unavailable",
+      tookMs: 205,
+    }),
+    at(8, "i1", { event: "store-lost", topic: "t", error: "store answered 503" }),
+    at(5, "i3", { event: "store-lost", topic: "t", error: "timed out" }),
+    at(6, "i3", { event: "store-regained", topic: "t", awayMs: 1000 }),
+    at(9, "i2", { event: "request", request: "q", program: "p", status: 200, tookMs: 20 }),
+    at(9, "i2", { event: "request", request: "z", program: "other", status: 200, tookMs: 20 }),
+  ];
+  const story = tellRequest(lines, "r");
+  t.deepEqual(story.causes, [
+    "the owner could not record the grant in the store",
+    "the store was away for i1 (store answered 503)",
+  ]);
+  t.deepEqual(story.siblings.map(({ fields }) => fields.request), ["q"]);
+  t.deepEqual(story.gaps, []);
+});
+
+test("an unknown outcome names the server and its fault", (t) => {
+  const lines = [
+    at(1, "i", { event: "backend-failed", request: "r", backend: "b", fault: "broken", error: "aborted" }),
+    at(1.1, "i", {
+      event: "request",
+      request: "r",
+      status: 502,
+      reason: "outcome-unknown",
+      runs: 1,
+      backend: "b",
+    }),
+  ];
+  const [first, second] = tellRequest(lines, "r").causes;
+  t.is(first, "b failed it (broken): aborted");
+  t.regex(second, /may have run on 1 server/);
+});
+
+test("a killed instance and lost lines are told as gaps", (t) => {
+  const lines = [
+    at(1, "i", { event: "backend-failed", request: "r", backend: "b", fault: "broken" }),
+    at(1.2, "j", { event: "log-lines-dropped", count: 7 }),
+    at(3, "i", { event: "started" }),
+  ];
+  const { gaps } = tellRequest(lines, "r");
+  t.regex(gaps[0], /killed meanwhile/);
+  t.regex(gaps[1], /j lost 7 lines/);
+  const untold = tellRequest(lines, "none");
+  t.regex(untold.gaps[0], /no instance wrote a line/);
+  t.deepEqual(untold.beliefs.map(({ event }) => event), ["started"]);
+});
+
+test("a late turn tells what was believed of its server", (t) => {
+  const crowded = {
+    event: "request",
+    request: "r",
+    status: 200,
+    backend: "b",
+    running: 14,
+    firstEventMs: 90,
+  };
+  t.regex(tellRequest([at(1, "i", crowded)], "r").causes[0], /14 requests.*crowded/);
+  const slow = { ...crowded, running: 1, firstEventMs: 900 };
+  t.regex(tellRequest([at(1, "i", slow)], "r").causes[0], /the belief was old or the server slow/);
+});
+
+test("every reason is explained, and the story shows it", (t) => {
+  for (const reason of Object.values(RefusalReason)) {
+    const end = at(1, "i", { event: "request", request: "r", status: 503, reason });
+    t.true(causesOf(end, { attempts: [], beliefs: [] }).length > 0, reason);
+    t.true(renderStory("r", tellRequest([end], "r")).includes("why:"), reason);
+  }
+});
--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -5,6 +5,9 @@
 import { ExitCode } from "./common/exit_code.ts";
 import type { ICommonOptions } from "./node/commands.ts";
 import { Commands, finish } from "./node/commands.ts";
+import { explain } from "./node/explain.ts";
+import { report } from "./node/report.ts";
+import { status } from "./node/status.ts";
 
 const DEFAULT_INSTANCE = "http://127.0.0.1:7001";
 const DEFAULT_LOG = "http://127.0.0.1:7900";
@@ -23,6 +26,10 @@
   readonly base?: number;
 }
 
+interface IStatusOptions extends ICommonOptions {
+  readonly metrics?: string;
+}
+
 interface IDecisionsOptions extends ICommonOptions {
   readonly follow?: boolean;
 }
@@ -129,6 +136,26 @@
     return finish(commands, () => commands.metrics());
   });
 
+cli.command("explain <request> [...files]", "Why a request ended as it did, from log files or standard input")
+  .action(async (requestId: string, files: readonly string[], opts: ICommonOptions) => {
+    process.exitCode = await explain(requestId, { files, isJson: opts.json === true });
+  });
+
+cli.command("report [...files]", "Plots of a run, from log files or standard input, as one HTML page")
+  .option("--out <file>", "Page to write", { default: "report.html" })
+  .action(async (files: readonly string[], { out }: { out: string }) => {
+    process.exitCode = await report({ files, out });
+  });
+
+cli.command("status", "Gauges of an instance, as its metrics address tells them")
+  .option("--metrics <url>", "Metrics address (default: the instance's operator interface)")
+  .action(async (opts: IStatusOptions) => {
+    process.exitCode = await status({
+      url: opts.metrics ?? `${opts.instance}/metrics`,
+      isJson: opts.json === true,
+    });
+  });
+
 cli.addEventListener("command:*", () => {
   console.error(`ragwortcleat: unknown command ${cli.args.join(" ")}; see --help`);
   process.exit(ExitCode.BadInput);
