--- a/src/cli/common/request_causes.ts
+++ b/src/cli/common/request_causes.ts
@@ -45,9 +45,7 @@
     `the budget of ${end.fields.budget ?? "the program"} tokens does not hold another turn of ${
       end.fields.maxTokens ?? "its"
     } at most`,
-    ...beliefs.filter((line) => line.event === "slice-opened" && line.fields.isClean === false).map((line) =>
-      `${line.instance} took slice ${line.fields.slice} over from an owner that did not release it: what that one may have granted counts as spent`
-    ),
+    ...uncleanCauses(beliefs),
   ],
   [RefusalReason.BudgetUnavailable]: (end, { beliefs }) => [
     (numberOf(end, "tookMs") ?? 0) >= NO_OWNER_MS
@@ -92,9 +90,7 @@
 
 /** Why a request ended as it did, the likeliest first; empty for a plain success. */
 export function causesOf(end: ILogLine, evidence: IEvidence): string[] {
-  if (end.event === "caller-left") {
-    return [`the caller left after ${end.fields.tookMs} ms`, ...lateCauses(end, evidence)];
-  }
+  if (end.event === "caller-left") return leftCauses(end, evidence);
   const reason = textOf(end, "reason");
   if (reason !== undefined && reason in EXPLAINED) return EXPLAINED[reason as RefusalReason](end, evidence);
   const status = numberOf(end, "status") ?? 0;
@@ -102,6 +98,22 @@
   return lateCauses(end, evidence);
 }
 
+function leftCauses(end: ILogLine, evidence: IEvidence): string[] {
+  const events = numberOf(end, "events") ?? 0;
+  const held = `the caller left after ${end.fields.tookMs} ms and ${events} events`;
+  const { beliefs } = evidence;
+  return [held, ...lateCauses(end, evidence), ...ownerCauses(beliefs), ...storeCauses(beliefs)];
+}
+
+/** Slices that were taken over from owners that did not tell what they had granted. */
+function uncleanCauses(beliefs: readonly ILogLine[]): string[] {
+  const unclean = beliefs.filter((line) => line.event === "slice-opened" && line.fields.isClean === false);
+  if (unclean.length === 0) return [];
+  return [
+    `${unclean.length} slices were taken over shortly before from owners that did not tell what they had granted: what they may have granted counts as spent`,
+  ];
+}
+
 function lateCauses(end: ILogLine, { attempts }: IEvidence): string[] {
   const firstEventMs = numberOf(end, "firstEventMs") ?? 0;
   const running = numberOf(end, "running") ?? 0;
--- a/src/cli/common/request_story_test.ts
+++ b/src/cli/common/request_story_test.ts
@@ -94,3 +94,29 @@
     t.true(renderStory("r", tellRequest([end], "r")).includes("why:"), reason);
   }
 });
+
+test("a caller that left while the store was away is told both", (t) => {
+  const left = { event: "caller-left", request: "r", status: 0, backend: "b", events: 15, tookMs: 2429 };
+  const causes =
+    tellRequest([at(8, "j", { event: "store-lost", topic: "t" }), at(10, "i", left)], "r").causes;
+  t.is(causes.length, 2);
+  t.regex(causes[0], /2429 ms and 15 events/);
+  t.regex(causes[1], /store was away for j/);
+});
+
+test("slices that were taken over without a word count once, however many", (t) => {
+  const lines = Array.from(
+    { length: 9 },
+    (_, slice) => at(1, "i", { event: "slice-opened", slice, isClean: false }),
+  );
+  const end = at(2, "i", {
+    event: "request",
+    request: "r",
+    status: 402,
+    reason: "budget-spent",
+    budget: 900,
+  });
+  const { causes } = tellRequest([...lines, end], "r");
+  t.is(causes.length, 2);
+  t.regex(causes[1], /^9 slices/);
+});
