What a former owner tells is kept when the answer to the next owner's claim is lost

Cause (trace of plan 120 of the new test): the next owner asked the former one, appended its claim, and the claim's answer was lost. Its next try found its own claim in the log and opened the slice without what it had been told: a program without a record was granted its first turns once more, 8000 tokens of a budget of 6127.

Ruled out: the ways without an answer in person (the same plans with nobody answering keep the bound; 600 plans).

Change: what was told is kept beside the claim and taken up by whichever try opens the slice.

--- a/src/turns/common/owned_slices_test.ts
+++ b/src/turns/common/owned_slices_test.ts
@@ -158,6 +158,26 @@
   }));
 });
 
+test("what a former owner tells is kept when the answer to the next one's claim is lost", async (t) => {
+  const log = new PartitionedLogCore();
+  await run(Effect.gen(function* () {
+    const refused = refusable(log);
+    const a = ownedOf(refused.log, "a");
+    const b = ownedOf(log, "b", [a]);
+    yield* a.assign(ALL);
+    yield* Effect.sleep(1000);
+    refused.isRefusing = true;
+    yield* a.begin(beginOf("1", 1000));
+    log.fault = LogFault.LoseAnswers;
+    yield* b.assign(ALL);
+    yield* Effect.sleep(100);
+    log.fault = LogFault.None;
+    yield* Effect.sleep(500);
+    t.is((yield* b.begin(beginOf("2", 1000))).verdict, TurnVerdict.GRANTED);
+    t.is((yield* b.begin(beginOf("3", 1000))).verdict, TurnVerdict.SPENT);
+  }));
+});
+
 test("a slice whose owner does not answer is taken over, and counts as ended without a release", async (t) => {
   const log = new PartitionedLogCore();
   await run(Effect.gen(function* () {
--- a/src/turns/common/slice_journal.ts
+++ b/src/turns/common/slice_journal.ts
@@ -90,6 +90,8 @@
   #checkpointAtMs = 0;
   #isReleasing = false;
   #hasFailedToOpen = false;
+  /** What a former owner has granted beyond the log's records. */
+  #takenUp: readonly ISpendingRecord[] = [];
   /** Former owner that was asked to release the slice, and what it answered. */
   #asked: { readonly writer: bigint; readonly granted: readonly ISpendingRecord[] | undefined } | undefined;
 
@@ -213,7 +215,7 @@
       const end = yield* this.#readFrom(0, (record) => state.apply(record));
       const now = yield* Clock.currentTimeMillis;
       if (state.writer !== this.#opts.writer) {
-        if (!state.isReleased) yield* this.#settleFormer(state, now);
+        this.#takenUp = state.isReleased ? [] : yield* this.#settleFormer(state, now);
         const { uncleanAtMs } = state.ledger;
         const outcome = yield* this.#append([this.#claim(now, uncleanAtMs)], end);
         if (!outcome.isAppended) return false;
@@ -222,6 +224,8 @@
         this.#end = end;
       }
       if (this.#state !== JournalState.Opening) return true;
+      // Also where an earlier try has placed the claim and its answer was lost.
+      for (const record of this.#takenUp) state.ledger.restore(record);
       this.#slice = state;
       this.#checkpointAtMs = now;
       this.#state = JournalState.Open;
@@ -249,7 +253,10 @@
    * have granted counts as spent, and new programs wait for their records for as long as turns are kept.
    * Load pattern: all slices are dealt anew at once, or the store refuses some instances and serves the others.
    */
-  #settleFormer({ writer, holder, ledger }: SliceState, now: number): Effect.Effect<void> {
+  #settleFormer(
+    { writer, holder, ledger }: SliceState,
+    now: number,
+  ): Effect.Effect<readonly ISpendingRecord[]> {
     return Effect.gen({ self: this }, function* () {
       const { slice, address, askRelease } = this.#opts;
       const isAskable = writer !== undefined && holder !== "" && holder !== address;
@@ -257,8 +264,8 @@
         this.#asked = { writer, granted: yield* askRelease({ slice, writer, holder }) };
       }
       const granted = isAskable ? this.#asked?.granted : undefined;
-      if (granted === undefined) return ledger.markUnclean(now);
-      for (const record of granted) ledger.restore(record);
+      if (granted === undefined) ledger.markUnclean(now);
+      return granted ?? [];
     });
   }
 
