--- a/src/turns/common/slice_journal.ts
+++ b/src/turns/common/slice_journal.ts
@@ -107,7 +107,7 @@
     return this.#opts.writer;
   }
 
-  /** Whether a release is on its way; what were granted now would be missing in it. */
+  /** Whether a release is on its way; what is granted now would be missing in it. */
   get isReleasing(): boolean {
     return this.#isReleasing;
   }
