Reading: one type for what an engine has read, sizes of appends apart, a leftover removed

Change: IPromptHome alone, beside PromptHomes; release() returns nothing; append_size.ts. Moves and types, no behaviour.

--- a/src/call/common/backend_attempts.ts
+++ b/src/call/common/backend_attempts.ts
@@ -9,7 +9,7 @@
 import type { Metrics } from "../../services/metrics/common/metrics.ts";
 import type { IEngineInfo, RouteTable } from "../../services/routes/common/route_table.ts";
 import { isRepeatable, RouteKind } from "../../services/routes/common/route_table.ts";
-import type { IPromptHome } from "../../turns/common/turn_client.ts";
+import type { IPromptHome } from "../../turns/common/prompt_homes.ts";
 import type { CrashStrikes } from "./crash_strikes.ts";
 import { finalRefusal, GatewayStatus, RefusalReason } from "./gateway_refusal.ts";
 import type { IAnswerHead, IAnswerSink, ICallCodec, IUpstream, IUpstreamAnswer } from "./opaque_call.ts";
--- a/src/routing/common/prompt_cache_map.ts
+++ b/src/routing/common/prompt_cache_map.ts
@@ -1,4 +1,5 @@
 /** Which parts of prompts an engine is expected to have in its cache. */
+import type { IPromptHome } from "../../turns/common/prompt_homes.ts";
 
 export interface ICachedPart {
   readonly id: string;
@@ -38,13 +39,6 @@
   }
 }
 
-/** A part that prompts begin with, and an engine that has read it. */
-export interface IReadPrefix {
-  readonly backendId: string;
-  readonly partId: string;
-  readonly tokens: number;
-}
-
 /**
  * Expected caches of all engines, from the requests that this instance has placed and from what the
  * others say of the parts that many prompts begin with. Load pattern: few long shared beginnings. An
@@ -52,7 +46,7 @@
  */
 export class PromptCacheMap {
   readonly #engines = new Map<string, EngineCache>();
-  readonly #prefixes = new Map<string, IReadPrefix>();
+  readonly #prefixes = new Map<string, IPromptHome>();
 
   cachedTokens(engineId: string, parts: readonly ICachedPart[]): number {
     return this.#engines.get(engineId)?.cachedTokens(parts) ?? 0;
@@ -69,14 +63,14 @@
   }
 
   /** Notes that an engine has a part, as another instance saw it. */
-  hear({ backendId, partId, tokens }: IReadPrefix): void {
+  hear({ backendId, partId, tokens }: IPromptHome): void {
     const cache = this.#engines.get(backendId) ?? new EngineCache();
     cache.use([{ id: partId, tokens }], Infinity);
     this.#engines.set(backendId, cache);
   }
 
   /** Beginnings of prompts that requests of this instance had read since the last call, for the others. */
-  takePrefixes(): IReadPrefix[] {
+  takePrefixes(): IPromptHome[] {
     const prefixes = [...this.#prefixes.values()].slice(-MAX_PREFIXES);
     this.#prefixes.clear();
     return prefixes;
--- a/src/turns/common/prompt_homes.ts
+++ b/src/turns/common/prompt_homes.ts
@@ -1,6 +1,14 @@
 /** Which engine last read which line of turns, as the owner of the programs knows it. */
 import type { PromptHome } from "../../base/common/gen/ragwortcleat/v1/turns_pb.ts";
 
+/** The engine that read a part of a prompt. */
+export interface IPromptHome {
+  readonly partId: string;
+  readonly backendId: string;
+  /** Tokens of the part, with those that were generated after it. */
+  readonly tokens: number;
+}
+
 /** Parts that are remembered, the most recently read: the lines of some minutes at 25 turns a second. */
 const MAX_PARTS = 4000;
 
--- a/src/turns/common/slice_journal.ts
+++ b/src/turns/common/slice_journal.ts
@@ -13,6 +13,7 @@
 import type { IPartition, IPartitionedLog } from "../../services/store/common/partitioned_log.ts";
 import type { StoreError } from "../../services/store/common/partitioned_log.ts";
 import { StoreFault } from "../../services/store/common/partitioned_log.ts";
+import { chunked, MAX_APPEND_BYTES, sizeOf } from "./append_size.ts";
 import type { SliceEvent } from "./slice_state.ts";
 import { SliceState, spendingEvents, turnEvents } from "./slice_state.ts";
 import type { ISpendingRecord } from "./spending_ledger.ts";
@@ -21,8 +22,6 @@
 const RETRY_PAUSE_MS = 150;
 /** How long spending records wait for others, in ms: bounds a slice's appends to about two a second. */
 const LAZY_APPEND_MS = 500;
-/** Largest append, in bytes: below the store's bound for a call. */
-const MAX_APPEND_BYTES = 1_500_000;
 /** Time between two checkpoints, in ms: bounds what a new owner reads, and the log's size. */
 const CHECKPOINT_INTERVAL_MS = 120_000;
 
@@ -156,14 +155,14 @@
   }
 
   /** Appends what is left and a release, so that the next owner knows that nothing went unrecorded. */
-  release(): Effect.Effect<boolean> {
+  release(): Effect.Effect<void> {
     return Effect.suspend(() => {
-      if (this.#state === JournalState.Closed) return Effect.succeed(false);
+      if (this.#state === JournalState.Closed) return Effect.void;
       // A claim may be in the log already; without a release behind it the next owner must assume the worst.
       if (this.#state === JournalState.Opening) return Effect.andThen(this.awaitOpen(), this.release());
       this.#isReleasing = true;
       const release: SliceEvent = { case: "release", value: create(SliceReleaseSchema) };
-      return this.#enqueue({ events: [release] });
+      return Effect.asVoid(this.#enqueue({ events: [release] }));
     });
   }
 
@@ -443,25 +442,3 @@
     );
   }
 }
-
-/** Approximate size of an event in the log, in bytes. */
-function sizeOf(event: SliceEvent): number {
-  const overhead = 100;
-  if (event.case === "turn") return event.value.content.length + overhead;
-  return event.case === "piece" ? event.value.data.length + overhead : overhead;
-}
-
-/** Splits events into appends of a size that the store takes. */
-function chunked(events: readonly SliceEvent[]): SliceEvent[][] {
-  const chunks: SliceEvent[][] = [[]];
-  let bytes = 0;
-  for (const event of events) {
-    bytes += sizeOf(event);
-    if (bytes > MAX_APPEND_BYTES) {
-      chunks.push([]);
-      bytes = sizeOf(event);
-    }
-    chunks[chunks.length - 1].push(event);
-  }
-  return chunks;
-}
--- a/src/turns/common/turn_client.ts
+++ b/src/turns/common/turn_client.ts
@@ -21,6 +21,7 @@
 import type { ServiceClients } from "../../membership/common/peer_client.ts";
 import type { ILogger } from "../../services/logging/common/logger.ts";
 import { KeptTurns } from "./kept_turns.ts";
+import type { IPromptHome } from "./prompt_homes.ts";
 import type { IBegunTurn, OwnedSlices } from "./owned_slices.ts";
 import type { SliceGroup } from "./slice_group.ts";
 import type { ITurnGrant } from "./spending_ledger.ts";
@@ -97,14 +98,6 @@
   readonly home: IPromptHome | undefined;
 }
 
-/** The engine that read a part of a prompt. */
-export interface IPromptHome {
-  readonly partId: string;
-  readonly backendId: string;
-  /** Tokens of the part, with those that were generated after it. */
-  readonly tokens: number;
-}
-
 /** Asks for a turn. */
 export interface ITurnDemand extends ITurnGrant {
   /** Parts of the prompt in order. */
