Crash evidence in the gateway's log lines

Cause: the log could not tell apart the hypotheses of the incident: a request without identity, a crash that does not count, a count that was lost, a count that was cleared. Change: backend-failed lines carry the fingerprint of the request's content, whether the failure counts as a crash and the crashes known here; so do lines of expired deadlines, disconnected callers and refusals of crashing requests (without isCounted). New counter early_refusals by reason. No decision changed. Conclusion: for each attempt the log now says which hypothesis holds.

--- a/src/call/common/backend_dispatcher.ts
+++ b/src/call/common/backend_dispatcher.ts
@@ -123,7 +123,8 @@
       const id = call.choice!.backend.id;
       this.#opts.loads.recordFailure(id);
       if (fault !== UpstreamFault.NotSent) call.runs += 1;
-      if (fault === UpstreamFault.Broken) this.#opts.crashCounter.recordCrash(call.content);
+      const { crashCounter } = this.#opts;
+      const isCounted = fault === UpstreamFault.Broken && crashCounter.recordCrash(call.content);
       this.#opts.metrics.incrementCounter("backend_faults", { fault });
       const { runs, events } = call;
       this.#opts.logger.warn("backend-failed", {
@@ -133,6 +134,8 @@
         runs,
         events,
         error: message,
+        isCounted,
+        ...crashCounter.evidenceFor(call.content),
       });
     });
   }
--- a/src/call/common/crash_counter.ts
+++ b/src/call/common/crash_counter.ts
@@ -14,6 +14,13 @@
   readonly count: number;
 }
 
+export interface ICrashEvidence {
+  /** Hash of the request's content, in hexadecimal. */
+  readonly fingerprint: string;
+  /** Crashes counted for the content by this and the other instances, as known here. */
+  readonly crashes: number;
+}
+
 interface ICrashEntry {
   count: number;
   lastAtMs: number;
@@ -41,15 +48,16 @@
     this.#now = now;
   }
 
-  /** Records that a server broke the connection while it had the request. */
-  recordCrash(content: IRequestContent): void {
-    if (isAmbiguous(content)) return;
+  /** Records that a server broke the connection while it had the request. Returns whether it counts. */
+  recordCrash(content: IRequestContent): boolean {
+    if (isAmbiguous(content)) return false;
     const fingerprint = fingerprintOf(content);
     const count = this.#liveCount(this.#local.get(fingerprint)) + 1;
     this.#local.delete(fingerprint);
     this.#local.set(fingerprint, { count, lastAtMs: this.#now() });
     const oldest = this.#local.keys().next();
     if (this.#local.size > MAX_TRACKED_REQUESTS && !oldest.done) this.#local.delete(oldest.value);
+    return true;
   }
 
   /** Records that a server completed the request, which means that the earlier crashes had another cause. */
@@ -76,10 +84,15 @@
   /** Whether a request has crashed so many servers that it must not be sent to another one. */
   hasReachedLimit(content: IRequestContent): boolean {
     if (this.#local.size === 0 && this.#peerCounts.size === 0) return false;
+    return this.evidenceFor(content).crashes >= MAX_CRASHES;
+  }
+
+  /** Returns the identity of a request's content and the crashes known to this instance, for the log. */
+  evidenceFor(content: IRequestContent): ICrashEvidence {
     const fingerprint = fingerprintOf(content);
-    let sum = this.#liveCount(this.#local.get(fingerprint));
-    for (const counts of this.#peerCounts.values()) sum += this.#liveCount(counts.get(fingerprint));
-    return sum >= MAX_CRASHES;
+    let crashes = this.#liveCount(this.#local.get(fingerprint));
+    for (const counts of this.#peerCounts.values()) crashes += this.#liveCount(counts.get(fingerprint));
+    return { fingerprint: fingerprint.toString(16).padStart(8, "0"), crashes };
   }
 
   /** Returns the crash count of an entry, or 0 if it has expired. */
--- a/src/call/common/gateway_relay.ts
+++ b/src/call/common/gateway_relay.ts
@@ -58,11 +58,8 @@
       const route = routes.find(req.host, req.target);
       if (route === undefined) return this.#refuseEarly(sink, this.#noRouteRefusal(), req);
       if (this.#opts.crashCounter.hasReachedLimit(contentOf(req))) {
-        return this.#refuseEarly(
-          sink,
-          retryableRefusal(RefusalReason.CrashingRequest, CRASHING_RETRY_AFTER_MS),
-          req,
-        );
+        const refusal = retryableRefusal(RefusalReason.CrashingRequest, CRASHING_RETRY_AFTER_MS);
+        return this.#refuseEarly(sink, refusal, req);
       }
       const now = yield* Clock.currentTimeMillis;
       const service = selectServiceByWeight(route.services, this.#opts.random());
@@ -71,10 +68,11 @@
         ? this.#serveTurn(call, sink)
         : this.#serve({ call, sink, body: req.body, beforeEnd: Effect.succeed(true) });
       const outcome = yield* Effect.raceFirst(work, this.#awaitDeadline(call)).pipe(
-        Effect.onInterrupt(() => this.#log(call, "caller-left")),
+        Effect.onInterrupt(() => this.#log(call, "caller-left", this.#evidenceOf(call))),
       );
       if (outcome !== undefined) this.#refuse(call, { sink, refusal: outcome });
-      yield* this.#log(call, "request");
+      const isTimeout = outcome?.status === GatewayStatus.Timeout;
+      yield* this.#log(call, "request", isTimeout ? this.#evidenceOf(call) : {});
     });
   }
 
@@ -100,7 +98,11 @@
 
   #refuseEarly(sink: IResponseSink, refusal: IRefusal, req?: IOpaqueRequest): void {
     const { status, reason } = refusal;
-    this.#opts.logger.info("request", { request: req?.id, target: req?.target, status, reason });
+    const evidence = reason === RefusalReason.CrashingRequest && req !== undefined
+      ? this.#opts.crashCounter.evidenceFor(contentOf(req))
+      : {};
+    this.#opts.logger.info("request", { request: req?.id, target: req?.target, status, reason, ...evidence });
+    this.#opts.metrics.incrementCounter("early_refusals", { reason });
     writeRefusal(sink, refusal);
   }
 
@@ -247,9 +249,14 @@
     });
   }
 
-  #log(call: RelayedCall, event: string): Effect.Effect<void> {
+  /** Returns the crash evidence on a request that a server may still be running. */
+  #evidenceOf(call: RelayedCall): object {
+    return call.choice === undefined ? {} : this.#opts.crashCounter.evidenceFor(call.content);
+  }
+
+  #log(call: RelayedCall, event: string, evidence: object = {}): Effect.Effect<void> {
     return Effect.map(Clock.currentTimeMillis, (now) => {
-      this.#opts.logger.info(event, call.logFields(now));
+      this.#opts.logger.info(event, { ...call.logFields(now), ...evidence });
       const labels = { route: call.route.kind, status: String(call.status) };
       this.#opts.metrics.recordDuration("request", now - call.startedAtMs, labels);
     });
