Reproduce the incident: crashing requests through whole gateways, failing

What callers see: a request that crashes servers is sent to more and more of them. Cause: not named yet; this test triggers the fault on the current logic. Other requests run beside it and must not be refused. The fake log now answers with the owners of a group.

--- a/src/call/common/gateway_relay_test.ts
+++ b/src/call/common/gateway_relay_test.ts
@@ -2,6 +2,7 @@
 import { create } from "@bufbuild/protobuf";
 import { Effect, Fiber } from "effect";
 import { TestClock } from "effect/testing";
+import { RecordingSink } from "../../../test/stand_ins/recording_sink.ts";
 import type { PromptHome } from "../../base/common/gen/ragwortcleat/v1/turns_pb.ts";
 import { PromptHomeSchema, TurnVerdict } from "../../base/common/gen/ragwortcleat/v1/turns_pb.ts";
 import { BackendLoadTracker } from "../../routing/common/backend_load_tracker.ts";
@@ -17,13 +18,7 @@
 import { ChainLookupStatus } from "../../turns/common/turn_client.ts";
 import { CrashCounter } from "./crash_counter.ts";
 import { GatewayRelay } from "./gateway_relay.ts";
-import type {
-  IRequestCodec,
-  IResponseSink,
-  IUpstream,
-  IUpstreamRequest,
-  IUpstreamResponse,
-} from "./opaque_request.ts";
+import type { IRequestCodec, IUpstream, IUpstreamRequest, IUpstreamResponse } from "./opaque_request.ts";
 import { UpstreamError, UpstreamFault } from "./opaque_request.ts";
 
 /** Scripted behavior of a server for one request. */
@@ -102,41 +97,6 @@
   }
 }
 
-class FakeSink implements IResponseSink {
-  status = 0;
-  headers: readonly string[] = [];
-  text = "";
-  isEnded = false;
-  isAborted = false;
-
-  get hasStarted(): boolean {
-    return this.status !== 0;
-  }
-
-  respond(status: number, headers: readonly string[], body: Uint8Array): void {
-    this.startStream(status, headers);
-    this.write(body);
-    this.end();
-  }
-
-  startStream(status: number, headers: readonly string[]): void {
-    this.status = status;
-    this.headers = headers;
-  }
-
-  write(chunk: Uint8Array): void {
-    this.text += Buffer.from(chunk).toString();
-  }
-
-  end(): void {
-    this.isEnded = true;
-  }
-
-  abort(): void {
-    this.isAborted = true;
-  }
-}
-
 const CODEC: IRequestCodec = {
   readRequest: ({ method, target, headers, body }) => ({
     id: "r1",
@@ -220,7 +180,7 @@
     });
   }
   const upstream = new FakeUpstream(script);
-  const sink = new FakeSink();
+  const sink = new RecordingSink();
   const gateway = new GatewayRelay({
     codec: CODEC,
     routes,
--- /dev/null
+++ b/test/proofs/crashing_request_test.ts
@@ -0,0 +1,186 @@
+/** A request that crashes the servers that run it is refused after three crashes, and no other request is. */
+import test from "ava";
+import { Effect } from "effect";
+import type { IGatewayRequest } from "../harness/gateway_cluster.ts";
+import { CallerKind, GatewayCluster, RoutePath } from "../harness/gateway_cluster.ts";
+import { CrashForm, RestartForm } from "../stand_ins/backend_fleet.ts";
+
+const INSTANCES = 3;
+/** Crashes after which the request must not be sent to further servers. */
+const CRASH_LIMIT = 3;
+/** Time after the last of these crashes from which attempts are counted, in ms. */
+const STABLE_MS = 3000;
+/** Attempts after that time that the users' rule permits. */
+const MAX_LATER_ATTEMPTS = 3;
+const RETURN_INTERVAL_MS = 900;
+const ROUNDS = 16;
+
+const CRASHING = "crashing";
+
+interface IScenario {
+  readonly route: RoutePath;
+  readonly caller: CallerKind;
+  readonly body?: string;
+  readonly crashForm?: CrashForm;
+  readonly restartForm?: RestartForm;
+  readonly leaveAfterMs?: number;
+  /** Status with which servers respond to the other requests. */
+  readonly bystanderStatus?: number;
+  /** Runs before each return of the request. */
+  readonly disrupt?: (cluster: GatewayCluster, round: number) => Effect.Effect<void>;
+}
+
+interface IOutcome {
+  readonly crashes: number;
+  readonly laterAttempts: number;
+  /** Names of the other requests that were refused as crashing. */
+  readonly refusedBystanders: string[];
+  readonly bystandersServed: number;
+}
+
+/** Sends the request again and again through varying instances, with other requests beside it. */
+function play(scenario: IScenario): Promise<IOutcome> {
+  const { route, caller, body, crashForm, restartForm, leaveAfterMs, disrupt } = scenario;
+  const opts = {
+    instances: INSTANCES,
+    crashForm: crashForm ?? CrashForm.BeforeHead,
+    restartForm: restartForm ?? RestartForm.SameId,
+  };
+  return GatewayCluster.run(opts, (cluster) =>
+    Effect.gen(function* () {
+      const crashing: IGatewayRequest = { route, caller, body, name: CRASHING, leaveAfterMs };
+      const refusedBystanders: string[] = [];
+      let bystandersServed = 0;
+      for (let round = 0; round < ROUNDS; round++) {
+        yield* disrupt?.(cluster, round) ?? Effect.void;
+        const { names } = cluster;
+        yield* Effect.forkDetach(cluster.send(names[round % names.length], crashing));
+        for (const [index, name] of names.entries()) {
+          const bystander = { route, caller, body, name: `other-${index}` };
+          const served = Effect.map(cluster.send(name, bystander), ({ status, text }) => {
+            if (status === 200) bystandersServed += 1;
+            if (text.includes("crashing-request")) refusedBystanders.push(bystander.name);
+          });
+          yield* Effect.forkDetach(served);
+        }
+        yield* cluster.advance(RETURN_INTERVAL_MS);
+      }
+      const thirdCrashMs = cluster.fleet.crashes[CRASH_LIMIT - 1] ?? Infinity;
+      const later = cluster.fleet.runs.filter(({ target, atMs }) =>
+        target.endsWith(CRASHING) && atMs > thirdCrashMs + STABLE_MS
+      );
+      return {
+        crashes: cluster.fleet.crashes.length,
+        laterAttempts: later.length,
+        refusedBystanders,
+        bystandersServed,
+      };
+    }));
+}
+
+function testRefusal(title: string, scenario: IScenario): void {
+  test(title, async (t) => {
+    const { crashes, laterAttempts, refusedBystanders, bystandersServed } = await play(scenario);
+    t.log({ crashes, laterAttempts, bystandersServed });
+    t.true(crashes >= CRASH_LIMIT, `only ${crashes} crashes: the scenario does not reach the limit`);
+    t.true(laterAttempts <= MAX_LATER_ATTEMPTS, `${laterAttempts} later attempts, ${crashes} crashes in all`);
+    t.deepEqual(refusedBystanders, []);
+    t.true(bystandersServed > 0);
+  });
+}
+
+for (const route of Object.values(RoutePath)) {
+  testRefusal(`a crashing request without body and caller is refused on ${route}`, {
+    route,
+    caller: CallerKind.None,
+  });
+  testRefusal(`a crashing request of a program is refused on ${route}`, {
+    route,
+    caller: CallerKind.Program,
+    body: "x",
+  });
+}
+
+for (const crashForm of Object.values(CrashForm)) {
+  for (const route of [RoutePath.Unsafe, RoutePath.Safe, RoutePath.ResumableStream, RoutePath.Turn]) {
+    testRefusal(`a request that crashes servers ${crashForm} is refused on ${route}`, {
+      route,
+      crashForm,
+      caller: CallerKind.Program,
+      body: "x",
+    });
+  }
+}
+
+testRefusal("a crashing request is refused if crashed servers restart under new ids", {
+  route: RoutePath.Unsafe,
+  caller: CallerKind.AffinityKey,
+  crashForm: CrashForm.Silent,
+  restartForm: RestartForm.NewId,
+});
+
+testRefusal("a crashing request is refused if its caller leaves before the crash is noticed", {
+  route: RoutePath.Unsafe,
+  caller: CallerKind.AffinityKey,
+  crashForm: CrashForm.Silent,
+  leaveAfterMs: 300,
+});
+
+testRefusal("a crashing request is refused after a restart of all instances", {
+  route: RoutePath.Unsafe,
+  caller: CallerKind.Program,
+  disrupt: (cluster, round) =>
+    round % 4 !== 3 ? Effect.void : Effect.andThen(
+      Effect.forEach(cluster.names, (name) => cluster.restart(name), { discard: true }),
+      cluster.advance(STABLE_MS),
+    ),
+});
+
+testRefusal("a crashing request is refused during a rolling restart", {
+  route: RoutePath.Unsafe,
+  caller: CallerKind.Program,
+  disrupt: (cluster, round) => cluster.restart(cluster.names[round % INSTANCES]),
+});
+
+testRefusal("a crashing request is refused by instances that do not reach each other", {
+  route: RoutePath.Unsafe,
+  caller: CallerKind.Program,
+  disrupt: (cluster) =>
+    Effect.sync(() => {
+      for (const gateway of cluster.gateways.values()) gateway.isPeerDisconnected = true;
+    }),
+});
+
+testRefusal("a crashing request is refused by instances that the store refuses", {
+  route: RoutePath.Safe,
+  caller: CallerKind.Program,
+  disrupt: (cluster) =>
+    Effect.sync(() => {
+      for (const gateway of cluster.gateways.values()) gateway.isStoreRefused = true;
+    }),
+});
+
+testRefusal("a crashing request is refused although other servers respond with errors", {
+  route: RoutePath.Unsafe,
+  caller: CallerKind.Program,
+  disrupt: (cluster, round) =>
+    Effect.sync(() => {
+      cluster.fleet.status = round % 2 === 0 ? 200 : 500;
+    }),
+});
+
+testRefusal(
+  "a crashing request is refused if the store was down during its crashes and all instances restart later",
+  {
+    route: RoutePath.Unsafe,
+    caller: CallerKind.Program,
+    disrupt: (cluster, round) =>
+      Effect.gen(function* () {
+        for (const gateway of cluster.gateways.values()) gateway.isStoreRefused = round < 4;
+        if (round !== 4) return;
+        yield* cluster.advance(STABLE_MS);
+        yield* Effect.forEach(cluster.names, (name) => cluster.restart(name), { discard: true });
+        yield* cluster.advance(STABLE_MS);
+      }),
+  },
+);
--- /dev/null
+++ b/test/stand_ins/backend_fleet.ts
@@ -0,0 +1,193 @@
+/** In-memory fake of all backend servers of a platform, some of whose requests crash the server that runs them. */
+import { Deferred, Effect } from "effect";
+import type {
+  IResponseBody,
+  IUpstream,
+  IUpstreamRequest,
+  IUpstreamResponse,
+} from "../../src/call/common/opaque_request.ts";
+import { UpstreamError, UpstreamFault } from "../../src/call/common/opaque_request.ts";
+import type { IBackendEntry } from "../../src/services/backends/common/backend_directory.ts";
+
+/** What the sender of a request observes when the server crashes. */
+export enum CrashForm {
+  /** The connection closes before the response head. */
+  BeforeHead = "before the head",
+  /** The connection closes after the response head. */
+  AfterHead = "after the head",
+  /** The connection closes after the first event or bytes of the body. */
+  MidBody = "within the body",
+  /** The connection stays open, and nothing arrives. */
+  Silent = "silently",
+  /** The connection stays open, and nothing follows the first event or bytes of the body. */
+  SilentMidBody = "silently within the body",
+}
+
+/** How a crashed server comes back. */
+export enum RestartForm {
+  SameId = "under the same id",
+  NewId = "under a new id",
+}
+
+const RUN_MS = 80;
+const CRASH_AFTER_MS = 30;
+const RESTART_AFTER_MS = 2500;
+/** Time after which the platform removes the entry of a server that sends no heartbeats. */
+const ENTRY_TTL_MS = 3600;
+const CONNECT_TIMEOUT_MS = 500;
+
+export interface IFleetServer {
+  readonly service: string;
+  readonly address: string;
+  id: string;
+  startedAtMs: number;
+  isUp: boolean;
+  ended: Deferred.Deferred<void>;
+}
+
+/** A request that a server began to run. */
+export interface IServerRun {
+  readonly requestId: string;
+  readonly target: string;
+  readonly serverId: string;
+  readonly atMs: number;
+}
+
+export interface IBackendFleetOptions {
+  readonly now: () => number;
+  /** Whether a request crashes the server that runs it. */
+  readonly isCrashing: (req: IUpstreamRequest) => boolean;
+  /** Writes a server's entry to the platform's list, or removes it. */
+  readonly publish: (id: string, server: IFleetServer | undefined) => void;
+  readonly crashForm: CrashForm;
+  readonly restartForm: RestartForm;
+}
+
+export class BackendFleet implements IUpstream {
+  readonly servers: IFleetServer[] = [];
+  readonly runs: IServerRun[] = [];
+  /** Times of the crashes, in ms. */
+  readonly crashes: number[] = [];
+  /** Status with which servers respond to requests that do not crash them. */
+  status = 200;
+  readonly #opts: IBackendFleetOptions;
+
+  constructor(opts: IBackendFleetOptions) {
+    this.#opts = opts;
+  }
+
+  addServers(service: string, count: number): void {
+    for (let index = 0; index < count; index++) {
+      const server: IFleetServer = {
+        service,
+        address: `${service}${index}:1`,
+        id: `${service}${index}`,
+        startedAtMs: this.#opts.now(),
+        isUp: true,
+        ended: Deferred.makeUnsafe<void>(),
+      };
+      this.servers.push(server);
+      this.#opts.publish(server.id, server);
+    }
+  }
+
+  send(backend: IBackendEntry, req: IUpstreamRequest): Effect.Effect<IUpstreamResponse, UpstreamError> {
+    return Effect.gen({ self: this }, function* () {
+      const server = this.servers.find(({ address }) => address === `${backend.host}:${backend.port}`)!;
+      if (!server.isUp) return yield* this.#failToConnect();
+      if (server.id !== backend.id) return { head: headOf(req, { status: 421 }), body: bodyOf([]) };
+      this.runs.push({
+        requestId: req.requestId,
+        target: req.target,
+        serverId: server.id,
+        atMs: this.#opts.now(),
+      });
+      const { ended } = server;
+      const isCrashing = this.#opts.isCrashing(req);
+      if (isCrashing) yield* Effect.forkDetach(this.#crashSoon(server));
+      yield* Effect.raceFirst(
+        Effect.sleep(isCrashing ? this.#crashingHeadMs() : RUN_MS / 2),
+        this.#awaitEnd(ended),
+      );
+      const { status } = this;
+      const body = this.#makeBody(ended, { isCrashing, hasFirstChunk: !isCrashing || this.#hasFirstChunk() });
+      return { head: headOf(req, { status }), body };
+    });
+  }
+
+  /** Terminates a server without a request that causes it. */
+  crash(server: IFleetServer): Effect.Effect<void> {
+    return Effect.gen({ self: this }, function* () {
+      if (!server.isUp) return;
+      const { id } = server;
+      server.isUp = false;
+      Deferred.doneUnsafe(server.ended, Effect.void);
+      yield* Effect.sleep(RESTART_AFTER_MS);
+      const isNewId = this.#opts.restartForm === RestartForm.NewId;
+      if (isNewId) server.id = `${id}'`;
+      server.startedAtMs = this.#opts.now();
+      server.ended = Deferred.makeUnsafe<void>();
+      server.isUp = true;
+      this.#opts.publish(server.id, server);
+      if (!isNewId) return;
+      yield* Effect.sleep(ENTRY_TTL_MS - RESTART_AFTER_MS);
+      this.#opts.publish(id, undefined);
+    });
+  }
+
+  #crashSoon(server: IFleetServer): Effect.Effect<void> {
+    return Effect.gen({ self: this }, function* () {
+      yield* Effect.sleep(CRASH_AFTER_MS);
+      if (server.isUp) this.crashes.push(this.#opts.now());
+      yield* this.crash(server);
+    });
+  }
+
+  get #isSilent(): boolean {
+    return this.#opts.crashForm === CrashForm.Silent || this.#opts.crashForm === CrashForm.SilentMidBody;
+  }
+
+  #hasFirstChunk(): boolean {
+    return this.#opts.crashForm === CrashForm.MidBody || this.#opts.crashForm === CrashForm.SilentMidBody;
+  }
+
+  #crashingHeadMs(): number {
+    const isHeadSent = this.#hasFirstChunk() || this.#opts.crashForm === CrashForm.AfterHead;
+    return isHeadSent ? CRASH_AFTER_MS / 2 : RUN_MS / 2;
+  }
+
+  #failToConnect(): Effect.Effect<never, UpstreamError> {
+    const failure = Effect.fail(new UpstreamError(UpstreamFault.NotSent));
+    return this.#isSilent ? Effect.andThen(Effect.sleep(CONNECT_TIMEOUT_MS), failure) : failure;
+  }
+
+  /** Fails, or stays pending after a silent crash, once the server has ended. */
+  #awaitEnd(ended: Deferred.Deferred<void>): Effect.Effect<never, UpstreamError> {
+    const outcome: Effect.Effect<never, UpstreamError> = this.#isSilent
+      ? Effect.never
+      : Effect.fail(new UpstreamError(UpstreamFault.Broken));
+    return Effect.andThen(Deferred.await(ended), outcome);
+  }
+
+  #makeBody(
+    ended: Deferred.Deferred<void>,
+    { isCrashing, hasFirstChunk }: { isCrashing: boolean; hasFirstChunk: boolean },
+  ): IResponseBody {
+    const read = (onChunk: (chunk: Uint8Array) => void) =>
+      Effect.gen({ self: this }, function* () {
+        if (hasFirstChunk) onChunk(Buffer.from("id: 1\ndata: a\n\n"));
+        yield* Effect.raceFirst(isCrashing ? Effect.never : Effect.sleep(RUN_MS / 2), this.#awaitEnd(ended));
+        onChunk(Buffer.from("id: 2\ndata: b\n\n"));
+      });
+    return { read, drain: () => {}, discard: () => {} };
+  }
+}
+
+function headOf(req: IUpstreamRequest, { status }: { status: number }) {
+  return { status, headers: [], requestId: req.requestId, isNotRun: status === 421, isSigned: true };
+}
+
+function bodyOf(chunks: readonly Uint8Array[]): IResponseBody {
+  const read = (onChunk: (chunk: Uint8Array) => void) => Effect.sync(() => chunks.forEach(onChunk));
+  return { read, drain: () => {}, discard: () => {} };
+}
--- a/test/stand_ins/partitioned_log_core.ts
+++ b/test/stand_ins/partitioned_log_core.ts
@@ -21,9 +21,13 @@
 
 interface IGroupState {
   generation: number;
+  topics: readonly string[];
   readonly members: Set<string>;
 }
 
+/** Number of partitions of each topic. */
+const PARTS = 8;
+
 /** Fault applied to calls until it is reset. */
 export enum LogFault {
   None = "none",
@@ -137,9 +141,9 @@
         state.members.add(member);
         state.generation += 1;
       }
-      const members = [...state.members];
-      const partitions = topics.flatMap((topic) => Array.from({ length: 8 }, (_, part) => ({ topic, part })))
-        .filter((_, index) => members[index % members.length] === member);
+      state.topics = topics;
+      const partitions = ownersOf(state).filter((row) => row.member === member)
+        .map(({ partition }) => partition);
       return Effect.succeed({ generation: state.generation, partitions });
     });
   }
@@ -151,8 +155,10 @@
     });
   }
 
-  owners(): Effect.Effect<readonly IPartitionOwner[], StoreError> {
-    return this.fault === LogFault.Refuse ? refusedError() : Effect.succeed([]);
+  owners(group: string): Effect.Effect<readonly IPartitionOwner[], StoreError> {
+    return Effect.suspend(() =>
+      this.fault === LogFault.Refuse ? refusedError() : Effect.succeed(ownersOf(this.#group(group)))
+    );
   }
 
   #partition(topic: string, part: number): IPartitionState {
@@ -163,12 +169,19 @@
   }
 
   #group(group: string): IGroupState {
-    const state = this.#groups.get(group) ?? { generation: 0, members: new Set<string>() };
+    const state = this.#groups.get(group) ?? { generation: 0, topics: [], members: new Set<string>() };
     this.#groups.set(group, state);
     return state;
   }
 }
 
+function ownersOf({ topics, members }: IGroupState): IPartitionOwner[] {
+  const names = [...members];
+  if (names.length === 0) return [];
+  return topics.flatMap((topic) => Array.from({ length: PARTS }, (_, part) => ({ topic, part })))
+    .map((partition, index) => ({ partition, member: names[index % names.length] }));
+}
+
 function refusedError(): Effect.Effect<never, StoreError> {
   return Effect.fail(new StoreError(StoreFault.Refused, "refused"));
 }
