Attribute crashes to requests by server and by sequence; nobody else is refused

What callers saw: lookups without body and caller crashed server after server; on non-repeatable routes other requests were refused as crashing. Cause: the crash counter (1) skipped requests without body and caller, because different callers may send them, (2) was cleared by any relayed response, also a server's 500, (3) was consulted only when a request arrived, and (4) counted each broken connection, so that requests which shared a server with the crashing one three times were refused. Change: a strike belongs to one run of a server and has a level, one more than the level known when the request was sent. Many servers lost at once do not add up; a request is quarantined at level 3, or 5 if another request of that level explains its crashes, 0.5 s after the decisive strike, when the other instances have reported theirs. Suspects are separated by a hash of their content. Checked before each attempt. Strikes are a set that instances merge; a peer's restart no longer erases them. Fingerprints have 64 bits.

--- a/src/base/common/hash.ts
+++ b/src/base/common/hash.ts
@@ -8,6 +8,11 @@
   return hasher.h64(text);
 }
 
+/** 64-bit hash of bytes, combined with a seed. */
+export function hashBytes64(bytes: Uint8Array, seed: bigint): bigint {
+  return hasher.h64Raw(bytes, seed);
+}
+
 /** 32-bit hash of a text. */
 export function hash32(text: string): number {
   return hasher.h32(text);
--- a/src/call/common/backend_dispatcher.ts
+++ b/src/call/common/backend_dispatcher.ts
@@ -1,7 +1,11 @@
 /** Selects backend servers for a request and sends it to them. */
 import { Clock, Effect } from "effect";
 import type { IBackendChoice, IBackendChooser } from "../../routing/common/backend_chooser.ts";
-import { EngineBackendChooser, ServiceBackendChooser } from "../../routing/common/backend_chooser.ts";
+import {
+  EngineBackendChooser,
+  ServiceBackendChooser,
+  SuspectBackendChooser,
+} from "../../routing/common/backend_chooser.ts";
 import type { BackendLoadTracker } from "../../routing/common/backend_load_tracker.ts";
 import type { PromptCacheIndex } from "../../routing/common/prompt_cache_index.ts";
 import type { BackendDirectory } from "../../services/backends/common/backend_directory.ts";
@@ -10,7 +14,8 @@
 import type { IEngineInfo, RouteTable } from "../../services/routes/common/route_table.ts";
 import { isRepeatable, RouteKind } from "../../services/routes/common/route_table.ts";
 import type { IPromptHome } from "../../turns/common/prompt_home_cache.ts";
-import type { CrashCounter } from "./crash_counter.ts";
+import type { CrashMonitor, IObservedAttempt } from "./crash_monitor.ts";
+import { AttemptResult } from "./crash_monitor.ts";
 import { finalRefusal, GatewayStatus, RefusalReason } from "./gateway_refusal.ts";
 import type {
   IRequestCodec,
@@ -46,7 +51,7 @@
   readonly directory: BackendDirectory;
   readonly loads: BackendLoadTracker;
   readonly caches: PromptCacheIndex;
-  readonly crashCounter: CrashCounter;
+  readonly crashes: CrashMonitor;
   readonly upstream: IUpstream;
   readonly logger: ILogger;
   readonly metrics: Metrics;
@@ -63,6 +68,10 @@
   readonly beforeEnd: Effect.Effect<boolean>;
 }
 
+interface IObservedSend extends IAttempt {
+  readonly observed: IObservedAttempt;
+}
+
 export class BackendDispatcher {
   readonly #opts: IBackendDispatcherOptions;
 
@@ -73,7 +82,6 @@
   /** Selects a server for a request. Returns undefined if no server may receive it. */
   choose(call: RelayedCall): IBackendChoice | undefined {
     const { req, service, excluded } = call;
-    const chooser = this.#chooserOf(service);
     const input = {
       zone: this.#opts.zone,
       affinity: req.program?.sessionId ?? req.affinityKey ?? "",
@@ -83,7 +91,13 @@
       excluded,
     };
     const affinity = call.route.kind === RouteKind.Stream ? input.affinity : req.affinityKey ?? "";
-    return chooser.choose({ ...input, affinity }, this.#opts.directory.listAvailable(service));
+    const backends = this.#opts.directory.listAvailable(service);
+    if (this.#opts.crashes.isSuspect(call.identity)) {
+      const chooser = new SuspectBackendChooser(this.#opts.loads);
+      const candidates = this.#opts.crashes.withoutStruck(call.identity, backends);
+      return chooser.choose({ ...input, affinity: String(call.identity.fingerprint) }, candidates);
+    }
+    return this.#chooserOf(service).choose({ ...input, affinity }, backends);
   }
 
   #chooserOf(service: string): IBackendChooser {
@@ -100,49 +114,46 @@
 
   /** Sends a request to the selected server and relays the response. */
   run(attempt: IAttempt, choice: IBackendChoice): Effect.Effect<AttemptOutcome> {
-    const { loads } = this.#opts;
-    const { id } = choice.backend;
+    const { loads, crashes } = this.#opts;
+    const { call } = attempt;
+    const { backend } = choice;
     return Effect.suspend(() => {
-      loads.recordRequestStart(id);
-      return this.#send(attempt, choice);
-    }).pipe(
-      Effect.catchTag(
-        "UpstreamError",
-        (err) =>
-          Effect.map(
-            this.#recordFault(attempt.call, err),
-            () => err.fault === UpstreamFault.NotSent ? AttemptOutcome.NotRun : AttemptOutcome.Failed,
-          ),
-      ),
-      Effect.ensuring(Effect.sync(() => loads.recordRequestEnd(id))),
-    );
+      const observed = crashes.observe(call.req.id, call.identity, backend);
+      loads.recordRequestStart(backend.id);
+      return this.#send({ ...attempt, observed }, choice).pipe(
+        Effect.catchTag("UpstreamError", (err) => Effect.sync(() => this.#recordFault(call, observed, err))),
+        Effect.ensuring(Effect.sync(() => crashes.finish(observed))),
+      );
+    }).pipe(Effect.ensuring(Effect.sync(() => loads.recordRequestEnd(backend.id))));
   }
 
-  #recordFault(call: RelayedCall, { fault, message }: UpstreamError): Effect.Effect<void> {
-    return Effect.sync(() => {
-      const id = call.choice!.backend.id;
-      this.#opts.loads.recordFailure(id);
-      if (fault !== UpstreamFault.NotSent) call.runs += 1;
-      const { crashCounter } = this.#opts;
-      const isCounted = fault === UpstreamFault.Broken && crashCounter.recordCrash(call.content);
-      this.#opts.metrics.incrementCounter("backend_faults", { fault });
-      const { runs, events } = call;
-      this.#opts.logger.warn("backend-failed", {
-        request: call.req.id,
-        backend: id,
-        fault,
-        runs,
-        events,
-        error: message,
-        isCounted,
-        ...crashCounter.evidenceFor(call.content),
-      });
+  #recordFault(
+    call: RelayedCall,
+    observed: IObservedAttempt,
+    { fault, message }: UpstreamError,
+  ): AttemptOutcome {
+    const id = call.choice!.backend.id;
+    this.#opts.loads.recordFailure(id);
+    if (fault !== UpstreamFault.NotSent) call.runs += 1;
+    if (fault === UpstreamFault.NotSent) observed.result = AttemptResult.NotStarted;
+    if (fault === UpstreamFault.Broken) observed.result = AttemptResult.ConnectionLost;
+    this.#opts.metrics.incrementCounter("backend_faults", { fault });
+    const { runs, events } = call;
+    this.#opts.logger.warn("backend-failed", {
+      request: call.req.id,
+      backend: id,
+      fault,
+      runs,
+      events,
+      error: message,
+      ...this.#opts.crashes.evidenceFor(call.identity),
     });
+    return fault === UpstreamFault.NotSent ? AttemptOutcome.NotRun : AttemptOutcome.Failed;
   }
 
-  #send(attempt: IAttempt, choice: IBackendChoice): Effect.Effect<AttemptOutcome, UpstreamError> {
+  #send(attempt: IObservedSend, choice: IBackendChoice): Effect.Effect<AttemptOutcome, UpstreamError> {
     return Effect.gen({ self: this }, function* () {
-      const { call, body } = attempt;
+      const { call, body, observed } = attempt;
       const { req } = call;
       const now = yield* Clock.currentTimeMillis;
       const headers = this.#opts.codec.dispatchHeaders(req, {
@@ -162,6 +173,7 @@
       const response = yield* this.#withResponseTimeout(request, call);
       this.#opts.loads.recordResponse(choice.backend.id);
       if (response.head.isNotRun) {
+        observed.result = AttemptResult.NotStarted;
         response.body.drain();
         return AttemptOutcome.NotRun;
       }
@@ -186,12 +198,13 @@
   }
 
   #relayBuffered(
-    { call, sink }: IAttempt,
+    { call, sink, observed }: IObservedSend,
     { head, body }: IUpstreamResponse,
   ): Effect.Effect<AttemptOutcome, UpstreamError> {
     return Effect.gen({ self: this }, function* () {
       const chunks: Uint8Array[] = [];
       yield* body.read((chunk) => chunks.push(chunk));
+      observed.result = isSuccess(head) && head.isSigned ? AttemptResult.Succeeded : AttemptResult.Responded;
       call.runs += 1;
       const now = yield* Clock.currentTimeMillis;
       if (isSuccess(head)) {
@@ -207,7 +220,7 @@
   }
 
   #relayStream(
-    attempt: IAttempt,
+    attempt: IObservedSend,
     { head, body }: IUpstreamResponse,
   ): Effect.Effect<AttemptOutcome, UpstreamError> {
     return Effect.gen({ self: this }, function* () {
@@ -218,6 +231,7 @@
       }
       const relay = new StreamRelay(call, { sink, head });
       yield* Effect.raceFirst(body.read((chunk) => relay.push(chunk)), relay.failWhenIdle());
+      attempt.observed.result = AttemptResult.Succeeded;
       call.runs += 1;
       this.#recordPrompt(call);
       const eventIntervalMs = relay.meanEventIntervalMs;
--- /dev/null
+++ b/src/call/common/crash_monitor.ts
@@ -0,0 +1,199 @@
+/** Attributes crashes of backend servers to the requests that were unfinished on them. */
+import type { Event } from "../../base/common/emitter.ts";
+import { Emitter } from "../../base/common/emitter.ts";
+import type { IBackendEntry } from "../../services/backends/common/backend_directory.ts";
+import type { ILogger } from "../../services/logging/common/logger.ts";
+import type { Metrics } from "../../services/metrics/common/metrics.ts";
+import type { RequestIdentity } from "./request_identity.ts";
+import type { IServerRun, IStrike } from "./strike_ledger.ts";
+import { formatFingerprint, serverKey, strikeKey, StrikeLedger } from "./strike_ledger.ts";
+
+/** How long a change is repeated in the reports to other instances, in ms: datagrams may be lost. */
+const REPORT_REPEAT_MS = 3000;
+/** Maximum number of changes in one report, so that it fits into a datagram. */
+const MAX_REPORTED_CHANGES = 200;
+
+/** How an attempt on a backend server ended. */
+export enum AttemptResult {
+  /** The server may still be running the request. */
+  Unknown = "unknown",
+  /** The server has not begun to run the request. */
+  NotStarted = "not-started",
+  /** The server sent a complete response that does not show whether it ran the request. */
+  Responded = "responded",
+  /** The server completed the request. */
+  Succeeded = "succeeded",
+  /** The connection broke before the response was complete. */
+  ConnectionLost = "connection-lost",
+}
+
+/** An attempt on a backend server that is being observed. */
+export interface IObservedAttempt {
+  readonly requestId: string;
+  readonly identity: RequestIdentity;
+  readonly server: IServerRun;
+  /** Level of the request's strikes when it was sent. */
+  readonly level: number;
+  /** Set by the sender as soon as it is known. */
+  result: AttemptResult;
+}
+
+/** A strike that this instance has added or withdrawn. */
+export interface IStrikeChange {
+  readonly strike: IStrike;
+  readonly isWithdrawn: boolean;
+}
+
+/** Why a strike does not count any more. */
+enum WithdrawalReason {
+  /** A server completed the request. */
+  Succeeded = "succeeded",
+  Expired = "expired",
+}
+
+export interface ICrashMonitorOptions {
+  readonly logger: ILogger;
+  readonly metrics: Metrics;
+  /** Unix time in ms. */
+  readonly now: () => number;
+}
+
+export class CrashMonitor {
+  readonly #opts: ICrashMonitorOptions;
+  readonly #ledger: StrikeLedger;
+  readonly #recentChanges = new Map<string, { readonly change: IStrikeChange; readonly atMs: number }>();
+  readonly #loggedQuarantines = new Set<bigint>();
+  readonly #onDidChange = new Emitter<IStrikeChange>();
+  /** Fires when this instance adds or withdraws a strike, not for strikes of other instances. */
+  readonly onDidChange: Event<IStrikeChange> = this.#onDidChange.event;
+
+  constructor(opts: ICrashMonitorOptions) {
+    this.#opts = opts;
+    this.#ledger = new StrikeLedger(opts.now);
+  }
+
+  /** Number of requests that are refused because they crash servers. */
+  get quarantinedCount(): number {
+    return this.#ledger.quarantinedCount;
+  }
+
+  get strikeCount(): number {
+    return this.#ledger.size;
+  }
+
+  /** Whether a server has crashed while it had the request. */
+  isSuspect(identity: RequestIdentity): boolean {
+    return this.#ledger.size > 0 && this.#ledger.levelOf(identity.fingerprint) > 0;
+  }
+
+  /** Whether the request has crashed so many servers that it must not be sent to another one. */
+  isQuarantined(identity: RequestIdentity): boolean {
+    if (this.#ledger.size === 0 || !this.#ledger.isQuarantined(identity.fingerprint)) return false;
+    this.#logQuarantine(identity.fingerprint);
+    return true;
+  }
+
+  /** Returns the servers without those on which the request has a strike, or all if none remain. */
+  withoutStruck(identity: RequestIdentity, backends: readonly IBackendEntry[]): readonly IBackendEntry[] {
+    const struck = new Set(this.#ledger.strikesOf(identity.fingerprint).map(serverKey));
+    const others = backends.filter((entry) => !struck.has(serverKey(toServerRun(entry))));
+    return others.length > 0 ? others : backends;
+  }
+
+  /** Returns the log fields that show what is known about a request. */
+  evidenceFor({ fingerprint }: RequestIdentity): object {
+    const strikes = this.#ledger.strikesOf(fingerprint);
+    return {
+      fingerprint: formatFingerprint(fingerprint),
+      strikes: strikes.length,
+      level: this.#ledger.levelOf(fingerprint),
+    };
+  }
+
+  /** Starts to observe an attempt; `finish` must be called when it ends. */
+  observe(requestId: string, identity: RequestIdentity, backend: IBackendEntry): IObservedAttempt {
+    const level = this.#ledger.size === 0 ? 0 : this.#ledger.levelOf(identity.fingerprint);
+    return { requestId, identity, server: toServerRun(backend), level, result: AttemptResult.Unknown };
+  }
+
+  /** Evaluates an attempt that has ended. */
+  finish(attempt: IObservedAttempt): void {
+    switch (attempt.result) {
+      case AttemptResult.ConnectionLost:
+        return this.#strike(attempt);
+      case AttemptResult.Succeeded:
+        return this.#clear(attempt.identity);
+    }
+  }
+
+  /** Applies a change that another instance has made; returns whether it was new. */
+  merge({ strike, isWithdrawn }: IStrikeChange): boolean {
+    if (isWithdrawn) return this.#ledger.withdraw(strikeKey(strike)) !== undefined;
+    return this.#ledger.add(strike);
+  }
+
+  /** Returns this instance's recent changes, to be reported to the others. */
+  recentChanges(): IStrikeChange[] {
+    const oldestMs = this.#opts.now() - REPORT_REPEAT_MS;
+    for (const [key, { atMs }] of this.#recentChanges) if (atMs < oldestMs) this.#recentChanges.delete(key);
+    return [...this.#recentChanges.values()].slice(-MAX_REPORTED_CHANGES).map(({ change }) => change);
+  }
+
+  /** Discards expired strikes. */
+  evict(): void {
+    for (const strike of this.#ledger.evict()) this.#withdrawn(strike, WithdrawalReason.Expired);
+  }
+
+  #strike({ requestId, identity, server, level }: IObservedAttempt): void {
+    const { fingerprint } = identity;
+    const strike = { ...server, fingerprint, level: level + 1, atMs: this.#opts.now() };
+    if (!this.#ledger.add(strike)) return;
+    this.#opts.metrics.incrementCounter("strikes");
+    this.#opts.logger.warn("strike-added", {
+      request: requestId,
+      fingerprint: formatFingerprint(fingerprint),
+      backend: server.backendId,
+      level: strike.level,
+    });
+    this.#publish({ strike, isWithdrawn: false });
+  }
+
+  #clear({ fingerprint }: RequestIdentity): void {
+    if (this.#ledger.size === 0) return;
+    for (const strike of this.#ledger.strikesOf(fingerprint)) {
+      this.#ledger.withdraw(strikeKey(strike));
+      this.#withdrawn(strike, WithdrawalReason.Succeeded);
+    }
+  }
+
+  #withdrawn(strike: IStrike, reason: WithdrawalReason): void {
+    this.#loggedQuarantines.delete(strike.fingerprint);
+    this.#opts.logger.info("strike-withdrawn", {
+      fingerprint: formatFingerprint(strike.fingerprint),
+      backend: strike.backendId,
+      reason,
+    });
+    this.#publish({ strike, isWithdrawn: true });
+  }
+
+  #publish(change: IStrikeChange): void {
+    this.#recentChanges.delete(strikeKey(change.strike));
+    this.#recentChanges.set(strikeKey(change.strike), { change, atMs: this.#opts.now() });
+    this.#onDidChange.fire(change);
+  }
+
+  /** Logs the first refusal of a request since its last strike was withdrawn. */
+  #logQuarantine(fingerprint: bigint): void {
+    if (this.#loggedQuarantines.has(fingerprint)) return;
+    this.#loggedQuarantines.add(fingerprint);
+    this.#opts.logger.warn("request-quarantined", {
+      fingerprint: formatFingerprint(fingerprint),
+      level: this.#ledger.levelOf(fingerprint),
+      servers: this.#ledger.strikesOf(fingerprint).map(serverKey),
+    });
+  }
+}
+
+function toServerRun({ id, startedAtMs }: IBackendEntry): IServerRun {
+  return { backendId: id, startedAtMs };
+}
--- /dev/null
+++ b/src/call/common/crash_monitor_test.ts
@@ -0,0 +1,124 @@
+import test from "ava";
+import type { IBackendEntry } from "../../services/backends/common/backend_directory.ts";
+import { NullLogger } from "../../services/logging/common/logger.ts";
+import { Metrics } from "../../services/metrics/common/metrics.ts";
+import type { IStrikeChange } from "./crash_monitor.ts";
+import { AttemptResult, CrashMonitor } from "./crash_monitor.ts";
+import { RequestIdentity } from "./request_identity.ts";
+
+function identityOf(text: string, caller = "c"): RequestIdentity {
+  const body = Buffer.from(text);
+  return new RequestIdentity({ method: "POST", host: "h", target: "/x", body, caller });
+}
+
+function entryOf(id: string, startedAtMs = 1): IBackendEntry {
+  return { id, startedAtMs, service: "s", host: "h", port: 1, zone: "z", slots: 4, isDraining: false };
+}
+
+class Instance {
+  readonly monitor: CrashMonitor;
+  readonly changes: IStrikeChange[] = [];
+
+  constructor(clock: { now: number }) {
+    const metrics = new Metrics();
+    this.monitor = new CrashMonitor({ logger: new NullLogger(), metrics, now: () => clock.now });
+    this.monitor.onDidChange((change) => this.changes.push(change));
+  }
+
+  attempt(identity: RequestIdentity, { server, result }: { server: string; result: AttemptResult }): void {
+    const observed = this.monitor.observe("r", identity, entryOf(server));
+    observed.result = result;
+    this.monitor.finish(observed);
+  }
+
+  crash(identity: RequestIdentity, ...servers: string[]): void {
+    for (const server of servers) this.attempt(identity, { server, result: AttemptResult.ConnectionLost });
+  }
+}
+
+function setUp(count = 1) {
+  const clock = { now: 0 };
+  return { clock, instances: Array.from({ length: count }, () => new Instance(clock)) };
+}
+
+test("a request without body and caller is recognized", (t) => {
+  const { clock, instances: [a] } = setUp();
+  a.crash(identityOf("", ""), "s1", "s2", "s3");
+  clock.now = 1000;
+  t.true(a.monitor.isQuarantined(identityOf("", "")));
+  t.false(a.monitor.isQuarantined(identityOf("", "other")));
+});
+
+test("requests that differ in a single part of their content are distinguished", (t) => {
+  const content = { method: "GET", host: "h", target: "/x", body: Buffer.from("b"), caller: "c" };
+  const variants = [
+    content,
+    { ...content, method: "PUT" },
+    { ...content, host: "i" },
+    { ...content, target: "/y" },
+    { ...content, body: Buffer.from("d") },
+    { ...content, caller: "e" },
+  ];
+  const fingerprints = variants.map((variant) => new RequestIdentity(variant).fingerprint);
+  t.is(new Set(fingerprints).size, variants.length);
+  t.is(new RequestIdentity({ ...content }).fingerprint, fingerprints[0]);
+});
+
+test("strikes of different instances add up, also when reported repeatedly", (t) => {
+  const { clock, instances: [a, b, c] } = setUp(3);
+  const exchange = () => {
+    for (const from of [a, b, c]) {
+      for (const change of from.monitor.recentChanges()) {
+        for (const to of [a, b, c]) to.monitor.merge(change);
+      }
+    }
+  };
+  a.crash(identityOf("bad"), "s1");
+  exchange();
+  b.crash(identityOf("bad"), "s2");
+  exchange();
+  exchange();
+  c.crash(identityOf("bad"), "s3");
+  exchange();
+  clock.now = 1000;
+  for (const { monitor } of [a, b, c]) t.true(monitor.isQuarantined(identityOf("bad")));
+});
+
+test("a completed request is cleared on this and the other instances", (t) => {
+  const { clock, instances: [a, b] } = setUp(2);
+  a.crash(identityOf("bad"), "s1", "s2", "s3");
+  for (const change of a.changes) b.monitor.merge(change);
+  clock.now = 1000;
+  t.true(b.monitor.isQuarantined(identityOf("bad")));
+  a.attempt(identityOf("bad"), { server: "s4", result: AttemptResult.Succeeded });
+  for (const change of a.changes) b.monitor.merge(change);
+  t.false(a.monitor.isSuspect(identityOf("bad")));
+  t.false(b.monitor.isSuspect(identityOf("bad")));
+});
+
+test("an error response or a refusal by a server does not clear a request", (t) => {
+  const { clock, instances: [a] } = setUp();
+  a.crash(identityOf("bad"), "s1", "s2", "s3");
+  for (const result of [AttemptResult.Responded, AttemptResult.NotStarted, AttemptResult.Unknown]) {
+    a.attempt(identityOf("bad"), { server: "s4", result });
+  }
+  clock.now = 1000;
+  t.true(a.monitor.isQuarantined(identityOf("bad")));
+});
+
+test("a suspect is not sent to a server run that it has crashed, unless there is no other", (t) => {
+  const { instances: [a] } = setUp();
+  a.crash(identityOf("bad"), "s1");
+  const ids = (entries: readonly IBackendEntry[]) => entries.map(({ id }) => id);
+  t.deepEqual(ids(a.monitor.withoutStruck(identityOf("bad"), [entryOf("s1"), entryOf("s2")])), ["s2"]);
+  t.deepEqual(ids(a.monitor.withoutStruck(identityOf("bad"), [entryOf("s1", 2)])), ["s1"]);
+  t.deepEqual(ids(a.monitor.withoutStruck(identityOf("bad"), [entryOf("s1")])), ["s1"]);
+});
+
+test("changes are reported for a limited time", (t) => {
+  const { clock, instances: [a] } = setUp();
+  a.crash(identityOf("bad"), "s1");
+  t.is(a.monitor.recentChanges().length, 1);
+  clock.now = 3001;
+  t.deepEqual(a.monitor.recentChanges(), []);
+});
--- a/src/call/common/gateway_relay.ts
+++ b/src/call/common/gateway_relay.ts
@@ -10,7 +10,8 @@
 import type { IRefusal } from "./gateway_refusal.ts";
 import { finalRefusal, GatewayStatus, RefusalReason, retryableRefusal } from "./gateway_refusal.ts";
 import type { IOpaqueRequest, IRawRequest, IResponseSink } from "./opaque_request.ts";
-import { AttemptOutcome, contentOf, RelayedCall } from "./relayed_call.ts";
+import { AttemptOutcome, RelayedCall } from "./relayed_call.ts";
+import { RequestIdentity } from "./request_identity.ts";
 
 /** Number of servers that may decline a request, for example because they are full, before it is refused. */
 const MAX_REFUSALS = 4;
@@ -20,7 +21,7 @@
 const UNAVAILABLE_RETRY_AFTER_MS = 500;
 /** Retry delay when the store does not accept a program's record. Store outages last seconds. */
 const STORE_RETRY_AFTER_MS = 1200;
-/** Retry delay for a request that crashes servers. Its crash counts have expired by then. */
+/** Retry delay for a request that crashes servers: its caller need not return soon. */
 const CRASHING_RETRY_AFTER_MS = 60_000;
 /** Time limit for reaching the owner of a budget or a stored turn. A slice handover takes less time. */
 const OWNER_TIMEOUT_MS = 1500;
@@ -57,13 +58,19 @@
       yield* this.#awaitConfiguration();
       const route = routes.find(req.host, req.target);
       if (route === undefined) return this.#refuseEarly(sink, this.#noRouteRefusal(), req);
-      if (this.#opts.crashCounter.hasReachedLimit(contentOf(req))) {
-        const refusal = retryableRefusal(RefusalReason.CrashingRequest, CRASHING_RETRY_AFTER_MS);
-        return this.#refuseEarly(sink, refusal, req);
+      const identity = RequestIdentity.of(req);
+      if (this.#opts.crashes.isQuarantined(identity)) {
+        return this.#refuseEarly(sink, crashingRefusal(), req);
       }
       const now = yield* Clock.currentTimeMillis;
       const service = selectServiceByWeight(route.services, this.#opts.random());
-      const call = new RelayedCall(req, { route, service, now, configurationVersion: routes.version });
+      const call = new RelayedCall(req, {
+        identity,
+        route,
+        service,
+        now,
+        configurationVersion: routes.version,
+      });
       const work = isTurn(call)
         ? this.#serveTurn(call, sink)
         : this.#serve({ call, sink, body: req.body, beforeEnd: Effect.succeed(true) });
@@ -99,7 +106,7 @@
   #refuseEarly(sink: IResponseSink, refusal: IRefusal, req?: IOpaqueRequest): void {
     const { status, reason } = refusal;
     const evidence = reason === RefusalReason.CrashingRequest && req !== undefined
-      ? this.#opts.crashCounter.evidenceFor(contentOf(req))
+      ? this.#opts.crashes.evidenceFor(RequestIdentity.of(req))
       : {};
     this.#opts.logger.info("request", { request: req?.id, target: req?.target, status, reason, ...evidence });
     this.#opts.metrics.incrementCounter("early_refusals", { reason });
@@ -189,14 +196,12 @@
     return Effect.gen({ self: this }, function* () {
       const { call, sink } = attempt;
       while (true) {
+        if (this.#opts.crashes.isQuarantined(call.identity)) return this.#quarantineRefusal(call);
         const choice = this.#dispatcher.choose(call);
         if (choice === undefined) return this.#noBackendRefusal(call);
         call.choice = choice;
         const outcome = yield* this.#dispatcher.run(attempt, choice);
-        if (outcome === AttemptOutcome.Done) {
-          this.#opts.crashCounter.recordSuccess(call.content);
-          return undefined;
-        }
+        if (outcome === AttemptOutcome.Done) return undefined;
         call.excluded.add(choice.backend.id);
         if (outcome === AttemptOutcome.NotRun) {
           call.refusals += 1;
@@ -227,6 +232,13 @@
       : retryableRefusal(RefusalReason.Overloaded, decision.retryAfterMs);
   }
 
+  /** Creates the refusal of a request that has been quarantined since it arrived. */
+  #quarantineRefusal({ runs }: RelayedCall): IRefusal {
+    return runs > 0
+      ? finalRefusal(GatewayStatus.BadGateway, RefusalReason.CrashingRequest)
+      : crashingRefusal();
+  }
+
   /** Creates the refusal for lack of a server. It is retryable only if the request has not run anywhere. */
   #noBackendRefusal({ runs, refusals }: RelayedCall): IRefusal {
     if (runs > 0) return finalRefusal(GatewayStatus.BadGateway, RefusalReason.OutcomeUnknown);
@@ -251,7 +263,7 @@
 
   /** Returns the crash evidence on a request that a server may still be running. */
   #evidenceOf(call: RelayedCall): object {
-    return call.choice === undefined ? {} : this.#opts.crashCounter.evidenceFor(call.content);
+    return call.choice === undefined ? {} : this.#opts.crashes.evidenceFor(call.identity);
   }
 
   #log(call: RelayedCall, event: string, evidence: object = {}): Effect.Effect<void> {
@@ -267,6 +279,10 @@
   return route.kind === RouteKind.Stream && route.retainMs > 0 && req.program?.budgetTokens !== undefined;
 }
 
+function crashingRefusal(): IRefusal {
+  return retryableRefusal(RefusalReason.CrashingRequest, CRASHING_RETRY_AFTER_MS);
+}
+
 function writeRefusal(sink: IResponseSink, { status, reason, retryAfterMs }: IRefusal): void {
   const headers = ["content-type", "application/problem+json"];
   if (retryAfterMs !== undefined) headers.push("retry-after", (retryAfterMs / 1000).toFixed(2));
--- a/src/call/common/gateway_relay_test.ts
+++ b/src/call/common/gateway_relay_test.ts
@@ -16,7 +16,7 @@
 import { RouteKind, RouteTable } from "../../services/routes/common/route_table.ts";
 import type { ICompletedTurn, IEndedTurn, ITurnClient } from "../../turns/common/turn_client.ts";
 import { ChainLookupStatus } from "../../turns/common/turn_client.ts";
-import { CrashCounter } from "./crash_counter.ts";
+import { CrashMonitor } from "./crash_monitor.ts";
 import { GatewayRelay } from "./gateway_relay.ts";
 import type { IRequestCodec, IUpstream, IUpstreamRequest, IUpstreamResponse } from "./opaque_request.ts";
 import { UpstreamError, UpstreamFault } from "./opaque_request.ts";
@@ -149,7 +149,13 @@
   readonly admission?: IProgramAdmission;
   readonly isStale?: boolean;
   readonly target?: string;
-  readonly crashCounter?: CrashCounter;
+  readonly crashes?: CrashMonitor;
+}
+
+/** Crash monitor whose clock advances by a second with each reading. */
+function createCrashMonitor(): CrashMonitor {
+  let now = 0;
+  return new CrashMonitor({ logger: new NullLogger(), metrics: new Metrics(), now: () => now += 1000 });
 }
 
 /** Sends one request through a relay, advancing the test clock until it completes. */
@@ -188,7 +194,7 @@
     loads: new BackendLoadTracker(() => 0),
     caches: new PromptCacheIndex(),
     turns,
-    crashCounter: setup.crashCounter ?? new CrashCounter(() => 0),
+    crashes: setup.crashes ?? createCrashMonitor(),
     admission: setup.admission ?? new UtilizationAdmission(),
     upstream,
     logger,
@@ -377,10 +383,10 @@
 });
 
 test("refuses a request that has crashed three servers without sending it to a fourth", async (t) => {
-  const crashCounter = new CrashCounter(() => 0);
+  const crashes = createCrashMonitor();
   const script = [{ fault: UpstreamFault.Broken }];
-  for (let i = 0; i < 3; i++) t.is((await relay({ crashCounter, script })).sink.status, 502);
-  const { sink, sent } = await relay({ crashCounter, script });
+  for (let i = 0; i < 3; i++) t.is((await relay({ crashes, script })).sink.status, 502);
+  const { sink, sent } = await relay({ crashes, script });
   t.is(sink.status, 503);
   t.is(sent.length, 0);
 });
--- a/src/call/common/relayed_call.ts
+++ b/src/call/common/relayed_call.ts
@@ -1,9 +1,9 @@
 /** State of one request that the gateway is relaying. */
 import type { IBackendChoice } from "../../routing/common/backend_chooser.ts";
 import type { IRoute } from "../../services/routes/common/route_table.ts";
-import type { IRequestContent } from "./crash_counter.ts";
 import type { GatewayStatus, IRefusal, RefusalReason } from "./gateway_refusal.ts";
 import type { IOpaqueRequest } from "./opaque_request.ts";
+import type { RequestIdentity } from "./request_identity.ts";
 
 /** Outcome of one attempt on a backend server. */
 export enum AttemptOutcome {
@@ -17,6 +17,7 @@
 
 export class RelayedCall {
   readonly req: IOpaqueRequest;
+  readonly identity: RequestIdentity;
   readonly route: IRoute;
   readonly service: string;
   readonly startedAtMs: number;
@@ -42,9 +43,16 @@
 
   constructor(
     req: IOpaqueRequest,
-    opts: { route: IRoute; service: string; now: number; configurationVersion: number },
+    opts: {
+      identity: RequestIdentity;
+      route: IRoute;
+      service: string;
+      now: number;
+      configurationVersion: number;
+    },
   ) {
     this.req = req;
+    this.identity = opts.identity;
     this.route = opts.route;
     this.service = opts.service;
     this.startedAtMs = opts.now;
@@ -53,11 +61,6 @@
     this.lastEventId = req.lastEventId;
   }
 
-  /** Content and caller of the request, by which crashes are counted. */
-  get content(): IRequestContent {
-    return contentOf(this.req);
-  }
-
   /** Returns the fields of the request's log line. */
   logFields(now: number): object {
     const { req, route, choice } = this;
@@ -93,8 +96,3 @@
     return refusal.status;
   }
 }
-
-/** Returns the content by which retries of the same request are recognized. */
-export function contentOf({ method, target, body, program, affinityKey }: IOpaqueRequest): IRequestContent {
-  return { method, target, body, caller: program?.sessionId ?? affinityKey ?? "" };
-}
--- /dev/null
+++ b/src/call/common/strike_ledger.ts
@@ -0,0 +1,183 @@
+/** Strikes of the gateway's requests, and the decision which requests are quarantined. */
+
+/** Identifies one run of a backend server: a restart under the same id is another run. */
+export interface IServerRun {
+  readonly backendId: string;
+  readonly startedAtMs: number;
+}
+
+/** A request was unfinished on a server when that server crashed. */
+export interface IStrike extends IServerRun {
+  /** Hash of the request's content; retries of the same request have the same one. */
+  readonly fingerprint: bigint;
+  /**
+   * One more than the highest level of the request that was known when it was sent. Concurrent attempts, of
+   * which all fail when many servers are lost at the same time, therefore have the same level.
+   */
+  readonly level: number;
+  /** Unix time of the crash, in ms, by the clock of the instance that observed it. */
+  readonly atMs: number;
+}
+
+/** Level from which a request is quarantined. */
+const QUARANTINE_LEVEL = 3;
+/**
+ * Level from which a request is quarantined if another request explains its crashes. Suspects are sent to
+ * different servers, so that a request shares this many crashes with another one only by a rare coincidence.
+ */
+const EXPLAINED_QUARANTINE_LEVEL = 5;
+/**
+ * Time after which a strike can quarantine its request, in ms: by then the other instances have reported
+ * their strikes on the same server, which may explain the crash.
+ */
+const SETTLE_MS = 500;
+/** How long a strike counts, in ms: longer than callers keep returning with the same request. */
+const STRIKE_RETENTION_MS = 30 * 60_000;
+/** Maximum number of strikes; the oldest are evicted first. */
+const MAX_STRIKES = 4000;
+/** Maximum number of withdrawn strikes that are remembered, so that a late copy does not restore them. */
+const MAX_WITHDRAWN = 4000;
+
+/**
+ * Set of strikes that instances merge in any order. Expected load pattern: a single request crashes every
+ * server that starts to run it and returns through any instance, while other requests that run on the same
+ * servers fail with it and are retried as well.
+ */
+export class StrikeLedger {
+  readonly #now: () => number;
+  readonly #strikes = new Map<string, IStrike>();
+  readonly #byFingerprint = new Map<bigint, Set<IStrike>>();
+  readonly #byServer = new Map<string, Set<IStrike>>();
+  readonly #withdrawn = new Set<string>();
+  /** Local time at which each strike was added, in ms. */
+  readonly #addedAtMs = new Map<IStrike, number>();
+
+  constructor(now: () => number) {
+    this.#now = now;
+  }
+
+  get size(): number {
+    return this.#strikes.size;
+  }
+
+  /** Number of requests that are quarantined. */
+  get quarantinedCount(): number {
+    let count = 0;
+    for (const fingerprint of this.#byFingerprint.keys()) if (this.isQuarantined(fingerprint)) count += 1;
+    return count;
+  }
+
+  /**
+   * Adds a strike unless it is known, withdrawn or expired; returns whether it was added. Of two strikes for
+   * the same server run the higher level counts: while the store is unavailable, a restart is not noticed.
+   */
+  add(strike: IStrike): boolean {
+    const key = strikeKey(strike);
+    if (this.#withdrawn.has(key) || this.#isExpired(strike)) return false;
+    if ((this.#strikes.get(key)?.level ?? 0) >= strike.level) return false;
+    this.#remove(key);
+    this.#strikes.set(key, strike);
+    this.#addedAtMs.set(strike, this.#now());
+    addToIndex(this.#byFingerprint, strike.fingerprint, strike);
+    addToIndex(this.#byServer, serverKey(strike), strike);
+    return true;
+  }
+
+  get(key: string): IStrike | undefined {
+    return this.#strikes.get(key);
+  }
+
+  /** Removes a strike permanently; returns it if it was present. */
+  withdraw(key: string): IStrike | undefined {
+    this.#withdrawn.add(key);
+    const [oldest] = this.#withdrawn;
+    if (this.#withdrawn.size > MAX_WITHDRAWN) this.#withdrawn.delete(oldest);
+    return this.#remove(key);
+  }
+
+  strikesOf(fingerprint: bigint): IStrike[] {
+    return [...(this.#byFingerprint.get(fingerprint) ?? [])];
+  }
+
+  /** Strikes of all requests that were unfinished on a server when it crashed. */
+  strikesOn(server: IServerRun): IStrike[] {
+    return [...(this.#byServer.get(serverKey(server)) ?? [])];
+  }
+
+  /** Highest level of a request's strikes; 0 if it has none. */
+  levelOf(fingerprint: bigint): number {
+    let level = 0;
+    for (const strike of this.#byFingerprint.get(fingerprint) ?? []) level = Math.max(level, strike.level);
+    return level;
+  }
+
+  /** Whether a request has crashed so many servers that it must not be sent to another one. */
+  isQuarantined(fingerprint: bigint): boolean {
+    const strikes = this.strikesOf(fingerprint);
+    const decisive = strikes.filter(({ level }) => level >= QUARANTINE_LEVEL);
+    if (!decisive.some((strike) => this.#isSettled(strike))) return false;
+    const level = this.levelOf(fingerprint);
+    return level >= EXPLAINED_QUARANTINE_LEVEL || strikes.some((strike) => !this.#isExplained(strike, level));
+  }
+
+  /** Removes expired strikes and the oldest ones above the maximum number; returns the removed ones. */
+  evict(): IStrike[] {
+    const evicted: IStrike[] = [];
+    for (const [key, strike] of this.#strikes) {
+      if (this.#strikes.size <= MAX_STRIKES && !this.#isExpired(strike)) continue;
+      this.#remove(key);
+      evicted.push(strike);
+    }
+    return evicted;
+  }
+
+  /** Whether another request of at least this level was unfinished on the server as well. */
+  #isExplained(strike: IStrike, level: number): boolean {
+    return this.strikesOn(strike).some(({ fingerprint }) =>
+      fingerprint !== strike.fingerprint && this.levelOf(fingerprint) >= level
+    );
+  }
+
+  #isSettled(strike: IStrike): boolean {
+    return this.#now() - (this.#addedAtMs.get(strike) ?? 0) >= SETTLE_MS;
+  }
+
+  #isExpired({ atMs }: IStrike): boolean {
+    return this.#now() - atMs > STRIKE_RETENTION_MS;
+  }
+
+  #remove(key: string): IStrike | undefined {
+    const strike = this.#strikes.get(key);
+    if (strike === undefined) return undefined;
+    this.#strikes.delete(key);
+    this.#addedAtMs.delete(strike);
+    removeFromIndex(this.#byFingerprint, strike.fingerprint, strike);
+    removeFromIndex(this.#byServer, serverKey(strike), strike);
+    return strike;
+  }
+}
+
+export function serverKey({ backendId, startedAtMs }: IServerRun): string {
+  return `${backendId}@${startedAtMs}`;
+}
+
+/** Identifies a strike on all instances. */
+export function strikeKey(strike: IStrike): string {
+  return `${formatFingerprint(strike.fingerprint)}/${serverKey(strike)}`;
+}
+
+export function formatFingerprint(fingerprint: bigint): string {
+  return fingerprint.toString(16).padStart(16, "0");
+}
+
+function addToIndex<K>(index: Map<K, Set<IStrike>>, key: K, strike: IStrike): void {
+  const strikes = index.get(key) ?? new Set();
+  strikes.add(strike);
+  index.set(key, strikes);
+}
+
+function removeFromIndex<K>(index: Map<K, Set<IStrike>>, key: K, strike: IStrike): void {
+  const strikes = index.get(key);
+  strikes?.delete(strike);
+  if (strikes?.size === 0) index.delete(key);
+}
--- /dev/null
+++ b/src/call/common/strike_ledger_test.ts
@@ -0,0 +1,77 @@
+import test from "ava";
+import type { IStrike } from "./strike_ledger.ts";
+import { strikeKey, StrikeLedger } from "./strike_ledger.ts";
+
+function setUp() {
+  const clock = { now: 0 };
+  return { clock, ledger: new StrikeLedger(() => clock.now) };
+}
+
+function strikeOf(fingerprint: bigint, level: number, overrides: Partial<IStrike> = {}): IStrike {
+  return { fingerprint, level, backendId: `b${level}`, startedAtMs: 1, atMs: 0, ...overrides };
+}
+
+test("a request is quarantined from its third crash on, once the reports of others can have arrived", (t) => {
+  const { clock, ledger } = setUp();
+  for (const level of [1, 2]) ledger.add(strikeOf(7n, level));
+  clock.now = 1000;
+  t.false(ledger.isQuarantined(7n));
+  ledger.add(strikeOf(7n, 3));
+  t.false(ledger.isQuarantined(7n));
+  clock.now = 1500;
+  t.true(ledger.isQuarantined(7n));
+  t.false(ledger.isQuarantined(8n));
+  t.is(ledger.quarantinedCount, 1);
+});
+
+test("concurrent attempts that fail when many servers are lost at once do not add up", (t) => {
+  const { clock, ledger } = setUp();
+  for (const backendId of ["a", "b", "c", "d", "e"]) ledger.add(strikeOf(7n, 1, { backendId }));
+  clock.now = 1000;
+  t.is(ledger.levelOf(7n), 1);
+  t.false(ledger.isQuarantined(7n));
+});
+
+test("a request whose crashes another request explains needs two more of them", (t) => {
+  const { clock, ledger } = setUp();
+  for (const level of [1, 2, 3]) for (const fingerprint of [7n, 8n]) ledger.add(strikeOf(fingerprint, level));
+  clock.now = 1000;
+  t.false(ledger.isQuarantined(7n));
+  t.false(ledger.isQuarantined(8n));
+  ledger.add(strikeOf(7n, 4));
+  clock.now = 2000;
+  t.true(ledger.isQuarantined(7n));
+  t.false(ledger.isQuarantined(8n));
+  for (const level of [4, 5]) ledger.add(strikeOf(8n, level));
+  clock.now = 3000;
+  t.true(ledger.isQuarantined(8n));
+});
+
+test("a further crash of a server whose restart was not noticed counts", (t) => {
+  const { clock, ledger } = setUp();
+  for (const level of [1, 2, 3]) t.true(ledger.add(strikeOf(7n, level, { backendId: "same" })));
+  t.false(ledger.add(strikeOf(7n, 2, { backendId: "same" })));
+  clock.now = 1000;
+  t.is(ledger.size, 1);
+  t.true(ledger.isQuarantined(7n));
+});
+
+test("a withdrawn strike does not return with a late copy", (t) => {
+  const { ledger } = setUp();
+  const strike = strikeOf(7n, 1);
+  ledger.add(strike);
+  t.deepEqual(ledger.withdraw(strikeKey(strike)), strike);
+  t.is(ledger.levelOf(7n), 0);
+  t.false(ledger.add(strike));
+  t.is(ledger.levelOf(7n), 0);
+});
+
+test("strikes expire, and the oldest ones are evicted above the maximum number", (t) => {
+  const { clock, ledger } = setUp();
+  for (let index = 0; index < 4002; index++) ledger.add(strikeOf(BigInt(index), 1));
+  t.deepEqual(ledger.evict().map(({ fingerprint }) => fingerprint), [0n, 1n]);
+  clock.now = 31 * 60_000;
+  t.is(ledger.evict().length, 4000);
+  t.is(ledger.size, 0);
+  t.false(ledger.add(strikeOf(7n, 1)));
+});
--- a/src/daemon/common/gateway_core.ts
+++ b/src/daemon/common/gateway_core.ts
@@ -7,7 +7,7 @@
 import { Effect } from "effect";
 import { TurnService } from "../../base/common/gen/ragwortcleat/v1/turns_pb.ts";
 import type { KeyedSnapshot } from "../../base/common/gen/ragwortcleat/v1/turns_pb.ts";
-import { CrashCounter } from "../../call/common/crash_counter.ts";
+import { CrashMonitor } from "../../call/common/crash_monitor.ts";
 import { GatewayRelay } from "../../call/common/gateway_relay.ts";
 import type { IRequestCodec, IUpstream } from "../../call/common/opaque_request.ts";
 import type { IPeerTransports } from "../../membership/common/peer_client.ts";
@@ -69,7 +69,7 @@
   readonly directory: BackendDirectory;
   readonly loads: BackendLoadTracker;
   readonly caches = new PromptCacheIndex();
-  readonly crashCounter: CrashCounter;
+  readonly crashes: CrashMonitor;
   readonly configuration: KeyedTopicFollower;
   readonly backends: KeyedTopicFollower;
   readonly owned: OwnedSlices;
@@ -85,7 +85,7 @@
     this.#dependencies = dependencies;
     this.directory = new BackendDirectory(logger, now);
     this.loads = new BackendLoadTracker(now);
-    this.crashCounter = new CrashCounter(now);
+    this.crashes = new CrashMonitor({ logger, metrics: this.metrics, now });
     this.#peers = new PeerRpcClients(TurnService, dependencies.transports);
     const shared = { log: adapter.log, logger };
     this.configuration = new KeyedTopicFollower({
@@ -153,7 +153,7 @@
       caches: this.caches,
       turns,
       admission: new UtilizationAdmission(),
-      crashCounter: this.crashCounter,
+      crashes: this.crashes,
       upstream,
       logger,
       metrics: this.metrics,
--- a/src/daemon/common/gateway_gauges.ts
+++ b/src/daemon/common/gateway_gauges.ts
@@ -12,7 +12,7 @@
 }
 
 export function registerGatewayGauges({ core, activeRequests, droppedLines, now }: IGaugeSources): void {
-  const { metrics, routes, directory, owned, group, configuration, backends } = core;
+  const { metrics, routes, directory, owned, group, configuration, backends, crashes } = core;
   metrics.registerGauge("requests_active", { help: "Requests under way.", read: activeRequests });
   metrics.registerGauge("log_lines_dropped", {
     help: "Log lines lost to a slow reader.",
@@ -36,6 +36,14 @@
     help: "Content of kept turns in owned slices, in bytes.",
     read: () => owned.keptBytes,
   });
+  metrics.registerGauge("strikes_known", {
+    help: "Strikes of requests during which backend servers crashed.",
+    read: () => crashes.strikeCount,
+  });
+  metrics.registerGauge("requests_quarantined", {
+    help: "Requests that are refused because they crash backend servers.",
+    read: () => crashes.quarantinedCount,
+  });
   metrics.registerGauge("peers_known", {
     help: "Other instances that own slices.",
     read: () => group.peers.length,
--- a/src/daemon/common/gateway_gauges_test.ts
+++ b/src/daemon/common/gateway_gauges_test.ts
@@ -13,6 +13,7 @@
     group: { peers: ["a"] },
     configuration: { lastReadMs: 400 },
     backends: { lastReadMs: 900 },
+    crashes: { strikeCount: 4, quarantinedCount: 1 },
   } as unknown as GatewayCore;
   registerGatewayGauges({ core, activeRequests: () => 7, droppedLines: () => 0, now: () => 1000 });
   const text = metrics.render();
@@ -22,6 +23,8 @@
       "ragwortcleat_configuration_age_ms 600",
       "ragwortcleat_backends_age_ms 100",
       "ragwortcleat_slices_owned 2",
+      "ragwortcleat_strikes_known 4",
+      "ragwortcleat_requests_quarantined 1",
       "ragwortcleat_requests_active 7",
     ]
   ) t.true(text.includes(line), line);
--- a/src/daemon/node/gateway.ts
+++ b/src/daemon/node/gateway.ts
@@ -108,7 +108,7 @@
         port: settings.datagramPort,
         loads: core.loads,
         caches: core.caches,
-        crashCounter: core.crashCounter,
+        crashes: core.crashes,
         peerHosts: () => core.group.peers.map((address) => parseAddress(address).host),
         logger,
       }),
--- a/src/peer/node/load_reporter.ts
+++ b/src/peer/node/load_reporter.ts
@@ -1,4 +1,4 @@
-/** Exchanges UDP datagrams on backend load, cached prompt prefixes and crashes with the other instances. */
+/** Exchanges UDP datagrams on backend load, cached prompt prefixes and strikes with the other instances. */
 import type { Socket } from "node:dgram";
 import { createSocket } from "node:dgram";
 import { create, fromBinary, toBinary } from "@bufbuild/protobuf";
@@ -6,11 +6,12 @@
 import { Effect } from "effect";
 import { toError } from "../../base/common/errors.ts";
 import {
-  CrashStrikeSchema,
   LoadDigestSchema,
   PromptHomeSchema,
+  StrikeChangeSchema,
+  StrikeSchema,
 } from "../../base/common/gen/ragwortcleat/v1/turns_pb.ts";
-import type { CrashCounter } from "../../call/common/crash_counter.ts";
+import type { CrashMonitor } from "../../call/common/crash_monitor.ts";
 import type { BackendLoadTracker } from "../../routing/common/backend_load_tracker.ts";
 import type { PromptCacheIndex } from "../../routing/common/prompt_cache_index.ts";
 import type { ILogger } from "../../services/logging/common/logger.ts";
@@ -27,7 +28,7 @@
   readonly port: number;
   readonly loads: BackendLoadTracker;
   readonly caches: PromptCacheIndex;
-  readonly crashCounter: CrashCounter;
+  readonly crashes: CrashMonitor;
   readonly peerHosts: () => readonly string[];
   readonly logger: ILogger;
 }
@@ -71,11 +72,13 @@
 
   #send(hosts: readonly string[]): void {
     const localLoads = this.#opts.loads.localLoads();
-    const strikes = this.#opts.crashCounter.localCounts().map((strike) => create(CrashStrikeSchema, strike));
+    const strikeChanges = this.#opts.crashes.recentChanges().map(({ strike, isWithdrawn }) =>
+      create(StrikeChangeSchema, { strike: create(StrikeSchema, strike), isWithdrawn })
+    );
     const prefixes = this.#opts.caches.takeUnreportedPrefixes().map((prefix) =>
       create(PromptHomeSchema, prefix)
     );
-    const isIdle = localLoads.size === 0 && strikes.length === 0 && prefixes.length === 0;
+    const isIdle = localLoads.size === 0 && strikeChanges.length === 0 && prefixes.length === 0;
     // One empty report follows the last load, so that peers discard the previous one.
     if (isIdle && !this.#wasBusy) return;
     this.#wasBusy = !isIdle;
@@ -83,7 +86,7 @@
     const loads = [...localLoads].map(([backendId, running]) => ({ backendId, running }));
     const message = toBinary(
       LoadDigestSchema,
-      create(LoadDigestSchema, { instance, loads, strikes, prefixes }),
+      create(LoadDigestSchema, { instance, loads, strikeChanges, prefixes }),
     );
     for (const host of hosts) {
       this.#socket.send(message, this.#opts.port, host, (err) => this.#handleSendResult(err));
@@ -98,10 +101,12 @@
 
   #receive(message: Uint8Array): void {
     try {
-      const { instance, loads, strikes, prefixes } = fromBinary(LoadDigestSchema, message);
+      const { instance, loads, strikeChanges, prefixes } = fromBinary(LoadDigestSchema, message);
       const running = new Map(loads.map((load) => [load.backendId, load.running]));
       this.#opts.loads.recordPeerReport({ instance, running });
-      this.#opts.crashCounter.recordPeerCounts(instance, strikes);
+      for (const { strike, isWithdrawn } of strikeChanges) {
+        if (strike !== undefined) this.#opts.crashes.merge({ strike, isWithdrawn });
+      }
       for (const prefix of prefixes) this.#opts.caches.recordReportedPart(prefix);
     } catch (err) {
       this.#opts.logger.warn("load-datagram-unreadable", { error: toError(err).message });
--- a/src/routing/common/backend_chooser.ts
+++ b/src/routing/common/backend_chooser.ts
@@ -173,6 +173,32 @@
   }
 }
 
+/**
+ * Chooses a server for a suspect, a request during which a server has crashed. The affinity key, its
+ * fingerprint, ranks the servers, so that suspects that failed together are separated without any exchange
+ * between instances. Designed for the moment after a crash: all requests of the lost server are retried at
+ * once, and only one of them has caused the crash.
+ */
+export class SuspectBackendChooser implements IBackendChooser {
+  readonly #loads: BackendLoadTracker;
+
+  constructor(loads: BackendLoadTracker) {
+    this.#loads = loads;
+  }
+
+  choose(input: IBackendChoiceInput, backends: readonly IBackendEntry[]): IBackendChoice | undefined {
+    const eligible = eligibleBackends(input, { backends, loads: this.#loads });
+    const withFreeSlot = eligible.filter(({ id, slots }) => this.#loads.running(id) < slots);
+    const candidates = withFreeSlot.length > 0 ? withFreeSlot : eligible;
+    return cheapest(candidates.map((backend) => ({
+      backend,
+      costMs: tieBreakMs(input.affinity, backend.id),
+      running: this.#loads.running(backend.id),
+      cachedTokens: 0,
+    })));
+  }
+}
+
 /** Tie-breaking cost derived from the affinity key and the server, identical on every instance. */
 function tieBreakMs(affinity: string, backendId: string): number {
   return hash32(`${affinity}\u0000${backendId}`) / 2 ** 32 * MAX_TIE_BREAK_MS;
--- a/src/routing/common/backend_chooser_test.ts
+++ b/src/routing/common/backend_chooser_test.ts
@@ -1,7 +1,7 @@
 import test from "ava";
 import type { IBackendEntry } from "../../services/backends/common/backend_directory.ts";
 import type { IBackendChoiceInput } from "./backend_chooser.ts";
-import { EngineBackendChooser, ServiceBackendChooser } from "./backend_chooser.ts";
+import { EngineBackendChooser, ServiceBackendChooser, SuspectBackendChooser } from "./backend_chooser.ts";
 import { BackendLoadTracker } from "./backend_load_tracker.ts";
 import { UtilizationAdmission } from "./program_admission.ts";
 import { PromptCacheIndex } from "./prompt_cache_index.ts";
@@ -187,3 +187,20 @@
   t.true(admits(0, 0.3) && admits(1, 0.3));
   t.false(admits(0, 1) || admits(1, 1));
 });
+
+test("after a crash the requests of the lost server are spread over the others", (t) => {
+  const { loads, backends } = setUp(["a", "b", "c", "d", "e", "f", "g", "h"]);
+  const chooser = new SuspectBackendChooser(loads);
+  const suspects = Array.from({ length: 16 }, (_, index) => makeInput({ affinity: `suspect-${index}` }));
+  const choices = suspects.map((input) => chooser.choose(input, backends)?.backend.id);
+  t.true(new Set(choices).size >= 6);
+  t.deepEqual(suspects.map((input) => chooser.choose(input, backends)?.backend.id), choices);
+});
+
+test("a suspect waits for no slot while another server has a free one", (t) => {
+  const { loads, backends } = setUp(["a", "b"]);
+  const chooser = new SuspectBackendChooser(loads);
+  const first = chooser.choose(makeInput(), backends)!.backend;
+  for (let i = 0; i < first.slots; i++) loads.recordRequestStart(first.id);
+  t.not(chooser.choose(makeInput(), backends)?.backend.id, first.id);
+});
--- a/test/harness/gateway_cluster.ts
+++ b/test/harness/gateway_cluster.ts
@@ -274,11 +274,11 @@
     const connected = [...this.gateways.values()].filter(({ isPeerDisconnected }) => !isPeerDisconnected);
     for (const { name, core } of connected) {
       const running = core.loads.localLoads();
-      const counts = core.crashCounter.localCounts();
+      const changes = core.crashes.recentChanges();
       for (const peer of connected) {
         if (peer.name === name) continue;
         peer.core.loads.recordPeerReport({ instance: name, running });
-        peer.core.crashCounter.recordPeerCounts(name, counts);
+        for (const change of changes) peer.core.crashes.merge(change);
       }
     }
   }
