Count crashes that a server suffers silently

What callers saw: a request whose servers ended without closing their connections was sent on and on. Cause: only a broken connection counted. A silent end shows as a timeout, an expired deadline or a caller that leaves. Ruled out: counting each of these, which would refuse requests of an overloaded service. Change: the crash monitor remembers attempts with an unknown end for 15 s; if the platform's list then shows that the server run has ended without draining, they become strikes. As such crashes become known seconds later, attempts that were sent meanwhile have equal levels: strikes on different server runs now add up, except for requests without caller that have completed before, of which several may run at the same time when many servers are lost.

--- a/src/call/common/crash_monitor.ts
+++ b/src/call/common/crash_monitor.ts
@@ -13,6 +13,14 @@
 /** Maximum number of changes in one report, so that it fits into a datagram. */
 const MAX_REPORTED_CHANGES = 200;
 
+/**
+ * How long an attempt with an unknown end is remembered, in ms. A server that ends silently leaves the
+ * platform's list only after several missed heartbeats.
+ */
+const UNRESOLVED_RETENTION_MS = 15_000;
+/** Maximum number of such attempts; the oldest are discarded first. */
+const MAX_UNRESOLVED = 2000;
+
 /** How an attempt on a backend server ended. */
 export enum AttemptResult {
   /** The server may still be running the request. */
@@ -38,6 +46,22 @@
   result: AttemptResult;
 }
 
+/** What shows that a server crashed while it had a request. */
+enum CrashEvidence {
+  ConnectionLost = "connection-lost",
+  /** The platform's list shows that the server has ended or restarted. */
+  ServerEnded = "server-ended",
+}
+
+/** An attempt of which it is not known whether the server survived it. */
+interface IUnresolvedAttempt {
+  readonly requestId: string;
+  readonly fingerprint: bigint;
+  readonly server: IServerRun;
+  readonly level: number;
+  readonly endedAtMs: number;
+}
+
 /** A strike that this instance has added or withdrawn. */
 export interface IStrikeChange {
   readonly strike: IStrike;
@@ -62,6 +86,8 @@
   readonly #opts: ICrashMonitorOptions;
   readonly #ledger: StrikeLedger;
   readonly #recentChanges = new Map<string, { readonly change: IStrikeChange; readonly atMs: number }>();
+  readonly #running = new Map<string, Set<IObservedAttempt>>();
+  #unresolved: IUnresolvedAttempt[] = [];
   readonly #loggedQuarantines = new Set<bigint>();
   readonly #onDidChange = new Emitter<IStrikeChange>();
   /** Fires when this instance adds or withdraws a strike, not for strikes of other instances. */
@@ -113,16 +139,45 @@
   /** Starts to observe an attempt; `finish` must be called when it ends. */
   observe(requestId: string, identity: RequestIdentity, backend: IBackendEntry): IObservedAttempt {
     const level = this.#ledger.size === 0 ? 0 : this.#ledger.levelOf(identity.fingerprint);
-    return { requestId, identity, server: toServerRun(backend), level, result: AttemptResult.Unknown };
+    const server = toServerRun(backend);
+    const attempt = { requestId, identity, server, level, result: AttemptResult.Unknown };
+    const key = serverKey(server);
+    const running = this.#running.get(key) ?? new Set();
+    running.add(attempt);
+    this.#running.set(key, running);
+    return attempt;
   }
 
   /** Evaluates an attempt that has ended. */
   finish(attempt: IObservedAttempt): void {
+    const key = serverKey(attempt.server);
+    const running = this.#running.get(key);
+    const hasServerEnded = running?.delete(attempt) !== true;
+    if (running?.size === 0) this.#running.delete(key);
     switch (attempt.result) {
       case AttemptResult.ConnectionLost:
-        return this.#strike(attempt);
+        return this.#strike(toUnresolved(attempt, this.#opts.now()), CrashEvidence.ConnectionLost);
       case AttemptResult.Succeeded:
         return this.#clear(attempt.identity);
+      case AttemptResult.Unknown:
+        return this.#finishUnresolved(toUnresolved(attempt, this.#opts.now()), hasServerEnded);
+    }
+  }
+
+  /**
+   * Records that a server is no longer listed, or has restarted under the same id. A server that leaves
+   * without draining first may still complete its requests, so running ones are struck only if they fail.
+   */
+  serverEnded(entry: IBackendEntry): void {
+    if (entry.isDraining) return;
+    const key = serverKey(toServerRun(entry));
+    this.#running.delete(key);
+    const isOnServer = ({ server }: IUnresolvedAttempt) => serverKey(server) === key;
+    const ended = this.#unresolved.filter(isOnServer);
+    this.#unresolved = this.#unresolved.filter((attempt) => !isOnServer(attempt));
+    const oldestMs = this.#opts.now() - UNRESOLVED_RETENTION_MS;
+    for (const attempt of ended) {
+      if (attempt.endedAtMs >= oldestMs) this.#strike(attempt, CrashEvidence.ServerEnded);
     }
   }
 
@@ -144,23 +199,34 @@
     for (const strike of this.#ledger.evict()) this.#withdrawn(strike, WithdrawalReason.Expired);
   }
 
-  #strike({ requestId, identity, server, level }: IObservedAttempt): void {
-    const { fingerprint } = identity;
+  #finishUnresolved(attempt: IUnresolvedAttempt, hasServerEnded: boolean): void {
+    if (hasServerEnded) return this.#strike(attempt, CrashEvidence.ServerEnded);
+    this.#unresolved.push(attempt);
+    if (this.#unresolved.length <= MAX_UNRESOLVED) return;
+    const oldestMs = this.#opts.now() - UNRESOLVED_RETENTION_MS;
+    this.#unresolved = this.#unresolved.filter(({ endedAtMs }) => endedAtMs >= oldestMs).slice(
+      -MAX_UNRESOLVED / 2,
+    );
+  }
+
+  #strike({ requestId, fingerprint, server, level }: IUnresolvedAttempt, evidence: CrashEvidence): void {
     const strike = { ...server, fingerprint, level: level + 1, atMs: this.#opts.now() };
     if (!this.#ledger.add(strike)) return;
-    this.#opts.metrics.incrementCounter("strikes");
+    this.#opts.metrics.incrementCounter("strikes", { evidence });
     this.#opts.logger.warn("strike-added", {
       request: requestId,
       fingerprint: formatFingerprint(fingerprint),
       backend: server.backendId,
       level: strike.level,
+      evidence,
     });
     this.#publish({ strike, isWithdrawn: false });
   }
 
-  #clear({ fingerprint }: RequestIdentity): void {
+  #clear(identity: RequestIdentity): void {
+    if (!identity.hasCaller) this.#ledger.recordProven(identity.fingerprint);
     if (this.#ledger.size === 0) return;
-    for (const strike of this.#ledger.strikesOf(fingerprint)) {
+    for (const strike of this.#ledger.strikesOf(identity.fingerprint)) {
       this.#ledger.withdraw(strikeKey(strike));
       this.#withdrawn(strike, WithdrawalReason.Succeeded);
     }
@@ -194,6 +260,13 @@
   }
 }
 
+function toUnresolved(
+  { requestId, identity, server, level }: IObservedAttempt,
+  endedAtMs: number,
+): IUnresolvedAttempt {
+  return { requestId, fingerprint: identity.fingerprint, server, level, endedAtMs };
+}
+
 function toServerRun({ id, startedAtMs }: IBackendEntry): IServerRun {
   return { backendId: id, startedAtMs };
 }
--- a/src/call/common/crash_monitor_test.ts
+++ b/src/call/common/crash_monitor_test.ts
@@ -122,3 +122,48 @@
   clock.now = 3001;
   t.deepEqual(a.monitor.recentChanges(), []);
 });
+
+test("a server that ends silently strikes the requests whose end is unknown, and no others", (t) => {
+  const { instances: [a] } = setUp();
+  const endings = [
+    ["unknown", AttemptResult.Unknown],
+    ["completed", AttemptResult.Succeeded],
+    ["refused", AttemptResult.NotStarted],
+    ["error", AttemptResult.Responded],
+  ] as const;
+  for (const [text, result] of endings) a.attempt(identityOf(text), { server: "s1", result });
+  a.attempt(identityOf("elsewhere"), { server: "s2", result: AttemptResult.Unknown });
+  t.false(a.monitor.isSuspect(identityOf("unknown")));
+  a.monitor.serverEnded(entryOf("s1"));
+  t.true(a.monitor.isSuspect(identityOf("unknown")));
+  for (const text of ["completed", "refused", "error", "elsewhere"]) {
+    t.false(a.monitor.isSuspect(identityOf(text)), text);
+  }
+});
+
+test("a request that runs on a server when it disappears is struck only if it does not complete", (t) => {
+  const { instances: [a] } = setUp();
+  for (const result of [AttemptResult.Succeeded, AttemptResult.Unknown]) {
+    const observed = a.monitor.observe("r", identityOf(result), entryOf("s1"));
+    a.monitor.serverEnded(entryOf("s1"));
+    t.false(a.monitor.isSuspect(identityOf(result)));
+    observed.result = result;
+    a.monitor.finish(observed);
+    t.is(a.monitor.isSuspect(identityOf(result)), result === AttemptResult.Unknown);
+  }
+});
+
+test("a server that drained before it ended strikes nobody", (t) => {
+  const { instances: [a] } = setUp();
+  a.attempt(identityOf("left"), { server: "s1", result: AttemptResult.Unknown });
+  a.monitor.serverEnded({ ...entryOf("s1"), isDraining: true });
+  t.false(a.monitor.isSuspect(identityOf("left")));
+});
+
+test("an attempt with an unknown end is forgotten if its server ends much later", (t) => {
+  const { clock, instances: [a] } = setUp();
+  a.attempt(identityOf("old"), { server: "s1", result: AttemptResult.Unknown });
+  clock.now = 15_001;
+  a.monitor.serverEnded(entryOf("s1"));
+  t.false(a.monitor.isSuspect(identityOf("old")));
+});
--- a/src/call/common/request_identity.ts
+++ b/src/call/common/request_identity.ts
@@ -30,6 +30,11 @@
     });
   }
 
+  /** Whether the request states its sender, so that nobody else sends an equal one. */
+  get hasCaller(): boolean {
+    return this.#content.caller !== "";
+  }
+
   /** Hash of the content. Computed on first use, since most requests never need it. */
   get fingerprint(): bigint {
     const { method, host, target, body, caller } = this.#content;
--- a/src/call/common/strike_ledger.ts
+++ b/src/call/common/strike_ledger.ts
@@ -19,18 +19,22 @@
   readonly atMs: number;
 }
 
-/** Level from which a request is quarantined. */
-const QUARANTINE_LEVEL = 3;
+/** Weight from which a request is quarantined. */
+const QUARANTINE_WEIGHT = 3;
 /**
- * Level from which a request is quarantined if another request explains its crashes. Suspects are sent to
+ * Weight from which a request is quarantined if another request explains its crashes. Suspects are sent to
  * different servers, so that a request shares this many crashes with another one only by a rare coincidence.
  */
-const EXPLAINED_QUARANTINE_LEVEL = 5;
+const EXPLAINED_QUARANTINE_WEIGHT = 5;
 /**
  * Time after which a strike can quarantine its request, in ms: by then the other instances have reported
  * their strikes on the same server, which may explain the crash.
  */
 const SETTLE_MS = 500;
+/** How long a completed request without caller protects equal requests of other callers, in ms. */
+const PROVEN_RETENTION_MS = 10 * 60_000;
+/** Maximum number of such requests; the one that completed first is evicted first. */
+const MAX_PROVEN = 2000;
 /** How long a strike counts, in ms: longer than callers keep returning with the same request. */
 const STRIKE_RETENTION_MS = 30 * 60_000;
 /** Maximum number of strikes; the oldest are evicted first. */
@@ -49,6 +53,7 @@
   readonly #byFingerprint = new Map<bigint, Set<IStrike>>();
   readonly #byServer = new Map<string, Set<IStrike>>();
   readonly #withdrawn = new Set<string>();
+  readonly #provenAtMs = new Map<bigint, number>();
   /** Local time at which each strike was added, in ms. */
   readonly #addedAtMs = new Map<IStrike, number>();
 
@@ -106,18 +111,27 @@
 
   /** Highest level of a request's strikes; 0 if it has none. */
   levelOf(fingerprint: bigint): number {
-    let level = 0;
-    for (const strike of this.#byFingerprint.get(fingerprint) ?? []) level = Math.max(level, strike.level);
-    return level;
+    return maxLevel(this.strikesOf(fingerprint));
+  }
+
+  /** Records that a request without caller, which several callers may send at the same time, has completed. */
+  recordProven(fingerprint: bigint): void {
+    this.#provenAtMs.delete(fingerprint);
+    this.#provenAtMs.set(fingerprint, this.#now());
+    const [oldest] = this.#provenAtMs.keys();
+    if (this.#provenAtMs.size > MAX_PROVEN) this.#provenAtMs.delete(oldest);
   }
 
   /** Whether a request has crashed so many servers that it must not be sent to another one. */
   isQuarantined(fingerprint: bigint): boolean {
     const strikes = this.strikesOf(fingerprint);
-    const decisive = strikes.filter(({ level }) => level >= QUARANTINE_LEVEL);
-    if (!decisive.some((strike) => this.#isSettled(strike))) return false;
-    const level = this.levelOf(fingerprint);
-    return level >= EXPLAINED_QUARANTINE_LEVEL || strikes.some((strike) => !this.#isExplained(strike, level));
+    const weight = this.#weigh(fingerprint, strikes);
+    if (weight < QUARANTINE_WEIGHT) return false;
+    if (this.#weigh(fingerprint, strikes.filter((strike) => this.#isSettled(strike))) < QUARANTINE_WEIGHT) {
+      return false;
+    }
+    return weight >= EXPLAINED_QUARANTINE_WEIGHT ||
+      strikes.some((strike) => !this.#isExplained(strike, weight));
   }
 
   /** Removes expired strikes and the oldest ones above the maximum number; returns the removed ones. */
@@ -131,13 +145,22 @@
     return evicted;
   }
 
-  /** Whether another request of at least this level was unfinished on the server as well. */
-  #isExplained(strike: IStrike, level: number): boolean {
+  /** Whether another request of at least this weight was unfinished on the server as well. */
+  #isExplained(strike: IStrike, weight: number): boolean {
     return this.strikesOn(strike).some(({ fingerprint }) =>
-      fingerprint !== strike.fingerprint && this.levelOf(fingerprint) >= level
+      fingerprint !== strike.fingerprint && this.#weigh(fingerprint, this.strikesOf(fingerprint)) >= weight
     );
   }
 
+  /**
+   * Number of crashes that a request may have caused. Of a request that several callers send, and that has
+   * completed before, concurrent attempts count once: all of them fail when many servers are lost at once.
+   */
+  #weigh(fingerprint: bigint, strikes: readonly IStrike[]): number {
+    const isProven = this.#now() - (this.#provenAtMs.get(fingerprint) ?? -Infinity) <= PROVEN_RETENTION_MS;
+    return isProven ? maxLevel(strikes) : Math.max(strikes.length, maxLevel(strikes));
+  }
+
   #isSettled(strike: IStrike): boolean {
     return this.#now() - (this.#addedAtMs.get(strike) ?? 0) >= SETTLE_MS;
   }
@@ -157,6 +180,10 @@
   }
 }
 
+function maxLevel(strikes: readonly IStrike[]): number {
+  return strikes.reduce((level, strike) => Math.max(level, strike.level), 0);
+}
+
 export function serverKey({ backendId, startedAtMs }: IServerRun): string {
   return `${backendId}@${startedAtMs}`;
 }
--- a/src/daemon/common/gateway_core.ts
+++ b/src/daemon/common/gateway_core.ts
@@ -166,6 +166,7 @@
   #subscribe(): void {
     this.directory.onDidRemove((entry) => {
       this.#dependencies.closeBackendConnections(entry);
+      this.crashes.serverEnded(entry);
       this.loads.remove(entry);
       this.caches.removeEngine(entry.id);
     });
