Keep strikes in the store, so that they outlive instances

What callers saw: after a rolling restart, or a restart of all instances, a quarantined request crashed servers again. Cause: crash counts were in the memory of the instance that saw the crash; the copies of others were replaced by the next report, so that a restarted instance erased them everywhere. Change: each instance writes its strikes to a keyed topic and follows it. A first strike is written after a second, as most requests complete when retried; further ones after 50 ms; withdrawn and expired ones are deleted. Writes are idempotent and are repeated through an outage. Conclusion: mended; the class is state that must last in the memory of an instance.

--- a/src/call/common/crash_monitor.ts
+++ b/src/call/common/crash_monitor.ts
@@ -187,6 +187,20 @@
     return this.#ledger.add(strike);
   }
 
+  /** Applies the deletion of a strike that another instance has withdrawn. */
+  mergeWithdrawal(key: string): void {
+    this.#ledger.withdraw(key);
+  }
+
+  hasStrike(key: string): boolean {
+    return this.#ledger.has(key);
+  }
+
+  /** Whether a strike is withdrawn or too old to count. */
+  isObsolete(strike: IStrike): boolean {
+    return this.#ledger.isObsolete(strike);
+  }
+
   /** Returns this instance's recent changes, to be reported to the others. */
   recentChanges(): IStrikeChange[] {
     const oldestMs = this.#opts.now() - REPORT_REPEAT_MS;
--- a/src/call/common/strike_ledger.ts
+++ b/src/call/common/strike_ledger.ts
@@ -78,7 +78,7 @@
    */
   add(strike: IStrike): boolean {
     const key = strikeKey(strike);
-    if (this.#withdrawn.has(key) || this.#isExpired(strike)) return false;
+    if (this.isObsolete(strike)) return false;
     if ((this.#strikes.get(key)?.level ?? 0) >= strike.level) return false;
     this.#remove(key);
     this.#strikes.set(key, strike);
@@ -88,8 +88,13 @@
     return true;
   }
 
-  get(key: string): IStrike | undefined {
-    return this.#strikes.get(key);
+  has(key: string): boolean {
+    return this.#strikes.has(key);
+  }
+
+  /** Whether a strike is withdrawn or expired. */
+  isObsolete(strike: IStrike): boolean {
+    return this.#withdrawn.has(strikeKey(strike)) || this.#isExpired(strike);
   }
 
   /** Removes a strike permanently; returns it if it was present. */
--- /dev/null
+++ b/src/call/common/strike_replicator.ts
@@ -0,0 +1,180 @@
+/** Keeps the strikes of all instances in a keyed topic of the store, so that they survive the instances. */
+import { create, fromBinary, toBinary } from "@bufbuild/protobuf";
+import type { Scope } from "effect";
+import { Effect } from "effect";
+import { toError } from "../../base/common/errors.ts";
+import { StrikeSchema } from "../../base/common/gen/ragwortcleat/v1/turns_pb.ts";
+import { Signal } from "../../base/common/signal.ts";
+import type { ILogger } from "../../services/logging/common/logger.ts";
+import type { IKeyedUpdate } from "../../services/store/common/keyed_topic_follower.ts";
+import { KeyedTopicFollower } from "../../services/store/common/keyed_topic_follower.ts";
+import type {
+  IKeyedWrite,
+  IPartitionedLog,
+  StoreError,
+} from "../../services/store/common/partitioned_log.ts";
+import type { CrashMonitor, IStrikeChange } from "./crash_monitor.ts";
+import { strikeKey } from "./strike_ledger.ts";
+
+const POLL_TIMEOUT_MS = 3000;
+/** Limits the calls to the store after a crash, when all instances write strikes of its victims. */
+const POLL_INTERVAL_MS = 1000;
+/**
+ * Delay before a request's first strike is written, and before strikes are deleted, in ms. Most requests
+ * complete when they are retried, which withdraws the strike before it is written.
+ */
+const FIRST_STRIKE_DELAY_MS = 1000;
+/** Delay before further strikes are written, in ms; collects those of one crash into one call. */
+const STRIKE_DELAY_MS = 50;
+const RETRY_DELAY_MS = 500;
+/** Maximum number of records in one call. */
+const MAX_BATCH = 500;
+/** Mean interval between two searches for expired strikes, in ms. */
+const EVICTION_INTERVAL_MS = 60_000;
+
+interface IPendingWrite extends IKeyedWrite {
+  readonly dueAtMs: number;
+}
+
+export interface IStrikeReplicatorOptions {
+  readonly log: IPartitionedLog;
+  readonly topic: string;
+  readonly monitor: CrashMonitor;
+  readonly logger: ILogger;
+  /** Unix time in ms. */
+  readonly now: () => number;
+  /** Returns a random number in [0, 1). */
+  readonly random: () => number;
+}
+
+export class StrikeReplicator {
+  readonly follower: KeyedTopicFollower;
+  readonly #opts: IStrikeReplicatorOptions;
+  readonly #pending = new Map<string, IPendingWrite>();
+  readonly #changed = new Signal();
+  #isFailing = false;
+
+  constructor(opts: IStrikeReplicatorOptions) {
+    const { log, topic, logger, monitor } = opts;
+    this.#opts = opts;
+    this.follower = new KeyedTopicFollower({
+      log,
+      topic,
+      logger,
+      waitMs: POLL_TIMEOUT_MS,
+      pauseMs: POLL_INTERVAL_MS,
+    });
+    this.follower.onDidUpdate((update) => this.#apply(update));
+    monitor.onDidChange((change) => this.#enqueue(change));
+  }
+
+  /** Number of changes that are not in the store yet. */
+  get pendingCount(): number {
+    return this.#pending.size;
+  }
+
+  /** Follows the topic and writes this instance's changes until the scope ends. */
+  start(): Effect.Effect<void, never, Scope.Scope> {
+    return Effect.gen({ self: this }, function* () {
+      yield* this.follower.start();
+      yield* Effect.forkScoped(this.#writeLoop());
+      yield* Effect.forkScoped(this.#evictionLoop());
+    });
+  }
+
+  #apply({ key, value }: IKeyedUpdate): void {
+    const { monitor, logger } = this.#opts;
+    if (value === undefined) return monitor.mergeWithdrawal(key);
+    try {
+      const strike = fromBinary(StrikeSchema, value);
+      if (monitor.isObsolete(strike)) this.#delete(key);
+      else monitor.merge({ strike, isWithdrawn: false });
+    } catch (err) {
+      logger.warn("strike-unreadable", { key, error: toError(err).message });
+    }
+  }
+
+  #enqueue({ strike, isWithdrawn }: IStrikeChange): void {
+    const key = strikeKey(strike);
+    if (isWithdrawn) return this.#delete(key);
+    const delayMs = strike.level === 1 ? FIRST_STRIKE_DELAY_MS : STRIKE_DELAY_MS;
+    const value = toBinary(StrikeSchema, create(StrikeSchema, strike));
+    this.#pending.set(key, { key, value, dueAtMs: this.#opts.now() + delayMs });
+    this.#changed.notify();
+  }
+
+  #delete(key: string): void {
+    // A strike that has not been written needs no deletion.
+    if (this.#pending.get(key)?.value !== undefined) {
+      this.#pending.delete(key);
+      return;
+    }
+    this.#pending.set(key, { key, value: undefined, dueAtMs: this.#opts.now() + FIRST_STRIKE_DELAY_MS });
+    this.#changed.notify();
+  }
+
+  #writeLoop(): Effect.Effect<void> {
+    return Effect.gen({ self: this }, function* () {
+      while (true) {
+        const due = this.#takeDue();
+        if (due.length > 0) yield* this.#write(due);
+        else yield* this.#awaitDue();
+      }
+    });
+  }
+
+  /** Returns the changes to write now. Strikes that another instance has withdrawn meanwhile are dropped. */
+  #takeDue(): IPendingWrite[] {
+    const now = this.#opts.now();
+    for (const { key, value } of this.#pending.values()) {
+      if (value !== undefined && !this.#opts.monitor.hasStrike(key)) this.#pending.delete(key);
+    }
+    return [...this.#pending.values()].filter(({ dueAtMs }) => dueAtMs <= now).slice(0, MAX_BATCH);
+  }
+
+  #awaitDue(): Effect.Effect<void> {
+    return Effect.suspend(() => {
+      const changed = this.#changed.wait();
+      if (this.#pending.size === 0) return changed;
+      const dueAtMs = Math.min(...[...this.#pending.values()].map((write) => write.dueAtMs));
+      return Effect.raceFirst(changed, Effect.sleep(Math.max(1, dueAtMs - this.#opts.now())));
+    });
+  }
+
+  #write(writes: readonly IPendingWrite[]): Effect.Effect<void> {
+    const { log, topic } = this.#opts;
+    return log.writeKeys(topic, writes).pipe(
+      Effect.andThen(Effect.sync(() => this.#recordWritten(writes))),
+      Effect.catchTag(
+        "StoreError",
+        (err) => Effect.andThen(Effect.sync(() => this.#recordFailure(err)), Effect.sleep(RETRY_DELAY_MS)),
+      ),
+    );
+  }
+
+  #recordWritten(writes: readonly IPendingWrite[]): void {
+    for (const write of writes) {
+      if (this.#pending.get(write.key) === write) this.#pending.delete(write.key);
+    }
+    if (!this.#isFailing) return;
+    this.#isFailing = false;
+    this.#opts.logger.info("strikes-write-regained", { pending: this.#pending.size });
+  }
+
+  /** Logs the first of consecutive failures. The changes are written again, which has no further effect. */
+  #recordFailure({ fault, message }: StoreError): void {
+    if (this.#isFailing) return;
+    this.#isFailing = true;
+    this.#opts.logger.warn("strikes-write-failed", { fault, error: message, pending: this.#pending.size });
+  }
+
+  #evictionLoop(): Effect.Effect<void> {
+    return Effect.gen({ self: this }, function* () {
+      while (true) {
+        // A random interval, so that usually one instance deletes an expired strike for all.
+        yield* Effect.sleep(EVICTION_INTERVAL_MS * (0.5 + this.#opts.random()));
+        this.#opts.monitor.evict();
+      }
+    });
+  }
+}
--- /dev/null
+++ b/src/call/common/strike_replicator_test.ts
@@ -0,0 +1,180 @@
+import test from "ava";
+import { Effect } from "effect";
+import { TestClock } from "effect/testing";
+import { LogFault, PartitionedLogCore } from "../../../test/stand_ins/partitioned_log_core.ts";
+import type { IBackendEntry } from "../../services/backends/common/backend_directory.ts";
+import { NullLogger } from "../../services/logging/common/logger.ts";
+import { Metrics } from "../../services/metrics/common/metrics.ts";
+import { AttemptResult, CrashMonitor } from "./crash_monitor.ts";
+import { RequestIdentity } from "./request_identity.ts";
+import { StrikeReplicator } from "./strike_replicator.ts";
+
+const TOPIC = "strikes";
+const IDENTITY = new RequestIdentity({
+  method: "POST",
+  host: "h",
+  target: "/x",
+  body: Buffer.from("bad"),
+  caller: "c",
+});
+
+class Setup {
+  readonly log = new PartitionedLogCore();
+  now = 0;
+
+  advance(ms: number): Effect.Effect<void> {
+    return Effect.gen({ self: this }, function* () {
+      for (let elapsedMs = 0; elapsedMs < ms; elapsedMs += 50) {
+        this.now += 50;
+        yield* TestClock.adjust(50);
+      }
+    });
+  }
+
+  /** Starts an instance's monitor and replicator. */
+  start() {
+    return Effect.gen({ self: this }, function* () {
+      const logger = new NullLogger();
+      const now = () => this.now;
+      const monitor = new CrashMonitor({ logger, metrics: new Metrics(), now });
+      const replicator = new StrikeReplicator({
+        log: this.log,
+        topic: TOPIC,
+        monitor,
+        logger,
+        now,
+        random: () => 0.5,
+      });
+      yield* replicator.start();
+      return { monitor, replicator };
+    });
+  }
+
+  keys() {
+    return Effect.map(this.log.readLatestValues(TOPIC), ({ items }) => items.map(({ key }) => key));
+  }
+}
+
+function attempt(monitor: CrashMonitor, backendId: string, result = AttemptResult.ConnectionLost): void {
+  const server: IBackendEntry = {
+    id: backendId,
+    startedAtMs: 1,
+    service: "s",
+    host: "h",
+    port: 1,
+    zone: "z",
+    slots: 4,
+    isDraining: false,
+  };
+  const observed = monitor.observe("r", IDENTITY, server);
+  observed.result = result;
+  monitor.finish(observed);
+}
+
+function run(body: (setup: Setup) => Effect.Effect<void, unknown, never>): Promise<void> {
+  return Effect.runPromise(
+    Effect.provide(Effect.scoped(body(new Setup())), TestClock.layer()) as Effect.Effect<void>,
+  );
+}
+
+test("strikes outlive the instances that recorded them", (t) =>
+  run((setup) =>
+    Effect.gen(function* () {
+      const first = yield* Effect.scoped(Effect.gen(function* () {
+        const { monitor } = yield* setup.start();
+        for (const server of ["s1", "s2", "s3"]) attempt(monitor, server);
+        yield* setup.advance(1500);
+        return monitor;
+      }));
+      t.true(first.isQuarantined(IDENTITY));
+      yield* Effect.scoped(Effect.gen(function* () {
+        const { monitor } = yield* setup.start();
+        yield* setup.advance(1000);
+        t.true(monitor.isQuarantined(IDENTITY));
+      }));
+    })
+  ));
+
+test("a request that completes when it is retried leaves no record", (t) =>
+  run((setup) =>
+    Effect.scoped(Effect.gen(function* () {
+      const { monitor } = yield* setup.start();
+      attempt(monitor, "s1");
+      yield* setup.advance(500);
+      attempt(monitor, "s2", AttemptResult.Succeeded);
+      yield* setup.advance(5000);
+      t.is(setup.log.appends, 0);
+    }))
+  ));
+
+test("a request that completes is cleared on the other instances and in the store", (t) =>
+  run((setup) =>
+    Effect.scoped(Effect.gen(function* () {
+      const [a, b] = [yield* setup.start(), yield* setup.start()];
+      attempt(a.monitor, "s1");
+      yield* setup.advance(2500);
+      t.true(b.monitor.isSuspect(IDENTITY));
+      attempt(b.monitor, "s2", AttemptResult.Succeeded);
+      yield* setup.advance(2500);
+      t.false(a.monitor.isSuspect(IDENTITY));
+      t.deepEqual(yield* setup.keys(), []);
+    }))
+  ));
+
+test("strikes recorded during an outage are written after it, also if responses are lost", (t) =>
+  run((setup) =>
+    Effect.scoped(Effect.gen(function* () {
+      const { monitor, replicator } = yield* setup.start();
+      for (const fault of [LogFault.Refuse, LogFault.LoseAnswers]) {
+        setup.log.fault = fault;
+        attempt(monitor, fault);
+        yield* setup.advance(3000);
+        t.true(replicator.pendingCount > 0, fault);
+      }
+      setup.log.fault = LogFault.None;
+      yield* setup.advance(2000);
+      t.is(replicator.pendingCount, 0);
+      t.is((yield* setup.keys()).length, 2);
+    }))
+  ));
+
+test("a late write of a withdrawn strike does not restore it", (t) =>
+  run((setup) =>
+    Effect.scoped(Effect.gen(function* () {
+      const { monitor } = yield* setup.start();
+      setup.log.fault = LogFault.Delay;
+      attempt(monitor, "s1");
+      yield* setup.advance(1500);
+      setup.log.fault = LogFault.None;
+      attempt(monitor, "s2", AttemptResult.Succeeded);
+      yield* setup.advance(2000);
+      setup.log.applyDelayedAppends();
+      yield* setup.advance(2000);
+      t.false(monitor.isSuspect(IDENTITY));
+      t.deepEqual(yield* setup.keys(), []);
+    }))
+  ));
+
+test("records that cannot be decoded are skipped", (t) =>
+  run((setup) =>
+    Effect.scoped(Effect.gen(function* () {
+      const { monitor } = yield* setup.start();
+      setup.log.putKey(TOPIC, "foreign", Buffer.from("\xff\xff\xff", "latin1"));
+      attempt(monitor, "s1");
+      yield* setup.advance(2500);
+      t.true(monitor.isSuspect(IDENTITY));
+    }))
+  ));
+
+test("expired strikes are deleted from the store", (t) =>
+  run((setup) =>
+    Effect.scoped(Effect.gen(function* () {
+      const { monitor } = yield* setup.start();
+      attempt(monitor, "s1");
+      yield* setup.advance(2000);
+      t.is((yield* setup.keys()).length, 1);
+      setup.now += 31 * 60_000;
+      yield* setup.advance(65_000);
+      t.deepEqual(yield* setup.keys(), []);
+    }))
+  ));
--- a/src/daemon/common/gateway_core.ts
+++ b/src/daemon/common/gateway_core.ts
@@ -8,6 +8,7 @@
 import { TurnService } from "../../base/common/gen/ragwortcleat/v1/turns_pb.ts";
 import type { KeyedSnapshot } from "../../base/common/gen/ragwortcleat/v1/turns_pb.ts";
 import { CrashMonitor } from "../../call/common/crash_monitor.ts";
+import { StrikeReplicator } from "../../call/common/strike_replicator.ts";
 import { GatewayRelay } from "../../call/common/gateway_relay.ts";
 import type { IRequestCodec, IUpstream } from "../../call/common/opaque_request.ts";
 import type { IPeerTransports } from "../../membership/common/peer_client.ts";
@@ -72,6 +73,7 @@
   readonly crashes: CrashMonitor;
   readonly configuration: KeyedTopicFollower;
   readonly backends: KeyedTopicFollower;
+  readonly strikes: StrikeReplicator;
   readonly owned: OwnedSlices;
   readonly group: SliceGroup;
   readonly relay: GatewayRelay;
@@ -100,6 +102,13 @@
       waitMs: 0,
       pauseMs: BACKENDS_POLL_INTERVAL_MS,
     });
+    this.strikes = new StrikeReplicator({
+      ...shared,
+      topic: adapter.strikeTopic,
+      monitor: this.crashes,
+      now,
+      random: dependencies.random,
+    });
     const partitions = slicePartitions(settings);
     const { newWriter } = dependencies;
     const { instance, peerAddress: address } = settings;
@@ -121,6 +130,7 @@
     return Effect.gen({ self: this }, function* () {
       yield* this.configuration.start();
       yield* this.backends.start();
+      yield* this.strikes.start();
       yield* this.group.start();
       yield* Effect.forkScoped(this.#syncFromPeers());
     });
@@ -211,6 +221,9 @@
           this.configuration.updateIfNewer(toKeyedItems(snapshot.configuration));
         }
         if (snapshot.backends !== undefined) this.backends.updateIfNewer(toKeyedItems(snapshot.backends));
+        if (snapshot.strikes !== undefined) {
+          this.strikes.follower.updateIfNewer(toKeyedItems(snapshot.strikes));
+        }
         if (snapshot.owners.length > 0) this.group.updateIfNewer(toOwnerTable(snapshot));
       }
     });
--- a/src/daemon/node/gateway.ts
+++ b/src/daemon/node/gateway.ts
@@ -121,8 +121,8 @@
   });
 }
 
-function turnServiceParts({ owned, group, configuration, backends }: GatewayCore) {
-  return { owned, group, configuration, backends };
+function turnServiceParts({ owned, group, configuration, backends, strikes }: GatewayCore) {
+  return { owned, group, configuration, backends, strikes: strikes.follower };
 }
 
 interface IDrainOptions {
--- a/src/peer/common/turn_service.ts
+++ b/src/peer/common/turn_service.ts
@@ -14,6 +14,7 @@
   readonly group: SliceGroup;
   readonly configuration: KeyedTopicFollower;
   readonly backends: KeyedTopicFollower;
+  readonly strikes: KeyedTopicFollower;
   readonly context: Context.Context<never>;
 }
 
@@ -31,6 +32,7 @@
     getSnapshot: () => ({
       configuration: toKeyedSnapshot(opts.configuration.snapshot()),
       backends: toKeyedSnapshot(opts.backends.snapshot()),
+      strikes: toKeyedSnapshot(opts.strikes.snapshot()),
       generation: group.table.generation,
       owners: group.table.addresses.map((address, slice) => ({ slice, address })),
     }),
--- a/src/services/store/common/partitioned_log.ts
+++ b/src/services/store/common/partitioned_log.ts
@@ -80,6 +80,12 @@
   readonly offset: number;
 }
 
+/** A value to write under a key; undefined deletes the key. */
+export interface IKeyedWrite {
+  readonly key: string;
+  readonly value: Uint8Array | undefined;
+}
+
 export interface IKeyedPage {
   readonly changes: readonly IKeyedChange[];
   readonly end: number;
@@ -119,6 +125,8 @@
   /** Reads the latest value of each key of a keyed topic. */
   readLatestValues(topic: string): Effect.Effect<IKeyedItems, StoreError>;
   readKeyChanges(topic: string, opts: IPartitionReadOptions): Effect.Effect<IKeyedPage, StoreError>;
+  /** Writes or deletes keys of a keyed topic, all or none. */
+  writeKeys(topic: string, writes: readonly IKeyedWrite[]): Effect.Effect<void, StoreError>;
   /** Joins a group, or renews the membership. */
   join(join: IGroupJoin): Effect.Effect<IAssignment, StoreError>;
   leave(group: string, member: string): Effect.Effect<void, StoreError>;
--- a/src/services/store/common/platform_adapter.ts
+++ b/src/services/store/common/platform_adapter.ts
@@ -3,7 +3,7 @@
 import type { IRoutingConfiguration } from "../../routes/common/route_table.ts";
 import type { IPartitionedLog } from "./partitioned_log.ts";
 
-/** Location and decoding of the configuration and the backend servers in the platform's store. */
+/** Location and decoding of the records in the platform's store. */
 export interface IPlatformAdapter {
   readonly log: IPartitionedLog;
   /** Keyed topic to which the operator writes the configuration. */
@@ -11,6 +11,8 @@
   readonly configurationKey: string;
   /** Keyed topic with one entry for each backend server, under the server's id. */
   readonly backendTopic: string;
+  /** Keyed topic in which the instances keep strikes. */
+  readonly strikeTopic: string;
   /** Returns undefined for a value that cannot be decoded. */
   decodeConfiguration(value: Uint8Array): IRoutingConfiguration | undefined;
   /** Returns undefined for a value that does not describe a usable backend server. */
--- a/test/harness/gateway_cluster.ts
+++ b/test/harness/gateway_cluster.ts
@@ -142,6 +142,7 @@
         group: core.group,
         configuration: core.configuration,
         backends: core.backends,
+        strikes: core.strikes.follower,
         context: yield* Effect.context<never>(),
       });
       const transport = createRouterTransport((router) => router.service(TurnService, service));
@@ -220,6 +221,7 @@
       configurationTopic: CONFIGURATION_TOPIC,
       configurationKey: "config",
       backendTopic: BACKEND_TOPIC,
+      strikeTopic: "keyed.strikes",
       decodeConfiguration,
       decodeBackend,
     };
--- a/test/stand_ins/partitioned_log_core.ts
+++ b/test/stand_ins/partitioned_log_core.ts
@@ -6,6 +6,7 @@
   IGroupJoin,
   IKeyedItems,
   IKeyedPage,
+  IKeyedWrite,
   IPartition,
   IPartitionedLog,
   IPartitionOwner,
@@ -103,6 +104,17 @@
     this.#keyed.set(topic, changes);
   }
 
+  writeKeys(topic: string, writes: readonly IKeyedWrite[]) {
+    return Effect.suspend((): Effect.Effect<void, StoreError> => {
+      if (this.fault === LogFault.Refuse) return refusedError();
+      this.appends += 1;
+      const apply = () => writes.forEach(({ key, value }) => this.putKey(topic, key, value));
+      if (this.fault === LogFault.Delay) this.#delayedAppends.push(apply);
+      else apply();
+      return this.fault === LogFault.None ? Effect.void : noAnswerError();
+    });
+  }
+
   /** Compacts a keyed topic: only the newest record of each key remains. */
   compact(topic: string): void {
     this.#keyedOldest.set(topic, this.#keyed.get(topic)?.length ?? 0);
