Log the level of strikes under a name of its own

What operators saw: lines of crash evidence with a number in place of their severity. Cause: the field level of the evidence overwrote the line's level. No test checked the gateway's new lines against the schema, and two loggers in one process wrote to the same output, so that no such test could have worked. Change: strikeLevel; a logger for each instance; log_schema_test plays a crashing request through whole gateways. Conclusion: mended.

--- a/src/call/common/crash_monitor.ts
+++ b/src/call/common/crash_monitor.ts
@@ -132,7 +132,7 @@
     return {
       fingerprint: formatFingerprint(fingerprint),
       strikes: strikes.length,
-      level: this.#ledger.levelOf(fingerprint),
+      strikeLevel: this.#ledger.levelOf(fingerprint),
     };
   }
 
@@ -231,7 +231,7 @@
       request: requestId,
       fingerprint: formatFingerprint(fingerprint),
       backend: server.backendId,
-      level: strike.level,
+      strikeLevel: strike.level,
       evidence,
     });
     this.#publish({ strike, isWithdrawn: false });
@@ -268,7 +268,7 @@
     this.#loggedQuarantines.add(fingerprint);
     this.#opts.logger.warn("request-quarantined", {
       fingerprint: formatFingerprint(fingerprint),
-      level: this.#ledger.levelOf(fingerprint),
+      strikeLevel: this.#ledger.levelOf(fingerprint),
       servers: this.#ledger.strikesOf(fingerprint).map(serverKey),
     });
   }
--- a/src/services/logging/common/logger.ts
+++ b/src/services/logging/common/logger.ts
@@ -13,11 +13,13 @@
 /** Writes lines through loglevel. */
 export class JsonLogger implements ILogger {
   readonly #instanceId: string;
-  readonly #log = loglevel.getLogger("ragwortcleat");
+  readonly #log: loglevel.Logger;
 
   /** Lines go to the console unless `write` is given. */
   constructor(instanceId: string, level: LogLevelName, write?: (line: string) => void) {
     this.#instanceId = instanceId;
+    // Loggers with the same name share their output.
+    this.#log = loglevel.getLogger(`ragwortcleat ${instanceId}`);
     if (write !== undefined) this.#log.methodFactory = () => write;
     this.#log.setLevel(level, false);
   }
--- a/test/proofs/log_schema_test.ts
+++ b/test/proofs/log_schema_test.ts
@@ -8,6 +8,8 @@
 import { JsonLogger } from "../../src/services/logging/common/logger.ts";
 import { OwnedSlices } from "../../src/turns/common/owned_slices.ts";
 import { KeyedTopicFollower } from "../../src/services/store/common/keyed_topic_follower.ts";
+import { CallerKind, GatewayCluster, RoutePath } from "../harness/gateway_cluster.ts";
+import { CrashForm, RestartForm } from "../stand_ins/backend_fleet.ts";
 import { LogFault, PartitionedLogCore } from "../stand_ins/partitioned_log_core.ts";
 
 const ROOT = new URL("../../../", import.meta.url).pathname;
@@ -81,6 +83,30 @@
   for (const event of ["slice-opened", "store-lost", "store-regained"]) t.true(events.includes(event), event);
 });
 
+test("log lines on a crashing request conform to the schema", async (t) => {
+  const opts = { instances: 2, crashForm: CrashForm.MidBody, restartForm: RestartForm.SameId };
+  const lines = await GatewayCluster.run(opts, (cluster) =>
+    Effect.gen(function* () {
+      const req = { route: RoutePath.Unsafe, caller: CallerKind.None, name: "crashing" };
+      for (let round = 0; round < 6; round++) {
+        for (const [index, name] of ["crashing", "other"].entries()) {
+          yield* Effect.forkDetach(cluster.send(cluster.names[(round + index) % 2], { ...req, name }));
+        }
+        yield* cluster.advance(1000);
+      }
+      return [...cluster.gateways.values()].flatMap((gateway) => gateway.lines);
+    }));
+  const validate = new Ajv({ strict: false, validateFormats: false }).compile(SCHEMA);
+  const events = lines.map((line) => {
+    const value = JSON.parse(line);
+    t.true(validate(value), `${line} ${JSON.stringify(validate.errors)}`);
+    return value.event;
+  });
+  for (const event of ["backend-failed", "strike-added", "strike-withdrawn", "request-quarantined"]) {
+    t.true(events.includes(event), event);
+  }
+});
+
 test("log lines without their required fields do not conform to the schema", (t) => {
   const validate = new Ajv({ strict: false, validateFormats: false }).compile(SCHEMA);
   const line = { time: "2026-01-01T00:00:00.000Z", level: "info", instance: "i" };
