Withdraw strikes on servers that prove to be alive

What callers saw (in a test; not reported): a request whose responses were lost on three servers was refused as crashing, although no server had ended. Cause: a broken connection counted as a crash for good. Change: two heartbeats of the same server run, 3 s or more after the connection broke and not read after an outage of the store, withdraw the strike on all instances. Until the heartbeats arrive such a request is still refused, for about five seconds.

--- a/src/call/common/crash_monitor.ts
+++ b/src/call/common/crash_monitor.ts
@@ -18,6 +18,13 @@
  * platform's list only after several missed heartbeats.
  */
 const UNRESOLVED_RETENTION_MS = 15_000;
+/**
+ * Time after which a heartbeat shows that a server has survived, in ms. An earlier one may have been on its
+ * way through the store when the server crashed.
+ */
+const PROOF_OF_LIFE_DELAY_MS = 3000;
+/** Heartbeats after that time that are required; a single one may reach an instance late that was frozen. */
+const PROOF_OF_LIFE_HEARTBEATS = 2;
 /** Maximum number of such attempts; the oldest are discarded first. */
 const MAX_UNRESOLVED = 2000;
 
@@ -72,9 +79,18 @@
 enum WithdrawalReason {
   /** A server completed the request. */
   Succeeded = "succeeded",
+  /** The server has not crashed. */
+  ServerAlive = "server-alive",
   Expired = "expired",
 }
 
+/** A strike of this instance whose server may prove to be alive. */
+interface IRecentStrike {
+  readonly strike: IStrike;
+  readonly addedAtMs: number;
+  heartbeats: number;
+}
+
 export interface ICrashMonitorOptions {
   readonly logger: ILogger;
   readonly metrics: Metrics;
@@ -88,6 +104,8 @@
   readonly #recentChanges = new Map<string, { readonly change: IStrikeChange; readonly atMs: number }>();
   readonly #running = new Map<string, Set<IObservedAttempt>>();
   #unresolved: IUnresolvedAttempt[] = [];
+  /** Strikes that this instance has added, by server run. */
+  readonly #ownStrikes = new Map<string, IRecentStrike[]>();
   readonly #loggedQuarantines = new Set<bigint>();
   readonly #onDidChange = new Emitter<IStrikeChange>();
   /** Fires when this instance adds or withdraws a strike, not for strikes of other instances. */
@@ -169,8 +187,9 @@
    * without draining first may still complete its requests, so running ones are struck only if they fail.
    */
   serverEnded(entry: IBackendEntry): void {
-    if (entry.isDraining) return;
     const key = serverKey(toServerRun(entry));
+    this.#ownStrikes.delete(key);
+    if (entry.isDraining) return;
     this.#running.delete(key);
     const isOnServer = ({ server }: IUnresolvedAttempt) => serverKey(server) === key;
     const ended = this.#unresolved.filter(isOnServer);
@@ -181,6 +200,24 @@
     }
   }
 
+  /**
+   * Records a heartbeat of a server, which shows that it survived earlier attempts: their connections were
+   * lost for another reason.
+   */
+  serverRenewed(entry: IBackendEntry): void {
+    const key = serverKey(toServerRun(entry));
+    const now = this.#opts.now();
+    const strikes = this.#ownStrikes.get(key) ?? [];
+    for (const recent of strikes) {
+      if (now - recent.addedAtMs >= PROOF_OF_LIFE_DELAY_MS) recent.heartbeats += 1;
+    }
+    const isRefuted = ({ heartbeats }: IRecentStrike) => heartbeats >= PROOF_OF_LIFE_HEARTBEATS;
+    for (const { strike } of strikes.filter(isRefuted)) this.#withdraw(strike, WithdrawalReason.ServerAlive);
+    const rest = strikes.filter((recent) => !isRefuted(recent));
+    if (rest.length > 0) this.#ownStrikes.set(key, rest);
+    else this.#ownStrikes.delete(key);
+  }
+
   /** Applies a change that another instance has made; returns whether it was new. */
   merge({ strike, isWithdrawn }: IStrikeChange): boolean {
     if (isWithdrawn) return this.#ledger.withdraw(strikeKey(strike)) !== undefined;
@@ -210,7 +247,7 @@
 
   /** Discards expired strikes. */
   evict(): void {
-    for (const strike of this.#ledger.evict()) this.#withdrawn(strike, WithdrawalReason.Expired);
+    for (const strike of this.#ledger.evict()) this.#recordWithdrawal(strike, WithdrawalReason.Expired);
   }
 
   #finishUnresolved(attempt: IUnresolvedAttempt, hasServerEnded: boolean): void {
@@ -226,6 +263,11 @@
   #strike({ requestId, fingerprint, server, level }: IUnresolvedAttempt, evidence: CrashEvidence): void {
     const strike = { ...server, fingerprint, level: level + 1, atMs: this.#opts.now() };
     if (!this.#ledger.add(strike)) return;
+    if (evidence === CrashEvidence.ConnectionLost) {
+      const recent = this.#ownStrikes.get(serverKey(server)) ?? [];
+      recent.push({ strike, addedAtMs: strike.atMs, heartbeats: 0 });
+      this.#ownStrikes.set(serverKey(server), recent);
+    }
     this.#opts.metrics.incrementCounter("strikes", { evidence });
     this.#opts.logger.warn("strike-added", {
       request: requestId,
@@ -241,12 +283,15 @@
     if (!identity.hasCaller) this.#ledger.recordProven(identity.fingerprint);
     if (this.#ledger.size === 0) return;
     for (const strike of this.#ledger.strikesOf(identity.fingerprint)) {
-      this.#ledger.withdraw(strikeKey(strike));
-      this.#withdrawn(strike, WithdrawalReason.Succeeded);
+      this.#withdraw(strike, WithdrawalReason.Succeeded);
     }
   }
 
-  #withdrawn(strike: IStrike, reason: WithdrawalReason): void {
+  #withdraw(strike: IStrike, reason: WithdrawalReason): void {
+    if (this.#ledger.withdraw(strikeKey(strike)) !== undefined) this.#recordWithdrawal(strike, reason);
+  }
+
+  #recordWithdrawal(strike: IStrike, reason: WithdrawalReason): void {
     this.#loggedQuarantines.delete(strike.fingerprint);
     this.#opts.logger.info("strike-withdrawn", {
       fingerprint: formatFingerprint(strike.fingerprint),
--- a/src/call/common/crash_monitor_test.ts
+++ b/src/call/common/crash_monitor_test.ts
@@ -167,3 +167,27 @@
   a.monitor.serverEnded(entryOf("s1"));
   t.false(a.monitor.isSuspect(identityOf("old")));
 });
+
+test("strikes on a server that proves to be alive are withdrawn", (t) => {
+  const { clock, instances: [a] } = setUp();
+  a.crash(identityOf("lost"), "s1", "s2");
+  for (clock.now = 0; clock.now < 3000; clock.now += 500) a.monitor.serverRenewed(entryOf("s1"));
+  t.is(a.monitor.strikeCount, 2);
+  clock.now = 3600;
+  a.monitor.serverRenewed(entryOf("s1"));
+  t.is(a.monitor.strikeCount, 2);
+  a.monitor.serverRenewed(entryOf("s1"));
+  t.is(a.monitor.strikeCount, 1);
+  t.deepEqual(a.changes.filter(({ isWithdrawn }) => isWithdrawn).map(({ strike }) => strike.backendId), [
+    "s1",
+  ]);
+});
+
+test("heartbeats of a restarted server prove nothing about its earlier run", (t) => {
+  const { clock, instances: [a] } = setUp();
+  a.crash(identityOf("bad"), "s1");
+  a.monitor.serverEnded(entryOf("s1"));
+  clock.now = 5000;
+  for (let i = 0; i < 3; i++) a.monitor.serverRenewed(entryOf("s1", 2));
+  t.true(a.monitor.isSuspect(identityOf("bad")));
+});
--- a/src/daemon/common/gateway_core.ts
+++ b/src/daemon/common/gateway_core.ts
@@ -200,8 +200,12 @@
 
   #applyBackendUpdate({ key, value, isAfterOutage }: IKeyedUpdate): void {
     const entry = value === undefined ? undefined : this.#dependencies.adapter.decodeBackend(key, value);
-    if (entry !== undefined) this.directory.put(entry);
-    else this.directory.remove(key, { mayBeLapsed: isAfterOutage && value === undefined });
+    if (entry === undefined) {
+      return this.directory.remove(key, { mayBeLapsed: isAfterOutage && value === undefined });
+    }
+    this.directory.put(entry);
+    // After an outage a heartbeat may be as old as the outage.
+    if (!isAfterOutage) this.crashes.serverRenewed(entry);
   }
 
   /** Applies peers' snapshots while this instance cannot read the store itself. */
--- a/test/harness/gateway_cluster.ts
+++ b/test/harness/gateway_cluster.ts
@@ -25,11 +25,14 @@
 const CLOCK_STEP_MS = 10;
 const EVENT_LOOP_TURNS_PER_STEP = 2;
 const REPORT_INTERVAL_MS = 100;
+const HEARTBEAT_INTERVAL_MS = 1200;
 const SERVERS_PER_SERVICE = 8;
 const CONFIGURATION_TOPIC = "keyed.op";
 const BACKEND_TOPIC = "keyed.servers";
 /** Marks the target of a request that crashes servers. */
 const CRASHING_MARK = "crashing";
+/** Marks the target of a request whose response is lost. */
+const LOST_ANSWER_MARK = "lost";
 
 /** Path prefix of a route; each has another kind. */
 export enum RoutePath {
@@ -83,6 +86,8 @@
   readonly fleet: BackendFleet;
   readonly gateways = new Map<string, IGateway>();
   nowMs = 0;
+  /** Whether the responses to requests with a mark in their target are lost. */
+  losesAnswers = false;
   #nextId = 0;
   #nextWriter = 0n;
   #seed = 1;
@@ -90,6 +95,7 @@
   private constructor({ crashForm, restartForm }: IGatewayClusterOptions) {
     this.fleet = new BackendFleet({
       now: () => this.nowMs,
+      isAnswerLost: ({ target }) => this.losesAnswers && target.includes(LOST_ANSWER_MARK),
       isCrashing: ({ target }) => target.includes(CRASHING_MARK),
       publish: (id, server) => this.store.putKey(BACKEND_TOPIC, id, encodeServer(server)),
       crashForm,
@@ -127,6 +133,7 @@
         yield* TestClock.adjust(CLOCK_STEP_MS);
         for (let turn = 0; turn < EVENT_LOOP_TURNS_PER_STEP; turn++) yield* nextMacrotask();
         if (this.nowMs % REPORT_INTERVAL_MS === 0) this.#exchangeReports();
+        if (this.nowMs % HEARTBEAT_INTERVAL_MS === 0) this.fleet.sendHeartbeats();
       }
     });
   }
--- a/test/proofs/crashing_request_test.ts
+++ b/test/proofs/crashing_request_test.ts
@@ -184,3 +184,24 @@
       }),
   },
 );
+
+test("a request whose responses were lost is served after its servers have proved to be alive", async (t) => {
+  t.plan(INSTANCES);
+  const opts = { instances: INSTANCES, crashForm: CrashForm.BeforeHead, restartForm: RestartForm.SameId };
+  await GatewayCluster.run(opts, (cluster) =>
+    Effect.gen(function* () {
+      const req = { route: RoutePath.Unsafe, caller: CallerKind.Program, name: "lost" };
+      cluster.losesAnswers = true;
+      for (let round = 0; round < 6; round++) {
+        yield* Effect.forkDetach(cluster.send(cluster.names[round % INSTANCES], req));
+        yield* cluster.advance(500);
+      }
+      cluster.losesAnswers = false;
+      yield* cluster.advance(8000);
+      for (const name of cluster.names) {
+        const sending = Effect.map(cluster.send(name, req), ({ status }) => t.is(status, 200));
+        yield* Effect.forkDetach(sending);
+        yield* cluster.advance(500);
+      }
+    }));
+});
--- a/test/stand_ins/backend_fleet.ts
+++ b/test/stand_ins/backend_fleet.ts
@@ -55,6 +55,8 @@
 
 export interface IBackendFleetOptions {
   readonly now: () => number;
+  /** Whether the response to a request is lost although its server lives on. */
+  readonly isAnswerLost: (req: IUpstreamRequest) => boolean;
   /** Whether a request crashes the server that runs it. */
   readonly isCrashing: (req: IUpstreamRequest) => boolean;
   /** Writes a server's entry to the platform's list, or removes it. */
@@ -109,12 +111,18 @@
         Effect.sleep(isCrashing ? this.#crashingHeadMs() : RUN_MS / 2),
         this.#awaitEnd(ended),
       );
+      if (this.#opts.isAnswerLost(req)) return yield* Effect.fail(new UpstreamError(UpstreamFault.Broken));
       const { status } = this;
       const body = this.#makeBody(ended, { isCrashing, hasFirstChunk: !isCrashing || this.#hasFirstChunk() });
       return { head: headOf(req, { status }), body };
     });
   }
 
+  /** Renews the entries of all running servers. */
+  sendHeartbeats(): void {
+    for (const server of this.servers) if (server.isUp) this.#opts.publish(server.id, server);
+  }
+
   /** Terminates a server without a request that causes it. */
   crash(server: IFleetServer): Effect.Effect<void> {
     return Effect.gen({ self: this }, function* () {
