Invalid responses are no broken connections

Cause: bytes that are not a response, and a response to another request, counted as a crash of the server, which lives on and sends them.

--- a/src/call/common/opaque_request.ts
+++ b/src/call/common/opaque_request.ts
@@ -109,11 +109,13 @@
 export enum UpstreamFault {
   /** No connection could be established, so no byte of the request was sent and it has not run. */
   NotSent = "not-sent",
+  /** The established connection failed. The request may have run. */
+  Broken = "broken",
   /**
-   * The established connection failed, a successful stream response is unsigned, or the response belongs to a
-   * different request. The request may have run.
+   * The server sent bytes that are not a response, a response to a different request, or an unsigned
+   * successful stream response. The request may have run.
    */
-  Broken = "broken",
+  Invalid = "invalid",
   /** The server did not respond in time, or its stream stalled. The request may have run. */
   TimedOut = "silent",
 }
