Forget attempts whose server proves to be alive

Change: one tracker for both kinds of doubt, a lost connection and an unknown end: two heartbeats settle it. It holds 60 s, as an outage of the store hides the end of a server for that long, and drops what nothing settles. backend-restarted is logged, and backend-listed with the start time of the server: strikes depend on it. Conclusion: mended.

--- a/src/call/common/crash_monitor.ts
+++ b/src/call/common/crash_monitor.ts
@@ -7,26 +7,12 @@
 import type { RequestIdentity } from "./request_identity.ts";
 import type { IServerRun, IStrike } from "./strike_ledger.ts";
 import { formatFingerprint, serverKey, strikeKey, StrikeLedger } from "./strike_ledger.ts";
+import { SurvivalTracker } from "./survival_tracker.ts";
 
 /** How long a change is repeated in the reports to other instances, in ms: datagrams may be lost. */
 const REPORT_REPEAT_MS = 3000;
 /** Maximum number of changes in one report, so that it fits into a datagram. */
-const MAX_REPORTED_CHANGES = 200;
-
-/**
- * How long an attempt with an unknown end is remembered, in ms. A server that ends silently leaves the
- * platform's list only after several missed heartbeats.
- */
-const UNRESOLVED_RETENTION_MS = 15_000;
-/**
- * Time after which a heartbeat shows that a server has survived, in ms. An earlier one may have been on its
- * way through the store when the server crashed.
- */
-const PROOF_OF_LIFE_DELAY_MS = 3000;
-/** Heartbeats after that time that are required; a single one may reach an instance late that was frozen. */
-const PROOF_OF_LIFE_HEARTBEATS = 2;
-/** Maximum number of such attempts; the oldest are discarded first. */
-const MAX_UNRESOLVED = 2000;
+const MAX_REPORTED_CHANGES = 100;
 
 /** How an attempt on a backend server ended. */
 export enum AttemptResult {
@@ -60,13 +46,12 @@
   ServerEnded = "server-ended",
 }
 
-/** An attempt of which it is not known whether the server survived it. */
-interface IUnresolvedAttempt {
+/** An attempt that has ended. */
+interface IEndedAttempt {
   readonly requestId: string;
   readonly fingerprint: bigint;
   readonly server: IServerRun;
   readonly level: number;
-  readonly endedAtMs: number;
 }
 
 /** A strike that this instance has added or withdrawn. */
@@ -84,13 +69,6 @@
   Expired = "expired",
 }
 
-/** A strike of this instance whose server may prove to be alive. */
-interface IRecentStrike {
-  readonly strike: IStrike;
-  readonly addedAtMs: number;
-  heartbeats: number;
-}
-
 export interface ICrashMonitorOptions {
   readonly logger: ILogger;
   readonly metrics: Metrics;
@@ -103,9 +81,10 @@
   readonly #ledger: StrikeLedger;
   readonly #recentChanges = new Map<string, { readonly change: IStrikeChange; readonly atMs: number }>();
   readonly #running = new Map<string, Set<IObservedAttempt>>();
-  #unresolved: IUnresolvedAttempt[] = [];
-  /** Strikes that this instance has added, by server run. */
-  readonly #ownStrikes = new Map<string, IRecentStrike[]>();
+  /** Attempts of which it is not known whether the server survived them. */
+  readonly #unresolved: SurvivalTracker<IEndedAttempt>;
+  /** Strikes of this instance for lost connections, which the server may have survived. */
+  readonly #lostConnections: SurvivalTracker<IStrike>;
   readonly #loggedQuarantines = new Set<bigint>();
   readonly #onDidChange = new Emitter<IStrikeChange>();
   /** Fires when this instance adds or withdraws a strike, not for strikes of other instances. */
@@ -114,6 +93,8 @@
   constructor(opts: ICrashMonitorOptions) {
     this.#opts = opts;
     this.#ledger = new StrikeLedger(opts.now);
+    this.#unresolved = new SurvivalTracker(opts.now);
+    this.#lostConnections = new SurvivalTracker(opts.now);
   }
 
   /** Number of requests that are refused because they crash servers. */
@@ -174,11 +155,12 @@
     if (running?.size === 0) this.#running.delete(key);
     switch (attempt.result) {
       case AttemptResult.ConnectionLost:
-        return this.#strike(toUnresolved(attempt, this.#opts.now()), CrashEvidence.ConnectionLost);
+        return this.#strike(toEnded(attempt), CrashEvidence.ConnectionLost);
       case AttemptResult.Succeeded:
         return this.#clear(attempt.identity);
       case AttemptResult.Unknown:
-        return this.#finishUnresolved(toUnresolved(attempt, this.#opts.now()), hasServerEnded);
+        if (hasServerEnded) this.#strike(toEnded(attempt), CrashEvidence.ServerEnded);
+        else this.#unresolved.add(attempt.server, toEnded(attempt));
     }
   }
 
@@ -187,35 +169,21 @@
    * without draining first may still complete its requests, so running ones are struck only if they fail.
    */
   serverEnded(entry: IBackendEntry): void {
-    const key = serverKey(toServerRun(entry));
-    this.#ownStrikes.delete(key);
+    const server = toServerRun(entry);
+    const unresolved = this.#unresolved.recordEnd(server);
+    this.#lostConnections.recordEnd(server);
     if (entry.isDraining) return;
-    this.#running.delete(key);
-    const isOnServer = ({ server }: IUnresolvedAttempt) => serverKey(server) === key;
-    const ended = this.#unresolved.filter(isOnServer);
-    this.#unresolved = this.#unresolved.filter((attempt) => !isOnServer(attempt));
-    const oldestMs = this.#opts.now() - UNRESOLVED_RETENTION_MS;
-    for (const attempt of ended) {
-      if (attempt.endedAtMs >= oldestMs) this.#strike(attempt, CrashEvidence.ServerEnded);
-    }
+    this.#running.delete(serverKey(server));
+    for (const attempt of unresolved) this.#strike(attempt, CrashEvidence.ServerEnded);
   }
 
-  /**
-   * Records a heartbeat of a server, which shows that it survived earlier attempts: their connections were
-   * lost for another reason.
-   */
+  /** Records a heartbeat of a server, which shows that it has not crashed during earlier attempts. */
   serverRenewed(entry: IBackendEntry): void {
-    const key = serverKey(toServerRun(entry));
-    const now = this.#opts.now();
-    const strikes = this.#ownStrikes.get(key) ?? [];
-    for (const recent of strikes) {
-      if (now - recent.addedAtMs >= PROOF_OF_LIFE_DELAY_MS) recent.heartbeats += 1;
+    const server = toServerRun(entry);
+    this.#unresolved.recordHeartbeat(server);
+    for (const strike of this.#lostConnections.recordHeartbeat(server)) {
+      this.#withdraw(strike, WithdrawalReason.ServerAlive);
     }
-    const isRefuted = ({ heartbeats }: IRecentStrike) => heartbeats >= PROOF_OF_LIFE_HEARTBEATS;
-    for (const { strike } of strikes.filter(isRefuted)) this.#withdraw(strike, WithdrawalReason.ServerAlive);
-    const rest = strikes.filter((recent) => !isRefuted(recent));
-    if (rest.length > 0) this.#ownStrikes.set(key, rest);
-    else this.#ownStrikes.delete(key);
   }
 
   /** Applies a change that another instance has made; returns whether it was new. */
@@ -245,29 +213,17 @@
     return [...this.#recentChanges.values()].slice(-MAX_REPORTED_CHANGES).map(({ change }) => change);
   }
 
-  /** Discards expired strikes. */
+  /** Discards what has expired. */
   evict(): void {
+    this.#unresolved.evict();
+    this.#lostConnections.evict();
     for (const strike of this.#ledger.evict()) this.#recordWithdrawal(strike, WithdrawalReason.Expired);
   }
 
-  #finishUnresolved(attempt: IUnresolvedAttempt, hasServerEnded: boolean): void {
-    if (hasServerEnded) return this.#strike(attempt, CrashEvidence.ServerEnded);
-    this.#unresolved.push(attempt);
-    if (this.#unresolved.length <= MAX_UNRESOLVED) return;
-    const oldestMs = this.#opts.now() - UNRESOLVED_RETENTION_MS;
-    this.#unresolved = this.#unresolved.filter(({ endedAtMs }) => endedAtMs >= oldestMs).slice(
-      -MAX_UNRESOLVED / 2,
-    );
-  }
-
-  #strike({ requestId, fingerprint, server, level }: IUnresolvedAttempt, evidence: CrashEvidence): void {
+  #strike({ requestId, fingerprint, server, level }: IEndedAttempt, evidence: CrashEvidence): void {
     const strike = { ...server, fingerprint, level: level + 1, atMs: this.#opts.now() };
     if (!this.#ledger.add(strike)) return;
-    if (evidence === CrashEvidence.ConnectionLost) {
-      const recent = this.#ownStrikes.get(serverKey(server)) ?? [];
-      recent.push({ strike, addedAtMs: strike.atMs, heartbeats: 0 });
-      this.#ownStrikes.set(serverKey(server), recent);
-    }
+    if (evidence === CrashEvidence.ConnectionLost) this.#lostConnections.add(server, strike);
     this.#opts.metrics.incrementCounter("strikes", { evidence });
     this.#opts.logger.warn("strike-added", {
       request: requestId,
@@ -319,11 +275,8 @@
   }
 }
 
-function toUnresolved(
-  { requestId, identity, server, level }: IObservedAttempt,
-  endedAtMs: number,
-): IUnresolvedAttempt {
-  return { requestId, fingerprint: identity.fingerprint, server, level, endedAtMs };
+function toEnded({ requestId, identity, server, level }: IObservedAttempt): IEndedAttempt {
+  return { requestId, fingerprint: identity.fingerprint, server, level };
 }
 
 function toServerRun({ id, startedAtMs }: IBackendEntry): IServerRun {
--- a/src/services/backends/common/backend_directory.ts
+++ b/src/services/backends/common/backend_directory.ts
@@ -79,11 +79,17 @@
     this.#entries.set(entry.id, { entry, removeAtMs: undefined });
     this.#byService.clear();
     if (previous !== undefined && previous.entry.startedAtMs !== entry.startedAtMs) {
+      const { id, startedAtMs } = entry;
+      this.#logger.info("backend-restarted", {
+        id,
+        startedAtMs,
+        formerStartedAtMs: previous.entry.startedAtMs,
+      });
       this.#onDidRemove.fire(previous.entry);
     }
     if (previous === undefined || previous.entry.isDraining !== entry.isDraining) {
-      const { id, service, zone, isDraining } = entry;
-      this.#logger.info("backend-listed", { id, service, zone, isDraining });
+      const { id, service, zone, isDraining, startedAtMs } = entry;
+      this.#logger.info("backend-listed", { id, service, zone, isDraining, startedAtMs });
     }
   }
 
