Try requests again whose crashes others explain

Cause: with three crashing requests at the same time and few servers (a trial of the harness, 24 requests beside them that return every 350 ms), two harmless requests were refused until the end: they and the crashing ones explained each other's crashes, waited equally long and chose the same servers again. Change: a request is quarantined for good only if one of its crashes is not shared with another request that may be quarantined. Otherwise it is refused for 2 s after its fifth strike, doubled with each further one and spread by its fingerprint, and suspects choose another server after each strike.

--- a/src/call/common/backend_dispatcher.ts
+++ b/src/call/common/backend_dispatcher.ts
@@ -95,7 +95,10 @@
     if (this.#opts.crashes.isSuspect(call.identity)) {
       const chooser = new SuspectBackendChooser(this.#opts.loads);
       const candidates = this.#opts.crashes.withoutStruck(call.identity, backends);
-      return chooser.choose({ ...input, affinity: String(call.identity.fingerprint) }, candidates);
+      return chooser.choose(
+        { ...input, affinity: this.#opts.crashes.separationKey(call.identity) },
+        candidates,
+      );
     }
     return this.#chooserOf(service).choose({ ...input, affinity }, backends);
   }
--- a/src/call/common/crash_monitor.ts
+++ b/src/call/common/crash_monitor.ts
@@ -118,6 +118,11 @@
     return true;
   }
 
+  /** Returns a key by which suspects are spread over servers, differently after each strike. */
+  separationKey({ fingerprint }: RequestIdentity): string {
+    return `${formatFingerprint(fingerprint)}/${this.#ledger.strikesOf(fingerprint).length}`;
+  }
+
   /** Returns the servers without those on which the request has a strike, or all if none remain. */
   withoutStruck(identity: RequestIdentity, backends: readonly IBackendEntry[]): readonly IBackendEntry[] {
     const struck = new Set(this.#ledger.strikesOf(identity.fingerprint).map(serverKey));
--- a/src/call/common/strike_ledger.ts
+++ b/src/call/common/strike_ledger.ts
@@ -21,16 +21,24 @@
 
 /** Weight from which a request is quarantined. */
 const QUARANTINE_WEIGHT = 3;
+/** Weight from which a request is quarantined for a while if other requests explain its crashes. */
+const EXPLAINED_QUARANTINE_WEIGHT = 5;
 /**
- * Weight from which a request is quarantined if another request explains its crashes. Suspects are sent to
- * different servers, so that a request shares this many crashes with another one only by a rare coincidence.
+ * Time after its last strike for which such a request is quarantined, in ms; doubled with each further
+ * strike. By then the requests that explain its crashes are quarantined, so it completes if it is harmless.
  */
-const EXPLAINED_QUARANTINE_WEIGHT = 5;
+const EXPLAINED_QUARANTINE_MS = 2000;
+const SPREAD_STEPS = 1024n;
 /**
  * Time after which a strike can quarantine its request, in ms: by then the other instances have reported
  * their strikes on the same server, which may explain the crash.
  */
 const SETTLE_MS = 500;
+/**
+ * Maximum difference between the times at which instances observe the same crash, in ms. An instance may
+ * attribute it to an earlier run of the server if it has not noticed a restart.
+ */
+const SAME_CRASH_MS = 3000;
 /** How long a completed request without caller protects equal requests of other callers, in ms. */
 const PROVEN_RETENTION_MS = 10 * 60_000;
 /** Maximum number of such requests; the one that completed first is evicted first. */
@@ -51,7 +59,7 @@
   readonly #now: () => number;
   readonly #strikes = new Map<string, IStrike>();
   readonly #byFingerprint = new Map<bigint, Set<IStrike>>();
-  readonly #byServer = new Map<string, Set<IStrike>>();
+  readonly #byBackend = new Map<string, Set<IStrike>>();
   readonly #withdrawn = new Set<string>();
   readonly #provenAtMs = new Map<bigint, number>();
   /** Local time at which each strike was added, in ms. */
@@ -84,7 +92,7 @@
     this.#strikes.set(key, strike);
     this.#addedAtMs.set(strike, this.#now());
     addToIndex(this.#byFingerprint, strike.fingerprint, strike);
-    addToIndex(this.#byServer, serverKey(strike), strike);
+    addToIndex(this.#byBackend, strike.backendId, strike);
     return true;
   }
 
@@ -109,9 +117,11 @@
     return [...(this.#byFingerprint.get(fingerprint) ?? [])];
   }
 
-  /** Strikes of all requests that were unfinished on a server when it crashed. */
-  strikesOn(server: IServerRun): IStrike[] {
-    return [...(this.#byServer.get(serverKey(server)) ?? [])];
+  /** Strikes of all requests that were unfinished on the same server at the same crash. */
+  #strikesOfSameCrash(strike: IStrike): IStrike[] {
+    return [...(this.#byBackend.get(strike.backendId) ?? [])].filter((other) =>
+      other.startedAtMs === strike.startedAtMs || Math.abs(other.atMs - strike.atMs) <= SAME_CRASH_MS
+    );
   }
 
   /** Highest level of a request's strikes; 0 if it has none. */
@@ -135,8 +145,13 @@
     if (this.#weigh(fingerprint, strikes.filter((strike) => this.#isSettled(strike))) < QUARANTINE_WEIGHT) {
       return false;
     }
-    return weight >= EXPLAINED_QUARANTINE_WEIGHT ||
-      strikes.some((strike) => !this.#isExplained(strike, weight));
+    if (strikes.some((strike) => !this.#isExplained(strike))) return true;
+    if (weight < EXPLAINED_QUARANTINE_WEIGHT) return false;
+    const lastAddedAtMs = Math.max(...strikes.map((strike) => this.#addedAtMs.get(strike) ?? 0));
+    // Requests that failed together return at different times, so that a harmless one runs alone.
+    const spread = 1 + Number(fingerprint % SPREAD_STEPS) / Number(SPREAD_STEPS);
+    const durationMs = EXPLAINED_QUARANTINE_MS * spread * 2 ** (weight - EXPLAINED_QUARANTINE_WEIGHT);
+    return this.#now() - lastAddedAtMs < durationMs;
   }
 
   /** Removes expired strikes and the oldest ones above the maximum number; returns the removed ones. */
@@ -150,10 +165,11 @@
     return evicted;
   }
 
-  /** Whether another request of at least this weight was unfinished on the server as well. */
-  #isExplained(strike: IStrike, weight: number): boolean {
-    return this.strikesOn(strike).some(({ fingerprint }) =>
-      fingerprint !== strike.fingerprint && this.#weigh(fingerprint, this.strikesOf(fingerprint)) >= weight
+  /** Whether another request that may be quarantined was unfinished on the server as well. */
+  #isExplained(strike: IStrike): boolean {
+    return this.#strikesOfSameCrash(strike).some(({ fingerprint }) =>
+      fingerprint !== strike.fingerprint &&
+      this.#weigh(fingerprint, this.strikesOf(fingerprint)) >= QUARANTINE_WEIGHT
     );
   }
 
@@ -180,7 +196,7 @@
     this.#strikes.delete(key);
     this.#addedAtMs.delete(strike);
     removeFromIndex(this.#byFingerprint, strike.fingerprint, strike);
-    removeFromIndex(this.#byServer, serverKey(strike), strike);
+    removeFromIndex(this.#byBackend, strike.backendId, strike);
     return strike;
   }
 }
--- a/test/proofs/crashing_request_test.ts
+++ b/test/proofs/crashing_request_test.ts
@@ -185,6 +185,35 @@
   },
 );
 
+test("none of many requests that return beside a crashing one is refused, whatever they hash to", async (t) => {
+  for (const seed of [0, 1, 2]) {
+    const opts = { instances: 4, crashForm: CrashForm.BeforeHead, restartForm: RestartForm.SameId };
+    const refused = await GatewayCluster.run(opts, (cluster) =>
+      Effect.gen(function* () {
+        const names: string[] = [];
+        const req = { route: RoutePath.Turn, caller: CallerKind.Program, body: "x" };
+        for (let round = 0; round < ROUNDS; round++) {
+          const crashing = { ...req, name: `${CRASHING}-${seed}` };
+          yield* Effect.forkDetach(cluster.send(cluster.names[round % opts.instances], crashing));
+          for (let index = 0; index < 24; index++) {
+            const bystander = { ...req, name: `other-${seed}-${index}` };
+            const sending = Effect.map(
+              cluster.send(cluster.names[index % opts.instances], bystander),
+              (sink) => {
+                if (sink.text.includes("crashing-request")) names.push(bystander.name);
+              },
+            );
+            yield* Effect.forkDetach(sending);
+          }
+          yield* cluster.advance(700);
+        }
+        t.true(cluster.fleet.crashes.length >= CRASH_LIMIT);
+        return names;
+      }));
+    t.deepEqual(refused, [], `seed ${seed}`);
+  }
+});
+
 test("a request whose responses were lost is served after its servers have proved to be alive", async (t) => {
   t.plan(INSTANCES);
   const opts = { instances: INSTANCES, crashForm: CrashForm.BeforeHead, restartForm: RestartForm.SameId };
