Refute strikes of a server run that is listed again

Cause: after an outage of the store entries of live servers lapse and return; requests that had timed out on them got strikes that nothing withdrew. By reading; no run showed it. Change: all strikes of an instance are refuted by later heartbeats of the same run, not only those for lost connections.

--- a/src/call/common/crash_monitor.ts
+++ b/src/call/common/crash_monitor.ts
@@ -42,7 +42,7 @@
 /** What shows that a server crashed while it had a request. */
 enum CrashEvidence {
   ConnectionLost = "connection-lost",
-  /** The platform's list shows that the server has ended or restarted. */
+  /** The platform's list shows that the server has ended or restarted. It may list a live one again later. */
   ServerEnded = "server-ended",
 }
 
@@ -83,8 +83,8 @@
   readonly #running = new Map<string, Set<IObservedAttempt>>();
   /** Attempts of which it is not known whether the server survived them. */
   readonly #unresolved: SurvivalTracker<IEndedAttempt>;
-  /** Strikes of this instance for lost connections, which the server may have survived. */
-  readonly #lostConnections: SurvivalTracker<IStrike>;
+  /** Strikes of this instance, which later heartbeats of the same server run refute. */
+  readonly #refutableStrikes: SurvivalTracker<IStrike>;
   readonly #loggedQuarantines = new Set<bigint>();
   readonly #onDidChange = new Emitter<IStrikeChange>();
   /** Fires when this instance adds or withdraws a strike, not for strikes of other instances. */
@@ -94,7 +94,7 @@
     this.#opts = opts;
     this.#ledger = new StrikeLedger(opts.now);
     this.#unresolved = new SurvivalTracker(opts.now);
-    this.#lostConnections = new SurvivalTracker(opts.now);
+    this.#refutableStrikes = new SurvivalTracker(opts.now);
   }
 
   /** Number of requests that are refused because they crash servers. */
@@ -141,7 +141,10 @@
   }
 
   /** Starts to observe an attempt; `finish` must be called when it ends. */
-  observe(requestId: string, identity: RequestIdentity, backend: IBackendEntry): IObservedAttempt {
+  observe(
+    identity: RequestIdentity,
+    { requestId, backend }: { requestId: string; backend: IBackendEntry },
+  ): IObservedAttempt {
     const level = this.#ledger.size === 0 ? 0 : this.#ledger.levelOf(identity.fingerprint);
     const server = toServerRun(backend);
     const attempt = { requestId, identity, server, level, result: AttemptResult.Unknown };
@@ -176,7 +179,6 @@
   serverEnded(entry: IBackendEntry): void {
     const server = toServerRun(entry);
     const unresolved = this.#unresolved.recordEnd(server);
-    this.#lostConnections.recordEnd(server);
     if (entry.isDraining) return;
     this.#running.delete(serverKey(server));
     for (const attempt of unresolved) this.#strike(attempt, CrashEvidence.ServerEnded);
@@ -186,7 +188,7 @@
   serverRenewed(entry: IBackendEntry): void {
     const server = toServerRun(entry);
     this.#unresolved.recordHeartbeat(server);
-    for (const strike of this.#lostConnections.recordHeartbeat(server)) {
+    for (const strike of this.#refutableStrikes.recordHeartbeat(server)) {
       this.#withdraw(strike, WithdrawalReason.ServerAlive);
     }
   }
@@ -221,14 +223,14 @@
   /** Discards what has expired. */
   evict(): void {
     this.#unresolved.evict();
-    this.#lostConnections.evict();
+    this.#refutableStrikes.evict();
     for (const strike of this.#ledger.evict()) this.#recordWithdrawal(strike, WithdrawalReason.Expired);
   }
 
   #strike({ requestId, fingerprint, server, level }: IEndedAttempt, evidence: CrashEvidence): void {
     const strike = { ...server, fingerprint, level: level + 1, atMs: this.#opts.now() };
     if (!this.#ledger.add(strike)) return;
-    if (evidence === CrashEvidence.ConnectionLost) this.#lostConnections.add(server, strike);
+    this.#refutableStrikes.add(server, strike);
     this.#opts.metrics.incrementCounter("strikes", { evidence });
     this.#opts.logger.warn("strike-added", {
       request: requestId,
--- a/src/call/common/crash_monitor_test.ts
+++ b/src/call/common/crash_monitor_test.ts
@@ -26,7 +26,7 @@
   }
 
   attempt(identity: RequestIdentity, { server, result }: { server: string; result: AttemptResult }): void {
-    const observed = this.monitor.observe("r", identity, entryOf(server));
+    const observed = this.monitor.observe(identity, { requestId: "r", backend: entryOf(server) });
     observed.result = result;
     this.monitor.finish(observed);
   }
@@ -144,7 +144,7 @@
 test("a request that runs on a server when it disappears is struck only if it does not complete", (t) => {
   const { instances: [a] } = setUp();
   for (const result of [AttemptResult.Succeeded, AttemptResult.Unknown]) {
-    const observed = a.monitor.observe("r", identityOf(result), entryOf("s1"));
+    const observed = a.monitor.observe(identityOf(result), { requestId: "r", backend: entryOf("s1") });
     a.monitor.serverEnded(entryOf("s1"));
     t.false(a.monitor.isSuspect(identityOf(result)));
     observed.result = result;
@@ -200,3 +200,14 @@
   a.monitor.serverEnded(entryOf("s1"));
   t.false(a.monitor.isSuspect(identityOf("left")));
 });
+
+test("strikes are withdrawn if the server run that seemed to have ended is listed again and alive", (t) => {
+  const { clock, instances: [a] } = setUp();
+  a.attempt(identityOf("left"), { server: "s1", result: AttemptResult.Unknown });
+  a.crash(identityOf("lost"), "s1");
+  a.monitor.serverEnded(entryOf("s1"));
+  t.is(a.monitor.strikeCount, 2);
+  clock.now = 3500;
+  for (let i = 0; i < 2; i++) a.monitor.serverRenewed(entryOf("s1"));
+  t.is(a.monitor.strikeCount, 0);
+});
