--- a/src/call/common/backend_dispatcher.ts
+++ b/src/call/common/backend_dispatcher.ts
@@ -121,20 +121,17 @@
     const { call } = attempt;
     const { backend } = choice;
     return Effect.suspend(() => {
-      const observed = crashes.observe(call.req.id, call.identity, backend);
+      const observed = crashes.observe(call.identity, { requestId: call.req.id, backend });
       loads.recordRequestStart(backend.id);
-      return this.#send({ ...attempt, observed }, choice).pipe(
-        Effect.catchTag("UpstreamError", (err) => Effect.sync(() => this.#recordFault(call, observed, err))),
+      const send = { ...attempt, observed };
+      return this.#send(send, choice).pipe(
+        Effect.catchTag("UpstreamError", (err) => Effect.sync(() => this.#recordFault(send, err))),
         Effect.ensuring(Effect.sync(() => crashes.finish(observed))),
       );
     }).pipe(Effect.ensuring(Effect.sync(() => loads.recordRequestEnd(backend.id))));
   }
 
-  #recordFault(
-    call: RelayedCall,
-    observed: IObservedAttempt,
-    { fault, message }: UpstreamError,
-  ): AttemptOutcome {
+  #recordFault({ call, observed }: IObservedSend, { fault, message }: UpstreamError): AttemptOutcome {
     const id = call.choice!.backend.id;
     this.#opts.loads.recordFailure(id);
     if (fault !== UpstreamFault.NotSent) call.runs += 1;
--- a/src/call/common/gateway_relay.ts
+++ b/src/call/common/gateway_relay.ts
@@ -75,11 +75,14 @@
         ? this.#serveTurn(call, sink)
         : this.#serve({ call, sink, body: req.body, beforeEnd: Effect.succeed(true) });
       const outcome = yield* Effect.raceFirst(work, this.#awaitDeadline(call)).pipe(
-        Effect.onInterrupt(() => this.#log(call, "caller-left", this.#evidenceOf(call))),
+        Effect.onInterrupt(() => {
+          this.#addCrashEvidence(call);
+          return this.#log(call, "caller-left");
+        }),
       );
       if (outcome !== undefined) this.#refuse(call, { sink, refusal: outcome });
-      const isTimeout = outcome?.status === GatewayStatus.Timeout;
-      yield* this.#log(call, "request", isTimeout ? this.#evidenceOf(call) : {});
+      if (outcome?.status === GatewayStatus.Timeout) this.#addCrashEvidence(call);
+      yield* this.#log(call, "request");
     });
   }
 
@@ -261,14 +264,14 @@
     });
   }
 
-  /** Returns the crash evidence on a request that a server may still be running. */
-  #evidenceOf(call: RelayedCall): object {
-    return call.choice === undefined ? {} : this.#opts.crashes.evidenceFor(call.identity);
+  /** Adds what is known of crashes to the log line of a request that a server may still be running. */
+  #addCrashEvidence(call: RelayedCall): void {
+    if (call.choice !== undefined) call.crashEvidence = this.#opts.crashes.evidenceFor(call.identity);
   }
 
-  #log(call: RelayedCall, event: string, evidence: object = {}): Effect.Effect<void> {
+  #log(call: RelayedCall, event: string): Effect.Effect<void> {
     return Effect.map(Clock.currentTimeMillis, (now) => {
-      this.#opts.logger.info(event, { ...call.logFields(now), ...evidence });
+      this.#opts.logger.info(event, call.logFields(now));
       const labels = { route: call.route.kind, status: String(call.status) };
       this.#opts.metrics.recordDuration("request", now - call.startedAtMs, labels);
     });
--- a/src/call/common/relayed_call.ts
+++ b/src/call/common/relayed_call.ts
@@ -40,6 +40,8 @@
   refusal: IRefusal | undefined;
   status = 0;
   firstEventAtMs = 0;
+  /** Additional log fields if a server may have crashed during the request. */
+  crashEvidence: object = {};
 
   constructor(
     req: IOpaqueRequest,
@@ -86,6 +88,7 @@
         ? undefined
         : Math.round(this.firstEventAtMs - this.startedAtMs),
       tookMs: Math.round(now - this.startedAtMs),
+      ...this.crashEvidence,
     };
   }
 
--- a/src/call/common/strike_ledger.ts
+++ b/src/call/common/strike_ledger.ts
@@ -28,7 +28,8 @@
  * strike. By then the requests that explain its crashes are quarantined, so it completes if it is harmless.
  */
 const EXPLAINED_QUARANTINE_MS = 2000;
-const SPREAD_STEPS = 1024n;
+/** Number of different durations of such a quarantine. */
+const QUARANTINE_SPREAD_STEPS = 1024n;
 /**
  * Time after which a strike can quarantine its request, in ms: by then the other instances have reported
  * their strikes on the same server, which may explain the crash.
@@ -117,13 +118,6 @@
     return [...(this.#byFingerprint.get(fingerprint) ?? [])];
   }
 
-  /** Strikes of all requests that were unfinished on the same server at the same crash. */
-  #strikesOfSameCrash(strike: IStrike): IStrike[] {
-    return [...(this.#byBackend.get(strike.backendId) ?? [])].filter((other) =>
-      other.startedAtMs === strike.startedAtMs || Math.abs(other.atMs - strike.atMs) <= SAME_CRASH_MS
-    );
-  }
-
   /** Highest level of a request's strikes; 0 if it has none. */
   levelOf(fingerprint: bigint): number {
     return maxLevel(this.strikesOf(fingerprint));
@@ -145,13 +139,7 @@
     if (this.#weigh(fingerprint, strikes.filter((strike) => this.#isSettled(strike))) < QUARANTINE_WEIGHT) {
       return false;
     }
-    if (strikes.some((strike) => !this.#isExplained(strike))) return true;
-    if (weight < EXPLAINED_QUARANTINE_WEIGHT) return false;
-    const lastAddedAtMs = Math.max(...strikes.map((strike) => this.#addedAtMs.get(strike) ?? 0));
-    // Requests that failed together return at different times, so that a harmless one runs alone.
-    const spread = 1 + Number(fingerprint % SPREAD_STEPS) / Number(SPREAD_STEPS);
-    const durationMs = EXPLAINED_QUARANTINE_MS * spread * 2 ** (weight - EXPLAINED_QUARANTINE_WEIGHT);
-    return this.#now() - lastAddedAtMs < durationMs;
+    return strikes.some((strike) => !this.#isExplained(strike)) || this.#isHeldBack(fingerprint, weight);
   }
 
   /** Removes expired strikes and the oldest ones above the maximum number; returns the removed ones. */
@@ -165,6 +153,16 @@
     return evicted;
   }
 
+  /** Whether a request whose crashes others explain is refused for a while. */
+  #isHeldBack(fingerprint: bigint, weight: number): boolean {
+    if (weight < EXPLAINED_QUARANTINE_WEIGHT) return false;
+    const addedAtMs = this.strikesOf(fingerprint).map((strike) => this.#addedAtMs.get(strike) ?? 0);
+    // Requests that failed together return at different times, so that a harmless one runs alone.
+    const spread = 1 + Number(fingerprint % QUARANTINE_SPREAD_STEPS) / Number(QUARANTINE_SPREAD_STEPS);
+    const durationMs = EXPLAINED_QUARANTINE_MS * spread * 2 ** (weight - EXPLAINED_QUARANTINE_WEIGHT);
+    return this.#now() - Math.max(...addedAtMs) < durationMs;
+  }
+
   /** Whether another request that may be quarantined was unfinished on the server as well. */
   #isExplained(strike: IStrike): boolean {
     return this.#strikesOfSameCrash(strike).some(({ fingerprint }) =>
@@ -173,6 +171,13 @@
     );
   }
 
+  /** Strikes of all requests that were unfinished on the same server at the same crash. */
+  #strikesOfSameCrash(strike: IStrike): IStrike[] {
+    return [...(this.#byBackend.get(strike.backendId) ?? [])].filter((other) =>
+      other.startedAtMs === strike.startedAtMs || Math.abs(other.atMs - strike.atMs) <= SAME_CRASH_MS
+    );
+  }
+
   /**
    * Number of crashes that a request may have caused. Of a request that several callers send, and that has
    * completed before, concurrent attempts count once: all of them fail when many servers are lost at once.
--- a/src/call/common/strike_replicator.ts
+++ b/src/call/common/strike_replicator.ts
@@ -27,6 +27,8 @@
 /** Delay before further strikes are written, in ms; collects those of one crash into one call. */
 const STRIKE_DELAY_MS = 50;
 const RETRY_DELAY_MS = 500;
+/** Longest wait for a change; bounds the delay of one that is signalled just before the wait begins. */
+const MAX_WAIT_MS = 5000;
 /** Maximum number of records in one call. */
 const MAX_BATCH = 500;
 /** Mean interval between two searches for expired strikes, in ms. */
@@ -134,10 +136,9 @@
 
   #awaitDue(): Effect.Effect<void> {
     return Effect.suspend(() => {
-      const changed = this.#changed.wait();
-      if (this.#pending.size === 0) return changed;
-      const dueAtMs = Math.min(...[...this.#pending.values()].map((write) => write.dueAtMs));
-      return Effect.raceFirst(changed, Effect.sleep(Math.max(1, dueAtMs - this.#opts.now())));
+      const dueInMs = [...this.#pending.values()].map(({ dueAtMs }) => dueAtMs - this.#opts.now());
+      const delayMs = Math.max(1, Math.min(MAX_WAIT_MS, ...dueInMs));
+      return Effect.raceFirst(this.#changed.wait(), Effect.sleep(delayMs));
     });
   }
 
--- a/src/call/common/strike_replicator_test.ts
+++ b/src/call/common/strike_replicator_test.ts
@@ -56,7 +56,7 @@
 }
 
 function attempt(monitor: CrashMonitor, backendId: string, result = AttemptResult.ConnectionLost): void {
-  const server: IBackendEntry = {
+  const backend: IBackendEntry = {
     id: backendId,
     startedAtMs: 1,
     service: "s",
@@ -66,7 +66,7 @@
     slots: 4,
     isDraining: false,
   };
-  const observed = monitor.observe("r", IDENTITY, server);
+  const observed = monitor.observe(IDENTITY, { requestId: "r", backend });
   observed.result = result;
   monitor.finish(observed);
 }
