Strikes that an instance reads when it starts count at once

What callers saw (in a test): after a restart of both gateways a quarantined request crashed up to nine more servers in half a second. Cause: a strike counted half a second after it was added locally, also an old one read from the store.

--- a/src/call/common/strike_ledger.ts
+++ b/src/call/common/strike_ledger.ts
@@ -187,8 +187,10 @@
     return isProven ? maxLevel(strikes) : Math.max(strikes.length, maxLevel(strikes));
   }
 
+  /** Whether the crash is old enough, by the clock of the observer or by the time since it was reported. */
   #isSettled(strike: IStrike): boolean {
-    return this.#now() - (this.#addedAtMs.get(strike) ?? 0) >= SETTLE_MS;
+    const sinceMs = Math.min(strike.atMs, this.#addedAtMs.get(strike) ?? 0);
+    return this.#now() - sinceMs >= SETTLE_MS;
   }
 
   #isExpired({ atMs }: IStrike): boolean {
--- a/src/call/common/strike_ledger_test.ts
+++ b/src/call/common/strike_ledger_test.ts
@@ -16,7 +16,7 @@
   for (const level of [1, 2]) ledger.add(strikeOf(7n, level));
   clock.now = 1000;
   t.false(ledger.isQuarantined(7n));
-  ledger.add(strikeOf(7n, 3));
+  ledger.add(strikeOf(7n, 3, { atMs: 1000 }));
   t.false(ledger.isQuarantined(7n));
   clock.now = 1500;
   t.true(ledger.isQuarantined(7n));
@@ -24,6 +24,13 @@
   t.is(ledger.quarantinedCount, 1);
 });
 
+test("strikes that an instance reads when it starts count immediately", (t) => {
+  const { clock, ledger } = setUp();
+  clock.now = 20_000;
+  for (const level of [1, 2, 3]) ledger.add(strikeOf(7n, level, { atMs: 10_000 }));
+  t.true(ledger.isQuarantined(7n));
+});
+
 test("concurrent attempts of a request that has completed before do not add up when many servers are lost", (t) => {
   const { clock, ledger } = setUp();
   ledger.recordProven(7n);
