--- a/test/proofs/crashing_request_test.ts
+++ b/test/proofs/crashing_request_test.ts
@@ -24,8 +24,6 @@
   readonly crashForm?: CrashForm;
   readonly restartForm?: RestartForm;
   readonly leaveAfterMs?: number;
-  /** Status with which servers respond to the other requests. */
-  readonly bystanderStatus?: number;
   /** Runs before each return of the request. */
   readonly disrupt?: (cluster: GatewayCluster, round: number) => Effect.Effect<void>;
 }
