--- a/src/routing/common/backend_chooser.ts
+++ b/src/routing/common/backend_chooser.ts
@@ -174,8 +174,8 @@
 }
 
 /**
- * Chooses a server for a suspect, a request during which a server has crashed. The affinity key, its
- * fingerprint, ranks the servers, so that suspects that failed together are separated without any exchange
+ * Chooses a server for a suspect, a request during which a server has crashed. The affinity key,
+ * which differs for each suspect and after each strike, ranks the servers, so that suspects that failed together are separated without any exchange
  * between instances. Designed for the moment after a crash: all requests of the lost server are retried at
  * once, and only one of them has caused the crash.
  */
--- a/test/harness/gateway_cluster.ts
+++ b/test/harness/gateway_cluster.ts
@@ -16,6 +16,7 @@
 import { JsonLogger } from "../../src/services/logging/common/logger.ts";
 import { parseGatewaySettings } from "../../src/services/settings/common/gateway_validation.ts";
 import type { IPartitionedLog } from "../../src/services/store/common/partitioned_log.ts";
+import type { IPlatformAdapter } from "../../src/services/store/common/platform_adapter.ts";
 import { StoreError, StoreFault } from "../../src/services/store/common/partitioned_log.ts";
 import type { CrashForm, IFleetServer, RestartForm } from "../stand_ins/backend_fleet.ts";
 import { BackendFleet } from "../stand_ins/backend_fleet.ts";
@@ -27,8 +28,10 @@
 const REPORT_INTERVAL_MS = 100;
 const HEARTBEAT_INTERVAL_MS = 1200;
 const SERVERS_PER_SERVICE = 8;
-const CONFIGURATION_TOPIC = "keyed.op";
-const BACKEND_TOPIC = "keyed.servers";
+export const CONFIGURATION_TOPIC = "keyed.op";
+export const CONFIGURATION_KEY = "config";
+export const BACKEND_TOPIC = "keyed.servers";
+export const STRIKE_TOPIC = "keyed.strikes";
 /** Marks the target of a request that crashes servers. */
 const CRASHING_MARK = "crashing";
 /** Marks the target of a request whose response is lost. */
@@ -109,7 +112,11 @@
   ): Promise<A> {
     const cluster = new GatewayCluster(opts);
     const work = Effect.gen(function* () {
-      cluster.store.putKey(CONFIGURATION_TOPIC, "config", Buffer.from(JSON.stringify(CONFIGURATION)));
+      cluster.store.putKey(
+        CONFIGURATION_TOPIC,
+        CONFIGURATION_KEY,
+        Buffer.from(JSON.stringify(CONFIGURATION)),
+      );
       cluster.fleet.addServers("engines", SERVERS_PER_SERVICE);
       cluster.fleet.addServers("plain", SERVERS_PER_SERVICE);
       for (let index = 0; index < opts.instances; index++) yield* cluster.start(`g${index}`);
@@ -223,15 +230,7 @@
       }),
       name,
     );
-    const adapter = {
-      log: this.#storeOf(name),
-      configurationTopic: CONFIGURATION_TOPIC,
-      configurationKey: "config",
-      backendTopic: BACKEND_TOPIC,
-      strikeTopic: "keyed.strikes",
-      decodeConfiguration,
-      decodeBackend,
-    };
+    const adapter = adapterFor(this.#storeOf(name));
     return new GatewayCore(settings, {
       adapter,
       codec: new RequestCodec(),
@@ -313,6 +312,19 @@
   }
 }
 
+/** Returns the platform adapter for a fake of the store. */
+export function adapterFor(log: IPartitionedLog): IPlatformAdapter {
+  return {
+    log,
+    configurationTopic: CONFIGURATION_TOPIC,
+    configurationKey: CONFIGURATION_KEY,
+    backendTopic: BACKEND_TOPIC,
+    strikeTopic: STRIKE_TOPIC,
+    decodeConfiguration,
+    decodeBackend,
+  };
+}
+
 function encodeServer(server: IFleetServer | undefined): Uint8Array | undefined {
   if (server === undefined) return undefined;
   const { service: Service, address: Addr, startedAtMs: born } = server;
--- a/test/processes/gateway_crash_test.ts
+++ b/test/processes/gateway_crash_test.ts
@@ -6,11 +6,17 @@
 import { setTimeout as sleep } from "node:timers/promises";
 import test from "ava";
 import { Effect, Exit, Scope } from "effect";
-import { decodeBackend, decodeConfiguration } from "../../platform/decoders.ts";
 import { RequestCodec } from "../../platform/request_codec.ts";
 import { startGateway } from "../../src/daemon/node/gateway.ts";
 import { NullLogger } from "../../src/services/logging/common/logger.ts";
 import { parseGatewaySettings } from "../../src/services/settings/common/gateway_validation.ts";
+import {
+  adapterFor,
+  BACKEND_TOPIC,
+  CONFIGURATION_KEY,
+  CONFIGURATION_TOPIC,
+  STRIKE_TOPIC,
+} from "../harness/gateway_cluster.ts";
 import { PartitionedLogCore } from "../stand_ins/partitioned_log_core.ts";
 
 const HOSTS = ["127.0.0.21", "127.0.0.22"];
@@ -42,7 +48,7 @@
     await new Promise<void>((resolve) => this.#server!.listen(this.#port, "127.0.0.1", resolve));
     this.#port = (this.#server.address() as AddressInfo).port;
     const entry = { Service: "s", Addr: `127.0.0.1:${this.#port}`, Zone: "z", Slots: 8, State: "ready" };
-    this.#log.putKey("keyed.servers", this.id, Buffer.from(JSON.stringify({ ...entry, born: Date.now() })));
+    this.#log.putKey(BACKEND_TOPIC, this.id, Buffer.from(JSON.stringify({ ...entry, born: Date.now() })));
   }
 
   stop(): void {
@@ -86,15 +92,7 @@
     }),
     host,
   );
-  const adapter = {
-    log,
-    configurationTopic: "keyed.op",
-    configurationKey: "config",
-    backendTopic: "keyed.servers",
-    strikeTopic: "keyed.strikes",
-    decodeConfiguration,
-    decodeBackend,
-  };
+  const adapter = adapterFor(log);
   const platform = { adapter, codec: new RequestCodec(), logger: new NullLogger(), droppedLogLines: () => 0 };
   const scope = await Effect.runPromise(Scope.make());
   await Effect.runPromise(Scope.provide(startGateway(settings, platform), scope));
@@ -145,7 +143,7 @@
 
 test("a crashing request without caller is refused by both gateways, also after a restart of both", async (t) => {
   const log = new PartitionedLogCore();
-  log.putKey("keyed.op", "config", Buffer.from(JSON.stringify(CONFIGURATION)));
+  log.putKey(CONFIGURATION_TOPIC, CONFIGURATION_KEY, Buffer.from(JSON.stringify(CONFIGURATION)));
   const backends = ["b0", "b1", "b2", "b3", "b4", "b5"].map((id) => new CrashingBackend(id, log));
   for (const backend of backends) await backend.start();
   const crashes = () => backends.reduce((sum, backend) => sum + backend.crashes, 0);
@@ -165,7 +163,7 @@
   const crashesBefore = crashes();
   t.true(crashesBefore >= 3);
   // The last strikes are in the store once the topic holds them.
-  while ((await Effect.runPromise(log.readLatestValues("keyed.strikes"))).items.length < 3) {
+  while ((await Effect.runPromise(log.readLatestValues(STRIKE_TOPIC))).items.length < 3) {
     await sleep(POLL_MS);
   }
   await Promise.all(scopes.map(stop));
