--- a/src/call/common/crash_monitor.ts
+++ b/src/call/common/crash_monitor.ts
@@ -131,12 +131,13 @@
   }
 
   /** Returns the log fields that show what is known about a request. */
-  evidenceFor({ fingerprint }: RequestIdentity): object {
+  evidenceFor({ fingerprint, logFields }: RequestIdentity): object {
     const strikes = this.#ledger.strikesOf(fingerprint);
     return {
       fingerprint: formatFingerprint(fingerprint),
       strikes: strikes.length,
       strikeLevel: this.#ledger.levelOf(fingerprint),
+      ...logFields,
     };
   }
 
--- a/src/call/common/request_identity.ts
+++ b/src/call/common/request_identity.ts
@@ -35,6 +35,13 @@
     return this.#content.caller !== "";
   }
 
+  /** Log fields that show which parts of two requests are the same. */
+  get logFields(): object {
+    const { method, host, target, body, caller } = this.#content;
+    const content = hashBytes64(body, hash64(JSON.stringify([method, host, target])));
+    return { target, content: content.toString(16).padStart(16, "0"), caller };
+  }
+
   /** Hash of the content. Computed on first use, since most requests never need it. */
   get fingerprint(): bigint {
     const { method, host, target, body, caller } = this.#content;
