--- a/test/harness/gateway_cluster.ts
+++ b/test/harness/gateway_cluster.ts
@@ -82,6 +82,8 @@
   readonly instances: number;
   readonly crashForm: CrashForm;
   readonly restartForm: RestartForm;
+  /** Number of backend servers of each service. */
+  readonly serversPerService?: number;
 }
 
 export class GatewayCluster {
@@ -117,8 +119,9 @@
         CONFIGURATION_KEY,
         Buffer.from(JSON.stringify(CONFIGURATION)),
       );
-      cluster.fleet.addServers("engines", SERVERS_PER_SERVICE);
-      cluster.fleet.addServers("plain", SERVERS_PER_SERVICE);
+      for (const service of ["engines", "plain"]) {
+        cluster.fleet.addServers(service, opts.serversPerService ?? SERVERS_PER_SERVICE);
+      }
       for (let index = 0; index < opts.instances; index++) yield* cluster.start(`g${index}`);
       yield* cluster.advance(3000);
       const result = yield* body(cluster);
