Identify crashing requests without their program and session

Cause: the identity of a request included the session of its program. A program that failed is run again as a new program with a new session and makes the same call, which then had another fingerprint and no strikes. Ruled out: lost counts (each fingerprint's strikes are complete on all instances with logs), explained crashes (no fingerprint had the weight to explain another one). Changed content is not ruled out by the log, but by the rule's own definition.

Change: method, host, target, body and affinity key identify a request. Equal requests of other programs share their strikes; a completed one clears them, and marks the content as harmless, as it was before for requests without a caller.

--- a/src/call/common/crash_monitor.ts
+++ b/src/call/common/crash_monitor.ts
@@ -244,7 +244,7 @@
   }
 
   #clear(identity: RequestIdentity): void {
-    if (!identity.hasCaller) this.#ledger.recordProven(identity.fingerprint);
+    this.#ledger.recordProven(identity.fingerprint);
     if (this.#ledger.size === 0) return;
     for (const strike of this.#ledger.strikesOf(identity.fingerprint)) {
       this.#withdraw(strike, WithdrawalReason.Succeeded);
--- a/src/call/common/crash_monitor_test.ts
+++ b/src/call/common/crash_monitor_test.ts
@@ -6,9 +6,9 @@
 import { AttemptResult, CrashMonitor } from "./crash_monitor.ts";
 import { RequestIdentity } from "./request_identity.ts";
 
-function identityOf(text: string, caller = "c"): RequestIdentity {
+function identityOf(text: string, affinityKey = "c"): RequestIdentity {
   const body = Buffer.from(text);
-  return new RequestIdentity({ method: "POST", host: "h", target: "/x", body, caller });
+  return new RequestIdentity({ method: "POST", host: "h", target: "/x", body, affinityKey });
 }
 
 function entryOf(id: string, startedAtMs = 1): IBackendEntry {
@@ -41,7 +41,7 @@
   return { clock, instances: Array.from({ length: count }, () => new Instance(clock)) };
 }
 
-test("a request without body and caller is recognized", (t) => {
+test("a request without body and affinity key is recognized", (t) => {
   const { clock, instances: [a] } = setUp();
   a.crash(identityOf("", ""), "s1", "s2", "s3");
   clock.now = 1000;
@@ -50,14 +50,14 @@
 });
 
 test("requests that differ in a single part of their content are distinguished", (t) => {
-  const content = { method: "GET", host: "h", target: "/x", body: Buffer.from("b"), caller: "c" };
+  const content = { method: "GET", host: "h", target: "/x", body: Buffer.from("b"), affinityKey: "c" };
   const variants = [
     content,
     { ...content, method: "PUT" },
     { ...content, host: "i" },
     { ...content, target: "/y" },
     { ...content, body: Buffer.from("d") },
-    { ...content, caller: "e" },
+    { ...content, affinityKey: "e" },
   ];
   const fingerprints = variants.map((variant) => new RequestIdentity(variant).fingerprint);
   t.is(new Set(fingerprints).size, variants.length);
--- a/src/call/common/request_identity.ts
+++ b/src/call/common/request_identity.ts
@@ -1,15 +1,18 @@
-/** Identity of a request across its caller's retries, which have different request ids. */
+/**
+ * Identity of a request across its caller's retries, which have different request ids, and across runs of its
+ * program, which have different program and session ids.
+ */
 import { hash64, hashBytes64 } from "../../base/common/hash.ts";
 import type { IOpaqueRequest } from "./opaque_request.ts";
 
-/** The part of a request that its caller's retries share. */
+/** The part of a request that all its returns share. */
 export interface IRequestContent {
   readonly method: string;
   readonly host: string;
   readonly target: string;
   readonly body: Uint8Array;
-  /** Session or affinity key of the sender; empty if the request has none. */
-  readonly caller: string;
+  /** Object that the request concerns; empty if it states none. */
+  readonly affinityKey: string;
 }
 
 export class RequestIdentity {
@@ -20,32 +23,20 @@
     this.#content = content;
   }
 
-  static of({ method, host, target, body, program, affinityKey }: IOpaqueRequest): RequestIdentity {
-    return new RequestIdentity({
-      method,
-      host,
-      target,
-      body,
-      caller: program?.sessionId ?? affinityKey ?? "",
-    });
+  static of({ method, host, target, body, affinityKey = "" }: IOpaqueRequest): RequestIdentity {
+    return new RequestIdentity({ method, host, target, body, affinityKey });
   }
 
-  /** Whether the request states its sender, so that nobody else sends an equal one. */
-  get hasCaller(): boolean {
-    return this.#content.caller !== "";
-  }
-
-  /** Log fields that show which parts of two requests are the same. */
+  /** Log fields that show what two requests have in common. */
   get logFields(): object {
-    const { method, host, target, body, caller } = this.#content;
-    const content = hashBytes64(body, hash64(JSON.stringify([method, host, target])));
-    return { target, content: content.toString(16).padStart(16, "0"), caller };
+    const { target, affinityKey } = this.#content;
+    return { target, affinityKey: affinityKey === "" ? undefined : affinityKey };
   }
 
-  /** Hash of the content. Computed on first use, since most requests never need it. */
+  /** Hash of the content, computed on first use. */
   get fingerprint(): bigint {
-    const { method, host, target, body, caller } = this.#content;
-    this.#fingerprint ??= hashBytes64(body, hash64(JSON.stringify([method, host, target, caller])));
+    const { method, host, target, body, affinityKey } = this.#content;
+    this.#fingerprint ??= hashBytes64(body, hash64(JSON.stringify([method, host, target, affinityKey])));
     return this.#fingerprint;
   }
 }
--- a/src/call/common/strike_ledger.ts
+++ b/src/call/common/strike_ledger.ts
@@ -41,7 +41,7 @@
  * attribute it to an earlier run of the server if it has not noticed a restart.
  */
 const SAME_CRASH_MS = 3000;
-/** How long a completed request without caller protects equal requests of other callers, in ms. */
+/** How long a completed request protects equal requests of other callers, in ms. */
 const PROVEN_RETENTION_MS = 10 * 60_000;
 /** Maximum number of such requests; the one that completed first is evicted first. */
 const MAX_PROVEN = 2000;
@@ -124,7 +124,7 @@
     return maxLevel(this.strikesOf(fingerprint));
   }
 
-  /** Records that a request without caller, which several callers may send at the same time, has completed. */
+  /** Records that a request, which several callers may send at the same time, has completed. */
   recordProven(fingerprint: bigint): void {
     this.#provenAtMs.delete(fingerprint);
     this.#provenAtMs.set(fingerprint, this.#now());
--- a/src/call/common/strike_replicator_test.ts
+++ b/src/call/common/strike_replicator_test.ts
@@ -15,7 +15,7 @@
   host: "h",
   target: "/x",
   body: Buffer.from("bad"),
-  caller: "c",
+  affinityKey: "c",
 });
 
 class Setup {
