Hand all known strikes to an instance that starts

Callers saw a crashing request sent on while the store refuses the instances.

Strikes of the outage are in the memory of the peers only, and datagrams repeat them for 3 s.

A starting instance asks for one once, whether or not the store answers, and as long as one of the three topics fails. Cost: one call for each start of an instance.

--- a/src/call/common/crash_monitor.ts
+++ b/src/call/common/crash_monitor.ts
@@ -200,6 +200,11 @@
     return this.#ledger.add(strike);
   }
 
+  /** Returns all strikes that this instance knows, for an instance that has none yet. */
+  listChanges(): IStrikeChange[] {
+    return this.#ledger.list().map((strike) => ({ strike, isWithdrawn: false }));
+  }
+
   /** Applies the deletion of a strike that another instance has withdrawn. */
   mergeWithdrawal(key: string): void {
     this.#ledger.withdraw(key);
--- a/src/call/common/strike_ledger.ts
+++ b/src/call/common/strike_ledger.ts
@@ -127,6 +127,11 @@
     return this.#remove(key);
   }
 
+  /** Returns all strikes. */
+  list(): IStrike[] {
+    return [...this.#strikes.values()];
+  }
+
   strikesOf(fingerprint: bigint): IStrike[] {
     return [...(this.#byFingerprint.get(fingerprint) ?? [])];
   }
--- a/src/daemon/common/gateway_core.ts
+++ b/src/daemon/common/gateway_core.ts
@@ -6,7 +6,7 @@
 import type { Scope } from "effect";
 import { Effect } from "effect";
 import { TurnService } from "../../base/common/gen/ragwortcleat/v1/turns_pb.ts";
-import type { KeyedSnapshot } from "../../base/common/gen/ragwortcleat/v1/turns_pb.ts";
+import type { GetSnapshotResponse, KeyedSnapshot } from "../../base/common/gen/ragwortcleat/v1/turns_pb.ts";
 import { CrashMonitor } from "../../call/common/crash_monitor.ts";
 import { StrikeReplicator } from "../../call/common/strike_replicator.ts";
 import { GatewayRelay } from "../../call/common/gateway_relay.ts";
@@ -208,12 +208,13 @@
     if (!isAfterOutage) this.crashes.serverRenewed(entry);
   }
 
-  /** Applies peers' snapshots while this instance cannot read the store itself. */
+  /** Applies a peer's snapshot once after the start, and while this instance cannot read the store itself. */
   #syncFromPeers(): Effect.Effect<void> {
     return Effect.gen({ self: this }, function* () {
+      let hasSynced = false;
       while (true) {
         yield* Effect.sleep(SNAPSHOT_INTERVAL_MS);
-        if (!this.configuration.isFailing && !this.backends.isFailing) continue;
+        if (hasSynced && !this.#isStoreFailing) continue;
         const { seeds, peerAddress } = this.#settings;
         const peers = [...new Set([...this.group.peers, ...seeds])].filter((peer) => peer !== peerAddress);
         if (peers.length === 0) continue;
@@ -221,18 +222,27 @@
           peers[Math.floor(this.#dependencies.random() * peers.length)],
         );
         if (snapshot === undefined) continue;
-        if (snapshot.configuration !== undefined) {
-          this.configuration.updateIfNewer(toKeyedItems(snapshot.configuration));
+        if (this.#isStoreFailing) this.#applySnapshot(snapshot);
+        for (const { strike, isWithdrawn } of snapshot.strikeChanges) {
+          if (strike !== undefined) this.crashes.merge({ strike, isWithdrawn });
         }
-        if (snapshot.backends !== undefined) this.backends.updateIfNewer(toKeyedItems(snapshot.backends));
-        if (snapshot.strikes !== undefined) {
-          this.strikes.follower.updateIfNewer(toKeyedItems(snapshot.strikes));
-        }
-        if (snapshot.owners.length > 0) this.group.updateIfNewer(toOwnerTable(snapshot));
+        hasSynced = true;
       }
     });
   }
 
+  get #isStoreFailing(): boolean {
+    return this.configuration.isFailing || this.backends.isFailing || this.strikes.follower.isFailing;
+  }
+
+  #applySnapshot(snapshot: GetSnapshotResponse): void {
+    const { configuration, backends, strikes, owners } = snapshot;
+    if (configuration !== undefined) this.configuration.updateIfNewer(toKeyedItems(configuration));
+    if (backends !== undefined) this.backends.updateIfNewer(toKeyedItems(backends));
+    if (strikes !== undefined) this.strikes.follower.updateIfNewer(toKeyedItems(strikes));
+    if (owners.length > 0) this.group.updateIfNewer(toOwnerTable(snapshot));
+  }
+
   #fetchSnapshot(peer: string) {
     const call = this.#peers.call(peer, {
       timeoutMs: PEER_TIMEOUT_MS,
--- a/src/daemon/node/gateway.ts
+++ b/src/daemon/node/gateway.ts
@@ -121,8 +121,8 @@
   });
 }
 
-function turnServiceParts({ owned, group, configuration, backends, strikes }: GatewayCore) {
-  return { owned, group, configuration, backends, strikes: strikes.follower };
+function turnServiceParts({ owned, group, configuration, backends, strikes, crashes }: GatewayCore) {
+  return { owned, group, configuration, backends, strikes: strikes.follower, crashes };
 }
 
 interface IDrainOptions {
--- a/src/peer/common/turn_service.ts
+++ b/src/peer/common/turn_service.ts
@@ -1,8 +1,15 @@
 /** Server side of the turn service between gateways. */
+import { create } from "@bufbuild/protobuf";
 import type { ServiceImpl } from "@connectrpc/connect";
 import type { Context } from "effect";
 import { Effect } from "effect";
-import type { KeyedSnapshot, TurnService } from "../../base/common/gen/ragwortcleat/v1/turns_pb.ts";
+import type {
+  KeyedSnapshot,
+  StrikeChange,
+  TurnService,
+} from "../../base/common/gen/ragwortcleat/v1/turns_pb.ts";
+import { StrikeChangeSchema, StrikeSchema } from "../../base/common/gen/ragwortcleat/v1/turns_pb.ts";
+import type { CrashMonitor, IStrikeChange } from "../../call/common/crash_monitor.ts";
 import type { KeyedTopicFollower } from "../../services/store/common/keyed_topic_follower.ts";
 import type { IKeyedItems } from "../../services/store/common/partitioned_log.ts";
 import type { OwnedSlices } from "../../turns/common/owned_slices.ts";
@@ -15,6 +22,7 @@
   readonly configuration: KeyedTopicFollower;
   readonly backends: KeyedTopicFollower;
   readonly strikes: KeyedTopicFollower;
+  readonly crashes: CrashMonitor;
   readonly context: Context.Context<never>;
 }
 
@@ -33,6 +41,7 @@
       configuration: toKeyedSnapshot(opts.configuration.snapshot()),
       backends: toKeyedSnapshot(opts.backends.snapshot()),
       strikes: toKeyedSnapshot(opts.strikes.snapshot()),
+      strikeChanges: opts.crashes.listChanges().map(toStrikeChange),
       generation: group.table.generation,
       owners: group.table.addresses.map((address, slice) => ({ slice, address })),
     }),
@@ -47,6 +56,10 @@
   };
 }
 
+function toStrikeChange({ strike, ...change }: IStrikeChange): StrikeChange {
+  return create(StrikeChangeSchema, { strike: create(StrikeSchema, strike), ...change });
+}
+
 function toKeyedSnapshot(snapshot: IKeyedItems | undefined): Omit<KeyedSnapshot, "$typeName"> | undefined {
   return snapshot === undefined ? undefined : {
     end: snapshot.end,
--- a/test/harness/gateway_cluster.ts
+++ b/test/harness/gateway_cluster.ts
@@ -148,7 +148,8 @@
     });
   }
 
-  start(name: string): Effect.Effect<void> {
+  /** Starts an instance, which the store may refuse from the beginning. */
+  start(name: string, { isStoreRefused = false } = {}): Effect.Effect<void> {
     return Effect.gen({ self: this }, function* () {
       const scope = yield* Scope.make();
       const lines: string[] = [];
@@ -160,6 +161,7 @@
         configuration: core.configuration,
         backends: core.backends,
         strikes: core.strikes.follower,
+        crashes: core.crashes,
         context: yield* Effect.context<never>(),
       });
       const transport = createRouterTransport((router) => router.service(TurnService, service));
@@ -169,7 +171,7 @@
         scope,
         transport,
         lines,
-        isStoreRefused: false,
+        isStoreRefused,
         isPeerDisconnected: false,
       };
       this.gateways.set(name, gateway);
@@ -186,8 +188,8 @@
     });
   }
 
-  restart(name: string): Effect.Effect<void> {
-    return Effect.andThen(this.kill(name), this.start(name));
+  restart(name: string, opts: { isStoreRefused?: boolean } = {}): Effect.Effect<void> {
+    return Effect.andThen(this.kill(name), this.start(name, opts));
   }
 
   /** Sends a request through an instance and waits until it has been handled or the caller has left. */
@@ -230,6 +232,7 @@
         datagramPort: 4,
         metricsPort: 5,
         storeAddress: "store:1",
+        seeds: ["g0:3", "g1:3", "g2:3"],
       }),
       name,
     );
--- a/test/proofs/crashing_request_test.ts
+++ b/test/proofs/crashing_request_test.ts
@@ -24,8 +24,8 @@
   readonly crashForm?: CrashForm;
   readonly restartForm?: RestartForm;
   readonly leaveAfterMs?: number;
-  /** Runs before each return of the request. */
-  readonly disrupt?: (cluster: GatewayCluster, round: number) => Effect.Effect<void>;
+  /** Runs before each return of the request; `lastVia` is the instance through which it came last. */
+  readonly disrupt?: (cluster: GatewayCluster, round: number, lastVia: string) => Effect.Effect<void>;
 }
 
 interface IOutcome {
@@ -49,10 +49,12 @@
       const crashing: IGatewayRequest = { route, caller, body, name: CRASHING, leaveAfterMs };
       const refusedBystanders: string[] = [];
       let bystandersServed = 0;
+      let [via] = cluster.names;
       for (let round = 0; round < ROUNDS; round++) {
-        yield* disrupt?.(cluster, round) ?? Effect.void;
+        yield* disrupt?.(cluster, round, via) ?? Effect.void;
         const { names } = cluster;
-        yield* Effect.forkDetach(cluster.send(names[round % names.length], crashing));
+        via = names[round % names.length];
+        yield* Effect.forkDetach(cluster.send(via, crashing));
         for (const [index, name] of names.entries()) {
           const bystander = { route, caller, body, name: `other-${index}` };
           const served = Effect.map(cluster.send(name, bystander), ({ status, text }) => {
@@ -158,6 +160,18 @@
     }),
 });
 
+testRefusal("a crashing request is refused by instances that start while the store refuses all", {
+  route: RoutePath.Unsafe,
+  caller: CallerKind.Program,
+  disrupt: (cluster, round) =>
+    Effect.gen(function* () {
+      for (const gateway of cluster.gateways.values()) gateway.isStoreRefused = true;
+      if (round < 4) return;
+      yield* cluster.restart(cluster.names[round % INSTANCES], { isStoreRefused: true });
+      yield* cluster.advance(1000);
+    }),
+});
+
 testRefusal("a crashing request is refused although other servers respond with errors", {
   route: RoutePath.Unsafe,
   caller: CallerKind.Program,
