Report attempts with an unknown end to the peers

Callers saw a crashing request sent on where instances are restarted between the silent end of a server and the moment at which the platform's list shows it.

Cause: an attempt that ended without a response (time limit, caller left) becomes a strike only when its server turns out to have ended, up to 4 s later. Until then it was in the memory of one instance.

It is not written to the store: a caller that leaves causes one, so that a kill of all instances within those seconds still loses it. The new test failed before with 6 later attempts and passes.

--- a/src/call/common/crash_monitor.ts
+++ b/src/call/common/crash_monitor.ts
@@ -11,9 +11,14 @@
 
 /** How long a change is repeated in the reports to other instances, in ms: datagrams may be lost. */
 const REPORT_REPEAT_MS = 3000;
+/** The same for pending strikes, in ms: each caller that leaves causes one, and hardly any becomes a strike. */
+const PENDING_REPORT_REPEAT_MS = 500;
 /** Maximum number of changes in one report, so that it fits into a datagram. */
 const MAX_REPORTED_CHANGES = 100;
 
+/** How long an attempt that another instance has reported is remembered, in ms, after its last report. */
+const PENDING_RETENTION_MS = 60_000;
+
 /** How an attempt on a backend server ended. */
 export enum AttemptResult {
   /** The server may still be running the request. */
@@ -48,16 +53,19 @@
 
 /** An attempt that has ended. */
 interface IEndedAttempt {
-  readonly requestId: string;
+  /** Undefined for an attempt that another instance has reported. */
+  readonly requestId: string | undefined;
   readonly fingerprint: bigint;
   readonly server: IServerRun;
   readonly level: number;
 }
 
-/** A strike that this instance has added or withdrawn. */
+/** A strike that this instance has added or withdrawn, or adds once the server has ended. */
 export interface IStrikeChange {
   readonly strike: IStrike;
   readonly isWithdrawn: boolean;
+  /** Whether the strike counts only once the server has ended. */
+  readonly isPending: boolean;
 }
 
 /** Why a strike does not count any more. */
@@ -85,6 +93,8 @@
   readonly #unresolved: SurvivalTracker<IEndedAttempt>;
   /** Strikes of this instance, which later heartbeats of the same server run refute. */
   readonly #refutableStrikes: SurvivalTracker<IStrike>;
+  /** Unix time in ms at which other instances' attempts with an unknown end became known, by strike. */
+  readonly #reportedPending = new Map<string, number>();
   readonly #loggedQuarantines = new Set<bigint>();
   readonly #onDidChange = new Emitter<IStrikeChange>();
   /** Fires when this instance adds or withdraws a strike, not for strikes of other instances. */
@@ -169,10 +179,16 @@
         return this.#clear(attempt.identity);
       case AttemptResult.Unknown:
         if (hasServerEnded) this.#strike(toEnded(attempt), CrashEvidence.ServerEnded);
-        else this.#unresolved.add(attempt.server, toEnded(attempt));
+        else this.#awaitServer(toEnded(attempt));
     }
   }
 
+  /** Strikes the attempt if its server ends. Reports it, since another instance may outlive this one. */
+  #awaitServer(attempt: IEndedAttempt): void {
+    this.#unresolved.add(attempt.server, attempt);
+    this.#report({ strike: this.#toStrike(attempt), isWithdrawn: false, isPending: true });
+  }
+
   /**
    * Records that a server is no longer listed, or has restarted under the same id. A server that leaves
    * without draining first may still complete its requests, so running ones are struck only if they fail.
@@ -195,14 +211,34 @@
   }
 
   /** Applies a change that another instance has made; returns whether it was new. */
-  merge({ strike, isWithdrawn }: IStrikeChange): boolean {
+  merge({ strike, isWithdrawn, isPending }: IStrikeChange): boolean {
+    if (isPending) return this.#mergePending(strike);
     if (isWithdrawn) return this.#ledger.withdraw(strikeKey(strike)) !== undefined;
     return this.#ledger.add(strike);
   }
 
+  /** Observes the server of an attempt that another instance has reported. */
+  #mergePending(strike: IStrike): boolean {
+    const key = strikeKey(strike);
+    if (this.#reportedPending.has(key) || this.#ledger.has(key) || this.#ledger.isObsolete(strike)) {
+      return false;
+    }
+    this.#reportedPending.set(key, this.#opts.now());
+    const { fingerprint, backendId, startedAtMs, level } = strike;
+    const server = { backendId, startedAtMs };
+    this.#unresolved.add(server, { requestId: undefined, fingerprint, server, level: level - 1 });
+    return true;
+  }
+
   /** Returns all strikes that this instance knows, for an instance that has none yet. */
   listChanges(): IStrikeChange[] {
-    return this.#ledger.list().map((strike) => ({ strike, isWithdrawn: false }));
+    const strikes = this.#ledger.list().map((strike) => ({ strike, isWithdrawn: false, isPending: false }));
+    const pending = this.#unresolved.values().slice(-MAX_REPORTED_CHANGES).map((attempt) => ({
+      strike: this.#toStrike(attempt),
+      isWithdrawn: false,
+      isPending: true,
+    }));
+    return [...strikes, ...pending];
   }
 
   /** Applies the deletion of a strike that another instance has withdrawn. */
@@ -221,20 +257,30 @@
 
   /** Returns this instance's recent changes, to be reported to the others. */
   recentChanges(): IStrikeChange[] {
-    const oldestMs = this.#opts.now() - REPORT_REPEAT_MS;
-    for (const [key, { atMs }] of this.#recentChanges) if (atMs < oldestMs) this.#recentChanges.delete(key);
+    const now = this.#opts.now();
+    for (const [key, { change, atMs }] of this.#recentChanges) {
+      const repeatMs = change.isPending ? PENDING_REPORT_REPEAT_MS : REPORT_REPEAT_MS;
+      if (now - atMs > repeatMs) this.#recentChanges.delete(key);
+    }
     return [...this.#recentChanges.values()].slice(-MAX_REPORTED_CHANGES).map(({ change }) => change);
   }
 
   /** Discards what has expired. */
   evict(): void {
     this.#unresolved.evict();
+    const oldestMs = this.#opts.now() - PENDING_RETENTION_MS;
+    for (const [key, atMs] of this.#reportedPending) if (atMs < oldestMs) this.#reportedPending.delete(key);
     this.#refutableStrikes.evict();
     for (const strike of this.#ledger.evict()) this.#recordWithdrawal(strike, WithdrawalReason.Expired);
   }
 
-  #strike({ requestId, fingerprint, server, level }: IEndedAttempt, evidence: CrashEvidence): void {
-    const strike = { ...server, fingerprint, level: level + 1, atMs: this.#opts.now() };
+  #toStrike({ fingerprint, server, level }: IEndedAttempt): IStrike {
+    return { ...server, fingerprint, level: level + 1, atMs: this.#opts.now() };
+  }
+
+  #strike(attempt: IEndedAttempt, evidence: CrashEvidence): void {
+    const { requestId, fingerprint, server } = attempt;
+    const strike = this.#toStrike(attempt);
     if (!this.#ledger.add(strike)) return;
     this.#refutableStrikes.add(server, strike);
     this.#opts.metrics.incrementCounter("strikes", { evidence });
@@ -245,7 +291,7 @@
       strikeLevel: strike.level,
       evidence,
     });
-    this.#publish({ strike, isWithdrawn: false });
+    this.#publish({ strike, isWithdrawn: false, isPending: false });
   }
 
   #clear(identity: RequestIdentity): void {
@@ -267,13 +313,17 @@
       backend: strike.backendId,
       reason,
     });
-    this.#publish({ strike, isWithdrawn: true });
+    this.#publish({ strike, isWithdrawn: true, isPending: false });
   }
 
   #publish(change: IStrikeChange): void {
+    this.#report(change);
+    this.#onDidChange.fire(change);
+  }
+
+  #report(change: IStrikeChange): void {
     this.#recentChanges.delete(strikeKey(change.strike));
     this.#recentChanges.set(strikeKey(change.strike), { change, atMs: this.#opts.now() });
-    this.#onDidChange.fire(change);
   }
 
   /** Logs the first refusal of a request since its last strike was withdrawn. */
--- a/src/call/common/crash_monitor_test.ts
+++ b/src/call/common/crash_monitor_test.ts
@@ -211,3 +211,35 @@
   for (let i = 0; i < 2; i++) a.monitor.serverRenewed(entryOf("s1"));
   t.is(a.monitor.strikeCount, 0);
 });
+
+test("an attempt that another instance has reported is struck once when its server ends", (t) => {
+  const { clock, instances: [a, b] } = setUp(2);
+  a.attempt(identityOf("left"), { server: "s1", result: AttemptResult.Unknown });
+  for (let i = 0; i < 3; i++) for (const change of a.monitor.recentChanges()) b.monitor.merge(change);
+  t.false(b.monitor.isSuspect(identityOf("left")));
+  b.monitor.serverEnded(entryOf("s1"));
+  t.is(b.changes.length, 1);
+  t.true(b.monitor.isSuspect(identityOf("left")));
+  clock.now = 501;
+  t.deepEqual(a.monitor.recentChanges(), []);
+});
+
+test("an attempt that another instance has reported is forgotten once its server proves to be alive", (t) => {
+  const { clock, instances: [a, b] } = setUp(2);
+  a.attempt(identityOf("left"), { server: "s1", result: AttemptResult.Unknown });
+  for (const change of a.monitor.recentChanges()) b.monitor.merge(change);
+  clock.now = 4000;
+  for (let i = 0; i < 2; i++) b.monitor.serverRenewed(entryOf("s1"));
+  b.monitor.serverEnded(entryOf("s1"));
+  t.false(b.monitor.isSuspect(identityOf("left")));
+});
+
+test("an instance that starts gets strikes and pending ones from another", (t) => {
+  const { instances: [a, b] } = setUp(2);
+  a.crash(identityOf("bad"), "s1", "s2");
+  a.attempt(identityOf("left"), { server: "s3", result: AttemptResult.Unknown });
+  for (const change of a.monitor.listChanges()) b.monitor.merge(change);
+  t.is(b.monitor.strikeCount, 2);
+  b.monitor.serverEnded(entryOf("s3"));
+  t.true(b.monitor.isSuspect(identityOf("left")));
+});
--- a/src/call/common/strike_replicator.ts
+++ b/src/call/common/strike_replicator.ts
@@ -90,7 +90,7 @@
     try {
       const strike = fromBinary(StrikeSchema, value);
       if (monitor.isObsolete(strike)) this.#delete(key);
-      else monitor.merge({ strike, isWithdrawn: false });
+      else monitor.merge({ strike, isWithdrawn: false, isPending: false });
     } catch (err) {
       logger.warn("strike-unreadable", { key, error: toError(err).message });
     }
--- a/src/call/common/survival_tracker.ts
+++ b/src/call/common/survival_tracker.ts
@@ -50,6 +50,11 @@
     return events.filter(isSurvived).map(({ value }) => value);
   }
 
+  /** Returns the values of all events. */
+  values(): T[] {
+    return [...this.#events.values()].flatMap((events) => events.map(({ value }) => value));
+  }
+
   /** Number of server runs with events. */
   get size(): number {
     return this.#events.size;
--- a/src/daemon/common/gateway_core.ts
+++ b/src/daemon/common/gateway_core.ts
@@ -223,8 +223,8 @@
         );
         if (snapshot === undefined) continue;
         if (this.#isStoreFailing) this.#applySnapshot(snapshot);
-        for (const { strike, isWithdrawn } of snapshot.strikeChanges) {
-          if (strike !== undefined) this.crashes.merge({ strike, isWithdrawn });
+        for (const { strike, isWithdrawn, isPending } of snapshot.strikeChanges) {
+          if (strike !== undefined) this.crashes.merge({ strike, isWithdrawn, isPending });
         }
         hasSynced = true;
       }
--- a/src/peer/node/load_reporter.ts
+++ b/src/peer/node/load_reporter.ts
@@ -72,8 +72,8 @@
 
   #send(hosts: readonly string[]): void {
     const localLoads = this.#opts.loads.localLoads();
-    const strikeChanges = this.#opts.crashes.recentChanges().map(({ strike, isWithdrawn }) =>
-      create(StrikeChangeSchema, { strike: create(StrikeSchema, strike), isWithdrawn })
+    const strikeChanges = this.#opts.crashes.recentChanges().map(({ strike, ...change }) =>
+      create(StrikeChangeSchema, { strike: create(StrikeSchema, strike), ...change })
     );
     const prefixes = this.#opts.caches.takeUnreportedPrefixes().map((prefix) =>
       create(PromptHomeSchema, prefix)
@@ -104,8 +104,8 @@
       const { instance, loads, strikeChanges, prefixes } = fromBinary(LoadDigestSchema, message);
       const running = new Map(loads.map((load) => [load.backendId, load.running]));
       this.#opts.loads.recordPeerReport({ instance, running });
-      for (const { strike, isWithdrawn } of strikeChanges) {
-        if (strike !== undefined) this.#opts.crashes.merge({ strike, isWithdrawn });
+      for (const { strike, isWithdrawn, isPending } of strikeChanges) {
+        if (strike !== undefined) this.#opts.crashes.merge({ strike, isWithdrawn, isPending });
       }
       for (const prefix of prefixes) this.#opts.caches.recordReportedPart(prefix);
     } catch (err) {
--- a/test/proofs/crashing_request_test.ts
+++ b/test/proofs/crashing_request_test.ts
@@ -172,6 +172,14 @@
     }),
 });
 
+testRefusal("a crashing request is refused if its instances restart before its silent crashes are noticed", {
+  route: RoutePath.Unsafe,
+  caller: CallerKind.Program,
+  crashForm: CrashForm.Silent,
+  leaveAfterMs: 300,
+  disrupt: (cluster, round, lastVia) => round === 0 ? Effect.void : cluster.restart(lastVia),
+});
+
 testRefusal("a crashing request is refused although other servers respond with errors", {
   route: RoutePath.Unsafe,
   caller: CallerKind.Program,
