--- a/src/call/common/backend_dispatcher.ts
+++ b/src/call/common/backend_dispatcher.ts
@@ -139,6 +139,7 @@
     this.#opts.logger.warn("backend-failed", {
       request: call.req.id,
       backend: id,
+      softwareVersion: call.choice!.backend.softwareVersion,
       fault,
       runs,
       events,
--- a/src/call/common/opaque_request.ts
+++ b/src/call/common/opaque_request.ts
@@ -50,6 +50,8 @@
   /** How long the caller waits for the response, in ms. */
   readonly timeoutMs: number | undefined;
   readonly lastEventId: string | undefined;
+  /** Id of the caller's attempt that brought the first event of the stream that this request resumes. */
+  readonly resumes?: string;
   /** Identifies the object that the request concerns. */
   readonly affinityKey: string | undefined;
   readonly prompt: IPromptInfo | undefined;
--- a/src/services/backends/common/backend_directory.ts
+++ b/src/services/backends/common/backend_directory.ts
@@ -22,6 +22,8 @@
   readonly isDraining: boolean;
   /** Unix time of the server's start in ms; distinguishes two runs under the same id. */
   readonly startedAtMs: number;
+  /** Version of the server's software, not of its weights; undefined if the entry states none. */
+  readonly softwareVersion?: string;
 }
 
 interface IDirectoryEntry {
@@ -88,8 +90,8 @@
       this.#onDidRemove.fire(previous.entry);
     }
     if (previous === undefined || previous.entry.isDraining !== entry.isDraining) {
-      const { id, service, zone, isDraining, startedAtMs } = entry;
-      this.#logger.info("backend-listed", { id, service, zone, isDraining, startedAtMs });
+      const { id, service, zone, isDraining, startedAtMs, softwareVersion } = entry;
+      this.#logger.info("backend-listed", { id, service, zone, isDraining, startedAtMs, softwareVersion });
     }
   }
 
