--- a/test/stand_ins/backend_fleet.ts
+++ b/test/stand_ins/backend_fleet.ts
@@ -41,6 +41,7 @@
   readonly address: string;
   id: string;
   startedAtMs: number;
+  softwareVersion: string;
   isUp: boolean;
   ended: Deferred.Deferred<void>;
 }
@@ -70,6 +71,8 @@
   readonly runs: IServerRun[] = [];
   /** Times of the crashes, in ms. */
   readonly crashes: number[] = [];
+  /** Software versions of the servers that are added next, by turns. */
+  softwareVersions: readonly string[] = ["v1"];
   /** Status with which servers respond to requests that do not crash them. */
   status = 200;
   readonly #opts: IBackendFleetOptions;
@@ -85,6 +88,7 @@
         address: `${service}${index}:1`,
         id: `${service}${index}`,
         startedAtMs: this.#opts.now(),
+        softwareVersion: this.softwareVersions[index % this.softwareVersions.length],
         isUp: true,
         ended: Deferred.makeUnsafe<void>(),
       };
@@ -113,7 +117,8 @@
       );
       if (this.#opts.isAnswerLost(req)) return yield* Effect.fail(new UpstreamError(UpstreamFault.Broken));
       const { status } = this;
-      const body = this.#makeBody(ended, { isCrashing, hasFirstChunk: !isCrashing || this.#hasFirstChunk() });
+      const hasFirstChunk = !isCrashing || this.#hasFirstChunk();
+      const body = this.#makeBody(server, { isCrashing, hasFirstChunk });
       return { head: headOf(req, { status }), body };
     });
   }
@@ -178,14 +183,14 @@
   }
 
   #makeBody(
-    ended: Deferred.Deferred<void>,
+    { ended, softwareVersion }: IFleetServer,
     { isCrashing, hasFirstChunk }: { isCrashing: boolean; hasFirstChunk: boolean },
   ): IResponseBody {
     const read = (onChunk: (chunk: Uint8Array) => void) =>
       Effect.gen({ self: this }, function* () {
-        if (hasFirstChunk) onChunk(Buffer.from("id: 1\ndata: a\n\n"));
+        if (hasFirstChunk) onChunk(Buffer.from(`id: 1\ndata: ${softwareVersion}\n\n`));
         yield* Effect.raceFirst(isCrashing ? Effect.never : Effect.sleep(RUN_MS / 2), this.#awaitEnd(ended));
-        onChunk(Buffer.from("id: 2\ndata: b\n\n"));
+        onChunk(Buffer.from(`id: 2\ndata: ${softwareVersion}\n\n`));
       });
     return { read, drain: () => {}, discard: () => {} };
   }
