Resume an answer only at the software version that began it

Callers got answers that hold events of two software versions, which do not fit together.

Cause: the software version of a server was not known to the relay, which resumed an interrupted stream at the cheapest other server.

Change: the service and software version that brought the first event are kept with the call, and further attempts choose among servers of the same. Without one the answer is broken off, not ended. Before the first event any server may take over.

The servers of gateway_relay_test state a version now, as real entries do.

--- a/src/call/common/backend_dispatcher.ts
+++ b/src/call/common/backend_dispatcher.ts
@@ -27,6 +27,7 @@
 import { UpstreamError, UpstreamFault } from "./opaque_request.ts";
 import type { RelayedCall } from "./relayed_call.ts";
 import { AttemptOutcome } from "./relayed_call.ts";
+import { serversOfOrigin } from "./stream_origin.ts";
 import { StreamRelay } from "./stream_relay.ts";
 
 /** Minimum time to wait for a response head before a repeatable request is sent to another server. */
@@ -91,7 +92,8 @@
       excluded,
     };
     const affinity = call.route.kind === RouteKind.Stream ? input.affinity : req.affinityKey ?? "";
-    const backends = this.#opts.directory.listAvailable(service);
+    const available = this.#opts.directory.listAvailable(service);
+    const backends = call.origin === undefined ? available : serversOfOrigin(call.origin, available);
     const separation = this.#opts.crashes.separationOf(call.identity);
     if (separation !== undefined) {
       const chooser = new SuspectBackendChooser(this.#opts.loads, separation);
--- a/src/call/common/gateway_relay_test.ts
+++ b/src/call/common/gateway_relay_test.ts
@@ -150,6 +150,8 @@
   readonly isStale?: boolean;
   readonly target?: string;
   readonly crashes?: CrashMonitor;
+  /** Software versions of the servers; "v1" by default. */
+  readonly softwareVersions?: readonly string[];
 }
 
 /** Crash monitor whose clock advances by a second with each reading. */
@@ -183,6 +185,7 @@
       slots: 4,
       isDraining: false,
       startedAtMs: 0,
+      softwareVersion: setup.softwareVersions?.[i] ?? "v1",
     });
   }
   const upstream = new FakeUpstream(script);
@@ -304,6 +307,27 @@
   t.is(sink.text, event(1) + event(2) + event(3));
 });
 
+test("aborts an interrupted stream if no other server has the software version that began it", async (t) => {
+  const { sink, sent } = await relay({
+    route: { ...STREAM, isResumable: true },
+    softwareVersions: ["v1", "v2", "v3"],
+    script: [{ chunks: [event(1)], isTruncated: true }, { chunks: [event(2)] }],
+  });
+  t.is(sink.text, event(1));
+  t.true(sink.isAborted);
+  t.is(sent.length, 1);
+});
+
+test("retries a stream without events at a server of any software version", async (t) => {
+  const { sink, sent } = await relay({
+    route: { ...STREAM, isResumable: true },
+    softwareVersions: ["v1", "v2", "v3"],
+    script: [{ fault: UpstreamFault.Broken }, { chunks: [event(1)] }],
+  });
+  t.is(sink.text, event(1));
+  t.is(sent.length, 2);
+});
+
 test("aborts an interrupted stream that cannot be resumed, without ending it", async (t) => {
   const { sink, sent } = await relay({ route: STREAM, script: [{ chunks: [event(1)], isTruncated: true }] });
   t.true(sink.isAborted);
--- a/src/call/common/relayed_call.ts
+++ b/src/call/common/relayed_call.ts
@@ -4,6 +4,7 @@
 import type { GatewayStatus, IRefusal, RefusalReason } from "./gateway_refusal.ts";
 import type { IOpaqueRequest } from "./opaque_request.ts";
 import type { RequestIdentity } from "./request_identity.ts";
+import type { IStreamOrigin } from "./stream_origin.ts";
 
 /** Outcome of one attempt on a backend server. */
 export enum AttemptOutcome {
@@ -37,6 +38,8 @@
   /** Output in the form that the prompts of later turns include, for routes that keep history. */
   readonly output: string[] = [];
   choice: IBackendChoice | undefined;
+  /** Software that produced the stream's first event; undefined before that event. */
+  origin: IStreamOrigin | undefined;
   refusal: IRefusal | undefined;
   status = 0;
   firstEventAtMs = 0;
--- a/src/call/common/stream_relay.ts
+++ b/src/call/common/stream_relay.ts
@@ -38,6 +38,7 @@
     const newEvents = events.filter(({ id }) => !this.#isDuplicate(id));
     if (newEvents.length === 0) return;
     this.#writeHead();
+    this.#recordOrigin();
     for (const { id, data } of newEvents) {
       this.#call.lastEventId = id ?? this.#call.lastEventId;
       this.#call.events += 1;
@@ -72,6 +73,11 @@
     this.#sink.startStream(this.#head.status, this.#head.headers);
   }
 
+  #recordOrigin(): void {
+    const { service, softwareVersion } = this.#call.choice!.backend;
+    this.#call.origin ??= { service, softwareVersion };
+  }
+
   /** Whether the caller already has the event, from a server that sent an earlier part of the stream. */
   #isDuplicate(id: string | undefined): boolean {
     const lastId = this.#call.lastEventId;
