Resume callers' streams only at the software version that began them

Callers that took up a stream got the rest of it from another software version.

Cause: a request with Last-Event-Id was placed like a new one. 'Resumes' was not read, and no instance knew which version began a stream of another instance or of its own former run.

Change: an instance records service and software version at the first event that it relays, under the attempt's id. It reports them to the others within 5 ms and repeats that for 250 ms; an instance that lacks a record asks all peers; and each writes its streams of the last 10 s under one key of the store, at most once a second, which it reads when it starts. A stream whose origin is unknown, or whose service the route no longer leads to, is refused at once with 503 and reaches no server. Nothing is guessed, also not if only one version is listed.

Considered: a record in the store before the first event (delays each stream), the owner of the program's slice (lost together with the instance).

--- a/src/call/common/backend_dispatcher.ts
+++ b/src/call/common/backend_dispatcher.ts
@@ -28,6 +28,7 @@
 import type { RelayedCall } from "./relayed_call.ts";
 import { AttemptOutcome } from "./relayed_call.ts";
 import { serversOfOrigin } from "./stream_origin.ts";
+import type { IStreamOriginRecorder } from "./stream_relay.ts";
 import { StreamRelay } from "./stream_relay.ts";
 
 /** Minimum time to wait for a response head before a repeatable request is sent to another server. */
@@ -53,6 +54,7 @@
   readonly loads: BackendLoadTracker;
   readonly caches: PromptCacheIndex;
   readonly crashes: CrashMonitor;
+  readonly streams: IStreamOriginRecorder;
   readonly upstream: IUpstream;
   readonly logger: ILogger;
   readonly metrics: Metrics;
@@ -229,7 +231,7 @@
         body.discard();
         return yield* Effect.fail(new UpstreamError(UpstreamFault.Invalid));
       }
-      const relay = new StreamRelay(call, { sink, head });
+      const relay = new StreamRelay(call, { sink, head, streams: this.#opts.streams });
       yield* Effect.raceFirst(body.read((chunk) => relay.push(chunk)), relay.failWhenIdle());
       attempt.observed.result = AttemptResult.Succeeded;
       call.runs += 1;
--- a/src/call/common/gateway_refusal.ts
+++ b/src/call/common/gateway_refusal.ts
@@ -32,6 +32,8 @@
   OutcomeUnknown = "outcome-unknown",
   BodyTooLarge = "body-too-large",
   CrashingRequest = "crashing-request",
+  /** It is not known which software version began the stream that the caller resumes. */
+  StreamUnknown = "stream-unknown",
 }
 
 export interface IRefusal {
--- a/src/call/common/gateway_relay.ts
+++ b/src/call/common/gateway_relay.ts
@@ -2,6 +2,7 @@
 import { Clock, Effect } from "effect";
 import { TurnVerdict } from "../../base/common/gen/ragwortcleat/v1/turns_pb.ts";
 import type { IProgramAdmission } from "../../routing/common/program_admission.ts";
+import type { IRoute } from "../../services/routes/common/route_table.ts";
 import { isRepeatable, RouteKind, selectServiceByWeight } from "../../services/routes/common/route_table.ts";
 import type { ITurnChain, ITurnClient } from "../../turns/common/turn_client.ts";
 import { ChainLookupStatus } from "../../turns/common/turn_client.ts";
@@ -12,6 +13,8 @@
 import type { IOpaqueRequest, IRawRequest, IResponseSink } from "./opaque_request.ts";
 import { AttemptOutcome, RelayedCall } from "./relayed_call.ts";
 import { RequestIdentity } from "./request_identity.ts";
+import type { IStreamOrigin } from "./stream_origin.ts";
+import type { IStreamOriginFinder } from "./stream_origin_finder.ts";
 
 /** Number of servers that may decline a request, for example because they are full, before it is refused. */
 const MAX_REFUSALS = 4;
@@ -21,6 +24,8 @@
 const UNAVAILABLE_RETRY_AFTER_MS = 500;
 /** Retry delay when the store does not accept a program's record. Store outages last seconds. */
 const STORE_RETRY_AFTER_MS = 1200;
+/** Retry delay when no instance knows the stream that a caller resumes: reports of others may be on their way. */
+const STREAM_RETRY_AFTER_MS = 300;
 /** Retry delay for a request that crashes servers: its caller need not return soon. */
 const CRASHING_RETRY_AFTER_MS = 60_000;
 /** Time limit for reaching the owner of a budget or a stored turn. A slice handover takes less time. */
@@ -32,6 +37,7 @@
 export interface IGatewayRelayOptions extends IBackendDispatcherOptions {
   readonly turns: ITurnClient;
   readonly admission: IProgramAdmission;
+  readonly streamFinder: IStreamOriginFinder;
   /** Returns a random number in [0, 1). */
   readonly random: () => number;
   /** Whether the configuration may be stale because the store does not respond. */
@@ -63,14 +69,20 @@
         return this.#refuseEarly(sink, crashingRefusal(), req);
       }
       const now = yield* Clock.currentTimeMillis;
-      const service = selectServiceByWeight(route.services, this.#opts.random());
+      const isResumed = route.kind === RouteKind.Stream && req.lastEventId !== undefined;
+      const origin = isResumed ? yield* this.#findOrigin(req, route) : undefined;
+      if (isResumed && origin === undefined) {
+        const refusal = retryableRefusal(RefusalReason.StreamUnknown, STREAM_RETRY_AFTER_MS);
+        return this.#refuseEarly(sink, refusal, req);
+      }
       const call = new RelayedCall(req, {
         identity,
         route,
-        service,
+        service: origin?.service ?? selectServiceByWeight(route.services, this.#opts.random()),
         now,
         configurationVersion: routes.version,
       });
+      call.origin = origin;
       const work = isTurn(call)
         ? this.#serveTurn(call, sink)
         : this.#serve({ call, sink, body: req.body, beforeEnd: Effect.succeed(true) });
@@ -86,6 +98,18 @@
     });
   }
 
+  /** Returns the origin of a stream that a caller resumes; undefined if it may not go on here. */
+  #findOrigin(
+    { resumes }: IOpaqueRequest,
+    { services }: IRoute,
+  ): Effect.Effect<IStreamOrigin | undefined> {
+    if (resumes === undefined) return Effect.succeed(undefined);
+    return Effect.map(
+      this.#opts.streamFinder.find(resumes),
+      (origin) => services.some(({ service }) => service === origin?.service) ? origin : undefined,
+    );
+  }
+
   /** Waits up to the startup timeout for the first configuration and server list. */
   #awaitConfiguration(): Effect.Effect<void> {
     return Effect.gen({ self: this }, function* () {
@@ -111,7 +135,15 @@
     const evidence = reason === RefusalReason.CrashingRequest && req !== undefined
       ? this.#opts.crashes.evidenceFor(RequestIdentity.of(req))
       : {};
-    this.#opts.logger.info("request", { request: req?.id, target: req?.target, status, reason, ...evidence });
+    this.#opts.logger.info("request", {
+      request: req?.id,
+      target: req?.target,
+      status,
+      reason,
+      resumedAfter: req?.lastEventId,
+      resumes: req?.resumes,
+      ...evidence,
+    });
     this.#opts.metrics.incrementCounter("early_refusals", { reason });
     writeRefusal(sink, refusal);
   }
--- a/src/call/common/gateway_relay_test.ts
+++ b/src/call/common/gateway_relay_test.ts
@@ -18,6 +18,7 @@
 import { ChainLookupStatus } from "../../turns/common/turn_client.ts";
 import { CrashMonitor } from "./crash_monitor.ts";
 import { GatewayRelay } from "./gateway_relay.ts";
+import { StreamOriginRegistry } from "./stream_origin_registry.ts";
 import type { IRequestCodec, IUpstream, IUpstreamRequest, IUpstreamResponse } from "./opaque_request.ts";
 import { UpstreamError, UpstreamFault } from "./opaque_request.ts";
 
@@ -97,6 +98,12 @@
   }
 }
 
+/** Reads the fields of a resumed request, which the test passes in a header. */
+function resumeOf(headers: readonly string[]): object {
+  const index = headers.indexOf("resume");
+  return index < 0 ? {} : JSON.parse(headers[index + 1]) as object;
+}
+
 const CODEC: IRequestCodec = {
   readRequest: ({ method, target, headers, body }) => ({
     id: "r1",
@@ -107,6 +114,7 @@
     body,
     timeoutMs: 3000,
     lastEventId: undefined,
+    ...resumeOf(headers),
     affinityKey: undefined,
     prompt: { model: "m", promptTokens: 900, maxTokens: 50, parts: PARTS },
     program: {
@@ -152,6 +160,10 @@
   readonly crashes?: CrashMonitor;
   /** Software versions of the servers; "v1" by default. */
   readonly softwareVersions?: readonly string[];
+  /** Attempt, service and software version of streams that have begun earlier. */
+  readonly begun?: readonly (readonly [string, string, string])[];
+  /** Last event id and attempt that the caller's request resumes. */
+  readonly resume?: { readonly lastEventId: string; readonly resumes?: string };
 }
 
 /** Crash monitor whose clock advances by a second with each reading. */
@@ -189,6 +201,10 @@
     });
   }
   const upstream = new FakeUpstream(script);
+  const streams = new StreamOriginRegistry(() => 0);
+  for (const [attemptId, service, softwareVersion] of setup.begun ?? []) {
+    streams.add({ attemptId, service, softwareVersion, atMs: 0 });
+  }
   const sink = new RecordingSink();
   const gateway = new GatewayRelay({
     codec: CODEC,
@@ -198,6 +214,8 @@
     caches: new PromptCacheIndex(),
     turns,
     crashes: setup.crashes ?? createCrashMonitor(),
+    streams,
+    streamFinder: { find: (attemptId) => Effect.succeed(streams.get(attemptId)) },
     admission: setup.admission ?? new UtilizationAdmission(),
     upstream,
     logger,
@@ -207,13 +225,14 @@
     isConfigurationStale: () => setup.isStale ?? false,
   });
   const work = Effect.gen(function* () {
-    const req = { method: "POST", target, headers, body: Buffer.from("new") };
+    const resume = setup.resume === undefined ? [] : ["resume", JSON.stringify(setup.resume)];
+    const req = { method: "POST", target, headers: [...headers, ...resume], body: Buffer.from("new") };
     const fiber = yield* Effect.forkChild(gateway.handle(req, sink));
     for (let i = 0; i < 40; i++) yield* TestClock.adjust(100);
     yield* Fiber.join(fiber);
   });
   await Effect.runPromise(Effect.provide(work, TestClock.layer()));
-  return { sink, sent: upstream.sent, turns };
+  return { sink, sent: upstream.sent, turns, streams };
 }
 
 function event(id: number, data = `d${id}`): string {
@@ -318,6 +337,50 @@
   t.is(sent.length, 1);
 });
 
+const RESUMED_ROUTE = { ...STREAM, isResumable: true };
+
+test("resumes a caller's stream at a server of the software version that began it", async (t) => {
+  const { sink, sent, streams } = await relay({
+    route: RESUMED_ROUTE,
+    softwareVersions: ["v1", "v2", "v3"],
+    begun: [["first", "s", "v2"]],
+    resume: { lastEventId: "1", resumes: "first" },
+    script: [{ chunks: [event(2)] }],
+  });
+  t.is(sink.text, event(2));
+  t.deepEqual(sent.map(({ backendId }) => backendId), ["b1"]);
+  t.deepEqual(sent[0].headers, ["last", "1"]);
+  t.is(streams.get("r1")?.softwareVersion, "v2");
+});
+
+for (
+  const [title, begun, resumes] of [
+    ["no attempt", [], undefined],
+    ["an unknown attempt", [["other", "s", "v1"]], "first"],
+    ["a stream of a service to which the route does not lead", [["first", "moved", "v1"]], "first"],
+    ["a stream of a version without servers", [["first", "s", "v9"]], "first"],
+  ] as const
+) {
+  test(`refuses to resume ${title}, and sends it nowhere`, async (t) => {
+    const resume = { lastEventId: "1", resumes };
+    const { sink, sent } = await relay({ route: RESUMED_ROUTE, begun, resume });
+    t.is(sink.status, 503);
+    t.is(sent.length, 0);
+  });
+}
+
+test("records a stream at its first event, and no other request", async (t) => {
+  const begun = await relay({
+    route: RESUMED_ROUTE,
+    script: [{ chunks: [event(1)], isTruncated: true }, {}],
+  });
+  t.is(begun.streams.get("r1")?.service, "s");
+  const empty = await relay({ route: RESUMED_ROUTE, script: [{ fault: UpstreamFault.Broken }, {}] });
+  t.is(empty.streams.size, 0);
+  const plain = await relay({ route: { kind: RouteKind.Safe }, script: [{ chunks: ["a"] }] });
+  t.is(plain.streams.size, 0);
+});
+
 test("retries a stream without events at a server of any software version", async (t) => {
   const { sink, sent } = await relay({
     route: { ...STREAM, isResumable: true },
--- /dev/null
+++ b/src/call/common/stream_origin_registry.ts
@@ -0,0 +1,90 @@
+/** Remembers which software began the streams that callers may resume, on this and the other instances. */
+import type { Event } from "../../base/common/emitter.ts";
+import { Emitter } from "../../base/common/emitter.ts";
+import type { IStreamOrigin } from "./stream_origin.ts";
+
+/** How long a stream can be resumed, in ms: longer than the deadline of any caller. */
+const RETENTION_MS = 30_000;
+/** Maximum number of streams that are remembered; the oldest are forgotten first. */
+const MAX_STREAMS = 20_000;
+/** How long a stream is repeated in the reports to the other instances, in ms: datagrams may be lost. */
+const REPORT_REPEAT_MS = 250;
+/** Maximum number of streams in one report, so that it fits into a datagram. */
+const MAX_REPORTED_STREAMS = 100;
+
+/** The origin of a stream and the caller's attempt that brought its first event. */
+export interface IBegunStream extends IStreamOrigin {
+  readonly softwareVersion: string;
+  readonly attemptId: string;
+  /** Unix time of the first event, in ms, by the clock of the instance that relayed it. */
+  readonly atMs: number;
+}
+
+export class StreamOriginRegistry {
+  readonly #now: () => number;
+  readonly #streams = new Map<string, IBegunStream>();
+  readonly #own: IBegunStream[] = [];
+  readonly #onDidBegin = new Emitter<IBegunStream>();
+  /** Fires when this instance has relayed the first event of a stream. */
+  readonly onDidBegin: Event<IBegunStream> = this.#onDidBegin.event;
+
+  /** `now` returns the Unix time in ms. */
+  constructor(now: () => number) {
+    this.#now = now;
+  }
+
+  get size(): number {
+    return this.#streams.size;
+  }
+
+  /** Records that this instance is relaying the first event of a caller's attempt. */
+  record(attemptId: string, { service, softwareVersion }: IStreamOrigin): void {
+    if (softwareVersion === undefined) return;
+    const stream = { attemptId, service, softwareVersion, atMs: this.#now() };
+    this.add(stream);
+    this.#own.push(stream);
+    this.#onDidBegin.fire(stream);
+  }
+
+  /** Adds a stream that another instance, or this one before a restart, has begun. */
+  add(stream: IBegunStream): void {
+    if (this.#isExpired(stream) || this.#streams.has(stream.attemptId)) return;
+    this.#streams.set(stream.attemptId, stream);
+    this.#evict();
+  }
+
+  /** Adds a stream that this instance has begun before a restart. */
+  restore(stream: IBegunStream): void {
+    this.add(stream);
+    this.#own.push(stream);
+  }
+
+  get(attemptId: string): IBegunStream | undefined {
+    const stream = this.#streams.get(attemptId);
+    return stream === undefined || this.#isExpired(stream) ? undefined : stream;
+  }
+
+  /** Returns the streams that this instance has begun most recently, to be reported to the others. */
+  recentStreams(): IBegunStream[] {
+    const oldestMs = this.#now() - REPORT_REPEAT_MS;
+    return this.ownStreams().slice(-MAX_REPORTED_STREAMS).filter(({ atMs }) => atMs >= oldestMs);
+  }
+
+  /** Returns the streams of this instance that callers may still resume. */
+  ownStreams(): readonly IBegunStream[] {
+    const expired = this.#own.findIndex((stream) => !this.#isExpired(stream));
+    this.#own.splice(0, expired < 0 ? this.#own.length : expired);
+    return this.#own;
+  }
+
+  #evict(): void {
+    for (const [attemptId, stream] of this.#streams) {
+      if (this.#streams.size <= MAX_STREAMS && !this.#isExpired(stream)) return;
+      this.#streams.delete(attemptId);
+    }
+  }
+
+  #isExpired({ atMs }: IBegunStream): boolean {
+    return this.#now() - atMs > RETENTION_MS;
+  }
+}
--- /dev/null
+++ b/src/call/common/stream_origin_replicator.ts
@@ -0,0 +1,113 @@
+/** Keeps the origins of recent streams in a keyed topic of the store, so that they survive a restart of all instances. */
+import { create, fromBinary, toBinary } from "@bufbuild/protobuf";
+import type { Scope } from "effect";
+import { Effect } from "effect";
+import { toError } from "../../base/common/errors.ts";
+import type { BegunStreamList } from "../../base/common/gen/ragwortcleat/v1/turns_pb.ts";
+import { BegunStreamListSchema } from "../../base/common/gen/ragwortcleat/v1/turns_pb.ts";
+import type { ILogger } from "../../services/logging/common/logger.ts";
+import type { IKeyedItem, IPartitionedLog, StoreError } from "../../services/store/common/partitioned_log.ts";
+import type { StreamOriginRegistry } from "./stream_origin_registry.ts";
+
+/** Interval between two writes; the streams begun within it are lost if all instances are killed at once. */
+const WRITE_INTERVAL_MS = 1000;
+/** Age up to which streams are written, in ms: a caller gives up a stream within a few seconds. */
+const STORED_AGE_MS = 10_000;
+/** Age of the last stream under a key from which the key of another instance is deleted, in ms. */
+const ABANDONED_AGE_MS = 10 * 60_000;
+const RETRY_DELAY_MS = 500;
+
+export interface IStreamOriginReplicatorOptions {
+  readonly log: IPartitionedLog;
+  readonly topic: string;
+  /** Name of this instance, under which its streams are stored. */
+  readonly instance: string;
+  readonly registry: StreamOriginRegistry;
+  readonly logger: ILogger;
+  /** Unix time in ms. */
+  readonly now: () => number;
+}
+
+export class StreamOriginReplicator {
+  readonly #opts: IStreamOriginReplicatorOptions;
+  #writtenUpToMs = -Infinity;
+  #isFailing = false;
+
+  constructor(opts: IStreamOriginReplicatorOptions) {
+    this.#opts = opts;
+  }
+
+  /** Reads the streams of all instances once, then writes those of this one until the scope ends. */
+  start(): Effect.Effect<void, never, Scope.Scope> {
+    const replicate = Effect.gen({ self: this }, function* () {
+      // Nothing is written before the stored streams have been read, as a write replaces those of an earlier run.
+      while (!(yield* this.#attempt(this.#load()))) yield* Effect.sleep(RETRY_DELAY_MS);
+      while (true) {
+        yield* Effect.sleep(WRITE_INTERVAL_MS);
+        yield* this.#attempt(this.#write());
+      }
+    });
+    return Effect.asVoid(Effect.forkScoped(replicate));
+  }
+
+  #load(): Effect.Effect<void, StoreError> {
+    return Effect.gen({ self: this }, function* () {
+      const { log, topic, instance, registry } = this.#opts;
+      const { items } = yield* log.readLatestValues(topic);
+      const abandoned: string[] = [];
+      for (const item of items) {
+        const streams = this.#decode(item)?.streams ?? [];
+        for (const stream of streams) {
+          if (item.key === instance) registry.restore(stream);
+          else registry.add(stream);
+        }
+        if (item.key !== instance && this.#isAbandoned(streams)) abandoned.push(item.key);
+      }
+      if (abandoned.length > 0) {
+        yield* log.writeKeys(topic, abandoned.map((key) => ({ key, value: undefined })));
+      }
+    });
+  }
+
+  #isAbandoned(streams: BegunStreamList["streams"]): boolean {
+    return this.#opts.now() - Math.max(0, ...streams.map(({ atMs }) => atMs)) > ABANDONED_AGE_MS;
+  }
+
+  #decode({ key, value }: IKeyedItem): BegunStreamList | undefined {
+    try {
+      return fromBinary(BegunStreamListSchema, value);
+    } catch (err) {
+      this.#opts.logger.warn("streams-unreadable", { key, error: toError(err).message });
+      return undefined;
+    }
+  }
+
+  #write(): Effect.Effect<void, StoreError> {
+    return Effect.suspend(() => {
+      const { log, topic, instance, registry, now } = this.#opts;
+      const own = registry.ownStreams();
+      const newestMs = own.at(-1)?.atMs ?? -Infinity;
+      if (newestMs <= this.#writtenUpToMs) return Effect.void;
+      const streams = own.filter(({ atMs }) => now() - atMs <= STORED_AGE_MS);
+      const value = toBinary(BegunStreamListSchema, create(BegunStreamListSchema, { streams }));
+      return Effect.map(log.writeKeys(topic, [{ key: instance, value }]), () => {
+        this.#writtenUpToMs = newestMs;
+      });
+    });
+  }
+
+  /** Makes a call to the store; returns whether it succeeded. Logs the first of consecutive failures. */
+  #attempt(call: Effect.Effect<void, StoreError>): Effect.Effect<boolean> {
+    return call.pipe(
+      Effect.map(() => {
+        this.#isFailing = false;
+        return true;
+      }),
+      Effect.catchTag("StoreError", ({ fault, message }) => {
+        if (!this.#isFailing) this.#opts.logger.warn("streams-store-failed", { fault, error: message });
+        this.#isFailing = true;
+        return Effect.succeed(false);
+      }),
+    );
+  }
+}
--- a/src/call/common/stream_relay.ts
+++ b/src/call/common/stream_relay.ts
@@ -4,24 +4,38 @@
 import type { IResponseHead, IResponseSink } from "./opaque_request.ts";
 import { UpstreamError, UpstreamFault } from "./opaque_request.ts";
 import type { RelayedCall } from "./relayed_call.ts";
+import type { IStreamOrigin } from "./stream_origin.ts";
 
 /** Idle time after which a stream counts as stalled. Callers time out after 2 s without data. */
 const STREAM_IDLE_TIMEOUT_MS = 1500;
 
+/** Remembers the origins of streams, so that callers can resume them. */
+export interface IStreamOriginRecorder {
+  record(attemptId: string, origin: IStreamOrigin): void;
+}
+
+export interface IStreamRelayOptions {
+  readonly sink: IResponseSink;
+  readonly head: IResponseHead;
+  readonly streams: IStreamOriginRecorder;
+}
+
 /** Relays the part of a caller's stream that comes from one server. */
 export class StreamRelay {
   readonly #call: RelayedCall;
   readonly #sink: IResponseSink;
   readonly #head: IResponseHead;
+  readonly #streams: IStreamOriginRecorder;
   readonly #splitter = new EventSplitter();
   #lastChunkAtMs = performance.now();
   #firstEventAtMs = 0;
   #events = 0;
 
-  constructor(call: RelayedCall, { sink, head }: { sink: IResponseSink; head: IResponseHead }) {
+  constructor(call: RelayedCall, { sink, head, streams }: IStreamRelayOptions) {
     this.#call = call;
     this.#sink = sink;
     this.#head = head;
+    this.#streams = streams;
   }
 
   /** Mean interval between events, in ms; undefined with fewer than three events. */
@@ -73,9 +87,12 @@
     this.#sink.startStream(this.#head.status, this.#head.headers);
   }
 
+  /** Records the origin of the stream at the first event that this call relays. */
   #recordOrigin(): void {
+    if (this.#call.events > 0) return;
     const { service, softwareVersion } = this.#call.choice!.backend;
     this.#call.origin ??= { service, softwareVersion };
+    if (this.#call.route.isResumable) this.#streams.record(this.#call.req.id, this.#call.origin);
   }
 
   /** Whether the caller already has the event, from a server that sent an earlier part of the stream. */
--- a/src/cli/common/request_causes.ts
+++ b/src/cli/common/request_causes.ts
@@ -39,6 +39,11 @@
     ),
     ...storeCauses(beliefs),
   ],
+  [RefusalReason.StreamUnknown]: (end) => [
+    `no instance knows which software version began the stream of attempt ${
+      stringField(end, "resumes") ?? "(none named)"
+    }, or the route no longer leads to its service`,
+  ],
   [RefusalReason.BackendsFull]: (end) => [
     `${numberField(end, "refusals") ?? "several"} backend servers refused the request as full; none ran it`,
   ],
--- a/src/daemon/common/gateway_core.ts
+++ b/src/daemon/common/gateway_core.ts
@@ -8,6 +8,9 @@
 import { TurnService } from "../../base/common/gen/ragwortcleat/v1/turns_pb.ts";
 import type { GetSnapshotResponse, KeyedSnapshot } from "../../base/common/gen/ragwortcleat/v1/turns_pb.ts";
 import { CrashMonitor } from "../../call/common/crash_monitor.ts";
+import { StreamOriginFinder } from "../../call/common/stream_origin_finder.ts";
+import { StreamOriginRegistry } from "../../call/common/stream_origin_registry.ts";
+import { StreamOriginReplicator } from "../../call/common/stream_origin_replicator.ts";
 import { StrikeReplicator } from "../../call/common/strike_replicator.ts";
 import { GatewayRelay } from "../../call/common/gateway_relay.ts";
 import type { IRequestCodec, IUpstream } from "../../call/common/opaque_request.ts";
@@ -71,6 +74,7 @@
   readonly loads: BackendLoadTracker;
   readonly caches = new PromptCacheIndex();
   readonly crashes: CrashMonitor;
+  readonly streams: StreamOriginRegistry;
   readonly configuration: KeyedTopicFollower;
   readonly backends: KeyedTopicFollower;
   readonly strikes: StrikeReplicator;
@@ -88,6 +92,7 @@
     this.directory = new BackendDirectory(logger, now);
     this.loads = new BackendLoadTracker(now);
     this.crashes = new CrashMonitor({ logger, metrics: this.metrics, now });
+    this.streams = new StreamOriginRegistry(now);
     this.#peers = new PeerRpcClients(TurnService, dependencies.transports);
     const shared = { log: adapter.log, logger };
     this.configuration = new KeyedTopicFollower({
@@ -131,6 +136,7 @@
       yield* this.configuration.start();
       yield* this.backends.start();
       yield* this.strikes.start();
+      yield* this.#makeStreamReplicator().start();
       yield* this.group.start();
       yield* Effect.forkScoped(this.#syncFromPeers());
     });
@@ -145,6 +151,18 @@
     });
   }
 
+  #makeStreamReplicator(): StreamOriginReplicator {
+    const { adapter: { log, streamTopic: topic }, logger, now } = this.#dependencies;
+    const { instance } = this.#settings;
+    return new StreamOriginReplicator({ log, topic, instance, registry: this.streams, logger, now });
+  }
+
+  /** Addresses of all other instances that are known. */
+  #peerAddresses(): string[] {
+    const { seeds, peerAddress } = this.#settings;
+    return [...new Set([...this.group.peers, ...seeds])].filter((peer) => peer !== peerAddress);
+  }
+
   #makeRelay(): GatewayRelay {
     const { codec, upstream, logger, random } = this.#dependencies;
     const { peerAddress, zone } = this.#settings;
@@ -164,6 +182,13 @@
       turns,
       admission: new UtilizationAdmission(),
       crashes: this.crashes,
+      streams: this.streams,
+      streamFinder: new StreamOriginFinder({
+        registry: this.streams,
+        peers: this.#peers,
+        peerAddresses: () => this.#peerAddresses(),
+        logger,
+      }),
       upstream,
       logger,
       metrics: this.metrics,
@@ -215,8 +240,7 @@
       while (true) {
         yield* Effect.sleep(SNAPSHOT_INTERVAL_MS);
         if (hasSynced && !this.#isStoreFailing) continue;
-        const { seeds, peerAddress } = this.#settings;
-        const peers = [...new Set([...this.group.peers, ...seeds])].filter((peer) => peer !== peerAddress);
+        const peers = this.#peerAddresses();
         if (peers.length === 0) continue;
         const snapshot = yield* this.#fetchSnapshot(
           peers[Math.floor(this.#dependencies.random() * peers.length)],
--- a/src/daemon/node/gateway.ts
+++ b/src/daemon/node/gateway.ts
@@ -109,6 +109,7 @@
         loads: core.loads,
         caches: core.caches,
         crashes: core.crashes,
+        streams: core.streams,
         peerHosts: () => core.group.peers.map((address) => parseAddress(address).host),
         logger,
       }),
@@ -121,8 +122,9 @@
   });
 }
 
-function turnServiceParts({ owned, group, configuration, backends, strikes, crashes }: GatewayCore) {
-  return { owned, group, configuration, backends, strikes: strikes.follower, crashes };
+function turnServiceParts(core: GatewayCore) {
+  const { owned, group, configuration, backends, strikes, crashes, streams } = core;
+  return { owned, group, configuration, backends, strikes: strikes.follower, crashes, streams };
 }
 
 interface IDrainOptions {
--- a/src/peer/common/turn_service.ts
+++ b/src/peer/common/turn_service.ts
@@ -8,8 +8,13 @@
   StrikeChange,
   TurnService,
 } from "../../base/common/gen/ragwortcleat/v1/turns_pb.ts";
-import { StrikeChangeSchema, StrikeSchema } from "../../base/common/gen/ragwortcleat/v1/turns_pb.ts";
+import {
+  BegunStreamSchema,
+  StrikeChangeSchema,
+  StrikeSchema,
+} from "../../base/common/gen/ragwortcleat/v1/turns_pb.ts";
 import type { CrashMonitor, IStrikeChange } from "../../call/common/crash_monitor.ts";
+import type { StreamOriginRegistry } from "../../call/common/stream_origin_registry.ts";
 import type { KeyedTopicFollower } from "../../services/store/common/keyed_topic_follower.ts";
 import type { IKeyedItems } from "../../services/store/common/partitioned_log.ts";
 import type { OwnedSlices } from "../../turns/common/owned_slices.ts";
@@ -23,6 +28,7 @@
   readonly backends: KeyedTopicFollower;
   readonly strikes: KeyedTopicFollower;
   readonly crashes: CrashMonitor;
+  readonly streams: StreamOriginRegistry;
   readonly context: Context.Context<never>;
 }
 
@@ -49,6 +55,10 @@
       const spending = await run(owned.handOver(req));
       return { isReleased: spending !== undefined, programs: toSpendingMessages(spending ?? []) };
     },
+    findStream: ({ attemptId }) => {
+      const stream = opts.streams.get(attemptId);
+      return stream === undefined ? {} : { stream: create(BegunStreamSchema, stream) };
+    },
     reassigned: () => {
       group.renewNow();
       return {};
--- a/src/peer/node/load_reporter.ts
+++ b/src/peer/node/load_reporter.ts
@@ -1,17 +1,20 @@
-/** Exchanges UDP datagrams on backend load, cached prompt prefixes and strikes with the other instances. */
+/** Exchanges UDP datagrams on backend load, cached prompt prefixes, strikes and begun streams with the other instances. */
 import type { Socket } from "node:dgram";
 import { createSocket } from "node:dgram";
 import { create, fromBinary, toBinary } from "@bufbuild/protobuf";
 import type { Scope } from "effect";
 import { Effect } from "effect";
+import type { IDisposable } from "../../base/common/emitter.ts";
 import { toError } from "../../base/common/errors.ts";
 import {
+  BegunStreamSchema,
   LoadDigestSchema,
   PromptHomeSchema,
   StrikeChangeSchema,
   StrikeSchema,
 } from "../../base/common/gen/ragwortcleat/v1/turns_pb.ts";
 import type { CrashMonitor } from "../../call/common/crash_monitor.ts";
+import type { StreamOriginRegistry } from "../../call/common/stream_origin_registry.ts";
 import type { BackendLoadTracker } from "../../routing/common/backend_load_tracker.ts";
 import type { PromptCacheIndex } from "../../routing/common/prompt_cache_index.ts";
 import type { ILogger } from "../../services/logging/common/logger.ts";
@@ -21,6 +24,9 @@
 /** Added to the report interval per peer; limits what an instance receives to 125 reports per second. */
 const REPORT_INTERVAL_PER_PEER_MS = 8;
 
+/** Delay of the report on a stream that has begun; collects those that begin together. */
+const STREAM_REPORT_DELAY_MS = 5;
+
 export interface ILoadReporterOptions {
   readonly instance: string;
   readonly host: string;
@@ -29,6 +35,7 @@
   readonly loads: BackendLoadTracker;
   readonly caches: PromptCacheIndex;
   readonly crashes: CrashMonitor;
+  readonly streams: StreamOriginRegistry;
   readonly peerHosts: () => readonly string[];
   readonly logger: ILogger;
 }
@@ -36,6 +43,8 @@
 export class LoadReporter {
   readonly #opts: ILoadReporterOptions;
   readonly #socket: Socket;
+  readonly #subscription: IDisposable;
+  #isSendPending = false;
   #wasBusy = false;
   #hasLoggedSendFailure = false;
 
@@ -44,6 +53,7 @@
     this.#socket = createSocket("udp4");
     this.#socket.on("message", (message) => this.#receive(message));
     this.#socket.on("error", (err) => opts.logger.warn("load-datagrams-failed", { error: err.message }));
+    this.#subscription = opts.streams.onDidBegin(() => this.#sendSoon());
   }
 
   listen(): Promise<void> {
@@ -67,9 +77,20 @@
   }
 
   dispose(): void {
+    this.#subscription.dispose();
     this.#socket.close();
   }
 
+  /** Sends a report before the next regular one, as the callers of a lost instance return within milliseconds. */
+  #sendSoon(): void {
+    if (this.#isSendPending) return;
+    this.#isSendPending = true;
+    setTimeout(() => {
+      this.#isSendPending = false;
+      this.#send(this.#opts.peerHosts());
+    }, STREAM_REPORT_DELAY_MS).unref();
+  }
+
   #send(hosts: readonly string[]): void {
     const localLoads = this.#opts.loads.localLoads();
     const strikeChanges = this.#opts.crashes.recentChanges().map(({ strike, ...change }) =>
@@ -78,7 +99,8 @@
     const prefixes = this.#opts.caches.takeUnreportedPrefixes().map((prefix) =>
       create(PromptHomeSchema, prefix)
     );
-    const isIdle = localLoads.size === 0 && strikeChanges.length === 0 && prefixes.length === 0;
+    const streams = this.#opts.streams.recentStreams().map((stream) => create(BegunStreamSchema, stream));
+    const isIdle = localLoads.size + strikeChanges.length + prefixes.length + streams.length === 0;
     // One empty report follows the last load, so that peers discard the previous one.
     if (isIdle && !this.#wasBusy) return;
     this.#wasBusy = !isIdle;
@@ -86,7 +108,7 @@
     const loads = [...localLoads].map(([backendId, running]) => ({ backendId, running }));
     const message = toBinary(
       LoadDigestSchema,
-      create(LoadDigestSchema, { instance, loads, strikeChanges, prefixes }),
+      create(LoadDigestSchema, { instance, loads, strikeChanges, prefixes, streams }),
     );
     for (const host of hosts) {
       this.#socket.send(message, this.#opts.port, host, (err) => this.#handleSendResult(err));
@@ -101,13 +123,14 @@
 
   #receive(message: Uint8Array): void {
     try {
-      const { instance, loads, strikeChanges, prefixes } = fromBinary(LoadDigestSchema, message);
+      const { instance, loads, strikeChanges, prefixes, streams } = fromBinary(LoadDigestSchema, message);
       const running = new Map(loads.map((load) => [load.backendId, load.running]));
       this.#opts.loads.recordPeerReport({ instance, running });
       for (const { strike, isWithdrawn, isPending } of strikeChanges) {
         if (strike !== undefined) this.#opts.crashes.merge({ strike, isWithdrawn, isPending });
       }
       for (const prefix of prefixes) this.#opts.caches.recordReportedPart(prefix);
+      for (const stream of streams) this.#opts.streams.add(stream);
     } catch (err) {
       this.#opts.logger.warn("load-datagram-unreadable", { error: toError(err).message });
     }
--- a/src/services/store/common/platform_adapter.ts
+++ b/src/services/store/common/platform_adapter.ts
@@ -13,6 +13,8 @@
   readonly backendTopic: string;
   /** Keyed topic in which the instances keep strikes. */
   readonly strikeTopic: string;
+  /** Keyed topic in which the instances keep the origins of recent streams. */
+  readonly streamTopic: string;
   /** Returns undefined for a value that cannot be decoded. */
   decodeConfiguration(value: Uint8Array): IRoutingConfiguration | undefined;
   /** Returns undefined for a value that does not describe a usable backend server. */
--- a/test/harness/gateway_cluster.ts
+++ b/test/harness/gateway_cluster.ts
@@ -32,6 +32,7 @@
 export const CONFIGURATION_KEY = "config";
 export const BACKEND_TOPIC = "keyed.servers";
 export const STRIKE_TOPIC = "keyed.strikes";
+const STREAM_TOPIC = "keyed.streams";
 /** Marks the target of a request that crashes servers. */
 const CRASHING_MARK = "crashing";
 /** Marks the target of a request whose response is lost. */
@@ -173,6 +174,7 @@
         backends: core.backends,
         strikes: core.strikes.follower,
         crashes: core.crashes,
+        streams: core.streams,
         context: yield* Effect.context<never>(),
       });
       const transport = createRouterTransport((router) => router.service(TurnService, service));
@@ -300,10 +302,12 @@
     for (const { name, core } of connected) {
       const running = core.loads.localLoads();
       const changes = core.crashes.recentChanges();
+      const streams = core.streams.recentStreams();
       for (const peer of connected) {
         if (peer.name === name) continue;
         peer.core.loads.recordPeerReport({ instance: name, running });
         for (const change of changes) peer.core.crashes.merge(change);
+        for (const stream of streams) peer.core.streams.add(stream);
       }
     }
   }
@@ -340,6 +344,7 @@
     configurationKey: CONFIGURATION_KEY,
     backendTopic: BACKEND_TOPIC,
     strikeTopic: STRIKE_TOPIC,
+    streamTopic: STREAM_TOPIC,
     decodeConfiguration,
     decodeBackend,
   };
