--- a/src/call/common/stream_origin_replicator.ts
+++ b/src/call/common/stream_origin_replicator.ts
@@ -7,7 +7,7 @@
 import { BegunStreamListSchema } from "../../base/common/gen/ragwortcleat/v1/turns_pb.ts";
 import type { ILogger } from "../../services/logging/common/logger.ts";
 import type { IKeyedItem, IPartitionedLog, StoreError } from "../../services/store/common/partitioned_log.ts";
-import type { StreamOriginRegistry } from "./stream_origin_registry.ts";
+import type { IBegunStream, StreamOriginRegistry } from "./stream_origin_registry.ts";
 
 /** Interval between two writes; the streams begun within it are lost if all instances are killed at once. */
 const WRITE_INTERVAL_MS = 1000;
@@ -30,7 +30,7 @@
 
 export class StreamOriginReplicator {
   readonly #opts: IStreamOriginReplicatorOptions;
-  #writtenUpToMs = -Infinity;
+  #lastWritten: IBegunStream | undefined;
   #isFailing = false;
 
   constructor(opts: IStreamOriginReplicatorOptions) {
@@ -86,12 +86,12 @@
     return Effect.suspend(() => {
       const { log, topic, instance, registry, now } = this.#opts;
       const own = registry.ownStreams();
-      const newestMs = own.at(-1)?.atMs ?? -Infinity;
-      if (newestMs <= this.#writtenUpToMs) return Effect.void;
+      const newest = own.at(-1);
+      if (newest === this.#lastWritten) return Effect.void;
       const streams = own.filter(({ atMs }) => now() - atMs <= STORED_AGE_MS);
       const value = toBinary(BegunStreamListSchema, create(BegunStreamListSchema, { streams }));
       return Effect.map(log.writeKeys(topic, [{ key: instance, value }]), () => {
-        this.#writtenUpToMs = newestMs;
+        this.#lastWritten = newest;
       });
     });
   }
