Tell callers of requests that are held back when to return

A harmless request that shared five crashes with the cause is refused for 2 to 4 s, until the cause is alone, but its caller was told to return after a minute, like that of a request that crashes servers.

Change: the refusal has the remaining time.

--- a/src/call/common/crash_monitor.ts
+++ b/src/call/common/crash_monitor.ts
@@ -128,6 +128,11 @@
     return true;
   }
 
+  /** Time after which a quarantined request may be sent again, in ms; undefined if it crashes servers itself. */
+  quarantineEndsInMs({ fingerprint }: RequestIdentity): number | undefined {
+    return this.#ledger.heldBackMs(fingerprint);
+  }
+
   /** Returns how a suspect is separated from the others; undefined if it has no strikes. */
   separationOf({ fingerprint }: RequestIdentity): ISeparation | undefined {
     return this.#ledger.separationOf(fingerprint);
--- a/src/call/common/gateway_relay.ts
+++ b/src/call/common/gateway_relay.ts
@@ -66,7 +66,7 @@
       if (route === undefined) return this.#refuseEarly(sink, this.#noRouteRefusal(), req);
       const identity = RequestIdentity.of(req);
       if (this.#opts.crashes.isQuarantined(identity)) {
-        return this.#refuseEarly(sink, crashingRefusal(), req);
+        return this.#refuseEarly(sink, this.#crashingRefusal(identity), req);
       }
       const now = yield* Clock.currentTimeMillis;
       const isResumed = route.kind === RouteKind.Stream && req.lastEventId !== undefined;
@@ -268,10 +268,16 @@
   }
 
   /** Creates the refusal of a request that has been quarantined since it arrived. */
-  #quarantineRefusal({ runs }: RelayedCall): IRefusal {
+  #quarantineRefusal({ runs, identity }: RelayedCall): IRefusal {
     return runs > 0
       ? finalRefusal(GatewayStatus.BadGateway, RefusalReason.CrashingRequest)
-      : crashingRefusal();
+      : this.#crashingRefusal(identity);
+  }
+
+  /** Creates the refusal of a request that has not run. One that others explain is told when it may run again. */
+  #crashingRefusal(identity: RequestIdentity): IRefusal {
+    const retryAfterMs = this.#opts.crashes.quarantineEndsInMs(identity) ?? CRASHING_RETRY_AFTER_MS;
+    return retryableRefusal(RefusalReason.CrashingRequest, retryAfterMs);
   }
 
   /** Creates the refusal for lack of a server. It is retryable only if the request has not run anywhere. */
@@ -314,10 +320,6 @@
   return route.kind === RouteKind.Stream && route.retainMs > 0 && req.program?.budgetTokens !== undefined;
 }
 
-function crashingRefusal(): IRefusal {
-  return retryableRefusal(RefusalReason.CrashingRequest, CRASHING_RETRY_AFTER_MS);
-}
-
 function writeRefusal(sink: IResponseSink, { status, reason, retryAfterMs }: IRefusal): void {
   const headers = ["content-type", "application/problem+json"];
   if (retryAfterMs !== undefined) headers.push("retry-after", (retryAfterMs / 1000).toFixed(2));
--- a/src/call/common/strike_ledger.ts
+++ b/src/call/common/strike_ledger.ts
@@ -169,7 +169,18 @@
     const settledWeight = this.#weigh(fingerprint, strikes.filter((strike) => this.#isSettled(strike)));
     const isDecided = settledWeight >= QUARANTINE_WEIGHT || weight >= EXPLAINED_QUARANTINE_WEIGHT;
     if (!isDecided) return false;
-    return strikes.some((strike) => !this.#isExplained(strike)) || this.#isHeldBack(fingerprint, weight);
+    return !this.#isExplainedByOthers(strikes) || this.#heldBackMs(fingerprint, weight) > 0;
+  }
+
+  /** Time for which a quarantined request is still refused, in ms, if other requests explain its crashes. */
+  heldBackMs(fingerprint: bigint): number | undefined {
+    const strikes = this.strikesOf(fingerprint);
+    if (!this.#isExplainedByOthers(strikes)) return undefined;
+    return Math.max(0, this.#heldBackMs(fingerprint, this.#weigh(fingerprint, strikes)));
+  }
+
+  #isExplainedByOthers(strikes: readonly IStrike[]): boolean {
+    return strikes.every((strike) => this.#isExplained(strike));
   }
 
   /** Removes expired strikes and the oldest ones above the maximum number; returns the removed ones. */
@@ -183,14 +194,14 @@
     return evicted;
   }
 
-  /** Whether a request whose crashes others explain is refused for a while. */
-  #isHeldBack(fingerprint: bigint, weight: number): boolean {
-    if (weight < EXPLAINED_QUARANTINE_WEIGHT) return false;
+  /** Time for which a request whose crashes others explain is refused, in ms; not positive if it is not. */
+  #heldBackMs(fingerprint: bigint, weight: number): number {
+    if (weight < EXPLAINED_QUARANTINE_WEIGHT) return 0;
     const addedAtMs = this.strikesOf(fingerprint).map((strike) => this.#addedAtMs.get(strike) ?? 0);
     // Requests that failed together return at different times, so that a harmless one runs alone.
     const spread = 1 + Number(fingerprint % QUARANTINE_SPREAD_STEPS) / Number(QUARANTINE_SPREAD_STEPS);
     const durationMs = EXPLAINED_QUARANTINE_MS * spread * 2 ** (weight - EXPLAINED_QUARANTINE_WEIGHT);
-    return this.#now() - Math.max(...addedAtMs) < durationMs;
+    return Math.max(...addedAtMs) + durationMs - this.#now();
   }
 
   /** Whether another request that may be quarantined was unfinished on the server as well. */
--- a/src/call/common/strike_ledger_test.ts
+++ b/src/call/common/strike_ledger_test.ts
@@ -85,6 +85,21 @@
   t.deepEqual(fingerprints.map((fingerprint) => ledger.isQuarantined(fingerprint)), [true, false]);
 });
 
+test("a request that is refused for a while states for how long, one that crashes servers does not", (t) => {
+  const { clock, ledger } = setUp();
+  for (const level of [1, 2, 3, 4, 5]) {
+    for (const fingerprint of [1024n, 1536n]) {
+      ledger.add(strikeOf(fingerprint, level));
+    }
+  }
+  t.is(ledger.heldBackMs(1024n), 2000);
+  t.is(ledger.heldBackMs(1536n), 3000);
+  clock.now = 1900;
+  t.is(ledger.heldBackMs(1024n), 100);
+  ledger.add(strikeOf(1024n, 6, { backendId: "alone" }));
+  t.is(ledger.heldBackMs(1024n), undefined);
+});
+
 test("a crash explains another one that an instance attributes to an earlier run of the server", (t) => {
   const { clock, ledger } = setUp();
   for (const level of [1, 2, 3]) {
