Resume streams of callers that name no attempt

Change: an origin is recorded with a hash of the request's content and session, which all tries of a request share. Without a named attempt it is found by that hash, unless the tries began at different versions. A named attempt that is unknown stays unknown. Ruled out: the version that is listed alone, since servers of another one may just have gone.

--- a/src/call/common/gateway_relay.ts
+++ b/src/call/common/gateway_relay.ts
@@ -14,6 +14,7 @@
 import { AttemptOutcome, RelayedCall } from "./relayed_call.ts";
 import { RequestIdentity } from "./request_identity.ts";
 import type { IStreamOrigin } from "./stream_origin.ts";
+import { contentKeyOf } from "./stream_origin.ts";
 import type { IStreamOriginFinder } from "./stream_origin_finder.ts";
 
 /** Number of servers that may decline a request, for example because they are full, before it is refused. */
@@ -70,7 +71,7 @@
       }
       const now = yield* Clock.currentTimeMillis;
       const isResumed = route.kind === RouteKind.Stream && req.lastEventId !== undefined;
-      const origin = isResumed ? yield* this.#findOrigin(req, route) : undefined;
+      const origin = isResumed ? yield* this.#findOrigin(req, { identity, route }) : undefined;
       if (isResumed && origin === undefined) {
         const refusal = retryableRefusal(RefusalReason.StreamUnknown, STREAM_RETRY_AFTER_MS);
         return this.#refuseEarly(sink, refusal, req);
@@ -100,13 +101,12 @@
 
   /** Returns the origin of a stream that a caller resumes; undefined if it may not go on here. */
   #findOrigin(
-    { resumes }: IOpaqueRequest,
-    { services }: IRoute,
+    req: IOpaqueRequest,
+    { identity, route }: { identity: RequestIdentity; route: IRoute },
   ): Effect.Effect<IStreamOrigin | undefined> {
-    if (resumes === undefined) return Effect.succeed(undefined);
     return Effect.map(
-      this.#opts.streamFinder.find(resumes),
-      (origin) => services.some(({ service }) => service === origin?.service) ? origin : undefined,
+      this.#opts.streamFinder.find({ attemptId: req.resumes, contentKey: contentKeyOf(identity, req) }),
+      (origin) => route.services.some(({ service }) => service === origin?.service) ? origin : undefined,
     );
   }
 
--- a/src/call/common/gateway_relay_test.ts
+++ b/src/call/common/gateway_relay_test.ts
@@ -203,7 +203,7 @@
   const upstream = new FakeUpstream(script);
   const streams = new StreamOriginRegistry(() => 0);
   for (const [attemptId, service, softwareVersion] of setup.begun ?? []) {
-    streams.add({ attemptId, service, softwareVersion, atMs: 0 });
+    streams.add({ attemptId, contentKey: 1n, service, softwareVersion, atMs: 0 });
   }
   const sink = new RecordingSink();
   const gateway = new GatewayRelay({
@@ -215,7 +215,7 @@
     turns,
     crashes: setup.crashes ?? createCrashMonitor(),
     streams,
-    streamFinder: { find: (attemptId) => Effect.succeed(streams.get(attemptId)) },
+    streamFinder: { find: (resumed) => Effect.succeed(streams.find(resumed)) },
     admission: setup.admission ?? new UtilizationAdmission(),
     upstream,
     logger,
@@ -350,7 +350,7 @@
   t.is(sink.text, event(2));
   t.deepEqual(sent.map(({ backendId }) => backendId), ["b1"]);
   t.deepEqual(sent[0].headers, ["last", "1"]);
-  t.is(streams.get("r1")?.softwareVersion, "v2");
+  t.is(streams.find({ attemptId: "r1", contentKey: 0n })?.softwareVersion, "v2");
 });
 
 for (
@@ -374,7 +374,7 @@
     route: RESUMED_ROUTE,
     script: [{ chunks: [event(1)], isTruncated: true }, {}],
   });
-  t.is(begun.streams.get("r1")?.service, "s");
+  t.is(begun.streams.find({ attemptId: "r1", contentKey: 0n })?.service, "s");
   const empty = await relay({ route: RESUMED_ROUTE, script: [{ fault: UpstreamFault.Broken }, {}] });
   t.is(empty.streams.size, 0);
   const plain = await relay({ route: { kind: RouteKind.Safe }, script: [{ chunks: ["a"] }] });
--- a/src/call/common/stream_origin_finder.ts
+++ b/src/call/common/stream_origin_finder.ts
@@ -3,6 +3,7 @@
 import type { TurnService } from "../../base/common/gen/ragwortcleat/v1/turns_pb.ts";
 import type { PeerRpcClients } from "../../membership/common/peer_client.ts";
 import type { ILogger } from "../../services/logging/common/logger.ts";
+import type { IResumedStream, IStreamOrigin } from "./stream_origin.ts";
 import type { IBegunStream, StreamOriginRegistry } from "./stream_origin_registry.ts";
 
 /** Time limit for asking the other instances; a live one responds within a few milliseconds. */
@@ -10,8 +11,8 @@
 
 /** Access to the origins of streams, whichever instance began them. */
 export interface IStreamOriginFinder {
-  /** Returns undefined if no instance that responds knows the stream. */
-  find(attemptId: string): Effect.Effect<IBegunStream | undefined>;
+  /** Returns undefined if no instance that responds knows the stream, or if it is ambiguous. */
+  find(resumed: IResumedStream): Effect.Effect<IStreamOrigin | undefined>;
 }
 
 export interface IStreamOriginFinderOptions {
@@ -33,40 +34,41 @@
     this.#opts = opts;
   }
 
-  find(attemptId: string): Effect.Effect<IBegunStream | undefined> {
+  find(resumed: IResumedStream): Effect.Effect<IStreamOrigin | undefined> {
     return Effect.suspend(() => {
-      const known = this.#opts.registry.get(attemptId);
-      return known === undefined ? this.#askPeers(attemptId) : Effect.succeed(known);
+      const { registry } = this.#opts;
+      if (registry.list(resumed).length > 0) return Effect.succeed(registry.find(resumed));
+      return Effect.map(this.#askPeers(resumed), () => registry.find(resumed));
     });
   }
 
-  /** Asks all peers. The first one that knows the stream ends the search, so that a lost one does not delay it. */
-  #askPeers(attemptId: string): Effect.Effect<IBegunStream | undefined> {
-    return Effect.gen({ self: this }, function* () {
-      const { registry, peerAddresses } = this.#opts;
-      const found = Deferred.makeUnsafe<void>();
-      const ask = (address: string) =>
-        Effect.map(this.#ask(address, attemptId), (stream) => {
-          if (stream === undefined) return;
-          registry.add(stream);
-          Deferred.doneUnsafe(found, Effect.void);
-        });
-      const askAll = Effect.forEach(peerAddresses(), ask, { concurrency: "unbounded", discard: true });
-      yield* Effect.raceFirst(askAll, Deferred.await(found));
-      return registry.get(attemptId);
-    });
+  /** Adds what the peers know. The first one that knows a named attempt ends the search; a lost one delays no caller. */
+  #askPeers(resumed: IResumedStream): Effect.Effect<void> {
+    const { registry, peerAddresses } = this.#opts;
+    const found = Deferred.makeUnsafe<void>();
+    const ask = (address: string) =>
+      Effect.map(this.#ask(address, resumed), (streams) => {
+        for (const stream of streams) registry.add(stream);
+        // Without a named attempt, each peer may know another try.
+        if (streams.length > 0 && resumed.attemptId !== undefined) Deferred.doneUnsafe(found, Effect.void);
+      });
+    const askAll = Effect.forEach(peerAddresses(), ask, { concurrency: "unbounded", discard: true });
+    return Effect.raceFirst(askAll, Deferred.await(found));
   }
 
-  #ask(address: string, attemptId: string): Effect.Effect<IBegunStream | undefined> {
+  #ask(
+    address: string,
+    { attemptId = "", contentKey }: IResumedStream,
+  ): Effect.Effect<readonly IBegunStream[]> {
     const call = this.#opts.peers.call(address, {
       timeoutMs: PEER_TIMEOUT_MS,
-      invoke: (client, signal) => client.findStream({ attemptId }, { signal }),
+      invoke: (client, signal) => client.findStream({ attemptId, contentKey }, { signal }),
     });
     return call.pipe(
-      Effect.map(({ stream }) => stream),
+      Effect.map(({ streams }) => streams),
       Effect.catchTag("PeerError", (err) => {
         this.#opts.logger.info("stream-lookup-failed", { peer: address, error: err.message });
-        return Effect.succeed(undefined);
+        return Effect.succeed([]);
       }),
     );
   }
--- a/src/call/common/stream_origin_finder_test.ts
+++ b/src/call/common/stream_origin_finder_test.ts
@@ -7,10 +7,12 @@
 import { StreamOriginFinder } from "./stream_origin_finder.ts";
 import { StreamOriginRegistry } from "./stream_origin_registry.ts";
 
-const STREAM = { attemptId: "r1", service: "s", softwareVersion: "v1", atMs: 0 };
+const STREAM = { attemptId: "r1", contentKey: 7n, service: "s", softwareVersion: "v1", atMs: 0 };
+const BY_ATTEMPT = { attemptId: "r1", contentKey: 7n };
+const BY_CONTENT = { attemptId: undefined, contentKey: 7n };
 
 /** Creates a finder whose peers know the stream, do not know it, are lost, or do not respond. */
-function makeFinder(peers: readonly ("knows" | "lacks" | "lost" | "silent")[]) {
+function makeFinder(peers: readonly ("knows" | "lacks" | "lost" | "silent" | "other try")[]) {
   const asked: number[] = [];
   const registry = new StreamOriginRegistry(() => 0);
   const transportOf = (address: string) => {
@@ -21,7 +23,10 @@
           asked.push(index);
           if (peers[index] === "lost") throw new ConnectError("lost", Code.Unavailable);
           if (peers[index] === "silent") return new Promise<never>(() => {});
-          return peers[index] === "knows" ? { stream: STREAM } : {};
+          if (peers[index] === "other try") {
+            return { streams: [{ ...STREAM, attemptId: "r2", softwareVersion: "v2" }] };
+          }
+          return peers[index] === "knows" ? { streams: [STREAM] } : {};
         },
       })
     );
@@ -38,19 +43,27 @@
 test("a stream that is known here is found without asking", async (t) => {
   const { finder, registry, asked } = makeFinder(["lacks"]);
   registry.add(STREAM);
-  t.is((await Effect.runPromise(finder.find("r1")))?.softwareVersion, "v1");
+  t.is((await Effect.runPromise(finder.find(BY_ATTEMPT)))?.softwareVersion, "v1");
   t.deepEqual(asked, []);
 });
 
 test("a stream is found at the one peer that knows it, though others are lost or silent", async (t) => {
   const { finder, registry } = makeFinder(["silent", "lost", "lacks", "knows"]);
-  t.is((await Effect.runPromise(finder.find("r1")))?.softwareVersion, "v1");
-  t.not(registry.get("r1"), undefined);
+  t.is((await Effect.runPromise(finder.find(BY_ATTEMPT)))?.softwareVersion, "v1");
+  t.not(registry.find(BY_ATTEMPT), undefined);
 });
 
 test("a stream that no peer knows is not found", async (t) => {
   for (const peers of [[], ["lacks", "lost"], ["silent", "lacks"]] as const) {
     const { finder } = makeFinder(peers);
-    t.is(await Effect.runPromise(finder.find("r1")), undefined);
+    t.is(await Effect.runPromise(finder.find(BY_ATTEMPT)), undefined);
   }
 });
+
+test("a stream whose caller names no attempt is found by its content, unless its tries differ", async (t) => {
+  const { finder } = makeFinder(["lacks", "knows"]);
+  t.is((await Effect.runPromise(finder.find(BY_CONTENT)))?.softwareVersion, "v1");
+  const ambiguous = makeFinder(["knows", "other try"]);
+  t.is(await Effect.runPromise(ambiguous.finder.find(BY_CONTENT)), undefined);
+  t.is((await Effect.runPromise(ambiguous.finder.find(BY_ATTEMPT)))?.softwareVersion, "v1");
+});
--- a/src/call/common/stream_origin_registry.ts
+++ b/src/call/common/stream_origin_registry.ts
@@ -1,7 +1,7 @@
 /** Remembers which software began the streams that callers may resume, on this and the other instances. */
 import type { Event } from "../../base/common/emitter.ts";
 import { Emitter } from "../../base/common/emitter.ts";
-import type { IStreamOrigin } from "./stream_origin.ts";
+import type { IResumedStream, IStreamOrigin } from "./stream_origin.ts";
 
 /** How long a stream can be resumed, in ms: longer than the deadline of any caller. */
 const RETENTION_MS = 30_000;
@@ -16,6 +16,8 @@
 export interface IBegunStream extends IStreamOrigin {
   readonly softwareVersion: string;
   readonly attemptId: string;
+  /** Hash of the request's content and session. */
+  readonly contentKey: bigint;
   /** Unix time of the first event, in ms, by the clock of the instance that relayed it. */
   readonly atMs: number;
 }
@@ -23,6 +25,7 @@
 export class StreamOriginRegistry {
   readonly #now: () => number;
   readonly #streams = new Map<string, IBegunStream>();
+  readonly #byContent = new Map<bigint, readonly IBegunStream[]>();
   readonly #own: IBegunStream[] = [];
   readonly #onDidBegin = new Emitter<IBegunStream>();
   /** Fires when this instance has relayed the first event of a stream. */
@@ -38,9 +41,12 @@
   }
 
   /** Records that this instance is relaying the first event of a caller's attempt. */
-  record(attemptId: string, { service, softwareVersion }: IStreamOrigin): void {
+  record(
+    { attemptId, contentKey }: { attemptId: string; contentKey: bigint },
+    { service, softwareVersion }: IStreamOrigin,
+  ): void {
     if (softwareVersion === undefined) return;
-    const stream = { attemptId, service, softwareVersion, atMs: this.#now() };
+    const stream = { attemptId, contentKey, service, softwareVersion, atMs: this.#now() };
     this.add(stream);
     this.#own.push(stream);
     this.#onDidBegin.fire(stream);
@@ -50,6 +56,8 @@
   add(stream: IBegunStream): void {
     if (this.#isExpired(stream) || this.#streams.has(stream.attemptId)) return;
     this.#streams.set(stream.attemptId, stream);
+    const sameContent = this.#byContent.get(stream.contentKey) ?? [];
+    this.#byContent.set(stream.contentKey, [...sameContent, stream]);
     this.#evict();
   }
 
@@ -59,9 +67,19 @@
     this.#own.push(stream);
   }
 
-  get(attemptId: string): IBegunStream | undefined {
+  /** Returns the streams that a caller may mean: the one that it names, or all of its request's tries. */
+  list({ attemptId, contentKey }: IResumedStream): IBegunStream[] {
+    if (attemptId === undefined) return (this.#byContent.get(contentKey) ?? []).filter(this.#isCurrent);
     const stream = this.#streams.get(attemptId);
-    return stream === undefined || this.#isExpired(stream) ? undefined : stream;
+    return stream === undefined ? [] : [stream].filter(this.#isCurrent);
+  }
+
+  /** Returns the origin of a stream that a caller resumes; undefined if it is unknown or ambiguous. */
+  find(resumed: IResumedStream): IStreamOrigin | undefined {
+    const [first, ...others] = this.list(resumed);
+    const isSame = ({ service, softwareVersion }: IBegunStream) =>
+      service === first.service && softwareVersion === first.softwareVersion;
+    return others.every(isSame) ? first : undefined;
   }
 
   /** Returns the streams that this instance has begun most recently, to be reported to the others. */
@@ -81,9 +99,14 @@
     for (const [attemptId, stream] of this.#streams) {
       if (this.#streams.size <= MAX_STREAMS && !this.#isExpired(stream)) return;
       this.#streams.delete(attemptId);
+      const sameContent = (this.#byContent.get(stream.contentKey) ?? []).filter((other) => other !== stream);
+      if (sameContent.length > 0) this.#byContent.set(stream.contentKey, sameContent);
+      else this.#byContent.delete(stream.contentKey);
     }
   }
 
+  readonly #isCurrent = (stream: IBegunStream) => !this.#isExpired(stream);
+
   #isExpired({ atMs }: IBegunStream): boolean {
     return this.#now() - atMs > RETENTION_MS;
   }
--- a/src/call/common/stream_origin_replicator_test.ts
+++ b/src/call/common/stream_origin_replicator_test.ts
@@ -10,6 +10,10 @@
 const TOPIC = "streams";
 const ORIGIN = { service: "s", softwareVersion: "v1" };
 
+function streamOf(attemptId: string) {
+  return { attemptId, contentKey: 7n };
+}
+
 class Setup {
   readonly log = new PartitionedLogCore();
   now = 1_000_000;
@@ -49,12 +53,12 @@
     Effect.gen(function* () {
       const first = yield* setup.start("a");
       yield* setup.advance(100);
-      first.record("r1", ORIGIN);
+      first.record(streamOf("r1"), ORIGIN);
       yield* setup.advance(1500);
       for (const instance of ["a", "b"]) {
         const later = yield* setup.start(instance);
         yield* setup.advance(100);
-        t.is(later.get("r1")?.softwareVersion, "v1", instance);
+        t.is(later.find(streamOf("r1"))?.softwareVersion, "v1", instance);
       }
     })
   ));
@@ -64,16 +68,16 @@
     Effect.gen(function* () {
       const first = yield* setup.start("a");
       yield* setup.advance(100);
-      first.record("r1", ORIGIN);
+      first.record(streamOf("r1"), ORIGIN);
       yield* setup.advance(1500);
       const second = yield* setup.start("a");
       yield* setup.advance(100);
-      second.record("r2", ORIGIN);
+      second.record(streamOf("r2"), ORIGIN);
       yield* setup.advance(1500);
       const third = yield* setup.start("a");
       yield* setup.advance(100);
-      t.not(third.get("r1"), undefined);
-      t.not(third.get("r2"), undefined);
+      t.not(third.find(streamOf("r1")), undefined);
+      t.not(third.find(streamOf("r2")), undefined);
     })
   ));
 
@@ -82,18 +86,18 @@
     Effect.gen(function* () {
       const first = yield* setup.start("a");
       yield* setup.advance(100);
-      first.record("r1", ORIGIN);
+      first.record(streamOf("r1"), ORIGIN);
       yield* setup.advance(1500);
       setup.log.fault = LogFault.Refuse;
       const second = yield* setup.start("a");
-      second.record("r2", ORIGIN);
+      second.record(streamOf("r2"), ORIGIN);
       yield* setup.advance(1500);
       setup.log.fault = LogFault.None;
       yield* setup.advance(3000);
       const third = yield* setup.start("a");
       yield* setup.advance(100);
-      t.not(third.get("r1"), undefined);
-      t.not(third.get("r2"), undefined);
+      t.not(third.find(streamOf("r1")), undefined);
+      t.not(third.find(streamOf("r2")), undefined);
     })
   ));
 
@@ -102,7 +106,7 @@
     Effect.gen(function* () {
       const first = yield* setup.start("a");
       yield* setup.advance(100);
-      first.record("r1", ORIGIN);
+      first.record(streamOf("r1"), ORIGIN);
       yield* setup.advance(1500);
       t.deepEqual(yield* setup.keys(), ["a"]);
       setup.now += 11 * 60_000;
@@ -118,7 +122,7 @@
       yield* setup.log.writeKeys(TOPIC, [{ key: "odd", value: Buffer.from([255, 255, 255]) }]);
       const registry = yield* setup.start("a");
       yield* setup.advance(100);
-      registry.record("r1", ORIGIN);
+      registry.record(streamOf("r1"), ORIGIN);
       yield* setup.advance(1500);
       t.true((yield* setup.keys()).includes("a"));
     })
--- a/src/call/common/stream_relay.ts
+++ b/src/call/common/stream_relay.ts
@@ -5,13 +5,14 @@
 import { UpstreamError, UpstreamFault } from "./opaque_request.ts";
 import type { RelayedCall } from "./relayed_call.ts";
 import type { IStreamOrigin } from "./stream_origin.ts";
+import { contentKeyOf } from "./stream_origin.ts";
 
 /** Idle time after which a stream counts as stalled. Callers time out after 2 s without data. */
 const STREAM_IDLE_TIMEOUT_MS = 1500;
 
 /** Remembers the origins of streams, so that callers can resume them. */
 export interface IStreamOriginRecorder {
-  record(attemptId: string, origin: IStreamOrigin): void;
+  record(stream: { readonly attemptId: string; readonly contentKey: bigint }, origin: IStreamOrigin): void;
 }
 
 export interface IStreamRelayOptions {
@@ -92,7 +93,9 @@
     if (this.#call.events > 0) return;
     const { service, softwareVersion } = this.#call.choice!.backend;
     this.#call.origin ??= { service, softwareVersion };
-    if (this.#call.route.isResumable) this.#streams.record(this.#call.req.id, this.#call.origin);
+    if (!this.#call.route.isResumable) return;
+    const { req, identity, origin } = this.#call;
+    this.#streams.record({ attemptId: req.id, contentKey: contentKeyOf(identity, req) }, origin);
   }
 
   /** Whether the caller already has the event, from a server that sent an earlier part of the stream. */
--- a/src/peer/common/turn_service.ts
+++ b/src/peer/common/turn_service.ts
@@ -55,9 +55,9 @@
       const spending = await run(owned.handOver(req));
       return { isReleased: spending !== undefined, programs: toSpendingMessages(spending ?? []) };
     },
-    findStream: ({ attemptId }) => {
-      const stream = opts.streams.get(attemptId);
-      return stream === undefined ? {} : { stream: create(BegunStreamSchema, stream) };
+    findStream: ({ attemptId, contentKey }) => {
+      const resumed = { attemptId: attemptId === "" ? undefined : attemptId, contentKey };
+      return { streams: opts.streams.list(resumed).map((stream) => create(BegunStreamSchema, stream)) };
     },
     reassigned: () => {
       group.renewNow();
--- a/test/proofs/software_version_test.ts
+++ b/test/proofs/software_version_test.ts
@@ -47,13 +47,24 @@
 /** Takes up streams through other instances; returns the complete texts of those that went on. */
 function resumeStreams(
   cluster: GatewayCluster,
-  { route, streams }: { route: RoutePath; streams: readonly IBrokenStream[] },
+  { route, streams, namesAttempt = true }: {
+    route: RoutePath;
+    streams: readonly IBrokenStream[];
+    namesAttempt?: boolean;
+  },
 ): Effect.Effect<string[]> {
   return Effect.gen(function* () {
     const texts: string[] = [];
     for (const [index, { name, id, sink }] of streams.entries()) {
       const caller = CallerKind.Program;
-      const req = { route, name, caller, body: "x", lastEventId: "1", resumes: id };
+      const req = {
+        route,
+        name,
+        caller,
+        body: "x",
+        lastEventId: "1",
+        resumes: namesAttempt ? id : undefined,
+      };
       const via = cluster.names[(index + 1) % cluster.names.length];
       const sending = Effect.map(cluster.send(via, req), (rest) => {
         if (rest.status === 200) texts.push(sink.text + rest.text);
@@ -98,6 +109,16 @@
       }));
   });
 
+  test(`a stream whose caller names no attempt keeps its software version, ${route}`, async (t) => {
+    await GatewayCluster.run(OPTIONS, (cluster) =>
+      Effect.gen(function* () {
+        const streams = yield* breakStreams(cluster, route);
+        const texts = yield* resumeStreams(cluster, { route, streams, namesAttempt: false });
+        for (const text of texts) t.is(versionsIn(text).length, 1, text);
+        t.is(texts.length, STREAMS);
+      }));
+  });
+
   test(`a stream goes on after the instance that began it was killed, ${route}`, async (t) => {
     await GatewayCluster.run(OPTIONS, (cluster) =>
       Effect.gen(function* () {
