--- a/src/call/common/crash_monitor.ts
+++ b/src/call/common/crash_monitor.ts
@@ -1,11 +1,12 @@
 /** Attributes crashes of backend servers to the requests that were unfinished on them. */
 import type { Event } from "../../base/common/emitter.ts";
 import { Emitter } from "../../base/common/emitter.ts";
+import type { ISeparation } from "../../routing/common/backend_chooser.ts";
 import type { IBackendEntry } from "../../services/backends/common/backend_directory.ts";
 import type { ILogger } from "../../services/logging/common/logger.ts";
 import type { Metrics } from "../../services/metrics/common/metrics.ts";
 import type { RequestIdentity } from "./request_identity.ts";
-import type { ISeparation, IServerRun, IStrike } from "./strike_ledger.ts";
+import type { IServerRun, IStrike } from "./strike_ledger.ts";
 import { formatFingerprint, serverKey, strikeKey, StrikeLedger } from "./strike_ledger.ts";
 import { SurvivalTracker } from "./survival_tracker.ts";
 
@@ -16,7 +17,7 @@
 /** Maximum number of changes in one report, so that it fits into a datagram. */
 const MAX_REPORTED_CHANGES = 100;
 
-/** How long an attempt that another instance has reported is remembered, in ms, after its last report. */
+/** How long an attempt that another instance has reported is remembered, in ms, so that repetitions are ignored. */
 const PENDING_RETENTION_MS = 60_000;
 
 /** How an attempt on a backend server ended. */
--- a/src/call/common/stream_origin_finder.ts
+++ b/src/call/common/stream_origin_finder.ts
@@ -42,7 +42,7 @@
     });
   }
 
-  /** Adds what the peers know. The first one that knows a named attempt ends the search; a lost one delays no caller. */
+  /** Adds what the peers know. The first one that knows a named attempt ends the search, so that it waits for no lost one. */
   #askPeers(resumed: IResumedStream): Effect.Effect<void> {
     const { registry, peerAddresses } = this.#opts;
     const found = Deferred.makeUnsafe<void>();
--- a/src/call/common/strike_ledger.ts
+++ b/src/call/common/strike_ledger.ts
@@ -1,4 +1,5 @@
 /** Strikes of the gateway's requests, and the decision which requests are quarantined. */
+import type { ISeparation } from "../../routing/common/backend_chooser.ts";
 
 /** Identifies one run of a backend server: a restart under the same id is another run. */
 export interface IServerRun {
@@ -19,14 +20,6 @@
   readonly atMs: number;
 }
 
-/** How the requests that were unfinished during the same crash are separated from each other. */
-export interface ISeparation {
-  /** The crash; the same for all of them. */
-  readonly crash: string;
-  /** Position of the request among them, from 0. */
-  readonly position: number;
-}
-
 /** Weight from which a request is quarantined. */
 const QUARANTINE_WEIGHT = 3;
 /** Weight from which a request is quarantined for a while even if other requests explain its crashes. */
--- a/src/routing/common/backend_chooser.ts
+++ b/src/routing/common/backend_chooser.ts
@@ -173,6 +173,14 @@
   }
 }
 
+/** Separates the requests that were unfinished during the same crash of a server. */
+export interface ISeparation {
+  /** The crash; the same for all of them. */
+  readonly crash: string;
+  /** Position of the request among them, from 0. */
+  readonly position: number;
+}
+
 /**
  * Chooses a server for a suspect, a request during which a server has crashed. The requests that shared a crash
  * are numbered, and each takes another server of an order that all instances agree on without any exchange.
@@ -182,9 +190,9 @@
  */
 export class SuspectBackendChooser implements IBackendChooser {
   readonly #loads: BackendLoadTracker;
-  readonly #separation: { readonly crash: string; readonly position: number };
+  readonly #separation: ISeparation;
 
-  constructor(loads: BackendLoadTracker, separation: { readonly crash: string; readonly position: number }) {
+  constructor(loads: BackendLoadTracker, separation: ISeparation) {
     this.#loads = loads;
     this.#separation = separation;
   }
