--- a/src/call/common/stream_origin_replicator_test.ts
+++ b/src/call/common/stream_origin_replicator_test.ts
@@ -39,6 +39,22 @@
     });
   }
 
+  /** Starts an instance, and lets it begin a stream and write it. */
+  begin(instance: string, attemptId: string): Effect.Effect<StreamOriginRegistry, never, Scope.Scope> {
+    return Effect.gen({ self: this }, function* () {
+      const registry = yield* this.start(instance);
+      yield* this.advance(100);
+      registry.record(streamOf(attemptId), ORIGIN);
+      yield* this.advance(1500);
+      return registry;
+    });
+  }
+
+  /** Starts an instance and lets it read the store. */
+  load(instance: string): Effect.Effect<StreamOriginRegistry, never, Scope.Scope> {
+    return Effect.tap(this.start(instance), () => this.advance(100));
+  }
+
   keys() {
     return Effect.map(this.log.readLatestValues(TOPIC), ({ items }) => items.map(({ key }) => key));
   }
@@ -51,13 +67,9 @@
 test("streams are known to instances that start later, also under the same name", (t) =>
   run((setup) =>
     Effect.gen(function* () {
-      const first = yield* setup.start("a");
-      yield* setup.advance(100);
-      first.record(streamOf("r1"), ORIGIN);
-      yield* setup.advance(1500);
+      yield* setup.begin("a", "r1");
       for (const instance of ["a", "b"]) {
-        const later = yield* setup.start(instance);
-        yield* setup.advance(100);
+        const later = yield* setup.load(instance);
         t.is(later.find(streamOf("r1"))?.softwareVersion, "v1", instance);
       }
     })
@@ -66,16 +78,9 @@
 test("a restarted instance keeps the streams of its former run in the store", (t) =>
   run((setup) =>
     Effect.gen(function* () {
-      const first = yield* setup.start("a");
-      yield* setup.advance(100);
-      first.record(streamOf("r1"), ORIGIN);
-      yield* setup.advance(1500);
-      const second = yield* setup.start("a");
-      yield* setup.advance(100);
-      second.record(streamOf("r2"), ORIGIN);
-      yield* setup.advance(1500);
-      const third = yield* setup.start("a");
-      yield* setup.advance(100);
+      yield* setup.begin("a", "r1");
+      yield* setup.begin("a", "r2");
+      const third = yield* setup.load("a");
       t.not(third.find(streamOf("r1")), undefined);
       t.not(third.find(streamOf("r2")), undefined);
     })
@@ -84,18 +89,12 @@
 test("nothing is written before the streams of an earlier run have been read", (t) =>
   run((setup) =>
     Effect.gen(function* () {
-      const first = yield* setup.start("a");
-      yield* setup.advance(100);
-      first.record(streamOf("r1"), ORIGIN);
-      yield* setup.advance(1500);
+      yield* setup.begin("a", "r1");
       setup.log.fault = LogFault.Refuse;
-      const second = yield* setup.start("a");
-      second.record(streamOf("r2"), ORIGIN);
-      yield* setup.advance(1500);
+      yield* setup.begin("a", "r2");
       setup.log.fault = LogFault.None;
       yield* setup.advance(3000);
-      const third = yield* setup.start("a");
-      yield* setup.advance(100);
+      const third = yield* setup.load("a");
       t.not(third.find(streamOf("r1")), undefined);
       t.not(third.find(streamOf("r2")), undefined);
     })
@@ -104,14 +103,10 @@
 test("the key of an instance that is gone for long is deleted", (t) =>
   run((setup) =>
     Effect.gen(function* () {
-      const first = yield* setup.start("a");
-      yield* setup.advance(100);
-      first.record(streamOf("r1"), ORIGIN);
-      yield* setup.advance(1500);
+      yield* setup.begin("a", "r1");
       t.deepEqual(yield* setup.keys(), ["a"]);
       setup.now += 11 * 60_000;
-      yield* setup.start("b");
-      yield* setup.advance(100);
+      yield* setup.load("b");
       t.deepEqual(yield* setup.keys(), []);
     })
   ));
@@ -120,10 +115,7 @@
   run((setup) =>
     Effect.gen(function* () {
       yield* setup.log.writeKeys(TOPIC, [{ key: "odd", value: Buffer.from([255, 255, 255]) }]);
-      const registry = yield* setup.start("a");
-      yield* setup.advance(100);
-      registry.record(streamOf("r1"), ORIGIN);
-      yield* setup.advance(1500);
+      yield* setup.begin("a", "r1");
       t.true((yield* setup.keys()).includes("a"));
     })
   ));
