--- a/test/proofs/software_version_test.ts
+++ b/test/proofs/software_version_test.ts
@@ -99,6 +99,37 @@
       }));
   });
 
+  test(`no answer mixes software versions if half of the servers end at once, ${route}`, async (t) => {
+    await GatewayCluster.run(OPTIONS, (cluster) =>
+      Effect.gen(function* () {
+        const sinks: RecordingSink[] = [];
+        for (let index = 0; index < STREAMS; index++) {
+          const req = {
+            route,
+            name: `stream-${index}`,
+            id: `s${index}`,
+            caller: CallerKind.Program,
+            body: "x",
+          };
+          const sending = cluster.send(cluster.names[index % cluster.names.length], req);
+          yield* Effect.forkDetach(Effect.map(sending, (sink) => sinks.push(sink)));
+        }
+        yield* cluster.advance(FIRST_EVENT_MS);
+        for (const server of cluster.fleet.servers.slice(0, 4)) {
+          yield* Effect.forkDetach(cluster.fleet.crash(server));
+        }
+        yield* cluster.advance(RUN_MS);
+        t.is(sinks.length, STREAMS);
+        for (const { text } of sinks) t.is(versionsIn(text).length, 1, text);
+        // Only a stream that used up the route's two attempts may remain incomplete.
+        const used = new Map<string, number>();
+        for (const { requestId } of cluster.fleet.runs) used.set(requestId, (used.get(requestId) ?? 0) + 1);
+        const exhausted = [...used.values()].filter((count) => count >= 2).length;
+        t.true(sinks.filter(({ isEnded }) => !isEnded).length <= exhausted);
+        t.true(sinks.filter(({ isEnded }) => isEnded).length >= STREAMS / 2);
+      }));
+  });
+
   test(`a stream that its caller takes up at another instance keeps its software version, ${route}`, async (t) => {
     await GatewayCluster.run(OPTIONS, (cluster) =>
       Effect.gen(function* () {
