Send nothing to a server that has announced in a response that it is leaving

Cause: a server that leaves says so in all its responses (Server-Leaving: 1). The header was relayed and not read; only the platform's list took a server out, which an instance without the store does not see. LeavingServers remembers the run; the directory shows it as draining whatever the list says, until a later run is listed. One check stands just before sending, for a choice that is outdated.

--- a/src/call/common/backend_dispatcher.ts
+++ b/src/call/common/backend_dispatcher.ts
@@ -157,6 +157,11 @@
     return Effect.gen({ self: this }, function* () {
       const { call, body, observed } = attempt;
       const { req } = call;
+      if (!this.#opts.directory.isAvailable(choice.backend)) {
+        observed.result = AttemptResult.NotStarted;
+        this.#opts.logger.info("backend-unavailable", { request: req.id, backend: choice.backend.id });
+        return AttemptOutcome.NotRun;
+      }
       const now = yield* Clock.currentTimeMillis;
       const headers = this.#opts.codec.dispatchHeaders(req, {
         timeoutMs: Math.max(1, Math.floor(call.deadlineAtMs - now)),
--- a/src/call/common/crash_monitor.ts
+++ b/src/call/common/crash_monitor.ts
@@ -3,10 +3,11 @@
 import { Emitter } from "../../base/common/emitter.ts";
 import type { ISeparation } from "../../routing/common/backend_chooser.ts";
 import type { IBackendEntry } from "../../services/backends/common/backend_directory.ts";
+import type { IServerRun } from "../../services/backends/common/leaving_servers.ts";
 import type { ILogger } from "../../services/logging/common/logger.ts";
 import type { Metrics } from "../../services/metrics/common/metrics.ts";
 import type { RequestIdentity } from "./request_identity.ts";
-import type { IServerRun, IStrike } from "./strike_ledger.ts";
+import type { IStrike } from "./strike_ledger.ts";
 import { formatFingerprint, serverKey, strikeKey, StrikeLedger } from "./strike_ledger.ts";
 import { SurvivalTracker } from "./survival_tracker.ts";
 
--- a/src/call/common/gateway_relay_test.ts
+++ b/src/call/common/gateway_relay_test.ts
@@ -3,12 +3,15 @@
 import { Effect, Fiber } from "effect";
 import { TestClock } from "effect/testing";
 import { RecordingSink } from "../../../test/stand_ins/recording_sink.ts";
+import { Emitter } from "../../base/common/emitter.ts";
 import type { PromptHome } from "../../base/common/gen/ragwortcleat/v1/turns_pb.ts";
 import { PromptHomeSchema, TurnVerdict } from "../../base/common/gen/ragwortcleat/v1/turns_pb.ts";
 import { BackendLoadTracker } from "../../routing/common/backend_load_tracker.ts";
 import type { IProgramAdmission } from "../../routing/common/program_admission.ts";
 import { UtilizationAdmission } from "../../routing/common/program_admission.ts";
 import { PromptCacheIndex } from "../../routing/common/prompt_cache_index.ts";
+import type { IBackendEntry } from "../../services/backends/common/backend_directory.ts";
+import { LeavingServers } from "../../services/backends/common/leaving_servers.ts";
 import { BackendDirectory } from "../../services/backends/common/backend_directory.ts";
 import { NullLogger } from "../../services/logging/common/logger.ts";
 import { Metrics } from "../../services/metrics/common/metrics.ts";
@@ -36,7 +39,10 @@
   readonly isUnresponsive?: boolean;
 }
 
+const NOT_LEAVING = { isLeaving: false };
+
 class FakeUpstream implements IUpstream {
+  readonly onDidAnnounceLeaving = new Emitter<IBackendEntry>().event;
   readonly sent: (IUpstreamRequest & { readonly backendId: string })[] = [];
   readonly #script: IServerBehavior[];
 
@@ -51,7 +57,14 @@
       if (behavior.isUnresponsive) return Effect.never;
       if (behavior.fault !== undefined) return Effect.fail(new UpstreamError(behavior.fault));
       const { status = 200, isNotRun = false, isSigned = true, chunks = [], isTruncated = false } = behavior;
-      const head = { status, headers: ["x-from", id], requestId: req.requestId, isNotRun, isSigned };
+      const head = {
+        status,
+        headers: ["x-from", id],
+        requestId: req.requestId,
+        isNotRun,
+        isSigned,
+        ...NOT_LEAVING,
+      };
       const read = (onChunk: (chunk: Uint8Array) => void) =>
         Effect.suspend(() => {
           for (const chunk of chunks) onChunk(Buffer.from(chunk));
@@ -126,7 +139,14 @@
     },
   }),
   dispatchHeaders: (_req, { lastEventId }) => lastEventId === undefined ? [] : ["last", lastEventId],
-  readResponse: () => ({ status: 0, headers: [], requestId: undefined, isNotRun: false, isSigned: false }),
+  readResponse: () => ({
+    status: 0,
+    headers: [],
+    requestId: undefined,
+    isNotRun: false,
+    isSigned: false,
+    isLeaving: false,
+  }),
 };
 
 const PARTS = [{ id: "shared", tokens: 400 }, { id: "line", tokens: 500 }];
@@ -185,7 +205,10 @@
     services: new Map([["s", { name: "s", maxConnections: 10, engine }]]),
     limits: { maxHeaderBytes: 1, maxBodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 },
   });
-  const directory = new BackendDirectory(logger, () => 0);
+  const directory = new BackendDirectory(logger, {
+    now: () => 0,
+    leaving: new LeavingServers(logger, () => 0),
+  });
   for (let i = 0; i < backends; i++) {
     const id = `b${i}`;
     directory.put({
--- a/src/call/common/opaque_request.ts
+++ b/src/call/common/opaque_request.ts
@@ -7,6 +7,7 @@
  */
 import type { Effect } from "effect";
 import VError from "verror";
+import type { Event } from "../../base/common/emitter.ts";
 import type { IBackendEntry } from "../../services/backends/common/backend_directory.ts";
 
 /** Part of a prompt that several requests can share. */
@@ -86,6 +87,8 @@
    * The signature itself is not verified.
    */
   readonly isSigned: boolean;
+  /** Whether the server that the request was addressed to states that it is leaving. */
+  readonly isLeaving: boolean;
 }
 
 export interface IRawRequest {
@@ -157,6 +160,8 @@
 
 /** Sends requests to backend servers. */
 export interface IUpstream {
+  /** Fires for each response, relayed or not, in which a server announces that it is leaving. */
+  readonly onDidAnnounceLeaving: Event<IBackendEntry>;
   /** Succeeds with the response head. Interruption closes the connection, so that the server stops. */
   send(backend: IBackendEntry, req: IUpstreamRequest): Effect.Effect<IUpstreamResponse, UpstreamError>;
 }
--- a/src/call/common/strike_ledger.ts
+++ b/src/call/common/strike_ledger.ts
@@ -1,11 +1,6 @@
 /** Strikes of the gateway's requests, and the decision which requests are quarantined. */
 import type { ISeparation } from "../../routing/common/backend_chooser.ts";
-
-/** Identifies one run of a backend server: a restart under the same id is another run. */
-export interface IServerRun {
-  readonly backendId: string;
-  readonly startedAtMs: number;
-}
+import type { IServerRun } from "../../services/backends/common/leaving_servers.ts";
 
 /** A request was unfinished on a server when that server crashed. */
 export interface IStrike extends IServerRun {
--- a/src/call/common/survival_tracker.ts
+++ b/src/call/common/survival_tracker.ts
@@ -1,5 +1,5 @@
 /** Waits for evidence whether a server run has survived an event, for example a lost connection. */
-import type { IServerRun } from "./strike_ledger.ts";
+import type { IServerRun } from "../../services/backends/common/leaving_servers.ts";
 import { serverKey } from "./strike_ledger.ts";
 
 /**
--- a/src/call/node/http_upstream.ts
+++ b/src/call/node/http_upstream.ts
@@ -2,11 +2,14 @@
 import type { IncomingMessage } from "node:http";
 import { request } from "node:http";
 import { Effect } from "effect";
+import type { Event } from "../../base/common/emitter.ts";
+import { Emitter } from "../../base/common/emitter.ts";
 import { KeepAliveAgent } from "../../base/node/keep_alive_agent.ts";
 import type { IBackendEntry } from "../../services/backends/common/backend_directory.ts";
 import type {
   IRequestCodec,
   IResponseBody,
+  IResponseHead,
   IUpstream,
   IUpstreamRequest,
   IUpstreamResponse,
@@ -20,9 +23,17 @@
 /** Initial delay of TCP keep-alive probes on idle connections. */
 const KEEP_ALIVE_PROBE_DELAY_MS = 1000;
 
+interface IRawHead {
+  readonly status: number;
+  /** Alternating names and values. */
+  readonly rawHeaders: readonly string[];
+}
+
 export class HttpUpstream implements IUpstream {
   readonly #codec: IRequestCodec;
   readonly #agents = new Map<string, KeepAliveAgent>();
+  readonly #onDidAnnounceLeaving = new Emitter<IBackendEntry>();
+  readonly onDidAnnounceLeaving: Event<IBackendEntry> = this.#onDidAnnounceLeaving.event;
 
   constructor(codec: IRequestCodec) {
     this.#codec = codec;
@@ -61,8 +72,12 @@
         requestError = err;
         fail(err);
       });
+      clientRequest.on(
+        "information",
+        ({ statusCode, rawHeaders }) => this.#readHead(backend, { status: statusCode, rawHeaders }),
+      );
       clientRequest.on("response", (res) => {
-        const head = this.#codec.readResponse(res.statusCode ?? 0, res.rawHeaders);
+        const head = this.#readHead(backend, { status: res.statusCode ?? 0, rawHeaders: res.rawHeaders });
         if (head.requestId !== undefined && head.requestId !== req.requestId) {
           clientRequest.destroy();
           const err = new Error("response belongs to a different request");
@@ -93,6 +108,13 @@
     this.#agents.clear();
   }
 
+  /** Decodes the head of a response, or of an informational response before it. */
+  #readHead(backend: IBackendEntry, { status, rawHeaders }: IRawHead): IResponseHead {
+    const head = this.#codec.readResponse(status, rawHeaders);
+    if (head.isLeaving) this.#onDidAnnounceLeaving.fire(backend);
+    return head;
+  }
+
   #agentOf({ id }: IBackendEntry): KeepAliveAgent {
     let agent = this.#agents.get(id);
     if (agent === undefined) {
--- a/src/call/node/http_upstream_test.ts
+++ b/src/call/node/http_upstream_test.ts
@@ -24,6 +24,7 @@
     requestId: headers[headers.findIndex((name) => name.toLowerCase() === "x-id") + 1],
     isNotRun: false,
     isSigned: true,
+    isLeaving: headers.some((name) => name.toLowerCase() === "x-leaving"),
   }),
 };
 
@@ -78,6 +79,31 @@
   upstream.dispose();
 });
 
+test("reports that a server is leaving, whatever becomes of its response", async (t) => {
+  const heads = [
+    `${HEAD}X-Leaving: 1\r\nContent-Length: 0\r\n\r\n`,
+    `${HEAD}X-Leaving: 1\r\nContent-Length: 9\r\n\r\nbroken`,
+    "HTTP/1.1 200 OK\r\nX-Id: other\r\nX-Leaving: 1\r\nContent-Length: 0\r\n\r\n",
+    "HTTP/1.1 103 Early Hints\r\nX-Leaving: 1\r\n\r\n",
+  ];
+  for (const head of heads) {
+    const server = createTcpServer((socket) => {
+      socket.on("error", () => {});
+      socket.once("data", () => socket.end(head));
+    });
+    await new Promise<void>((resolve) => server.listen(0, "127.0.0.1", resolve));
+    const upstream = new HttpUpstream(CODEC);
+    const announced: string[] = [];
+    upstream.onDidAnnounceLeaving(({ id }) => announced.push(id));
+    await Effect.runPromise(
+      Effect.result(Effect.flatMap(upstream.send(backendOf(server), requestOf("1")), readAll)),
+    );
+    t.deepEqual(announced, ["b"], head);
+    server.close();
+    upstream.dispose();
+  }
+});
+
 test("treats a response to a different request as invalid", async (t) => {
   const server = await listen((_req, res) => {
     res.writeHead(200, { "x-id": "other" });
--- a/src/daemon/common/gateway_core.ts
+++ b/src/daemon/common/gateway_core.ts
@@ -21,6 +21,7 @@
 import { PromptCacheIndex } from "../../routing/common/prompt_cache_index.ts";
 import type { IBackendEntry } from "../../services/backends/common/backend_directory.ts";
 import { BackendDirectory } from "../../services/backends/common/backend_directory.ts";
+import { LeavingServers } from "../../services/backends/common/leaving_servers.ts";
 import type { ILogger } from "../../services/logging/common/logger.ts";
 import { Metrics } from "../../services/metrics/common/metrics.ts";
 import type { ICallerLimits } from "../../services/routes/common/route_table.ts";
@@ -70,6 +71,7 @@
 export class GatewayCore {
   readonly metrics = new Metrics();
   readonly routes = new RouteTable();
+  readonly leaving: LeavingServers;
   readonly directory: BackendDirectory;
   readonly loads: BackendLoadTracker;
   readonly caches = new PromptCacheIndex();
@@ -89,7 +91,8 @@
     const { adapter, logger, now } = dependencies;
     this.#settings = settings;
     this.#dependencies = dependencies;
-    this.directory = new BackendDirectory(logger, now);
+    this.leaving = new LeavingServers(logger, now);
+    this.directory = new BackendDirectory(logger, { now, leaving: this.leaving });
     this.loads = new BackendLoadTracker(now);
     this.crashes = new CrashMonitor({ logger, metrics: this.metrics, now });
     this.streams = new StreamOriginRegistry(now);
@@ -205,6 +208,13 @@
       this.loads.remove(entry);
       this.caches.removeEngine(entry.id);
     });
+    this.#dependencies.upstream.onDidAnnounceLeaving(({ id: backendId, startedAtMs }) =>
+      this.leaving.recordAnnouncement({ backendId, startedAtMs })
+    );
+    this.leaving.onDidAdd(({ backendId }) => {
+      const entry = this.directory.get(backendId);
+      if (entry !== undefined) this.#dependencies.closeBackendConnections(entry);
+    });
     this.configuration.onDidUpdate((update) => this.#applyConfiguration(update));
     this.backends.onDidUpdate((update) => this.#applyBackendUpdate(update));
   }
@@ -250,6 +260,7 @@
         for (const { strike, isWithdrawn, isPending } of snapshot.strikeChanges) {
           if (strike !== undefined) this.crashes.merge({ strike, isWithdrawn, isPending });
         }
+        for (const run of snapshot.leaving) this.leaving.merge(run);
         hasSynced = true;
       }
     });
--- a/src/daemon/node/gateway.ts
+++ b/src/daemon/node/gateway.ts
@@ -110,6 +110,7 @@
         caches: core.caches,
         crashes: core.crashes,
         streams: core.streams,
+        leaving: core.leaving,
         peerHosts: () => core.group.peers.map((address) => parseAddress(address).host),
         logger,
       }),
@@ -123,8 +124,8 @@
 }
 
 function turnServiceParts(core: GatewayCore) {
-  const { owned, group, configuration, backends, strikes, crashes, streams } = core;
-  return { owned, group, configuration, backends, strikes: strikes.follower, crashes, streams };
+  const { owned, group, configuration, backends, strikes, crashes, streams, leaving } = core;
+  return { owned, group, configuration, backends, strikes: strikes.follower, crashes, streams, leaving };
 }
 
 interface IDrainOptions {
--- a/src/peer/common/turn_service.ts
+++ b/src/peer/common/turn_service.ts
@@ -10,11 +10,13 @@
 } from "../../base/common/gen/ragwortcleat/v1/turns_pb.ts";
 import {
   BegunStreamSchema,
+  ServerRunSchema,
   StrikeChangeSchema,
   StrikeSchema,
 } from "../../base/common/gen/ragwortcleat/v1/turns_pb.ts";
 import type { CrashMonitor, IStrikeChange } from "../../call/common/crash_monitor.ts";
 import type { StreamOriginRegistry } from "../../call/common/stream_origin_registry.ts";
+import type { LeavingServers } from "../../services/backends/common/leaving_servers.ts";
 import type { KeyedTopicFollower } from "../../services/store/common/keyed_topic_follower.ts";
 import type { IKeyedItems } from "../../services/store/common/partitioned_log.ts";
 import type { OwnedSlices } from "../../turns/common/owned_slices.ts";
@@ -29,6 +31,7 @@
   readonly strikes: KeyedTopicFollower;
   readonly crashes: CrashMonitor;
   readonly streams: StreamOriginRegistry;
+  readonly leaving: LeavingServers;
   readonly context: Context.Context<never>;
 }
 
@@ -48,6 +51,7 @@
       backends: toKeyedSnapshot(opts.backends.snapshot()),
       strikes: toKeyedSnapshot(opts.strikes.snapshot()),
       strikeChanges: opts.crashes.listChanges().map(toStrikeChange),
+      leaving: opts.leaving.list().map((run) => create(ServerRunSchema, run)),
       generation: group.table.generation,
       owners: group.table.addresses.map((address, slice) => ({ slice, address })),
     }),
--- a/src/peer/node/load_reporter.ts
+++ b/src/peer/node/load_reporter.ts
@@ -1,4 +1,4 @@
-/** Exchanges UDP datagrams on backend load, cached prompt prefixes, strikes and begun streams with the other instances. */
+/** Exchanges UDP datagrams on backend load, prompt prefixes, strikes, begun streams and leaving servers with the peers. */
 import type { Socket } from "node:dgram";
 import { createSocket } from "node:dgram";
 import { create, fromBinary, toBinary } from "@bufbuild/protobuf";
@@ -10,6 +10,7 @@
   BegunStreamSchema,
   LoadDigestSchema,
   PromptHomeSchema,
+  ServerRunSchema,
   StrikeChangeSchema,
   StrikeSchema,
 } from "../../base/common/gen/ragwortcleat/v1/turns_pb.ts";
@@ -17,6 +18,7 @@
 import type { StreamOriginRegistry } from "../../call/common/stream_origin_registry.ts";
 import type { BackendLoadTracker } from "../../routing/common/backend_load_tracker.ts";
 import type { PromptCacheIndex } from "../../routing/common/prompt_cache_index.ts";
+import type { LeavingServers } from "../../services/backends/common/leaving_servers.ts";
 import type { ILogger } from "../../services/logging/common/logger.ts";
 
 /** Short compared with the duration of a request. */
@@ -36,6 +38,7 @@
   readonly caches: PromptCacheIndex;
   readonly crashes: CrashMonitor;
   readonly streams: StreamOriginRegistry;
+  readonly leaving: LeavingServers;
   readonly peerHosts: () => readonly string[];
   readonly logger: ILogger;
 }
@@ -100,7 +103,9 @@
       create(PromptHomeSchema, prefix)
     );
     const streams = this.#opts.streams.recentStreams().map((stream) => create(BegunStreamSchema, stream));
-    const isIdle = localLoads.size + strikeChanges.length + prefixes.length + streams.length === 0;
+    const leaving = this.#opts.leaving.listRecent().map((run) => create(ServerRunSchema, run));
+    const events = strikeChanges.length + prefixes.length + streams.length + leaving.length;
+    const isIdle = localLoads.size + events === 0;
     // One empty report follows the last load, so that peers discard the previous one.
     if (isIdle && !this.#wasBusy) return;
     this.#wasBusy = !isIdle;
@@ -108,7 +113,7 @@
     const loads = [...localLoads].map(([backendId, running]) => ({ backendId, running }));
     const message = toBinary(
       LoadDigestSchema,
-      create(LoadDigestSchema, { instance, loads, strikeChanges, prefixes, streams }),
+      create(LoadDigestSchema, { instance, loads, strikeChanges, prefixes, streams, leaving }),
     );
     for (const host of hosts) {
       this.#socket.send(message, this.#opts.port, host, (err) => this.#handleSendResult(err));
@@ -123,7 +128,10 @@
 
   #receive(message: Uint8Array): void {
     try {
-      const { instance, loads, strikeChanges, prefixes, streams } = fromBinary(LoadDigestSchema, message);
+      const { instance, loads, strikeChanges, prefixes, streams, leaving } = fromBinary(
+        LoadDigestSchema,
+        message,
+      );
       const running = new Map(loads.map((load) => [load.backendId, load.running]));
       this.#opts.loads.recordPeerReport({ instance, running });
       for (const { strike, isWithdrawn, isPending } of strikeChanges) {
@@ -131,6 +139,7 @@
       }
       for (const prefix of prefixes) this.#opts.caches.recordReportedPart(prefix);
       for (const stream of streams) this.#opts.streams.add(stream);
+      for (const run of leaving) this.#opts.leaving.merge(run);
     } catch (err) {
       this.#opts.logger.warn("load-datagram-unreadable", { error: toError(err).message });
     }
--- a/src/services/backends/common/backend_directory.ts
+++ b/src/services/backends/common/backend_directory.ts
@@ -2,6 +2,7 @@
 import type { Event } from "../../../base/common/emitter.ts";
 import { Emitter } from "../../../base/common/emitter.ts";
 import type { ILogger } from "../../logging/common/logger.ts";
+import type { LeavingServers } from "./leaving_servers.ts";
 
 /**
  * Time for which an entry that lapsed (expired without renewal) during a store outage stays available, in ms.
@@ -19,6 +20,7 @@
   readonly zone: string;
   /** Number of requests that the server runs concurrently. */
   readonly slots: number;
+  /** Whether the server receives no new requests, according to the platform's list or to itself. */
   readonly isDraining: boolean;
   /** Unix time of the server's start in ms; distinguishes two runs under the same id. */
   readonly startedAtMs: number;
@@ -35,15 +37,18 @@
 export class BackendDirectory {
   readonly #logger: ILogger;
   readonly #now: () => number;
+  readonly #leaving: LeavingServers;
   readonly #entries = new Map<string, IDirectoryEntry>();
   readonly #byService = new Map<string, IBackendEntry[]>();
   readonly #onDidRemove = new Emitter<IBackendEntry>();
   /** Fires when an entry is removed, and when a server has restarted under the same id. */
   readonly onDidRemove: Event<IBackendEntry> = this.#onDidRemove.event;
 
-  constructor(logger: ILogger, now: () => number) {
+  constructor(logger: ILogger, { now, leaving }: { now: () => number; leaving: LeavingServers }) {
     this.#logger = logger;
     this.#now = now;
+    this.#leaving = leaving;
+    leaving.onDidAdd(({ backendId }) => this.#applyAnnouncement(backendId));
   }
 
   get size(): number {
@@ -75,8 +80,16 @@
     return entries;
   }
 
+  /** Whether a request may be sent to this run of a server now; a choice made earlier may be outdated. */
+  isAvailable({ id, startedAtMs }: IBackendEntry): boolean {
+    this.#removeLapsed();
+    const entry = this.get(id);
+    return entry !== undefined && !entry.isDraining && entry.startedAtMs === startedAtMs;
+  }
+
   /** Adds an entry or replaces it with its current state in the platform's list. */
-  put(entry: IBackendEntry): void {
+  put(listed: IBackendEntry): void {
+    const entry = this.#withAnnouncement(listed);
     const previous = this.#entries.get(entry.id);
     this.#entries.set(entry.id, { entry, removeAtMs: undefined });
     this.#byService.clear();
@@ -110,6 +123,19 @@
     this.#delete(previous.entry);
   }
 
+  /** Returns the entry as draining if this run of the server has announced that it is leaving. */
+  #withAnnouncement(entry: IBackendEntry): IBackendEntry {
+    const { id: backendId, startedAtMs } = entry;
+    return this.#leaving.has({ backendId, startedAtMs }) ? { ...entry, isDraining: true } : entry;
+  }
+
+  #applyAnnouncement(id: string): void {
+    const known = this.#entries.get(id);
+    if (known === undefined) return;
+    this.#entries.set(id, { ...known, entry: this.#withAnnouncement(known.entry) });
+    this.#byService.clear();
+  }
+
   #removeLapsed(): void {
     const now = this.#now();
     for (const { entry, removeAtMs } of this.#entries.values()) {
--- a/test/harness/gateway_cluster.ts
+++ b/test/harness/gateway_cluster.ts
@@ -175,6 +175,7 @@
         strikes: core.strikes.follower,
         crashes: core.crashes,
         streams: core.streams,
+        leaving: core.leaving,
         context: yield* Effect.context<never>(),
       });
       const transport = createRouterTransport((router) => router.service(TurnService, service));
@@ -303,11 +304,13 @@
       const running = core.loads.localLoads();
       const changes = core.crashes.recentChanges();
       const streams = core.streams.recentStreams();
+      const leaving = core.leaving.listRecent();
       for (const peer of connected) {
         if (peer.name === name) continue;
         peer.core.loads.recordPeerReport({ instance: name, running });
         for (const change of changes) peer.core.crashes.merge(change);
         for (const stream of streams) peer.core.streams.add(stream);
+        for (const run of leaving) peer.core.leaving.merge(run);
       }
     }
   }
--- a/test/stand_ins/backend_fleet.ts
+++ b/test/stand_ins/backend_fleet.ts
@@ -1,7 +1,10 @@
 /** In-memory fake of all backend servers of a platform, some of whose requests crash the server that runs them. */
 import { Deferred, Effect } from "effect";
+import type { Event } from "../../src/base/common/emitter.ts";
+import { Emitter } from "../../src/base/common/emitter.ts";
 import type {
   IResponseBody,
+  IResponseHead,
   IUpstream,
   IUpstreamRequest,
   IUpstreamResponse,
@@ -43,6 +46,8 @@
   startedAtMs: number;
   softwareVersion: string;
   isUp: boolean;
+  /** Whether the server says so in its responses. */
+  isLeaving: boolean;
   ended: Deferred.Deferred<void>;
 }
 
@@ -67,6 +72,8 @@
 }
 
 export class BackendFleet implements IUpstream {
+  readonly #onDidAnnounceLeaving = new Emitter<IBackendEntry>();
+  readonly onDidAnnounceLeaving: Event<IBackendEntry> = this.#onDidAnnounceLeaving.event;
   readonly servers: IFleetServer[] = [];
   readonly runs: IServerRun[] = [];
   /** Times of the crashes, in ms. */
@@ -90,6 +97,7 @@
         startedAtMs: this.#opts.now(),
         softwareVersion: this.softwareVersions[index % this.softwareVersions.length],
         isUp: true,
+        isLeaving: false,
         ended: Deferred.makeUnsafe<void>(),
       };
       this.servers.push(server);
@@ -119,10 +127,17 @@
       const { status } = this;
       const hasFirstChunk = !isCrashing || this.#hasFirstChunk();
       const body = this.#makeBody(server, { isCrashing, hasFirstChunk });
-      return { head: headOf(req, { status }), body };
+      const { isLeaving } = server;
+      if (isLeaving) this.#onDidAnnounceLeaving.fire(backend);
+      return { head: headOf(req, { status, isLeaving }), body };
     });
   }
 
+  /** Removes the entry of a server from the platform's list. */
+  unlist({ id }: IFleetServer): void {
+    this.#opts.publish(id, undefined);
+  }
+
   /** Renews the entries of all running servers. */
   sendHeartbeats(): void {
     for (const server of this.servers) if (server.isUp) this.#opts.publish(server.id, server);
@@ -139,6 +154,7 @@
       const isNewId = this.#opts.restartForm === RestartForm.NewId;
       if (isNewId) server.id = `${id}'`;
       server.startedAtMs = this.#opts.now();
+      server.isLeaving = false;
       server.ended = Deferred.makeUnsafe<void>();
       server.isUp = true;
       this.#opts.publish(server.id, server);
@@ -196,8 +212,18 @@
   }
 }
 
-function headOf(req: IUpstreamRequest, { status }: { status: number }) {
-  return { status, headers: [], requestId: req.requestId, isNotRun: status === 421, isSigned: true };
+function headOf(
+  req: IUpstreamRequest,
+  { status, isLeaving = false }: { status: number; isLeaving?: boolean },
+): IResponseHead {
+  return {
+    status,
+    headers: [],
+    requestId: req.requestId,
+    isNotRun: status === 421,
+    isSigned: true,
+    isLeaving,
+  };
 }
 
 function bodyOf(chunks: readonly Uint8Array[]): IResponseBody {
