Believe at once that a server left, unless the store was away long enough for its entry to expire

Reproduced: leaving_server_test, "although a call to the store failed before", outages of 50 to 1500 ms. Ruled out: the pool (a request is written when it is chosen), retries (chosen anew), a draining entry (counts at once). Change: an entry may have lapsed only if the outage lasted two heartbeat intervals; before that no live server's entry can expire. The interval is a setting (backendHeartbeatMs). After: no request later than 2 s in any of the four outages.

--- a/src/daemon/common/gateway_core.ts
+++ b/src/daemon/common/gateway_core.ts
@@ -43,6 +43,11 @@
 const CONFIGURATION_PAUSE_MS = 20;
 /** A third of the period within which a server that shuts down must stop receiving new requests. */
 const BACKENDS_POLL_INTERVAL_MS = 600;
+/**
+ * Shortest outage in which the entry of a live server can expire, in heartbeat intervals: the platform removes it after
+ * three intervals without a heartbeat, up to one of which may lie before the outage.
+ */
+const MIN_LAPSE_HEARTBEATS = 2;
 const PEER_TIMEOUT_MS = 300;
 /** Interval at which a peer's snapshot is fetched while the store is unavailable. */
 const SNAPSHOT_INTERVAL_MS = 700;
@@ -233,14 +238,15 @@
     if (isAdopted) applyCallerLimits(configuration.limits);
   }
 
-  #applyBackendUpdate({ key, value, isAfterOutage }: IKeyedUpdate): void {
+  #applyBackendUpdate({ key, value, outageMs }: IKeyedUpdate): void {
     const entry = value === undefined ? undefined : this.#dependencies.adapter.decodeBackend(key, value);
     if (entry === undefined) {
-      return this.directory.remove(key, { mayBeLapsed: isAfterOutage && value === undefined });
+      const minLapseMs = MIN_LAPSE_HEARTBEATS * this.#settings.backendHeartbeatMs;
+      return this.directory.remove(key, { mayBeLapsed: value === undefined && outageMs >= minLapseMs });
     }
     this.directory.put(entry);
     // After an outage a heartbeat may be as old as the outage.
-    if (!isAfterOutage) this.crashes.serverRenewed(entry);
+    if (outageMs === 0) this.crashes.serverRenewed(entry);
   }
 
   /** Applies a peer's snapshot once after the start, and while this instance cannot read the store itself. */
--- a/src/services/settings/common/gen/gateway_settings.ts
+++ b/src/services/settings/common/gen/gateway_settings.ts
@@ -56,6 +56,10 @@
    * Time between the termination signal and the kill by the platform, in seconds.
    */
   stopGraceS: number;
+  /**
+   * Interval at which backend servers renew their entries in the platform's list, in ms.
+   */
+  backendHeartbeatMs: number;
   /**
    * Minimum severity of log lines.
    */
@@ -152,6 +156,12 @@
       "default": 8,
       "description": "Time between the termination signal and the kill by the platform, in seconds."
     },
+    "backendHeartbeatMs": {
+      "type": "integer",
+      "minimum": 1,
+      "default": 1200,
+      "description": "Interval at which backend servers renew their entries in the platform's list, in ms."
+    },
     "logLevel": {
       "type": "string",
       "enum": [
--- a/src/services/store/common/keyed_topic_follower.ts
+++ b/src/services/store/common/keyed_topic_follower.ts
@@ -14,8 +14,11 @@
   readonly key: string;
   /** Undefined when the key was deleted. */
   readonly value: Uint8Array | undefined;
-  /** Whether the change may have been made while this instance could not read the store. */
-  readonly isAfterOutage: boolean;
+  /**
+   * Time in ms for which this instance had not been able to read the store before it read the change; 0 if the last
+   * call succeeded, infinite if the change comes from a peer.
+   */
+  readonly outageMs: number;
 }
 
 export interface IKeyedTopicFollowerOptions {
@@ -72,7 +75,7 @@
   /** Applies a peer's snapshot if it is current up to a later offset than this one. */
   updateIfNewer({ items, end }: IKeyedItems): void {
     if (end <= this.#endOffset) return;
-    this.#applyAll({ items, end }, true);
+    this.#applyAll({ items, end }, Infinity);
     // The next read of the store continues where the peer's snapshot ends.
     if (this.#nextOffset !== undefined) this.#nextOffset = end;
   }
@@ -113,10 +116,10 @@
   #readSnapshot(): Effect.Effect<void, StoreError> {
     return Effect.gen({ self: this }, function* () {
       const { items, end } = yield* this.#opts.log.readLatestValues(this.#opts.topic);
-      const isAfterOutage = yield* this.#recordSuccess();
-      this.#applyAll({ items, end }, isAfterOutage);
+      const outageMs = yield* this.#recordSuccess();
+      this.#applyAll({ items, end }, outageMs);
       this.#nextOffset = end;
-      if (isAfterOutage) this.#onDidRegain.fire();
+      if (outageMs > 0) this.#onDidRegain.fire();
     });
   }
 
@@ -125,35 +128,35 @@
       // After a failure the read does not wait for changes, so that the end of an outage is detected promptly.
       const waitMs = this.isFailing ? 0 : this.#opts.waitMs;
       const { changes, end } = yield* this.#opts.log.readKeyChanges(this.#opts.topic, { from, waitMs });
-      const isAfterOutage = yield* this.#recordSuccess();
-      for (const change of changes) this.#apply(change, isAfterOutage);
+      const outageMs = yield* this.#recordSuccess();
+      for (const change of changes) this.#apply(change, outageMs);
       this.#nextOffset = changes.length > 0 ? changes[changes.length - 1].offset + 1 : Math.max(from, end);
       this.#endOffset = Math.max(this.#endOffset, this.#nextOffset);
-      if (isAfterOutage) this.#onDidRegain.fire();
+      if (outageMs > 0) this.#onDidRegain.fire();
     });
   }
 
-  #applyAll({ items, end }: IKeyedItems, isAfterOutage: boolean): void {
+  #applyAll({ items, end }: IKeyedItems, outageMs: number): void {
     const present = new Set(items.map(({ key }) => key));
     for (const { key, offset } of [...this.#items.values()]) {
       if (!present.has(key) && offset < end) {
-        this.#apply({ key, value: undefined, offset: end }, isAfterOutage);
+        this.#apply({ key, value: undefined, offset: end }, outageMs);
       }
     }
-    for (const item of items) this.#apply(item, isAfterOutage);
+    for (const item of items) this.#apply(item, outageMs);
     this.#endOffset = Math.max(this.#endOffset, end);
     this.#hasRead = true;
   }
 
   #apply(
     { key, value, offset }: { key: string; value: Uint8Array | undefined; offset: number },
-    isAfterOutage: boolean,
+    outageMs: number,
   ): void {
     const current = this.#items.get(key);
     if (current !== undefined && current.offset >= offset) return;
     if (value === undefined) this.#items.delete(key);
     else this.#items.set(key, { key, value, offset });
-    this.#onDidUpdate.fire({ key, value, isAfterOutage });
+    this.#onDidUpdate.fire({ key, value, outageMs });
   }
 
   #recordFailure(now: number, error: string): void {
@@ -162,17 +165,18 @@
     this.#opts.logger.warn("store-lost", { topic: this.#opts.topic, error, lastReadMs: this.#lastReadMs });
   }
 
-  /** Records a successful call; returns whether the previous call had failed. */
-  #recordSuccess(): Effect.Effect<boolean> {
+  /** Records a successful call; returns the time since the last one in ms if calls have failed since, else 0. */
+  #recordSuccess(): Effect.Effect<number> {
     return Effect.map(Clock.currentTimeMillis, (now) => {
+      const unreadMs = Math.max(1, now - this.#lastReadMs);
       this.#lastReadMs = now;
-      if (this.#failedSinceMs === undefined) return false;
+      if (this.#failedSinceMs === undefined) return 0;
       this.#opts.logger.info("store-regained", {
         topic: this.#opts.topic,
         awayMs: now - this.#failedSinceMs,
       });
       this.#failedSinceMs = undefined;
-      return true;
+      return unreadMs;
     });
   }
 }
--- a/src/services/store/common/keyed_topic_follower_test.ts
+++ b/src/services/store/common/keyed_topic_follower_test.ts
@@ -18,8 +18,8 @@
     logger: new NullLogger(),
   });
   const updates: string[] = [];
-  follower.onDidUpdate(({ key, value, isAfterOutage }) =>
-    updates.push(`${key}=${value === undefined ? "-" : Buffer.from(value)}${isAfterOutage ? "!" : ""}`)
+  follower.onDidUpdate(({ key, value, outageMs }) =>
+    updates.push(`${key}=${value === undefined ? "-" : Buffer.from(value)}${outageMs > 0 ? "!" : ""}`)
   );
   return { log, follower, updates };
 }
--- a/test/proofs/leaving_server_test.ts
+++ b/test/proofs/leaving_server_test.ts
@@ -206,6 +206,39 @@
   t.true(refused > 100, `${refused} refused`);
 });
 
+test("a server whose entry is removed gets no later request although a call to the store failed before", async (t) => {
+  for (const outageMs of [50, 300, 900, 1500]) {
+    const opts = {
+      instances: 2,
+      serversPerService: 2,
+      crashForm: CrashForm.BeforeHead,
+      restartForm: RestartForm.SameId,
+    };
+    const late = await GatewayCluster.run(opts, (cluster) =>
+      Effect.gen(function* () {
+        const leaver = cluster.fleet.servers.find(({ service }) => service === "plain")!;
+        yield* cluster.advance(4000);
+        for (const gateway of cluster.gateways.values()) gateway.isStoreRefused = true;
+        yield* cluster.advance(outageMs);
+        cluster.fleet.unlist(leaver);
+        leaver.isSilent = true;
+        const removedAtMs = cluster.nowMs;
+        for (const gateway of cluster.gateways.values()) gateway.isStoreRefused = false;
+        for (let round = 0; round < 80; round++) {
+          for (const name of cluster.names) {
+            const request = { route: RoutePath.Safe, caller: CallerKind.None, name: `n${round}` };
+            yield* Effect.forkDetach(cluster.send(name, request));
+          }
+          yield* cluster.advance(50);
+        }
+        return cluster.fleet.runs.filter(({ serverId, atMs }) =>
+          serverId === leaver.id && atMs > removedAtMs + DRAIN_MS
+        );
+      }));
+    t.deepEqual(late, [], `${outageMs} ms`);
+  }
+});
+
 test("a server that left receives requests again once a new run of it is listed", async (t) => {
   const opts = {
     instances: 2,
--- a/test/stand_ins/backend_fleet.ts
+++ b/test/stand_ins/backend_fleet.ts
@@ -46,6 +46,8 @@
   startedAtMs: number;
   softwareVersion: string;
   isUp: boolean;
+  /** Whether the server sends no heartbeats. */
+  isSilent: boolean;
   /** Whether the server says so in its responses. */
   isLeaving: boolean;
   ended: Deferred.Deferred<void>;
@@ -97,6 +99,7 @@
         startedAtMs: this.#opts.now(),
         softwareVersion: this.softwareVersions[index % this.softwareVersions.length],
         isUp: true,
+        isSilent: false,
         isLeaving: false,
         ended: Deferred.makeUnsafe<void>(),
       };
@@ -140,7 +143,9 @@
 
   /** Renews the entries of all running servers. */
   sendHeartbeats(): void {
-    for (const server of this.servers) if (server.isUp) this.#opts.publish(server.id, server);
+    for (const server of this.servers) {
+      if (server.isUp && !server.isSilent) this.#opts.publish(server.id, server);
+    }
   }
 
   /** Terminates a server without a request that causes it. */
