Report the end of a turn that was given up before its owner's response arrived

The owner had granted the first turn, whose 135 tokens stayed reserved, as only a turn that was served reported its end. After an unclean end 108 of 300 tokens count as spent, so that no second turn fits. Ruled out: the charge after an unclean end alone (192 tokens remain, one turn fits); a lost record (the program was new). Change: the end is reported unless the owner refused the turn, also if the response is missing, the caller left or the history was not found in time. An end that arrives before its request to begin makes that request refused. An owner whose wait for a record is interrupted takes the reservation back.

--- a/src/call/common/gateway_relay.ts
+++ b/src/call/common/gateway_relay.ts
@@ -165,11 +165,23 @@
     });
   }
 
-  /**
-   * Obtains the budget and the history of a turn, serves the turn, and reports the number of delivered
-   * tokens to the budget's owner.
-   */
+  /** Serves a turn, and reports its end to the budget's owner unless the owner has refused it. */
   #serveTurn(call: RelayedCall, sink: IResponseSink): Effect.Effect<IRefusal | undefined> {
+    // Without a response, the owner may have granted the turn, or may grant it later.
+    const endTurn = Effect.suspend(() => call.isTurnRefused ? Effect.void : this.#endTurn(call));
+    return Effect.onExit(this.#beginTurn(call, sink), () => Effect.asVoid(Effect.forkDetach(endTurn)));
+  }
+
+  /** Reports to the budget's owner how many tokens a turn has delivered. */
+  #endTurn(call: RelayedCall): Effect.Effect<void> {
+    const { req, service, events } = call;
+    const tokens = events * (this.#dispatcher.engineOf(service)?.tokensPerEvent ?? 0);
+    const home = this.#dispatcher.promptHomeOf(call, tokens);
+    return this.#opts.turns.end({ programId: req.program!.programId, turnId: req.id, tokens, home });
+  }
+
+  /** Obtains the budget and the history of a turn and serves it. */
+  #beginTurn(call: RelayedCall, sink: IResponseSink): Effect.Effect<IRefusal | undefined> {
     return Effect.gen({ self: this }, function* () {
       const { req, route } = call;
       const program = req.program!;
@@ -182,7 +194,10 @@
         retainMs: route.retainMs,
         partIds: (req.prompt?.parts ?? []).map(({ id }) => id),
       };
-      const beginTurn = this.#opts.turns.begin(grant, timeoutMs);
+      const beginTurn = Effect.map(this.#opts.turns.begin(grant, timeoutMs), (begun) => {
+        call.isTurnRefused = begun !== undefined && begun.verdict !== TurnVerdict.GRANTED;
+        return begun;
+      });
       const loadChain = this.#loadChain(call, timeoutMs);
       const [begun, chain] = yield* Effect.all([beginTurn, loadChain], { concurrency: "unbounded" });
       const verdict = begun?.verdict;
@@ -195,25 +210,17 @@
       if (verdict !== TurnVerdict.GRANTED) {
         return retryableRefusal(RefusalReason.BudgetUnavailable, UNAVAILABLE_RETRY_AFTER_MS);
       }
-      const serve = Effect.suspend(() => {
-        if (begun?.home !== undefined) this.#dispatcher.recordPromptHome(call, begun.home);
-        const refusal = begun?.isFresh ? this.#admit(call) : undefined;
-        if (refusal !== undefined) return Effect.succeed(refusal);
-        if (chain instanceof Object) {
-          const body = chain.contents.length === 0 ? req.body : Buffer.concat([...chain.contents, req.body]);
-          return this.#serve({ call, sink, body, beforeEnd: this.#storeTurn(call, chain) });
-        }
+      if (begun?.home !== undefined) this.#dispatcher.recordPromptHome(call, begun.home);
+      const refusal = begun?.isFresh ? this.#admit(call) : undefined;
+      if (refusal !== undefined) return refusal;
+      if (!(chain instanceof Object)) {
         const reason = chain === ChainLookupStatus.Unknown
           ? RefusalReason.TurnUnknown
           : RefusalReason.HistoryUnavailable;
-        return Effect.succeed(retryableRefusal(reason, UNAVAILABLE_RETRY_AFTER_MS));
-      });
-      const endTurn = () => {
-        const tokens = call.events * (this.#dispatcher.engineOf(call.service)?.tokensPerEvent ?? 0);
-        const home = this.#dispatcher.promptHomeOf(call, tokens);
-        return this.#opts.turns.end({ programId: program.programId, turnId: req.id, tokens, home });
-      };
-      return yield* Effect.onExit(serve, () => Effect.asVoid(Effect.forkDetach(Effect.suspend(endTurn))));
+        return retryableRefusal(reason, UNAVAILABLE_RETRY_AFTER_MS);
+      }
+      const body = chain.contents.length === 0 ? req.body : Buffer.concat([...chain.contents, req.body]);
+      return yield* this.#serve({ call, sink, body, beforeEnd: this.#storeTurn(call, chain) });
     });
   }
 
--- a/src/call/common/relayed_call.ts
+++ b/src/call/common/relayed_call.ts
@@ -37,6 +37,8 @@
   events = 0;
   /** Output in the form that the prompts of later turns include, for routes that keep history. */
   readonly output: string[] = [];
+  /** Whether the budget's owner has refused the turn, so that its end need not be reported. */
+  isTurnRefused = false;
   choice: IBackendChoice | undefined;
   /** Software that produced the stream's first event; undefined before that event. */
   origin: IStreamOrigin | undefined;
--- a/src/turns/common/owned_slices.ts
+++ b/src/turns/common/owned_slices.ts
@@ -151,14 +151,17 @@
       const { ledger } = journal.slice;
       const decision = ledger.begin(req, yield* Clock.currentTimeMillis);
       if (decision === GrantDecision.BudgetExhausted) return TurnVerdict.SPENT;
+      if (decision === GrantDecision.AlreadyEnded) return TurnVerdict.NOT_RECORDED;
       if (decision === GrantDecision.Granted) {
         if (ledger.isDirty) journal.scheduleSpendingAppend();
         return TurnVerdict.GRANTED;
       }
       const timeoutMs = journal.isStalled ? STALLED_TIMEOUT_MS : RECORD_TIMEOUT_MS;
-      const recorded = yield* Effect.timeoutOption(journal.ensureProgramRecorded(req.programId), timeoutMs);
+      const endTurn = () => ledger.end(req.programId, { turnId: req.turnId, tokens: 0 });
+      const record = Effect.timeoutOption(journal.ensureProgramRecorded(req.programId), timeoutMs);
+      const recorded = yield* Effect.onInterrupt(record, () => Effect.sync(endTurn));
       if (recorded._tag === "Some" && recorded.value) return TurnVerdict.GRANTED;
-      ledger.end(req.programId, { turnId: req.turnId, tokens: 0 });
+      endTurn();
       return recorded._tag === "Some" ? TurnVerdict.NOT_OWNER : TurnVerdict.NOT_RECORDED;
     });
   }
--- a/src/turns/common/owned_slices_test.ts
+++ b/src/turns/common/owned_slices_test.ts
@@ -191,3 +191,21 @@
     t.is((yield* b.begin(fresh)).verdict, TurnVerdict.NOT_RECORDED);
   }));
 });
+
+test("a turn whose sender leaves while its grant is being recorded reserves nothing", async (t) => {
+  const log = new PartitionedLogCore();
+  await run(Effect.gen(function* () {
+    const owned = createOwnedSlices(log, "a");
+    yield* owned.assign(ALL);
+    yield* Effect.sleep(500);
+    log.fault = LogFault.Refuse;
+    // Two turns exceed what may be granted without a record, so that the second one waits for the store.
+    t.is((yield* owned.begin(beginRequest("1", 1100))).verdict, TurnVerdict.GRANTED);
+    const waiting = yield* Effect.forkChild(owned.begin(beginRequest("2", 1100)));
+    yield* Effect.sleep(20);
+    yield* Fiber.interrupt(waiting);
+    log.fault = LogFault.None;
+    yield* Effect.sleep(1000);
+    t.is((yield* owned.begin(beginRequest("3", 1100))).verdict, TurnVerdict.GRANTED);
+  }));
+});
--- a/src/turns/common/spending_ledger.ts
+++ b/src/turns/common/spending_ledger.ts
@@ -9,6 +9,8 @@
 const RESERVED_SHARE = 0.5;
 /** Number of turns: the next record is scheduled when the reservation covers fewer than this. */
 const MIN_RESERVED_TURNS = 2;
+/** Maximum number of ended turns that are remembered, so that a late request to begin one of them is refused. */
+const MAX_ENDED_TURNS = 2000;
 /** Multiplier on the retention period before spending is evicted: allows for clock skew and long turns. */
 const RETENTION_FACTOR = 2;
 
@@ -20,6 +22,8 @@
   GrantedWhenRecorded = "granted-when-recorded",
   /** The remaining budget is smaller than the turn's token limit. */
   BudgetExhausted = "spent",
+  /** The turn has ended: its request to begin arrives after the instance that sent it has given up. */
+  AlreadyEnded = "already-ended",
 }
 
 /** A request to run a turn against its program's budget. */
@@ -79,6 +83,8 @@
 export class SpendingLedger {
   readonly #programs = new Map<string, IProgramSpending>();
   readonly #dirty = new Set<IProgramSpending>();
+  /** Ids of ended turns, in the order in which they ended. */
+  readonly #ended = new Set<string>();
   /** Time at which an ownership was last found to have ended without a release; 0 if never. */
   #uncleanAtMs = 0;
 
@@ -113,6 +119,7 @@
 
   /** Reserves a turn's token limit from the budget; idempotent for a turn that is already running. */
   begin(request: ITurnGrantRequest, now: number): GrantDecision {
+    if (this.#ended.has(request.turnId)) return GrantDecision.AlreadyEnded;
     const program = this.#programs.get(request.programId) ?? this.#addProgram(request, now);
     program.lastUsedMs = now;
     program.retainMs = Math.max(program.retainMs, request.retainMs);
@@ -141,8 +148,9 @@
       committedTokens(program) <= program.recordedLimit;
   }
 
-  /** Ends a turn and charges the tokens it delivered; ignores unknown turns and turns that have ended. */
+  /** Ends a turn, which may not have begun yet, and charges the tokens it delivered. Idempotent. */
   end(programId: string, { turnId, tokens }: { turnId: string; tokens: number }): void {
+    this.#rememberEnded(turnId);
     const program = this.#programs.get(programId);
     const maxTokens = program?.running.get(turnId);
     if (program === undefined || maxTokens === undefined) return;
@@ -150,6 +158,13 @@
     program.spent += Math.min(tokens, maxTokens);
   }
 
+  #rememberEnded(turnId: string): void {
+    this.#ended.add(turnId);
+    if (this.#ended.size <= MAX_ENDED_TURNS) return;
+    const [oldest] = this.#ended;
+    this.#ended.delete(oldest);
+  }
+
   /** Whether any program's record needs to be appended. */
   get isDirty(): boolean {
     return this.#dirty.size > 0;
--- a/src/turns/common/spending_ledger_test.ts
+++ b/src/turns/common/spending_ledger_test.ts
@@ -134,3 +134,12 @@
   );
   t.pass();
 });
+
+test("a turn that was given up before its request to begin arrives reserves nothing", (t) => {
+  const ledger = new SpendingLedger();
+  ledger.end("p", { turnId: "late", tokens: 0 });
+  t.is(ledger.begin(grantRequest("late", { budget: MAX_TOKENS }), 1), GrantDecision.AlreadyEnded);
+  t.is(ledger.begin(grantRequest("next", { budget: MAX_TOKENS }), 1), GrantDecision.Granted);
+  ledger.end("p", { turnId: "next", tokens: 0 });
+  t.is(ledger.begin(grantRequest("next", { budget: MAX_TOKENS }), 1), GrantDecision.AlreadyEnded);
+});
