Limit the responses of backend servers and of the store, which may send bytes without end

Cause: bytes that are no answer may come without end, in a head or a body. The body of a plain call was gathered without a limit, an unfinished event was kept and copied for each chunk, the rest of a refused response was drained for ever, and any byte renewed a stream's idle timer. 114 such responses at once ended the gateway: heap out of memory. Ruled out: relaying larger bodies as they come (a failed response could then not be repeated); a limit for each response alone (100 of them exceed an instance's memory). Change: limits on a head and trailers (16 KiB), informational heads (8), one event, a body (4 MiB), all bodies being received (8 MiB beyond 16 KiB each, so that ordinary ones pass), events of a stream (its tokens and 16), very short pieces, and on what is drained (64 KiB, 1 s); settings for three of them. Only an event that the caller lacks is progress. On a breach the connection is closed, the server counts as failing, the outcome is unknown, a started answer is broken off. Events are split in linear time. Reads of the store are limited to 16 MiB. Not done: a caller that does not read its stream is not slowed down or cut; peers' answers have limits of the library only.

--- a/src/base/node/http_client.ts
+++ b/src/base/node/http_client.ts
@@ -3,10 +3,13 @@
 import { Agent, request } from "node:http";
 import { Effect } from "effect";
 import VError from "verror";
+import { ByteBuffer } from "../common/byte_buffer.ts";
 import { toError } from "../common/errors.ts";
 
 const KEEP_ALIVE_PROBE_MS = 1000;
 const MAX_SOCKETS_PER_HOST = 256;
+/** Maximum size of a response body that is read as a whole. */
+const MAX_BODY_BYTES = 16 * 1024 * 1024;
 
 /** How far a request had progressed when it failed. */
 export enum SendProgress {
@@ -108,21 +111,14 @@
   return Effect.tryPromise({
     try: async (signal) => {
       signal.addEventListener("abort", () => res.destroy());
-      const chunks: Uint8Array[] = [];
-      for await (const chunk of res) chunks.push(chunk);
-      return { status: res.statusCode ?? 0, headers: res.headers, body: concat(chunks) };
+      const body = new ByteBuffer();
+      for await (const chunk of res) {
+        body.append(chunk);
+        // Leaving the loop destroys the response.
+        if (body.length > MAX_BODY_BYTES) throw new Error(`response body exceeds ${MAX_BODY_BYTES} bytes`);
+      }
+      return { status: res.statusCode ?? 0, headers: res.headers, body: body.take() };
     },
     catch: (err) => new HttpError(SendProgress.Sent, toError(err)),
   });
 }
-
-function concat(chunks: readonly Uint8Array[]): Uint8Array {
-  const total = chunks.reduce((sum, chunk) => sum + chunk.length, 0);
-  const out = new Uint8Array(total);
-  let offset = 0;
-  for (const chunk of chunks) {
-    out.set(chunk, offset);
-    offset += chunk.length;
-  }
-  return out;
-}
--- a/src/call/common/backend_dispatcher.ts
+++ b/src/call/common/backend_dispatcher.ts
@@ -14,11 +14,13 @@
 import type { IEngineInfo, RouteTable } from "../../services/routes/common/route_table.ts";
 import { isRepeatable, RouteKind } from "../../services/routes/common/route_table.ts";
 import type { IPromptHome } from "../../turns/common/prompt_home_cache.ts";
+import { BufferedBody } from "./buffered_body.ts";
 import type { CrashMonitor, IObservedAttempt } from "./crash_monitor.ts";
 import { AttemptResult } from "./crash_monitor.ts";
 import { finalRefusal, GatewayStatus, RefusalReason } from "./gateway_refusal.ts";
 import type {
   IRequestCodec,
+  IResponseBody,
   IResponseHead,
   IResponseSink,
   IUpstream,
@@ -27,6 +29,7 @@
 import { UpstreamError, UpstreamFault } from "./opaque_request.ts";
 import type { RelayedCall } from "./relayed_call.ts";
 import { AttemptOutcome } from "./relayed_call.ts";
+import type { ILimitedReceiver, IResponseLimits, ResponseMemoryPool } from "./response_limits.ts";
 import { serversOfOrigin } from "./stream_origin.ts";
 import type { IStreamOriginRecorder } from "./stream_relay.ts";
 import { StreamRelay } from "./stream_relay.ts";
@@ -56,6 +59,8 @@
   readonly crashes: CrashMonitor;
   readonly streams: IStreamOriginRecorder;
   readonly upstream: IUpstream;
+  readonly responseLimits: IResponseLimits;
+  readonly responseMemory: ResponseMemoryPool;
   readonly logger: ILogger;
   readonly metrics: Metrics;
   /** Availability zone of this instance. */
@@ -134,6 +139,7 @@
 
   #recordFault({ call, observed }: IObservedSend, { fault, message }: UpstreamError): AttemptOutcome {
     const id = call.choice!.backend.id;
+    call.fault = fault;
     this.#opts.loads.recordFailure(id);
     if (fault !== UpstreamFault.NotSent) call.runs += 1;
     if (fault === UpstreamFault.NotSent) observed.result = AttemptResult.NotStarted;
@@ -205,12 +211,22 @@
   }
 
   #relayBuffered(
+    attempt: IObservedSend,
+    response: IUpstreamResponse,
+  ): Effect.Effect<AttemptOutcome, UpstreamError> {
+    return Effect.suspend(() => {
+      const received = new BufferedBody(this.#opts.responseLimits, this.#opts.responseMemory);
+      const relay = this.#receiveAndRelay(attempt, { ...response, received });
+      return Effect.ensuring(relay, Effect.sync(() => received.dispose()));
+    });
+  }
+
+  #receiveAndRelay(
     { call, sink, observed }: IObservedSend,
-    { head, body }: IUpstreamResponse,
+    { head, body, received }: IUpstreamResponse & { received: BufferedBody },
   ): Effect.Effect<AttemptOutcome, UpstreamError> {
     return Effect.gen({ self: this }, function* () {
-      const chunks: Uint8Array[] = [];
-      yield* body.read((chunk) => chunks.push(chunk));
+      yield* readInto(received, body);
       observed.result = isSuccess(head) && head.isSigned ? AttemptResult.Succeeded : AttemptResult.Responded;
       call.runs += 1;
       const now = yield* Clock.currentTimeMillis;
@@ -221,7 +237,7 @@
       if (head.status >= 500 && mayRepeat) return AttemptOutcome.Failed;
       if (isUnsigned(head) || NOT_RUN_STATUSES.has(head.status)) return AttemptOutcome.Failed;
       call.status = head.status;
-      sink.respond(head.status, head.headers, Buffer.concat(chunks));
+      sink.respond(head.status, head.headers, received.bytes);
       return AttemptOutcome.Done;
     });
   }
@@ -236,8 +252,9 @@
         body.discard();
         return yield* Effect.fail(new UpstreamError(UpstreamFault.Invalid));
       }
-      const relay = new StreamRelay(call, { sink, head, streams: this.#opts.streams });
-      yield* Effect.raceFirst(body.read((chunk) => relay.push(chunk)), relay.failWhenIdle());
+      const { streams, responseLimits: limits } = this.#opts;
+      const relay = new StreamRelay(call, { sink, head, streams, limits });
+      yield* Effect.raceFirst(readInto(relay, body), relay.failWhenIdle());
       attempt.observed.result = AttemptResult.Succeeded;
       call.runs += 1;
       this.#recordPrompt(call);
@@ -284,6 +301,14 @@
   }
 }
 
+/** Passes a body to its receiver. Closes the connection as soon as the receiver's limits are exceeded. */
+function readInto(receiver: ILimitedReceiver, body: IResponseBody): Effect.Effect<void, UpstreamError> {
+  const read = body.read((chunk) => receiver.push(chunk));
+  // The last chunk may exceed a limit at the moment at which the body ends.
+  const checked = Effect.andThen(read, () => receiver.isExceeded ? receiver.failWhenExceeded() : Effect.void);
+  return Effect.raceFirst(checked, receiver.failWhenExceeded());
+}
+
 function isSuccess({ status }: IResponseHead): boolean {
   return status >= 200 && status < 300;
 }
--- a/src/call/common/event_splitter.ts
+++ b/src/call/common/event_splitter.ts
@@ -1,7 +1,10 @@
 /** Splits a server-sent event stream into complete events, so that a truncated event is never relayed. */
+import { ByteBuffer } from "../../base/common/byte_buffer.ts";
 
 const LF = 10;
 const CR = 13;
+/** Bytes of an event's end that can lie before a chunk boundary: all but the last of LF CR LF. */
+const MAX_SPLIT_END_BYTES = 2;
 
 export interface IStreamEvent {
   /** The event as received, including the blank line that ends it. */
@@ -13,34 +16,51 @@
 }
 
 export class EventSplitter {
-  #remainder: Uint8Array = new Uint8Array();
+  /** The beginning of an event that is not complete. */
+  readonly #pending = new ByteBuffer();
 
-  /** Bytes after the last complete event. */
+  /** Number of bytes after the last complete event. */
+  get remainderBytes(): number {
+    return this.#pending.length;
+  }
+
+  /** Bytes after the last complete event; valid until the next call. */
   get remainder(): Uint8Array {
-    return this.#remainder;
+    return this.#pending.view();
   }
 
-  /** Adds a chunk of the stream and returns the events that it completes. */
+  /**
+   * Adds a chunk of the stream and returns the events that it completes. Each byte is examined and copied a constant
+   * number of times, however many chunks an event has.
+   */
   push(chunk: Uint8Array): IStreamEvent[] {
-    const bytes = this.#remainder.length === 0 ? chunk : Buffer.concat([this.#remainder, chunk]);
-    const events: IStreamEvent[] = [];
-    let start = 0;
-    let at = Math.max(0, this.#remainder.length - 3);
-    while (at < bytes.length) {
-      const end = findEventEnd(bytes, at);
-      if (end === undefined) {
-        at += 1;
-        continue;
-      }
-      events.push(parseEvent(bytes.subarray(start, end)));
-      start = end;
-      at = end;
+    const pendingBytes = this.#pending.length;
+    if (pendingBytes > 0) this.#pending.append(chunk);
+    const bytes = pendingBytes > 0 ? this.#pending.view() : chunk;
+    const ends = findEventEnds(bytes, Math.max(0, pendingBytes - MAX_SPLIT_END_BYTES));
+    if (ends.length === 0) {
+      if (pendingBytes === 0) this.#pending.append(chunk);
+      return [];
     }
-    this.#remainder = bytes.subarray(start);
+    if (pendingBytes > 0) this.#pending.take();
+    const events = ends.map((end, index) => parseEvent(bytes.subarray(ends[index - 1] ?? 0, end)));
+    this.#pending.append(bytes.subarray(ends[ends.length - 1]));
     return events;
   }
 }
 
+/** Returns the offsets after the blank lines that follow a line end at `from` or later. */
+function findEventEnds(bytes: Uint8Array, from: number): number[] {
+  const ends: number[] = [];
+  let at = from;
+  while (at < bytes.length) {
+    const end = findEventEnd(bytes, at);
+    if (end !== undefined) ends.push(end);
+    at = end ?? at + 1;
+  }
+  return ends;
+}
+
 /** Returns the offset after the blank line that follows the line end at `at`, if there is one. */
 function findEventEnd(bytes: Uint8Array, at: number): number | undefined {
   if (bytes[at] !== LF) return undefined;
--- a/src/call/common/gateway_refusal.ts
+++ b/src/call/common/gateway_refusal.ts
@@ -31,6 +31,8 @@
   DeadlineExceeded = "deadline-over",
   OutcomeUnknown = "outcome-unknown",
   BodyTooLarge = "body-too-large",
+  /** The response of the backend server exceeds a limit. */
+  ResponseTooLarge = "response-too-large",
   CrashingRequest = "crashing-request",
   /** It is not known which software version began the stream that the caller resumes. */
   StreamUnknown = "stream-unknown",
--- a/src/call/common/gateway_relay.ts
+++ b/src/call/common/gateway_relay.ts
@@ -12,6 +12,7 @@
 import { finalRefusal, GatewayStatus, RefusalReason, retryableRefusal } from "./gateway_refusal.ts";
 import type { IOpaqueRequest, IRawRequest, IResponseSink } from "./opaque_request.ts";
 import { AttemptOutcome, RelayedCall } from "./relayed_call.ts";
+import { UpstreamFault } from "./opaque_request.ts";
 import { RequestIdentity } from "./request_identity.ts";
 import type { IStreamOrigin } from "./stream_origin.ts";
 import { contentKeyOf } from "./stream_origin.ts";
@@ -252,7 +253,7 @@
         }
         const canResume = !sink.hasStarted || call.lastEventId !== undefined;
         if (!isRepeatable(call.route) || !canResume || call.runs >= call.route.attempts) {
-          return finalRefusal(GatewayStatus.BadGateway, RefusalReason.OutcomeUnknown);
+          return finalRefusal(GatewayStatus.BadGateway, unknownOutcomeReason(call));
         }
       }
     });
@@ -288,9 +289,9 @@
   }
 
   /** Creates the refusal for lack of a server. It is retryable only if the request has not run anywhere. */
-  #noBackendRefusal({ runs, refusals }: RelayedCall): IRefusal {
-    if (runs > 0) return finalRefusal(GatewayStatus.BadGateway, RefusalReason.OutcomeUnknown);
-    if (refusals === 0) return retryableRefusal(RefusalReason.NoBackend, UNAVAILABLE_RETRY_AFTER_MS);
+  #noBackendRefusal(call: RelayedCall): IRefusal {
+    if (call.runs > 0) return finalRefusal(GatewayStatus.BadGateway, unknownOutcomeReason(call));
+    if (call.refusals === 0) return retryableRefusal(RefusalReason.NoBackend, UNAVAILABLE_RETRY_AFTER_MS);
     return retryableRefusal(
       RefusalReason.BackendsFull,
       BACKENDS_FULL_RETRY_AFTER_MS * (0.5 + this.#opts.random()),
@@ -327,6 +328,11 @@
   return route.kind === RouteKind.Stream && route.retainMs > 0 && req.program?.budgetTokens !== undefined;
 }
 
+/** Returns why the outcome of a request is unknown that a server may have run. */
+function unknownOutcomeReason({ fault }: RelayedCall): RefusalReason {
+  return fault === UpstreamFault.TooLarge ? RefusalReason.ResponseTooLarge : RefusalReason.OutcomeUnknown;
+}
+
 function writeRefusal(sink: IResponseSink, { status, reason, retryAfterMs }: IRefusal): void {
   const headers = ["content-type", "application/problem+json"];
   if (retryAfterMs !== undefined) headers.push("retry-after", (retryAfterMs / 1000).toFixed(2));
--- a/src/call/common/gateway_relay_test.ts
+++ b/src/call/common/gateway_relay_test.ts
@@ -21,6 +21,7 @@
 import { ChainLookupStatus } from "../../turns/common/turn_client.ts";
 import { CrashMonitor } from "./crash_monitor.ts";
 import { GatewayRelay } from "./gateway_relay.ts";
+import { ResponseMemoryPool } from "./response_limits.ts";
 import { StreamOriginRegistry } from "./stream_origin_registry.ts";
 import type { IRequestCodec, IUpstream, IUpstreamRequest, IUpstreamResponse } from "./opaque_request.ts";
 import { UpstreamError, UpstreamFault } from "./opaque_request.ts";
@@ -241,6 +242,8 @@
     streamFinder: { find: (resumed) => Effect.succeed(streams.find(resumed)) },
     admission: setup.admission ?? new UtilizationAdmission(),
     upstream,
+    responseLimits: { maxResponseBytes: 5000, maxEventBytes: 300 },
+    responseMemory: new ResponseMemoryPool(0),
     logger,
     metrics: new Metrics(),
     zone: "z",
@@ -510,3 +513,25 @@
     t.deepEqual(turns.ended[0].home, { partId: "line", backendId, tokens: 522 });
   }
 });
+
+test("a response above the limit is not relayed, and its outcome is unknown", async (t) => {
+  const { sink, sent } = await relay({ script: [{ chunks: ["a".repeat(3000), "b".repeat(3000)] }] });
+  t.is(sink.status, 502);
+  t.true(sink.text.includes("response-too-large"));
+  t.is(sent.length, 1);
+});
+
+test("a stream that breaks a limit is cut after its complete events and does not look complete", async (t) => {
+  const faulty = [
+    ["an event without end", [event(1), `data: ${"x".repeat(400)}`]],
+    ["more events than tokens", Array.from({ length: 80 }, (_, index) => event(index + 1, "y"))],
+    ["comments without end", [event(1), ...Array.from({ length: 80 }, () => ":\n\n")]],
+    ["a known event again and again", [event(1), ...Array.from({ length: 80 }, () => event(1))]],
+  ] as const;
+  for (const [title, chunks] of faulty) {
+    const { sink } = await relay({ route: { kind: RouteKind.Stream }, script: [{ chunks }] });
+    t.true(sink.isAborted, title);
+    t.false(sink.isEnded, title);
+    t.true(sink.text.startsWith(event(1, title.startsWith("more") ? "y" : "d1")), title);
+  }
+});
--- a/src/call/common/opaque_request.ts
+++ b/src/call/common/opaque_request.ts
@@ -123,6 +123,8 @@
   Invalid = "invalid",
   /** The server did not respond in time, or its stream stalled. The request may have run. */
   TimedOut = "silent",
+  /** The response exceeds a limit on its size. The request may have run. */
+  TooLarge = "too-large",
 }
 
 export class UpstreamError extends VError {
@@ -139,7 +141,7 @@
 export interface IResponseBody {
   /** Passes each chunk to the callback. Succeeds once the complete body has been read. */
   read(onChunk: (chunk: Uint8Array) => void): Effect.Effect<void, UpstreamError>;
-  /** Reads and ignores the rest of the body, so that the connection can be reused. */
+  /** Reads and ignores a short rest of the body, so that the connection can be reused; closes it if the rest is long. */
   drain(): void;
   /** Closes the connection without reading the rest of the body. */
   discard(): void;
--- a/src/call/common/relayed_call.ts
+++ b/src/call/common/relayed_call.ts
@@ -2,7 +2,7 @@
 import type { IBackendChoice } from "../../routing/common/backend_chooser.ts";
 import type { IRoute } from "../../services/routes/common/route_table.ts";
 import type { GatewayStatus, IRefusal, RefusalReason } from "./gateway_refusal.ts";
-import type { IOpaqueRequest } from "./opaque_request.ts";
+import type { IOpaqueRequest, UpstreamFault } from "./opaque_request.ts";
 import type { RequestIdentity } from "./request_identity.ts";
 import type { IStreamOrigin } from "./stream_origin.ts";
 
@@ -39,6 +39,8 @@
   readonly output: string[] = [];
   /** Whether the budget's owner has refused the turn, so that its end need not be reported. */
   isTurnRefused = false;
+  /** How the last attempt failed; undefined if none has failed. */
+  fault: UpstreamFault | undefined;
   choice: IBackendChoice | undefined;
   /** Software that produced the stream's first event; undefined before that event. */
   origin: IStreamOrigin | undefined;
--- a/src/call/common/stream_relay.ts
+++ b/src/call/common/stream_relay.ts
@@ -1,14 +1,18 @@
 /** Relays the events of a stream, each one complete and exactly once. */
-import { Effect } from "effect";
+import { Deferred, Effect } from "effect";
+import type { IStreamEvent } from "./event_splitter.ts";
 import { EventSplitter } from "./event_splitter.ts";
 import type { IResponseHead, IResponseSink } from "./opaque_request.ts";
 import { UpstreamError, UpstreamFault } from "./opaque_request.ts";
 import type { RelayedCall } from "./relayed_call.ts";
+import type { ILimitedReceiver, IResponseLimits } from "./response_limits.ts";
 import type { IStreamOrigin } from "./stream_origin.ts";
 import { contentKeyOf } from "./stream_origin.ts";
 
-/** Idle time after which a stream counts as stalled. Callers time out after 2 s without data. */
+/** Time without an event after which a stream counts as stalled. Callers time out after 2 s without data. */
 const STREAM_IDLE_TIMEOUT_MS = 1500;
+/** Number of events that a stream may have beyond one for each token, such as those that state its end. */
+const MAX_EXTRA_EVENTS = 16;
 
 /** Remembers the origins of streams, so that callers can resume them. */
 export interface IStreamOriginRecorder {
@@ -19,39 +23,70 @@
   readonly sink: IResponseSink;
   readonly head: IResponseHead;
   readonly streams: IStreamOriginRecorder;
+  readonly limits: IResponseLimits;
 }
 
 /** Relays the part of a caller's stream that comes from one server. */
-export class StreamRelay {
+export class StreamRelay implements ILimitedReceiver {
   readonly #call: RelayedCall;
   readonly #sink: IResponseSink;
   readonly #head: IResponseHead;
   readonly #streams: IStreamOriginRecorder;
+  readonly #limits: IResponseLimits;
   readonly #splitter = new EventSplitter();
-  #lastChunkAtMs = performance.now();
+  readonly #exceeded = Deferred.makeUnsafe<never, UpstreamError>();
+  #isExceeded = false;
+  /** Time of the last event that the caller did not have yet; other bytes are no progress. */
+  #lastEventAtMs = performance.now();
   #firstEventAtMs = 0;
+  /** Events received, those that the caller already had included. */
   #events = 0;
+  #bytes = 0;
 
-  constructor(call: RelayedCall, { sink, head, streams }: IStreamRelayOptions) {
+  constructor(call: RelayedCall, { sink, head, streams, limits }: IStreamRelayOptions) {
     this.#call = call;
     this.#sink = sink;
     this.#head = head;
     this.#streams = streams;
+    this.#limits = limits;
   }
 
   /** Mean interval between events, in ms; undefined with fewer than three events. */
   get meanEventIntervalMs(): number | undefined {
-    return this.#events < 3 ? undefined : (this.#lastChunkAtMs - this.#firstEventAtMs) / (this.#events - 1);
+    return this.#events < 3 ? undefined : (this.#lastEventAtMs - this.#firstEventAtMs) / (this.#events - 1);
+  }
+
+  get isExceeded(): boolean {
+    return this.#isExceeded;
   }
 
   push(chunk: Uint8Array): void {
-    this.#lastChunkAtMs = performance.now();
+    if (this.#isExceeded) return;
     const events = this.#splitter.push(chunk);
-    if (events.length === 0) return;
-    if (this.#events === 0) this.#firstEventAtMs = this.#lastChunkAtMs;
+    this.#bytes += chunk.length;
     this.#events += events.length;
     const newEvents = events.filter(({ id }) => !this.#isDuplicate(id));
-    if (newEvents.length === 0) return;
+    // An event without id and data, for example a comment, says nothing about the answer.
+    if (newEvents.some(({ id, data }) => id !== undefined || data !== "")) {
+      this.#lastEventAtMs = performance.now();
+      if (this.#firstEventAtMs === 0) this.#firstEventAtMs = this.#lastEventAtMs;
+    }
+    if (newEvents.length > 0) this.#relay(newEvents);
+    if (this.#isOverLimit()) {
+      this.#isExceeded = true;
+      Deferred.doneUnsafe(this.#exceeded, Effect.fail(new UpstreamError(UpstreamFault.TooLarge)));
+    }
+  }
+
+  #isOverLimit(): boolean {
+    const { maxEventBytes, maxResponseBytes } = this.#limits;
+    // An event contains at least one token.
+    const maxEvents = (this.#call.req.prompt?.maxTokens ?? Infinity) + MAX_EXTRA_EVENTS;
+    return this.#events > maxEvents || this.#bytes > maxResponseBytes ||
+      this.#splitter.remainderBytes > maxEventBytes;
+  }
+
+  #relay(newEvents: readonly IStreamEvent[]): void {
     this.#writeHead();
     this.#recordOrigin();
     for (const { id, data } of newEvents) {
@@ -64,11 +99,15 @@
     );
   }
 
-  /** Fails once no data has arrived for the idle timeout. */
+  failWhenExceeded(): Effect.Effect<never, UpstreamError> {
+    return Deferred.await(this.#exceeded);
+  }
+
+  /** Fails once no event has arrived for the idle timeout. */
   failWhenIdle(): Effect.Effect<never, UpstreamError> {
     return Effect.gen({ self: this }, function* () {
       while (true) {
-        const leftMs = this.#lastChunkAtMs + STREAM_IDLE_TIMEOUT_MS - performance.now();
+        const leftMs = this.#lastEventAtMs + STREAM_IDLE_TIMEOUT_MS - performance.now();
         if (leftMs <= 0) return yield* Effect.fail(new UpstreamError(UpstreamFault.TimedOut));
         yield* Effect.sleep(leftMs + 1);
       }
--- a/src/call/node/http_upstream.ts
+++ b/src/call/node/http_upstream.ts
@@ -18,6 +18,21 @@
 
 /** Time limit for establishing a connection. A running server accepts one within a few milliseconds. */
 const CONNECT_TIMEOUT_MS = 500;
+/** Maximum size of a response's head, and of its trailers. */
+const MAX_HEAD_BYTES = 16 * 1024;
+/** Maximum number of informational responses before a response. */
+const MAX_INFORMATIONAL_HEADS = 8;
+/**
+ * Number of pieces from which a body must have a mean piece size: each chunk of a chunked body costs processor time,
+ * however short it is. An event of a stream is longer than that.
+ */
+const MIN_LIMITED_PIECES = 4096;
+const MIN_MEAN_PIECE_BYTES = 8;
+/** Limits on reading the rest of a response that is not relayed; closing the connection is cheaper than a long rest. */
+const MAX_DRAINED_BYTES = 64 * 1024;
+const DRAIN_TIMEOUT_MS = 1000;
+/** Codes of the HTTP parser's errors for a head, a chunk extension or a set of trailers that exceeds its limit. */
+const OVERFLOW_CODES = new Set(["HPE_HEADER_OVERFLOW", "HPE_CHUNK_EXTENSIONS_OVERFLOW"]);
 /** Error code of the HTTP parser for a connection that ends within a message. */
 const END_OF_INPUT_CODE = "HPE_INVALID_EOF_STATE";
 /** Initial delay of TCP keep-alive probes on idle connections. */
@@ -52,6 +67,7 @@
         method: req.method,
         path: req.target,
         headers: req.headers as string[],
+        maxHeaderSize: MAX_HEAD_BYTES,
         agent: this.#agentOf(backend),
       });
       const connectTimer = setTimeout(
@@ -72,10 +88,15 @@
         requestError = err;
         fail(err);
       });
-      clientRequest.on(
-        "information",
-        ({ statusCode, rawHeaders }) => this.#readHead(backend, { status: statusCode, rawHeaders }),
-      );
+      let informationalHeads = 0;
+      clientRequest.on("information", ({ statusCode, rawHeaders }) => {
+        this.#readHead(backend, { status: statusCode, rawHeaders });
+        informationalHeads += 1;
+        if (informationalHeads <= MAX_INFORMATIONAL_HEADS) return;
+        const err = new Error(`more than ${MAX_INFORMATIONAL_HEADS} informational responses`);
+        resume(Effect.fail(new UpstreamError(UpstreamFault.TooLarge, err)));
+        clientRequest.destroy();
+      });
       clientRequest.on("response", (res) => {
         const head = this.#readHead(backend, { status: res.statusCode ?? 0, rawHeaders: res.rawHeaders });
         if (head.requestId !== undefined && head.requestId !== req.requestId) {
@@ -128,6 +149,7 @@
 /** Distinguishes bytes that the HTTP parser rejects from a lost connection. */
 function faultOf(err?: NodeJS.ErrnoException): UpstreamFault {
   const { code = "" } = err ?? {};
+  if (OVERFLOW_CODES.has(code)) return UpstreamFault.TooLarge;
   const isParseError = code.startsWith("HPE_") && code !== END_OF_INPUT_CODE;
   return isParseError ? UpstreamFault.Invalid : UpstreamFault.Broken;
 }
@@ -151,8 +173,21 @@
         const cause = this.#requestError() ?? err;
         resume(Effect.fail(new UpstreamError(faultOf(cause), cause)));
       };
+      let pieces = 0;
+      let bytes = 0;
+      const receive = (piece: Uint8Array) => {
+        pieces += 1;
+        bytes += piece.length;
+        if (pieces > MIN_LIMITED_PIECES && bytes < pieces * MIN_MEAN_PIECE_BYTES) {
+          resume(
+            Effect.fail(new UpstreamError(UpstreamFault.TooLarge, new Error(`${pieces} pieces of a body`))),
+          );
+          return res.destroy();
+        }
+        onChunk(piece);
+      };
       // Only the first call of `resume` takes effect, so the "close" event after "end" is ignored.
-      res.on("data", onChunk);
+      res.on("data", receive);
       res.on("end", () => res.complete ? resume(Effect.void) : fail());
       res.on("error", fail);
       res.on("close", () => fail());
@@ -163,7 +198,14 @@
   }
 
   drain(): void {
-    this.#res.resume();
+    const res = this.#res;
+    let drainedBytes = 0;
+    const timer = setTimeout(() => res.destroy(), DRAIN_TIMEOUT_MS);
+    res.on("close", () => clearTimeout(timer));
+    res.on("data", (chunk: Uint8Array) => {
+      drainedBytes += chunk.length;
+      if (drainedBytes > MAX_DRAINED_BYTES) res.destroy();
+    });
   }
 
   discard(): void {
--- a/src/call/node/http_upstream_test.ts
+++ b/src/call/node/http_upstream_test.ts
@@ -3,6 +3,7 @@
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
 import { createServer } from "node:http";
 import test from "ava";
+import fc from "fast-check";
 import { Effect, Result } from "effect";
 import type { IBackendEntry } from "../../services/backends/common/backend_directory.ts";
 import type {
@@ -173,3 +174,29 @@
   t.true(Result.isFailure(refused) && refused.failure.fault === UpstreamFault.NotSent);
   upstream.dispose();
 });
+
+test("arbitrary bytes in a response fail with a typed error or are a complete response", async (t) => {
+  const pieces = fc.constantFrom(
+    "HTTP/1.1 200 OK\r\n",
+    "HTTP/1.1 103 Early Hints\r\n\r\n",
+    "X-Id: 1\r\n",
+    "Content-Length: 3\r\n",
+    "Transfer-Encoding: chunked\r\n",
+    "\r\n",
+    "3\r\nabc\r\n",
+    "0\r\n",
+    "ffffffffffffffff\r\n",
+    "1;a=b\r\nx\r\n",
+    "x".repeat(20_000),
+    "\0\x7f",
+  );
+  const faults = new Set<UpstreamFault | undefined>();
+  await fc.assert(
+    fc.asyncProperty(fc.array(pieces, { maxLength: 8 }), async (parts) => {
+      faults.add(await faultOfSocket((socket) => socket.end(parts.join(""), "latin1")));
+    }),
+    { seed: 20261204, numRuns: 300 },
+  );
+  t.false(faults.has(UpstreamFault.NotSent));
+  t.true(faults.has(UpstreamFault.Invalid) && faults.has(UpstreamFault.TooLarge));
+});
--- a/src/cli/common/request_causes.ts
+++ b/src/cli/common/request_causes.ts
@@ -93,6 +93,12 @@
       numberField(end, "runs") ?? 1
     } backend server(s) and must not be retried, so its outcome is unknown`,
   ],
+  [RefusalReason.ResponseTooLarge]: (end) => [
+    `${
+      end.fields.backend ?? "a backend server"
+    } sent a response that exceeds maxResponseBytes, maxEventBytes or the ` +
+    "response memory; its connection was closed, and the request may have run",
+  ],
   [RefusalReason.CrashingRequest]:
     () => ["requests with this content have crashed three backend servers, so no further one receives it"],
 };
--- a/src/daemon/common/gateway_core.ts
+++ b/src/daemon/common/gateway_core.ts
@@ -11,6 +11,7 @@
 import { StreamOriginFinder } from "../../call/common/stream_origin_finder.ts";
 import { StreamOriginRegistry } from "../../call/common/stream_origin_registry.ts";
 import { StreamOriginReplicator } from "../../call/common/stream_origin_replicator.ts";
+import { ResponseMemoryPool } from "../../call/common/response_limits.ts";
 import { StrikeReplicator } from "../../call/common/strike_replicator.ts";
 import { GatewayRelay } from "../../call/common/gateway_relay.ts";
 import type { IRequestCodec, IUpstream } from "../../call/common/opaque_request.ts";
@@ -173,7 +174,7 @@
 
   #makeRelay(): GatewayRelay {
     const { codec, upstream, logger, random } = this.#dependencies;
-    const { peerAddress, zone } = this.#settings;
+    const { peerAddress, zone, maxResponseBytes, maxEventBytes, responseMemoryBytes } = this.#settings;
     const turns = new TurnClient({
       owned: this.owned,
       group: this.group,
@@ -198,6 +199,8 @@
         logger,
       }),
       upstream,
+      responseLimits: { maxResponseBytes, maxEventBytes },
+      responseMemory: new ResponseMemoryPool(responseMemoryBytes),
       logger,
       metrics: this.metrics,
       zone,
--- a/src/services/settings/common/gen/gateway_settings.ts
+++ b/src/services/settings/common/gen/gateway_settings.ts
@@ -60,6 +60,18 @@
    * Interval at which backend servers renew their entries in the platform's list, in ms.
    */
   backendHeartbeatMs: number;
+  /**
+   * Maximum size of the body of a backend server's response, in bytes. The connection of a larger one is closed.
+   */
+  maxResponseBytes: number;
+  /**
+   * Maximum size of one event of a backend server's stream, in bytes.
+   */
+  maxEventBytes: number;
+  /**
+   * Memory for all responses that are being received, in bytes, beyond the first 16384 of each.
+   */
+  responseMemoryBytes: number;
   /**
    * Minimum severity of log lines.
    */
@@ -162,6 +174,24 @@
       "default": 1200,
       "description": "Interval at which backend servers renew their entries in the platform's list, in ms."
     },
+    "maxResponseBytes": {
+      "type": "integer",
+      "minimum": 1024,
+      "default": 4194304,
+      "description": "Maximum size of the body of a backend server's response, in bytes. The connection of a larger one is closed."
+    },
+    "maxEventBytes": {
+      "type": "integer",
+      "minimum": 1024,
+      "default": 65536,
+      "description": "Maximum size of one event of a backend server's stream, in bytes."
+    },
+    "responseMemoryBytes": {
+      "type": "integer",
+      "minimum": 0,
+      "default": 8388608,
+      "description": "Memory for all responses that are being received, in bytes, beyond the first 16384 of each."
+    },
     "logLevel": {
       "type": "string",
       "enum": [
