--- a/src/services/store/common/partitioned_log.ts
+++ b/src/services/store/common/partitioned_log.ts
@@ -12,6 +12,14 @@
   HistoryTruncated = "history-gone",
 }
 
+/** Maximum length of a key of a keyed topic, in bytes of UTF-8. */
+const MAX_KEY_BYTES = 255;
+
+/** Whether a keyed topic can hold a key. */
+export function isValidKey(key: string): boolean {
+  return new TextEncoder().encode(key).length <= MAX_KEY_BYTES;
+}
+
 export class StoreError extends VError {
   readonly _tag = "StoreError";
   readonly fault: StoreFault;
