Keep what is known of a silent crash when the instance that saw it is lost

Change: requests without a response for 500 ms, and all suspects that run, are reported to the peers; suspects, and requests on servers whose heartbeats are overdue, are written to the store as pending strikes under keys of their own. A later run of a server resolves those of its earlier runs, also on an instance that started in between. Keys that the store cannot hold are skipped.

--- a/src/call/common/backend_dispatcher.ts
+++ b/src/call/common/backend_dispatcher.ts
@@ -252,6 +252,7 @@
         body.discard();
         return yield* Effect.fail(new UpstreamError(UpstreamFault.Invalid));
       }
+      attempt.observed.isStreaming = true;
       const { streams, responseLimits: limits } = this.#opts;
       const relay = new StreamRelay(call, { sink, head, streams, limits });
       yield* Effect.raceFirst(readInto(relay, body), relay.failWhenIdle());
--- a/src/call/common/crash_monitor.ts
+++ b/src/call/common/crash_monitor.ts
@@ -18,6 +18,12 @@
 /** Maximum number of changes in one report, so that it fits into a datagram. */
 const MAX_REPORTED_CHANGES = 100;
 
+/** Time without a response after which an attempt is reported to the peers, in ms. */
+const REPORTED_WAIT_MS = 500;
+/** Time since the last heartbeat after which a server may have ended, in ms: one and a half intervals, and reading delay. */
+const OVERDUE_HEARTBEAT_MS = 1900;
+/** Maximum age of a server's heartbeat that shows that heartbeats are being received at all, in ms. */
+const LIVE_LIST_MS = 1800;
 /** How long an attempt that another instance has reported is remembered, in ms, so that repetitions are ignored. */
 const PENDING_RETENTION_MS = 60_000;
 
@@ -42,6 +48,9 @@
   readonly server: IServerRun;
   /** Level of the request's strikes when it was sent. */
   readonly level: number;
+  readonly sentAtMs: number;
+  /** Whether the head of a stream has arrived; its events take long also at a live server. Set by the sender. */
+  isStreaming: boolean;
   /** Set by the sender as soon as it is known. */
   result: AttemptResult;
 }
@@ -98,6 +107,11 @@
   /** Unix time in ms at which other instances' attempts with an unknown end became known, by strike. */
   readonly #reportedPending = new Map<string, number>();
   readonly #loggedQuarantines = new Set<bigint>();
+  /** Unix time in ms of the last heartbeat of each listed server run. */
+  readonly #heartbeats = new Map<string, number>();
+  #newestHeartbeatMs = 0;
+  /** Start of the latest known run of each server, in Unix ms, by server id. */
+  readonly #latestStarts = new Map<string, number>();
   readonly #onDidChange = new Emitter<IStrikeChange>();
   /** Fires when this instance adds or withdraws a strike, not for strikes of other instances. */
   readonly onDidChange: Event<IStrikeChange> = this.#onDidChange.event;
@@ -165,7 +179,9 @@
   ): IObservedAttempt {
     const level = this.#ledger.size === 0 ? 0 : this.#ledger.levelOf(identity.fingerprint);
     const server = toServerRun(backend);
-    const attempt = { requestId, identity, server, level, result: AttemptResult.Unknown };
+    const sentAtMs = this.#opts.now();
+    const result = AttemptResult.Unknown;
+    const attempt = { requestId, identity, server, level, sentAtMs, isStreaming: false, result };
     const key = serverKey(server);
     const running = this.#running.get(key) ?? new Set();
     running.add(attempt);
@@ -193,7 +209,13 @@
   /** Strikes the attempt if its server ends. Reports it, since another instance may outlive this one. */
   #awaitServer(attempt: IEndedAttempt): void {
     this.#unresolved.add(attempt.server, attempt);
-    this.#report({ strike: this.#toStrike(attempt), isWithdrawn: false, isPending: true });
+    this.#reportPending(attempt);
+  }
+
+  #reportPending(attempt: IEndedAttempt): void {
+    const strike = this.#toStrike(attempt);
+    if (this.#ledger.has(strikeKey(strike))) return;
+    this.#report({ strike, isWithdrawn: false, isPending: true });
   }
 
   /**
@@ -202,6 +224,8 @@
    */
   serverEnded(entry: IBackendEntry): void {
     const server = toServerRun(entry);
+    this.#heartbeats.delete(serverKey(server));
+    if (this.#latestStarts.get(entry.id) === entry.startedAtMs) this.#latestStarts.delete(entry.id);
     const unresolved = this.#unresolved.recordEnd(server);
     if (entry.isDraining) return;
     this.#running.delete(serverKey(server));
@@ -211,12 +235,45 @@
   /** Records a heartbeat of a server, which shows that it has not crashed during earlier attempts. */
   serverRenewed(entry: IBackendEntry): void {
     const server = toServerRun(entry);
+    this.#newestHeartbeatMs = this.#opts.now();
+    this.#heartbeats.set(serverKey(server), this.#newestHeartbeatMs);
+    this.#latestStarts.set(server.backendId, server.startedAtMs);
+    // This instance may have started after the end of an earlier run.
+    for (const attempt of this.#unresolved.recordStart(server)) {
+      this.#strike(attempt, CrashEvidence.ServerEnded);
+    }
     this.#unresolved.recordHeartbeat(server);
     for (const strike of this.#refutableStrikes.recordHeartbeat(server)) {
       this.#withdraw(strike, WithdrawalReason.ServerAlive);
     }
   }
 
+  /**
+   * Returns pending strikes of the requests on servers whose heartbeats are overdue, and of all suspects that are being
+   * run, and reports them to the peers. They are kept outside this instance, as all instances may be lost before the
+   * end of a server is noticed. Requests that wait long for a response are reported, not returned: this instance may be
+   * the only one that is lost.
+   */
+  reportAtRisk(): IStrike[] {
+    const now = this.#opts.now();
+    const isListLive = now - this.#newestHeartbeatMs <= LIVE_LIST_MS;
+    const isAtRisk = ({ server, level }: IEndedAttempt) => {
+      const heartbeatMs = this.#heartbeats.get(serverKey(server)) ?? now;
+      return level > 0 || (isListLive && now - heartbeatMs > OVERDUE_HEARTBEAT_MS);
+    };
+    const observed = [...this.#running.values()].flatMap((attempts) => [...attempts]);
+    for (const attempt of observed) {
+      if (!attempt.isStreaming && now - attempt.sentAtMs > REPORTED_WAIT_MS) {
+        this.#reportPending(toEnded(attempt));
+      }
+    }
+    const running = observed.map(toEnded);
+    const own = [...running, ...this.#unresolved.values()].filter(({ requestId }) => requestId !== undefined);
+    const atRisk = own.filter(isAtRisk);
+    for (const attempt of atRisk) this.#reportPending(attempt);
+    return atRisk.map((attempt) => this.#toStrike(attempt));
+  }
+
   /** Applies a change that another instance has made; returns whether it was new. */
   merge({ strike, isWithdrawn, isPending }: IStrikeChange): boolean {
     if (isPending) return this.#mergePending(strike);
@@ -227,13 +284,19 @@
   /** Observes the server of an attempt that another instance has reported. */
   #mergePending(strike: IStrike): boolean {
     const key = strikeKey(strike);
-    if (this.#reportedPending.has(key) || this.#ledger.has(key) || this.#ledger.isObsolete(strike)) {
+    const isExpired = this.#opts.now() - strike.atMs > PENDING_RETENTION_MS;
+    if (
+      isExpired || this.#reportedPending.has(key) || this.#ledger.has(key) || this.#ledger.isObsolete(strike)
+    ) {
       return false;
     }
     this.#reportedPending.set(key, this.#opts.now());
     const { fingerprint, backendId, startedAtMs, level } = strike;
     const server = { backendId, startedAtMs };
-    this.#unresolved.add(server, { requestId: undefined, fingerprint, server, level: level - 1 });
+    const attempt = { requestId: undefined, fingerprint, server, level: level - 1 };
+    const hasEnded = (this.#latestStarts.get(backendId) ?? 0) > startedAtMs;
+    if (hasEnded) this.#strike(attempt, CrashEvidence.ServerEnded);
+    else this.#unresolved.add(server, attempt);
     return true;
   }
 
--- a/src/call/common/strike_replicator.ts
+++ b/src/call/common/strike_replicator.ts
@@ -13,7 +13,9 @@
   IPartitionedLog,
   StoreError,
 } from "../../services/store/common/partitioned_log.ts";
+import { isValidKey } from "../../services/store/common/partitioned_log.ts";
 import type { CrashMonitor, IStrikeChange } from "./crash_monitor.ts";
+import type { IStrike } from "./strike_ledger.ts";
 import { strikeKey } from "./strike_ledger.ts";
 
 const POLL_TIMEOUT_MS = 3000;
@@ -31,6 +33,12 @@
 const MAX_WAIT_MS = 5000;
 /** Maximum number of records in one call. */
 const MAX_BATCH = 500;
+/** Interval between two searches for requests whose crash may go unnoticed, in ms. */
+const AT_RISK_INTERVAL_MS = 250;
+/** Precedes the key of a strike that counts only once its server is known to have ended. */
+const PENDING_KEY_PREFIX = "pending/";
+/** Age from which a pending strike is deleted, in ms. */
+const PENDING_EXPIRY_MS = 60_000;
 /** Mean interval between two searches for expired strikes, in ms. */
 const EVICTION_INTERVAL_MS = 60_000;
 
@@ -80,15 +88,18 @@
     return Effect.gen({ self: this }, function* () {
       yield* this.follower.start();
       yield* Effect.forkScoped(this.#writeLoop());
+      yield* Effect.forkScoped(this.#atRiskLoop());
       yield* Effect.forkScoped(this.#evictionLoop());
     });
   }
 
   #apply({ key, value }: IKeyedUpdate): void {
     const { monitor, logger } = this.#opts;
-    if (value === undefined) return monitor.mergeWithdrawal(key);
+    const isPending = key.startsWith(PENDING_KEY_PREFIX);
+    if (value === undefined) return isPending ? undefined : monitor.mergeWithdrawal(key);
     try {
       const strike = fromBinary(StrikeSchema, value);
+      if (isPending) return void monitor.merge({ strike, isWithdrawn: false, isPending });
       if (monitor.isObsolete(strike)) this.#delete(key);
       else monitor.merge({ strike, isWithdrawn: false, isPending: false });
     } catch (err) {
@@ -98,13 +109,20 @@
 
   #enqueue({ strike, isWithdrawn }: IStrikeChange): void {
     const key = strikeKey(strike);
+    if (!this.#canStore(key)) return;
     if (isWithdrawn) return this.#delete(key);
     const delayMs = strike.level === 1 ? FIRST_STRIKE_DELAY_MS : STRIKE_DELAY_MS;
-    const value = toBinary(StrikeSchema, create(StrikeSchema, strike));
-    this.#pending.set(key, { key, value, dueAtMs: this.#opts.now() + delayMs });
+    this.#pending.set(key, { key, value: encode(strike), dueAtMs: this.#opts.now() + delayMs });
     this.#changed.notify();
   }
 
+  /** Whether the store can hold a strike. One that it cannot hold, because of its server's long id, spreads by report only. */
+  #canStore(key: string): boolean {
+    const isStorable = isValidKey(key);
+    if (!isStorable) this.#opts.logger.warn("strike-unstorable", { key });
+    return isStorable;
+  }
+
   #delete(key: string): void {
     // A strike that has not been written needs no deletion.
     if (this.#pending.get(key)?.value !== undefined) {
@@ -125,11 +143,45 @@
     });
   }
 
+  /** Writes pending strikes of the requests whose crash may go unnoticed. */
+  #atRiskLoop(): Effect.Effect<void> {
+    return Effect.gen({ self: this }, function* () {
+      const written = new Map<string, number>();
+      while (true) {
+        yield* Effect.sleep(AT_RISK_INTERVAL_MS);
+        const now = this.#opts.now();
+        for (const [key, atMs] of written) if (now - atMs > PENDING_EXPIRY_MS) written.delete(key);
+        for (const strike of this.#opts.monitor.reportAtRisk()) {
+          const key = `${PENDING_KEY_PREFIX}${strikeKey(strike)}`;
+          if (written.has(key) || !this.#canStore(key)) continue;
+          written.set(key, now);
+          this.#pending.set(key, { key, value: encode(strike), dueAtMs: now });
+          this.#changed.notify();
+        }
+      }
+    });
+  }
+
+  /** Deletes pending strikes that no longer count. */
+  #deleteExpiredPending(): void {
+    const oldestMs = this.#opts.now() - PENDING_EXPIRY_MS;
+    for (const { key, value } of this.follower.snapshot()?.items ?? []) {
+      if (!key.startsWith(PENDING_KEY_PREFIX)) continue;
+      try {
+        if (fromBinary(StrikeSchema, value).atMs < oldestMs) this.#delete(key);
+      } catch (err) {
+        this.#opts.logger.warn("strike-unreadable", { key, error: toError(err).message });
+        this.#delete(key);
+      }
+    }
+  }
+
   /** Returns the changes to write now. Strikes that another instance has withdrawn meanwhile are dropped. */
   #takeDue(): IPendingWrite[] {
     const now = this.#opts.now();
     for (const { key, value } of this.#pending.values()) {
-      if (value !== undefined && !this.#opts.monitor.hasStrike(key)) this.#pending.delete(key);
+      const isObsolete = !key.startsWith(PENDING_KEY_PREFIX) && !this.#opts.monitor.hasStrike(key);
+      if (value !== undefined && isObsolete) this.#pending.delete(key);
     }
     return [...this.#pending.values()].filter(({ dueAtMs }) => dueAtMs <= now).slice(0, MAX_BATCH);
   }
@@ -175,7 +227,12 @@
         // A random interval, so that usually one instance deletes an expired strike for all.
         yield* Effect.sleep(EVICTION_INTERVAL_MS * (0.5 + this.#opts.random()));
         this.#opts.monitor.evict();
+        this.#deleteExpiredPending();
       }
     });
   }
 }
+
+function encode(strike: IStrike): Uint8Array {
+  return toBinary(StrikeSchema, create(StrikeSchema, strike));
+}
--- a/src/call/common/survival_tracker.ts
+++ b/src/call/common/survival_tracker.ts
@@ -20,9 +20,14 @@
   heartbeats: number;
 }
 
+interface IServerEvents<T> {
+  readonly server: IServerRun;
+  readonly events: ITrackedEvent<T>[];
+}
+
 export class SurvivalTracker<T> {
   readonly #now: () => number;
-  readonly #events = new Map<string, ITrackedEvent<T>[]>();
+  readonly #events = new Map<string, IServerEvents<T>>();
 
   constructor(now: () => number) {
     this.#now = now;
@@ -30,29 +35,39 @@
 
   add(server: IServerRun, value: T): void {
     const key = serverKey(server);
-    const events = this.#events.get(key) ?? [];
+    const events = this.#events.get(key)?.events ?? [];
     events.push({ value, atMs: this.#now(), heartbeats: 0 });
     if (events.length > MAX_EVENTS) events.shift();
-    this.#events.set(key, events);
+    this.#events.set(key, { server, events });
   }
 
   /** Records a heartbeat; returns and forgets the events that the server has survived. */
   recordHeartbeat(server: IServerRun): T[] {
     const key = serverKey(server);
-    const events = this.#events.get(key);
+    const events = this.#events.get(key)?.events;
     if (events === undefined) return [];
     const latestMs = this.#now() - PROOF_OF_LIFE_DELAY_MS;
     for (const event of events) if (event.atMs <= latestMs) event.heartbeats += 1;
     const isSurvived = ({ heartbeats }: ITrackedEvent<T>) => heartbeats >= PROOF_OF_LIFE_HEARTBEATS;
     const rest = events.filter((event) => !isSurvived(event));
-    if (rest.length > 0) this.#events.set(key, rest);
-    else this.#events.delete(key);
+    this.#set(server, rest);
     return events.filter(isSurvived).map(({ value }) => value);
   }
 
+  /** Records that a server has started; returns and forgets the events of its earlier runs. */
+  recordStart({ backendId, startedAtMs }: IServerRun): T[] {
+    const ended: T[] = [];
+    for (const [key, { server, events }] of this.#events) {
+      if (server.backendId !== backendId || server.startedAtMs >= startedAtMs) continue;
+      this.#events.delete(key);
+      ended.push(...this.#recent(events));
+    }
+    return ended;
+  }
+
   /** Returns the values of all events. */
   values(): T[] {
-    return [...this.#events.values()].flatMap((events) => events.map(({ value }) => value));
+    return [...this.#events.values()].flatMap(({ events }) => events.map(({ value }) => value));
   }
 
   /** Number of server runs with events. */
@@ -63,19 +78,27 @@
   /** Forgets events that are too old to matter, among them those of servers that ended earlier. */
   evict(): void {
     const oldestMs = this.#now() - RETENTION_MS;
-    for (const [key, events] of this.#events) {
-      const rest = events.filter(({ atMs }) => atMs >= oldestMs);
-      if (rest.length > 0) this.#events.set(key, rest);
-      else this.#events.delete(key);
+    for (const { server, events } of this.#events.values()) {
+      this.#set(server, events.filter(({ atMs }) => atMs >= oldestMs));
     }
   }
 
   /** Records the end of a server; returns and forgets its events. */
   recordEnd(server: IServerRun): T[] {
     const key = serverKey(server);
-    const oldestMs = this.#now() - RETENTION_MS;
-    const events = this.#events.get(key) ?? [];
+    const events = this.#events.get(key)?.events ?? [];
     this.#events.delete(key);
+    return this.#recent(events);
+  }
+
+  #set(server: IServerRun, events: ITrackedEvent<T>[]): void {
+    const key = serverKey(server);
+    if (events.length > 0) this.#events.set(key, { server, events });
+    else this.#events.delete(key);
+  }
+
+  #recent(events: readonly ITrackedEvent<T>[]): T[] {
+    const oldestMs = this.#now() - RETENTION_MS;
     return events.filter(({ atMs }) => atMs >= oldestMs).map(({ value }) => value);
   }
 }
--- a/test/proofs/crashing_request_test.ts
+++ b/test/proofs/crashing_request_test.ts
@@ -24,6 +24,9 @@
   readonly crashForm?: CrashForm;
   readonly restartForm?: RestartForm;
   readonly leaveAfterMs?: number;
+  readonly serversPerService?: number;
+  /** Instance through which the request always comes; by default it takes turns. */
+  readonly via?: string;
   /** Runs before each return of the request; `lastVia` is the instance through which it came last. */
   readonly disrupt?: (cluster: GatewayCluster, round: number, lastVia: string) => Effect.Effect<void>;
 }
@@ -38,9 +41,10 @@
 
 /** Sends the request again and again through varying instances, with other requests beside it. */
 function play(scenario: IScenario): Promise<IOutcome> {
-  const { route, caller, body, crashForm, restartForm, leaveAfterMs, disrupt } = scenario;
+  const { route, caller, body, crashForm, restartForm, leaveAfterMs, serversPerService, disrupt } = scenario;
   const opts = {
     instances: INSTANCES,
+    serversPerService,
     crashForm: crashForm ?? CrashForm.BeforeHead,
     restartForm: restartForm ?? RestartForm.SameId,
   };
@@ -53,7 +57,7 @@
       for (let round = 0; round < ROUNDS; round++) {
         yield* disrupt?.(cluster, round, via) ?? Effect.void;
         const { names } = cluster;
-        via = names[round % names.length];
+        via = scenario.via ?? names[round % names.length];
         yield* Effect.forkDetach(cluster.send(via, crashing));
         for (const [index, name] of names.entries()) {
           const bystander = { route, caller, body, name: `other-${index}` };
@@ -180,6 +184,80 @@
   disrupt: (cluster, round, lastVia) => round === 0 ? Effect.void : cluster.restart(lastVia),
 });
 
+testRefusal(
+  "a crashing request is refused by instances that restart just before each return, without the store",
+  {
+    route: RoutePath.Unsafe,
+    caller: CallerKind.Program,
+    disrupt: (cluster, round) =>
+      Effect.gen(function* () {
+        for (const gateway of cluster.gateways.values()) gateway.isStoreRefused = true;
+        yield* cluster.restart(cluster.names[round % INSTANCES], { isStoreRefused: true });
+      }),
+  },
+);
+
+for (const serversPerService of [4, 8]) {
+  for (const crashForm of [CrashForm.Silent, CrashForm.BeforeHead]) {
+    const title = `a request that crashes ${serversPerService} servers ${crashForm} is refused`;
+    testRefusal(`${title} although its instance restarts again and again and the store refuses that`, {
+      route: RoutePath.Unsafe,
+      caller: CallerKind.Program,
+      crashForm,
+      serversPerService,
+      via: "g0",
+      disrupt: (cluster, round) =>
+        Effect.gen(function* () {
+          cluster.gateways.get("g0")!.isStoreRefused = true;
+          if (round > 0) yield* cluster.restart("g0", { isStoreRefused: true });
+          yield* cluster.advance(800);
+        }),
+    });
+  }
+  testRefusal(
+    `a request that crashes ${serversPerService} servers is refused if they end with errors and silently by turns`,
+    {
+      route: RoutePath.Unsafe,
+      caller: CallerKind.Program,
+      serversPerService,
+      disrupt: (cluster, round) =>
+        Effect.sync(() => {
+          cluster.fleet.crashForm = round % 2 === 0 ? CrashForm.BeforeHead : CrashForm.Silent;
+        }),
+    },
+  );
+}
+
+testRefusal(
+  "a request that crashes servers silently is refused by instances that restart while the store refuses all",
+  {
+    route: RoutePath.Unsafe,
+    caller: CallerKind.Program,
+    crashForm: CrashForm.Silent,
+    disrupt: (cluster, round) =>
+      Effect.gen(function* () {
+        for (const gateway of cluster.gateways.values()) gateway.isStoreRefused = true;
+        yield* cluster.restart(cluster.names[round % INSTANCES], { isStoreRefused: true });
+        yield* cluster.advance(300);
+      }),
+  },
+);
+
+for (const crashForm of [CrashForm.Silent, CrashForm.SilentMidBody, CrashForm.BeforeHead]) {
+  testRefusal(
+    `a request that crashes servers ${crashForm} is refused if all instances restart every few rounds`,
+    {
+      route: RoutePath.Unsafe,
+      caller: CallerKind.Program,
+      crashForm,
+      disrupt: (cluster, round) =>
+        round % 4 !== 3
+          ? Effect.void
+          : Effect.forEach(cluster.names, (name) => cluster.restart(name), { discard: true }),
+    },
+  );
+}
+
 testRefusal("a crashing request is refused although other servers respond with errors", {
   route: RoutePath.Unsafe,
   caller: CallerKind.Program,
--- a/test/stand_ins/backend_fleet.ts
+++ b/test/stand_ins/backend_fleet.ts
@@ -82,12 +82,15 @@
   readonly crashes: number[] = [];
   /** Software versions of the servers that are added next, by turns. */
   softwareVersions: readonly string[] = ["v1"];
+  /** How servers crash from now on. */
+  crashForm: CrashForm;
   /** Status with which servers respond to requests that do not crash them. */
   status = 200;
   readonly #opts: IBackendFleetOptions;
 
   constructor(opts: IBackendFleetOptions) {
     this.#opts = opts;
+    this.crashForm = opts.crashForm;
   }
 
   addServers(service: string, count: number): void {
@@ -178,15 +181,15 @@
   }
 
   get #isSilent(): boolean {
-    return this.#opts.crashForm === CrashForm.Silent || this.#opts.crashForm === CrashForm.SilentMidBody;
+    return this.crashForm === CrashForm.Silent || this.crashForm === CrashForm.SilentMidBody;
   }
 
   #hasFirstChunk(): boolean {
-    return this.#opts.crashForm === CrashForm.MidBody || this.#opts.crashForm === CrashForm.SilentMidBody;
+    return this.crashForm === CrashForm.MidBody || this.crashForm === CrashForm.SilentMidBody;
   }
 
   #crashingHeadMs(): number {
-    const isHeadSent = this.#hasFirstChunk() || this.#opts.crashForm === CrashForm.AfterHead;
+    const isHeadSent = this.#hasFirstChunk() || this.crashForm === CrashForm.AfterHead;
     return isHeadSent ? CRASH_AFTER_MS / 2 : RUN_MS / 2;
   }
 
