--- a/src/services/settings/common/gen/gateway_settings.ts
+++ b/src/services/settings/common/gen/gateway_settings.ts
@@ -177,7 +177,7 @@
     "maxResponseBytes": {
       "type": "integer",
       "minimum": 1024,
-      "default": 4194304,
+      "default": 1048576,
       "description": "Maximum size of the body of a backend server's response, in bytes. The connection of a larger one is closed."
     },
     "maxEventBytes": {
