--- a/test/stand_ins/backend_fleet.ts
+++ b/test/stand_ins/backend_fleet.ts
@@ -32,6 +32,19 @@
   NewId = "under a new id",
 }
 
+/** How a server treats requests while the platform lists it as ready. */
+export enum ServerBehavior {
+  Sound = "sound",
+  /** Every second answer is lost with its connection. */
+  LosesAnswers = "every second answer lost",
+  /** Every second answer is an error. */
+  Errors = "every second answer an error",
+  /** Accepts no connection, although its status checks would pass. */
+  Unreachable = "unreachable",
+  /** Accepts requests and never answers. */
+  Silent = "silent",
+}
+
 const RUN_MS = 80;
 const CRASH_AFTER_MS = 30;
 const RESTART_AFTER_MS = 2500;
@@ -50,6 +63,11 @@
   isSilent: boolean;
   /** Whether the server says so in its responses. */
   isLeaving: boolean;
+  behavior: ServerBehavior;
+  /** Number of requests that were sent to the server while it was not sound. */
+  faultyAttempts: number;
+  /** Number of requests that the server began to run. */
+  runCount: number;
   ended: Deferred.Deferred<void>;
 }
 
@@ -104,6 +122,9 @@
         isUp: true,
         isSilent: false,
         isLeaving: false,
+        behavior: ServerBehavior.Sound,
+        faultyAttempts: 0,
+        runCount: 0,
         ended: Deferred.makeUnsafe<void>(),
       };
       this.servers.push(server);
@@ -114,7 +135,9 @@
   send(backend: IBackendEntry, req: IUpstreamRequest): Effect.Effect<IUpstreamResponse, UpstreamError> {
     return Effect.gen({ self: this }, function* () {
       const server = this.servers.find(({ address }) => address === `${backend.host}:${backend.port}`)!;
-      if (!server.isUp) return yield* this.#failToConnect();
+      const { behavior } = server;
+      if (behavior !== ServerBehavior.Sound) server.faultyAttempts += 1;
+      if (!server.isUp || behavior === ServerBehavior.Unreachable) return yield* this.#failToConnect();
       if (server.id !== backend.id) return { head: headOf(req, { status: 421 }), body: bodyOf([]) };
       this.runs.push({
         requestId: req.requestId,
@@ -122,6 +145,9 @@
         serverId: server.id,
         atMs: this.#opts.now(),
       });
+      server.runCount += 1;
+      const isFaulty = server.runCount % 2 === 1;
+      if (behavior === ServerBehavior.Silent) return yield* Effect.never;
       const { ended } = server;
       const isCrashing = this.#opts.isCrashing(req);
       if (isCrashing) yield* Effect.forkDetach(this.#crashSoon(server));
@@ -130,7 +156,10 @@
         this.#awaitEnd(ended),
       );
       if (this.#opts.isAnswerLost(req)) return yield* Effect.fail(new UpstreamError(UpstreamFault.Broken));
-      const { status } = this;
+      if (isFaulty && behavior === ServerBehavior.LosesAnswers) {
+        return yield* Effect.fail(new UpstreamError(UpstreamFault.Broken));
+      }
+      const status = isFaulty && behavior === ServerBehavior.Errors ? 500 : this.status;
       const hasFirstChunk = !isCrashing || this.#hasFirstChunk();
       const body = this.#makeBody(server, { isCrashing, hasFirstChunk });
       const { isLeaving } = server;
