--- a/test/proofs/leaving_server_test.ts
+++ b/test/proofs/leaving_server_test.ts
@@ -13,6 +13,8 @@
 const PLAY_MS = 9000;
 const LEAVING_FROM_MS = 500;
 
+const OPTIONS = { crashForm: CrashForm.BeforeHead, restartForm: RestartForm.SameId };
+
 /** What else happens while servers leave; called before each round of requests. */
 type Disruption = (cluster: GatewayCluster, elapsedMs: number) => Effect.Effect<void>;
 
@@ -50,12 +52,7 @@
 /** Sends requests through all instances; all announcing servers leave at the same time and stay listed. */
 function play(scenario: IPlay): Promise<IPlayed> {
   const { route, leaving = 1, serversPerService = 4, disrupt } = scenario;
-  const opts = {
-    instances: 3,
-    serversPerService,
-    crashForm: CrashForm.BeforeHead,
-    restartForm: RestartForm.SameId,
-  };
+  const opts = { ...OPTIONS, instances: 3, serversPerService };
   return GatewayCluster.run(opts, (cluster) =>
     Effect.gen(function* () {
       const service = [RoutePath.Safe, RoutePath.Unsafe].includes(route) ? "plain" : "engines";
@@ -208,12 +205,7 @@
 
 test("a server whose entry is removed gets no later request although a call to the store failed before", async (t) => {
   for (const outageMs of [50, 300, 900, 1500]) {
-    const opts = {
-      instances: 2,
-      serversPerService: 2,
-      crashForm: CrashForm.BeforeHead,
-      restartForm: RestartForm.SameId,
-    };
+    const opts = { ...OPTIONS, instances: 2, serversPerService: 2 };
     const late = await GatewayCluster.run(opts, (cluster) =>
       Effect.gen(function* () {
         const leaver = cluster.fleet.servers.find(({ service }) => service === "plain")!;
@@ -240,12 +232,7 @@
 });
 
 test("a server that left receives requests again once a new run of it is listed", async (t) => {
-  const opts = {
-    instances: 2,
-    serversPerService: 1,
-    crashForm: CrashForm.BeforeHead,
-    restartForm: RestartForm.SameId,
-  };
+  const opts = { ...OPTIONS, instances: 2, serversPerService: 1 };
   const statuses = await GatewayCluster.run(opts, (cluster) =>
     Effect.gen(function* () {
       const request = { route: RoutePath.Safe, caller: CallerKind.None, name: "a" };
