Log how a server's response was delimited and how its connection ended

The lines of the two broken responses have status 200 and nothing else, so that a reset connection, a clean end within an event and a fault of our own framing look the same. The lines of requests and of failed attempts now have the framing of the response's body, the error of its connection and the bytes after the last complete event. No decision uses them.

--- a/src/call/common/backend_dispatcher.ts
+++ b/src/call/common/backend_dispatcher.ts
@@ -153,6 +153,8 @@
       fault,
       runs,
       events,
+      framing: call.framing,
+      unfinishedBytes: call.unfinishedBytes === 0 ? undefined : call.unfinishedBytes,
       error: message,
       ...this.#opts.crashes.evidenceFor(call.identity),
     });
@@ -185,6 +187,7 @@
       });
       const response = yield* this.#withResponseTimeout(request, call);
       this.#opts.loads.recordResponse(choice.backend.id);
+      call.framing = response.body.framing;
       if (response.head.isNotRun) {
         observed.result = AttemptResult.NotStarted;
         response.body.drain();
@@ -226,7 +229,12 @@
     { head, body, received }: IUpstreamResponse & { received: BufferedBody },
   ): Effect.Effect<AttemptOutcome, UpstreamError> {
     return Effect.gen({ self: this }, function* () {
-      yield* readInto(received, body);
+      yield* Effect.ensuring(
+        readInto(received, body),
+        Effect.sync(() => {
+          call.connectionError = body.connectionError;
+        }),
+      );
       observed.result = isSuccess(head) && head.isSigned ? AttemptResult.Succeeded : AttemptResult.Responded;
       call.runs += 1;
       const now = yield* Clock.currentTimeMillis;
@@ -255,7 +263,13 @@
       attempt.observed.isStreaming = true;
       const { streams, responseLimits: limits } = this.#opts;
       const relay = new StreamRelay(call, { sink, head, streams, limits });
-      yield* Effect.raceFirst(readInto(relay, body), relay.failWhenIdle());
+      yield* Effect.ensuring(
+        Effect.raceFirst(readInto(relay, body), relay.failWhenIdle()),
+        Effect.sync(() => {
+          call.connectionError = body.connectionError;
+          call.unfinishedBytes = relay.unfinishedBytes;
+        }),
+      );
       attempt.observed.result = AttemptResult.Succeeded;
       call.runs += 1;
       this.#recordPrompt(call);
--- a/src/call/common/backend_dispatcher_test.ts
+++ b/src/call/common/backend_dispatcher_test.ts
@@ -1,6 +1,7 @@
 import test from "ava";
 import { Effect } from "effect";
 import { RecordingSink } from "../../../test/stand_ins/recording_sink.ts";
+import { makeResponseBody } from "../../../test/stand_ins/response_body.ts";
 import type { IBackendEntry } from "../../services/backends/common/backend_directory.ts";
 import { BackendDirectory } from "../../services/backends/common/backend_directory.ts";
 import { LeavingServers } from "../../services/backends/common/leaving_servers.ts";
@@ -77,7 +78,7 @@
     onDidAnnounceLeaving: () => ({ dispose: () => {} }),
     send: () => {
       sent += 1;
-      return Effect.succeed({ head, body: { read: () => Effect.void, drain: () => {}, discard: () => {} } });
+      return Effect.succeed({ head, body: makeResponseBody(() => Effect.void) });
     },
   };
   const codec: IRequestCodec = {
--- a/src/call/common/gateway_relay_test.ts
+++ b/src/call/common/gateway_relay_test.ts
@@ -3,6 +3,7 @@
 import { Effect, Fiber } from "effect";
 import { TestClock } from "effect/testing";
 import { RecordingSink } from "../../../test/stand_ins/recording_sink.ts";
+import { makeResponseBody } from "../../../test/stand_ins/response_body.ts";
 import { Emitter } from "../../base/common/emitter.ts";
 import type { PromptHome } from "../../base/common/gen/ragwortcleat/v1/turns_pb.ts";
 import { PromptHomeSchema, TurnVerdict } from "../../base/common/gen/ragwortcleat/v1/turns_pb.ts";
@@ -71,7 +72,7 @@
           for (const chunk of chunks) onChunk(Buffer.from(chunk));
           return isTruncated ? Effect.fail(new UpstreamError(UpstreamFault.Broken)) : Effect.void;
         });
-      return Effect.succeed({ head, body: { read, drain: () => {}, discard: () => {} } });
+      return Effect.succeed({ head, body: makeResponseBody(read) });
     });
   }
 }
--- a/src/call/common/opaque_request.ts
+++ b/src/call/common/opaque_request.ts
@@ -137,8 +137,19 @@
   }
 }
 
+/** What shows where the body of a response ends. */
+export enum BodyFraming {
+  Length = "length",
+  Chunks = "chunks",
+  /** Neither a length nor chunks: the body ends with its connection. */
+  Connection = "connection",
+}
+
 /** Body of a response. It can be read only once. */
 export interface IResponseBody {
+  readonly framing: BodyFraming;
+  /** Code of the error that ended the connection; undefined if it has not failed. */
+  readonly connectionError: string | undefined;
   /** Passes each chunk to the callback. Succeeds once the complete body has been read. */
   read(onChunk: (chunk: Uint8Array) => void): Effect.Effect<void, UpstreamError>;
   /** Reads and ignores a short rest of the body, so that the connection can be reused; closes it if the rest is long. */
--- a/src/call/common/relayed_call.ts
+++ b/src/call/common/relayed_call.ts
@@ -2,7 +2,7 @@
 import type { IBackendChoice } from "../../routing/common/backend_chooser.ts";
 import type { IRoute } from "../../services/routes/common/route_table.ts";
 import type { GatewayStatus, IRefusal, RefusalReason } from "./gateway_refusal.ts";
-import type { IOpaqueRequest, UpstreamFault } from "./opaque_request.ts";
+import type { BodyFraming, IOpaqueRequest, UpstreamFault } from "./opaque_request.ts";
 import type { RequestIdentity } from "./request_identity.ts";
 import type { IStreamOrigin } from "./stream_origin.ts";
 
@@ -47,6 +47,12 @@
   refusal: IRefusal | undefined;
   status = 0;
   firstEventAtMs = 0;
+  /** Framing of the last response's body; undefined before its head. */
+  framing: BodyFraming | undefined;
+  /** Code of the error that ended the connection of the last response's body. */
+  connectionError: string | undefined;
+  /** Number of bytes after the last complete event of a stream that has ended. */
+  unfinishedBytes = 0;
   /** Additional log fields if a server may have crashed during the request. */
   crashEvidence: object = {};
 
@@ -94,6 +100,9 @@
       runs: this.runs,
       refusals: this.refusals,
       events: this.events,
+      framing: this.framing,
+      connectionError: this.connectionError,
+      unfinishedBytes: this.unfinishedBytes === 0 ? undefined : this.unfinishedBytes,
       firstEventMs: this.firstEventAtMs === 0
         ? undefined
         : Math.round(this.firstEventAtMs - this.startedAtMs),
--- a/src/call/common/stream_relay.ts
+++ b/src/call/common/stream_relay.ts
@@ -56,6 +56,11 @@
     return this.#events < 3 ? undefined : (this.#lastEventAtMs - this.#firstEventAtMs) / (this.#events - 1);
   }
 
+  /** Number of bytes after the last complete event. */
+  get unfinishedBytes(): number {
+    return this.#splitter.remainderBytes;
+  }
+
   get isExceeded(): boolean {
     return this.#isExceeded;
   }
--- a/src/call/node/http_upstream.ts
+++ b/src/call/node/http_upstream.ts
@@ -14,7 +14,7 @@
   IUpstreamRequest,
   IUpstreamResponse,
 } from "../common/opaque_request.ts";
-import { UpstreamError, UpstreamFault } from "../common/opaque_request.ts";
+import { BodyFraming, UpstreamError, UpstreamFault } from "../common/opaque_request.ts";
 
 /** Time limit for establishing a connection. A running server accepts one within a few milliseconds. */
 const CONNECT_TIMEOUT_MS = 500;
@@ -154,6 +154,11 @@
   return isParseError ? UpstreamFault.Invalid : UpstreamFault.Broken;
 }
 
+function framingOf({ headers }: IncomingMessage): BodyFraming {
+  if (headers["transfer-encoding"] !== undefined) return BodyFraming.Chunks;
+  return headers["content-length"] === undefined ? BodyFraming.Connection : BodyFraming.Length;
+}
+
 class HttpResponseBody implements IResponseBody {
   readonly #res: IncomingMessage;
   /** Returns the error of the request, which Node.js reports before it closes the response. */
@@ -166,6 +171,15 @@
     res.on("error", () => {});
   }
 
+  get framing(): BodyFraming {
+    return framingOf(this.#res);
+  }
+
+  get connectionError(): string | undefined {
+    const err: NodeJS.ErrnoException | undefined = this.#requestError();
+    return err?.code ?? err?.message;
+  }
+
   read(onChunk: (chunk: Uint8Array) => void): Effect.Effect<void, UpstreamError> {
     return Effect.callback<void, UpstreamError>((resume) => {
       const res = this.#res;
--- a/test/stand_ins/backend_fleet.ts
+++ b/test/stand_ins/backend_fleet.ts
@@ -11,6 +11,7 @@
 } from "../../src/call/common/opaque_request.ts";
 import { UpstreamError, UpstreamFault } from "../../src/call/common/opaque_request.ts";
 import type { IBackendEntry } from "../../src/services/backends/common/backend_directory.ts";
+import { makeResponseBody } from "./response_body.ts";
 
 /** What the sender of a request observes when the server crashes. */
 export enum CrashForm {
@@ -245,7 +246,7 @@
         yield* Effect.raceFirst(isCrashing ? Effect.never : Effect.sleep(RUN_MS / 2), this.#awaitEnd(ended));
         onChunk(Buffer.from(`id: 2\ndata: ${softwareVersion}\n\n`));
       });
-    return { read, drain: () => {}, discard: () => {} };
+    return makeResponseBody(read);
   }
 }
 
@@ -265,5 +266,5 @@
 
 function bodyOf(chunks: readonly Uint8Array[]): IResponseBody {
   const read = (onChunk: (chunk: Uint8Array) => void) => Effect.sync(() => chunks.forEach(onChunk));
-  return { read, drain: () => {}, discard: () => {} };
+  return makeResponseBody(read);
 }
