--- /dev/null
+++ b/src/base/node/http_client_test.ts
@@ -0,0 +1,32 @@
+import test from "ava";
+import { Effect, Result } from "effect";
+import { ConnectionEnd, startRawServer } from "../../../test/stand_ins/raw_server.ts";
+import { HttpClient, SendProgress } from "./http_client.ts";
+
+/** Fetches a response without a length; returns its body, or how far the failed request had progressed. */
+async function fetchUnframed(body: string, { end, freshConnection }: {
+  end: ConnectionEnd;
+  freshConnection: boolean;
+}): Promise<string> {
+  const server = await startRawServer(() => ({ bytes: `HTTP/1.1 200 OK\r\n\r\n${body}`, end }));
+  const client = new HttpClient();
+  const req = { method: "GET", url: `http://${server.address}/`, freshConnection };
+  const result = await Effect.runPromise(Effect.result(client.fetch(req)));
+  client.dispose();
+  server.close();
+  return Result.isFailure(result) ? result.failure.progress : Buffer.from(result.success.body).toString();
+}
+
+for (const freshConnection of [false, true]) {
+  const connection = freshConnection ? "a new connection" : "a pooled connection";
+  test(`a response without a length that is reset on ${connection} fails`, async (t) => {
+    for (const body of ["", "[1, 2"]) {
+      t.is(await fetchUnframed(body, { end: ConnectionEnd.Reset, freshConnection }), SendProgress.Sent);
+    }
+  });
+  test(`a response without a length ends with its connection on ${connection}`, async (t) => {
+    for (const body of ["", "[1, 2]"]) {
+      t.is(await fetchUnframed(body, { end: ConnectionEnd.Closed, freshConnection }), body);
+    }
+  });
+}
--- a/src/call/common/gateway_relay_test.ts
+++ b/src/call/common/gateway_relay_test.ts
@@ -25,7 +25,7 @@
 import { ResponseMemoryPool } from "./response_limits.ts";
 import { StreamOriginRegistry } from "./stream_origin_registry.ts";
 import type { IRequestCodec, IUpstream, IUpstreamRequest, IUpstreamResponse } from "./opaque_request.ts";
-import { UpstreamError, UpstreamFault } from "./opaque_request.ts";
+import { BodyFraming, UpstreamError, UpstreamFault } from "./opaque_request.ts";
 
 /** Scripted behavior of a server for one request. */
 interface IServerBehavior {
@@ -39,6 +39,7 @@
   readonly isTruncated?: boolean;
   /** Never responds. */
   readonly isUnresponsive?: boolean;
+  readonly framing?: BodyFraming;
 }
 
 const NOT_LEAVING = { isLeaving: false };
@@ -58,7 +59,8 @@
       const behavior = this.#script.shift() ?? {};
       if (behavior.isUnresponsive) return Effect.never;
       if (behavior.fault !== undefined) return Effect.fail(new UpstreamError(behavior.fault));
-      const { status = 200, isNotRun = false, isSigned = true, chunks = [], isTruncated = false } = behavior;
+      const { status = 200, isNotRun = false, isSigned = true, chunks = [], isTruncated = false, framing } =
+        behavior;
       const head = {
         status,
         headers: ["x-from", id],
@@ -72,7 +74,7 @@
           for (const chunk of chunks) onChunk(Buffer.from(chunk));
           return isTruncated ? Effect.fail(new UpstreamError(UpstreamFault.Broken)) : Effect.void;
         });
-      return Effect.succeed({ head, body: makeResponseBody(read) });
+      return Effect.succeed({ head, body: makeResponseBody(read, framing) });
     });
   }
 }
@@ -536,3 +538,42 @@
     t.true(sink.text.startsWith(event(1, title.startsWith("more") ? "y" : "d1")), title);
   }
 });
+
+test("a stream that ends within an event does not look complete and is not stored", async (t) => {
+  for (const framing of Object.values(BodyFraming)) {
+    for (const chunks of [[event(1), "id: 2\nda"], [event(1), "id: 2\ndata: d2\n"], ["id: 1\nda"]]) {
+      const route = { ...STREAM, keepsHistory: true };
+      const { sink, turns, sent } = await relay({ route, script: [{ chunks, framing }] });
+      t.true(sink.isAborted || sink.status === 502, `${framing} ${chunks}`);
+      t.false(sink.isEnded && sink.status === 200);
+      t.is(turns.stored.length, 0);
+      t.is(sent.length, 1);
+      t.deepEqual(turns.ended.map(({ tokens }) => tokens), [chunks.length === 2 ? 22 : 0]);
+    }
+  }
+});
+
+test("a resumable stream that ends within an event goes on at another server", async (t) => {
+  const route = { ...STREAM, isResumable: true };
+  const script = [{ chunks: [event(1), "id: 2\nda"] }, { chunks: [event(2)] }];
+  const { sink, sent } = await relay({ route, script });
+  t.is(sink.text, event(1) + event(2));
+  t.true(sink.isEnded && !sink.isAborted);
+  t.deepEqual(sent[1].headers, ["last", "1"]);
+});
+
+test("a stream without any event that ends with its connection is broken", async (t) => {
+  const script = [{ chunks: [], framing: BodyFraming.Connection }];
+  const { sink } = await relay({ route: STREAM, script });
+  t.is(sink.status, 502);
+});
+
+test("a stream that ends between two events, whatever its framing, is complete", async (t) => {
+  for (const framing of Object.values(BodyFraming)) {
+    for (const rest of ["", "\n", ": done\n"]) {
+      const { sink } = await relay({ route: STREAM, script: [{ chunks: [event(1), rest], framing }] });
+      t.is(sink.text, event(1) + rest);
+      t.true(sink.isEnded && !sink.isAborted);
+    }
+  }
+});
--- a/src/call/node/http_upstream_test.ts
+++ b/src/call/node/http_upstream_test.ts
@@ -151,6 +151,15 @@
   }
 });
 
+test("a body without a length is complete if its connection ends and broken if it is reset", async (t) => {
+  for (const body of ["", "id: 1\ndata: x\n\n", "id: 1\nda"]) {
+    const close = (end: (socket: Socket) => void) =>
+      faultOfSocket((socket) => socket.write(`${HEAD}\r\n${body}`, () => end(socket)));
+    t.is(await close((socket) => socket.end()), undefined, `end after ${body}`);
+    t.is(await close((socket) => socket.resetAndDestroy()), UpstreamFault.Broken, `reset after ${body}`);
+  }
+});
+
 test("bytes that are not a response are invalid, on a connection that stays open", async (t) => {
   for (const bytes of ["garbage\r\n\r\n", `${HEAD}Transfer-Encoding: chunked\r\n\r\nzz\r\n`]) {
     t.is(await faultOfSocket((socket) => socket.write(bytes)), UpstreamFault.Invalid, bytes);
--- a/src/entry/node/gateway_server_test.ts
+++ b/src/entry/node/gateway_server_test.ts
@@ -126,3 +126,26 @@
   t.false(targets.includes("/smuggled"));
   server.dispose();
 });
+
+test("an aborted stream does not look complete to a caller without chunked responses", async (t) => {
+  const { server, port } = await listen((_raw, sink) =>
+    Effect.gen(function* () {
+      sink.startStream(200, []);
+      sink.write(Buffer.from("id: 1\n"));
+      yield* Effect.promise(() => firstBytes);
+      sink.abort();
+    })
+  );
+  const socket = connect(port, "127.0.0.1");
+  t.teardown(() => {
+    socket.destroy();
+    server.dispose();
+  });
+  const firstBytes = new Promise((resolve) => socket.once("data", resolve));
+  const ended = new Promise<string>((resolve) => {
+    socket.on("error", (err: NodeJS.ErrnoException) => resolve(err.code ?? ""));
+    socket.on("end", () => resolve("end"));
+  });
+  socket.write("GET / HTTP/1.0\r\nHost: h\r\n\r\n");
+  t.is(await ended, "ECONNRESET");
+});
--- /dev/null
+++ b/test/stand_ins/raw_server.ts
@@ -0,0 +1,45 @@
+/** Server that replies with given bytes on the raw connection and then ends it. */
+import { once } from "node:events";
+import type { AddressInfo, Socket } from "node:net";
+import { createServer } from "node:net";
+
+/** How a server ends a connection after the bytes of its response. */
+export enum ConnectionEnd {
+  /** The connection is closed in order. */
+  Closed = "closed",
+  /** The connection is reset. */
+  Reset = "reset",
+}
+
+export interface IRawReply {
+  /** All bytes of the response, including its head. */
+  readonly bytes: string | Uint8Array;
+  /** The connection stays open if it is undefined. */
+  readonly end: ConnectionEnd | undefined;
+}
+
+export interface IRawServer {
+  readonly address: string;
+  close(): void;
+}
+
+/** Starts a server that makes the reply to the bytes of each request, which must arrive at once. */
+export async function startRawServer(reply: (request: string) => IRawReply): Promise<IRawServer> {
+  const server = createServer((socket) => {
+    socket.unref();
+    socket.on("error", () => {});
+    socket.on("data", (data) => {
+      const { bytes, end } = reply(data.toString("latin1"));
+      socket.write(bytes, () => endConnection(socket, end));
+    });
+  });
+  server.listen(0, "127.0.0.1");
+  await once(server, "listening");
+  const { port } = server.address() as AddressInfo;
+  return { address: `127.0.0.1:${port}`, close: () => server.close() };
+}
+
+function endConnection(socket: Socket, end: ConnectionEnd | undefined): void {
+  if (end === ConnectionEnd.Closed) socket.end();
+  if (end === ConnectionEnd.Reset) socket.resetAndDestroy();
+}
