Fail responses without a length whose connection is reset

Cause: a body without a length or chunks ends with its connection, and Node.js ends it in order after a reset as well. It reports the reset on the request, which nobody looked at once the head had arrived. If data arrives together with the reset, libuv reports an ordinary end and Node.js reports nothing at all. Each reader of a response believed that end: the gateway's upstream and the scheduler's clients for servers, store, instances and peers.

Fix: the agent of all these clients fails the response itself, before the parser can end its body: on an error of the connection, and on an end after which the connection has no peer any more, which a reset leaves behind and an ordinary end does not. So no reader can miss it. Requests on new connections go through such an agent too.

--- a/src/base/node/http_client.ts
+++ b/src/base/node/http_client.ts
@@ -1,10 +1,11 @@
 /** HTTP/1.1 client with pooled connections for platform services and backend servers. */
 import type { ClientRequest, IncomingMessage, RequestOptions } from "node:http";
-import { Agent, request } from "node:http";
+import { request } from "node:http";
 import { Effect } from "effect";
 import VError from "verror";
 import { ByteBuffer } from "../common/byte_buffer.ts";
 import { toError } from "../common/errors.ts";
+import { StrictAgent } from "./strict_agent.ts";
 
 const KEEP_ALIVE_PROBE_MS = 1000;
 const MAX_SOCKETS_PER_HOST = 256;
@@ -49,16 +50,19 @@
 
 /** Pooled HTTP client. Closes its connections when it is disposed of. */
 export class HttpClient {
-  readonly #agent = new Agent({
+  readonly #agent = new StrictAgent({
     keepAlive: true,
     keepAliveMsecs: KEEP_ALIVE_PROBE_MS,
     maxSockets: MAX_SOCKETS_PER_HOST,
     noDelay: true,
   });
+  /** Opens a connection for each request. */
+  readonly #unpooledAgent = new StrictAgent({ keepAlive: false, noDelay: true });
 
   /** Closes all connections of the pool. */
   dispose(): void {
     this.#agent.destroy();
+    this.#unpooledAgent.destroy();
   }
 
   /** Sends a request and reads the complete response. */
@@ -80,7 +84,7 @@
 
   #options(req: IHttpRequest): RequestOptions {
     const body = req.body === undefined ? {} : { "content-length": String(byteLength(req.body)) };
-    const agent = req.freshConnection ? false : this.#agent;
+    const agent = req.freshConnection ? this.#unpooledAgent : this.#agent;
     return { method: req.method, agent, headers: { ...req.headers, ...body } };
   }
 }
--- a/src/base/node/keep_alive_agent.ts
+++ b/src/base/node/keep_alive_agent.ts
@@ -1,7 +1,7 @@
 /** Keep-alive connection pool that closes a connection on which data arrives while it is idle. */
 import type { Socket } from "node:net";
 import type { AgentOptions, ClientRequest, IncomingMessage } from "node:http";
-import { Agent } from "node:http";
+import { StrictAgent } from "./strict_agent.ts";
 
 /** Time before the server's announced idle timeout at which an idle connection is closed, in ms. */
 const IDLE_MARGIN_MS = 700;
@@ -11,7 +11,7 @@
   _httpMessage?: { res?: IncomingMessage };
 }
 
-export class KeepAliveAgent extends Agent {
+export class KeepAliveAgent extends StrictAgent {
   readonly #idleDataListeners = new WeakMap<Socket, () => void>();
   #isDraining = false;
 
--- a/src/call/node/http_upstream_test.ts
+++ b/src/call/node/http_upstream_test.ts
@@ -160,6 +160,22 @@
   }
 });
 
+test("a body without a length is broken if its connection is reset after its bytes were read", async (t) => {
+  let reset = () => {};
+  const server = createTcpServer((socket) => {
+    socket.on("error", () => {});
+    socket.once("data", () => socket.write(`${HEAD}\r\nid: 1`));
+    reset = () => socket.resetAndDestroy();
+  });
+  await new Promise<void>((resolve) => server.listen(0, "127.0.0.1", resolve));
+  const upstream = new HttpUpstream(CODEC);
+  const { body } = await Effect.runPromise(upstream.send(backendOf(server), requestOf("1")));
+  const result = await Effect.runPromise(Effect.result(body.read(() => reset())));
+  t.true(Result.isFailure(result) && result.failure.fault === UpstreamFault.Broken);
+  server.close();
+  upstream.dispose();
+});
+
 test("bytes that are not a response are invalid, on a connection that stays open", async (t) => {
   for (const bytes of ["garbage\r\n\r\n", `${HEAD}Transfer-Encoding: chunked\r\n\r\nzz\r\n`]) {
     t.is(await faultOfSocket((socket) => socket.write(bytes)), UpstreamFault.Invalid, bytes);
