Treat a stream that ends within an event as broken off

Callers saw streams as complete that had ended within an event: the relay passed on the bytes after the last complete event and ended its own response in order, whatever they were. Such a turn was stored, its request's strikes were withdrawn, and a resumable stream was not resumed. A server that stops within an event breaks its stream off, also if it closes the connection in order or ends the chunks.

Fix: before the end of a stream is believed, nothing but blank lines and comments may follow its last event. Where the end of the connection alone shows the end, a stream without any event is broken off as well; its head says nothing about events. The attempt fails like one whose connection was lost, so that a resumable stream goes on at another server.

--- a/src/call/common/backend_dispatcher.ts
+++ b/src/call/common/backend_dispatcher.ts
@@ -270,6 +270,7 @@
           call.unfinishedBytes = relay.unfinishedBytes;
         }),
       );
+      yield* relay.failWhenBrokenOff(body.framing);
       attempt.observed.result = AttemptResult.Succeeded;
       call.runs += 1;
       this.#recordPrompt(call);
--- a/src/call/common/event_splitter.ts
+++ b/src/call/common/event_splitter.ts
@@ -29,6 +29,13 @@
     return this.#pending.view();
   }
 
+  /** Whether a stream that ends here ends within an event. Blank lines and comments are not part of one. */
+  get isWithinEvent(): boolean {
+    const lines = Buffer.from(this.#pending.view()).toString("latin1").split(/\r?\n/);
+    const unfinishedLine = lines.pop();
+    return unfinishedLine !== "" || lines.some((line) => line !== "" && !line.startsWith(":"));
+  }
+
   /**
    * Adds a chunk of the stream and returns the events that it completes. Each byte is examined and copied a constant
    * number of times, however many chunks an event has.
--- a/src/call/common/event_splitter_test.ts
+++ b/src/call/common/event_splitter_test.ts
@@ -47,3 +47,23 @@
   );
   t.pass();
 });
+
+test("a stream ends within an event unless blank lines and comments alone follow the last one", (t) => {
+  const ends: readonly (readonly [string, boolean])[] = [
+    ["", false],
+    ["\n", false],
+    ["\r\n\r\n", false],
+    [": done\n", false],
+    [": done", true],
+    ["id", true],
+    ["id: 2\n", true],
+    ["id: 2\ndata: x", true],
+    ["id: 2\r\ndata: x\r\n", true],
+    [": done\nid: 2\n", true],
+  ];
+  for (const [rest, isWithinEvent] of ends) {
+    const splitter = new EventSplitter();
+    splitter.push(Buffer.from(`id: 1\ndata: x\n\n${rest}`));
+    t.is(splitter.isWithinEvent, isWithinEvent, JSON.stringify(rest));
+  }
+});
--- a/src/call/common/stream_relay.ts
+++ b/src/call/common/stream_relay.ts
@@ -3,7 +3,7 @@
 import type { IStreamEvent } from "./event_splitter.ts";
 import { EventSplitter } from "./event_splitter.ts";
 import type { IResponseHead, IResponseSink } from "./opaque_request.ts";
-import { UpstreamError, UpstreamFault } from "./opaque_request.ts";
+import { BodyFraming, UpstreamError, UpstreamFault } from "./opaque_request.ts";
 import type { RelayedCall } from "./relayed_call.ts";
 import type { ILimitedReceiver, IResponseLimits } from "./response_limits.ts";
 import type { IStreamOrigin } from "./stream_origin.ts";
@@ -119,7 +119,21 @@
     });
   }
 
-  /** Completes the response to the caller, including any bytes after the last event. */
+  /**
+   * Fails if the stream has been broken off although its body ended in order: within an event, or before the first one if
+   * nothing but the end of the connection shows the end.
+   */
+  failWhenBrokenOff(framing: BodyFraming): Effect.Effect<void, UpstreamError> {
+    return Effect.suspend(() => {
+      const hasEvents = this.#call.lastEventId !== undefined || this.#call.events > 0;
+      const isEmpty = framing === BodyFraming.Connection && !hasEvents;
+      if (!isEmpty && !this.#splitter.isWithinEvent) return Effect.void;
+      const where = isEmpty ? "before its first event" : "within an event";
+      return Effect.fail(new UpstreamError(UpstreamFault.Broken, new Error(`the stream ended ${where}`)));
+    });
+  }
+
+  /** Completes the response to the caller, including blank lines and comments after the last event. */
   finish(): void {
     this.#writeHead();
     if (this.#splitter.remainder.length > 0) this.#sink.write(this.#splitter.remainder);
