Reset the connection of an aborted response that has no chunks

Callers of HTTP/1.0 get no chunks, so that a response ends with its connection. Both fronts ended an aborted stream by closing that connection in order, which made it look complete. A response without chunks is now reset; one with chunks shows by itself that it is not complete.

--- a/src/entry/node/gateway_server.ts
+++ b/src/entry/node/gateway_server.ts
@@ -12,6 +12,7 @@
 import type { IResponseSink } from "../../call/common/opaque_request.ts";
 import type { ILogger } from "../../services/logging/common/logger.ts";
 import type { ICallerLimits } from "../../services/routes/common/route_table.ts";
+import { abortResponse } from "./abort_response.ts";
 
 /** Fixed when the server is created, before the configured limits are known. */
 const MAX_HEADER_BYTES = 32 * 1024;
@@ -181,7 +182,7 @@
   }
 
   abort(): void {
-    this.#res.destroy();
+    abortResponse(this.#res);
   }
 
   /** Rejects a body that is too large. Closes the connection, since the unread rest would be parsed as a request. */
--- a/src/entry/node/gateway_server_test.ts
+++ b/src/entry/node/gateway_server_test.ts
@@ -3,6 +3,8 @@
 import { get } from "node:http";
 import test from "ava";
 import { Context, Deferred, Effect } from "effect";
+import { callHttp10 } from "../../../test/stand_ins/http10_caller.ts";
+import { ConnectionEnd } from "../../../test/stand_ins/raw_server.ts";
 import type { GatewayRelay } from "../../call/common/gateway_relay.ts";
 import type { IRawRequest, IResponseSink } from "../../call/common/opaque_request.ts";
 import { NullLogger } from "../../services/logging/common/logger.ts";
@@ -132,20 +134,14 @@
     Effect.gen(function* () {
       sink.startStream(200, []);
       sink.write(Buffer.from("id: 1\n"));
-      yield* Effect.promise(() => firstBytes);
+      yield* Effect.promise(() => call.firstBytes);
       sink.abort();
     })
   );
-  const socket = connect(port, "127.0.0.1");
+  const call = callHttp10(port, "/");
   t.teardown(() => {
-    socket.destroy();
+    call.socket.destroy();
     server.dispose();
   });
-  const firstBytes = new Promise((resolve) => socket.once("data", resolve));
-  const ended = new Promise<string>((resolve) => {
-    socket.on("error", (err: NodeJS.ErrnoException) => resolve(err.code ?? ""));
-    socket.on("end", () => resolve("end"));
-  });
-  socket.write("GET / HTTP/1.0\r\nHost: h\r\n\r\n");
-  t.is(await ended, "ECONNRESET");
+  t.is(await call.end, ConnectionEnd.Reset);
 });
--- a/src/entry/node/http_server.ts
+++ b/src/entry/node/http_server.ts
@@ -11,6 +11,7 @@
 import { listen } from "../../base/node/listen.ts";
 import type { ILogger } from "../../services/logging/common/logger.ts";
 import { problemHeaders, toProblemDetails } from "../common/problem.ts";
+import { abortResponse } from "./abort_response.ts";
 
 const MAX_BODY_BYTES = 8 * 1024 * 1024;
 const MAX_HEADER_BYTES = 16 * 1024;
@@ -195,7 +196,7 @@
 
 function writeProblem(res: ServerResponse, err: CallError): void {
   if (res.headersSent) {
-    res.destroy();
+    abortResponse(res);
     return;
   }
   const problem = toProblemDetails(err);
