--- a/src/cli/node/status.ts
+++ b/src/cli/node/status.ts
@@ -1,5 +1,7 @@
 /** The `status` command: prints the gauges of an instance. */
+import { Effect } from "effect";
 import { toError } from "../../base/common/errors.ts";
+import { HttpClient } from "../../base/node/http_client.ts";
 import { ExitCode } from "../common/exit_code.ts";
 import { parseGauges } from "../common/gauges.ts";
 import { renderFields } from "../common/output.ts";
@@ -14,10 +16,13 @@
 }
 
 export async function status({ url, isJson }: IStatusOptions): Promise<ExitCode> {
+  const client = new HttpClient();
   try {
-    const response = await fetch(url, { signal: AbortSignal.timeout(TIMEOUT_MS) });
-    const gauges = parseGauges(await response.text());
-    if (!response.ok || Object.keys(gauges).length === 0) {
+    const response = await Effect.runPromise(
+      Effect.timeout(client.fetch({ method: "GET", url }), TIMEOUT_MS),
+    );
+    const gauges = parseGauges(new TextDecoder().decode(response.body));
+    if (response.status !== 200 || Object.keys(gauges).length === 0) {
       throw new Error(`${url} returned no metrics (status ${response.status})`);
     }
     console.log(isJson ? JSON.stringify(gauges) : renderFields(gauges));
@@ -25,5 +30,7 @@
   } catch (err) {
     console.error(`ragwortcleat: ${toError(err).message}`);
     return ExitCode.Failed;
+  } finally {
+    client.dispose();
   }
 }
