Refuse shared parts of requests that crash servers, whichever part it is

Cause: a request's identity was one key, its whole content. What crashes servers may be any part of it: the target, the body, the object, a part of the prompt, or two of them together, and the rest is new with each return.

Change: a strike names all single parts and pairs of parts of its request. A completed request acquits its parts, in strikes of other instances as well if they suspect them. A part whose three crashes nothing else explains, and that no request has survived, is refused, unless all of its crashes have another part or a whole request in common: then a request without that is tried. Trials are limited from three seconds after the third crash on: one at a time, two further crashes at most. Crashes at one moment count as two at most, so that a loss of many servers blames no shared part. The strikes of old builds have no parts.

The refusal's log line and explain name the part and the servers.

--- a/src/call/common/backend_dispatcher.ts
+++ b/src/call/common/backend_dispatcher.ts
@@ -15,8 +15,9 @@
 import { isRepeatable, RouteKind } from "../../services/routes/common/route_table.ts";
 import type { IPromptHome } from "../../turns/common/prompt_home_cache.ts";
 import { BufferedBody } from "./buffered_body.ts";
-import type { CrashMonitor, IObservedAttempt } from "./crash_monitor.ts";
-import { AttemptResult } from "./crash_monitor.ts";
+import type { CrashMonitor } from "./crash_monitor.ts";
+import type { IObservedAttempt } from "./observed_attempt.ts";
+import { AttemptResult } from "./observed_attempt.ts";
 import { finalRefusal, GatewayStatus, RefusalReason } from "./gateway_refusal.ts";
 import type {
   IRequestCodec,
--- a/src/call/common/crash_monitor.ts
+++ b/src/call/common/crash_monitor.ts
@@ -3,10 +3,14 @@
 import { Emitter } from "../../base/common/emitter.ts";
 import type { ISeparation } from "../../routing/common/backend_chooser.ts";
 import type { IBackendEntry } from "../../services/backends/common/backend_directory.ts";
-import type { IServerRun } from "../../services/backends/common/leaving_servers.ts";
 import type { ILogger } from "../../services/logging/common/logger.ts";
 import type { Metrics } from "../../services/metrics/common/metrics.ts";
+import type { IEndedAttempt, IObservedAttempt } from "./observed_attempt.ts";
+import { AttemptResult, toEnded, toServerRun } from "./observed_attempt.ts";
 import type { RequestIdentity } from "./request_identity.ts";
+import type { IRequestKey } from "./request_keys.ts";
+import { formatParts } from "./request_keys.ts";
+import type { ISharedCause } from "./shared_part_ledger.ts";
 import type { IStrike } from "./strike_ledger.ts";
 import { formatFingerprint, serverKey, strikeKey, StrikeLedger } from "./strike_ledger.ts";
 import { SurvivalTracker } from "./survival_tracker.ts";
@@ -27,34 +31,6 @@
 /** How long an attempt that another instance has reported is remembered, in ms, so that repetitions are ignored. */
 const PENDING_RETENTION_MS = 60_000;
 
-/** How an attempt on a backend server ended. */
-export enum AttemptResult {
-  /** The server may still be running the request. */
-  Unknown = "unknown",
-  /** The server has not begun to run the request. */
-  NotStarted = "not-started",
-  /** The server sent a complete response that does not show whether it ran the request. */
-  Responded = "responded",
-  /** The server completed the request. */
-  Succeeded = "succeeded",
-  /** The connection broke before the response was complete. */
-  ConnectionLost = "connection-lost",
-}
-
-/** An attempt on a backend server that is being observed. */
-export interface IObservedAttempt {
-  readonly requestId: string;
-  readonly identity: RequestIdentity;
-  readonly server: IServerRun;
-  /** Level of the request's strikes when it was sent. */
-  readonly level: number;
-  readonly sentAtMs: number;
-  /** Whether the head of a stream has arrived; its events take long also at a live server. Set by the sender. */
-  isStreaming: boolean;
-  /** Set by the sender as soon as it is known. */
-  result: AttemptResult;
-}
-
 /** What shows that a server crashed while it had a request. */
 enum CrashEvidence {
   ConnectionLost = "connection-lost",
@@ -62,15 +38,6 @@
   ServerEnded = "server-ended",
 }
 
-/** An attempt that has ended. */
-interface IEndedAttempt {
-  /** Undefined for an attempt that another instance has reported. */
-  readonly requestId: string | undefined;
-  readonly fingerprint: bigint;
-  readonly server: IServerRun;
-  readonly level: number;
-}
-
 /** A strike that this instance has added or withdrawn, or adds once the server has ended. */
 export interface IStrikeChange {
   readonly strike: IStrike;
@@ -93,6 +60,8 @@
   readonly metrics: Metrics;
   /** Unix time in ms. */
   readonly now: () => number;
+  /** In [0, 1), different for each instance; 0 by default. */
+  readonly spread?: number;
 }
 
 export class CrashMonitor {
@@ -118,7 +87,7 @@
 
   constructor(opts: ICrashMonitorOptions) {
     this.#opts = opts;
-    this.#ledger = new StrikeLedger(opts.now);
+    this.#ledger = new StrikeLedger(opts.now, opts.spread);
     this.#unresolved = new SurvivalTracker(opts.now);
     this.#refutableStrikes = new SurvivalTracker(opts.now);
   }
@@ -137,21 +106,48 @@
     return this.#ledger.size > 0 && this.#ledger.levelOf(identity.fingerprint) > 0;
   }
 
-  /** Whether the request has crashed so many servers that it must not be sent to another one. */
+  /**
+   * Whether the request, or a part of it that others share, has crashed so many servers that it must not be sent to another
+   * one.
+   */
   isQuarantined(identity: RequestIdentity): boolean {
-    if (this.#ledger.size === 0 || !this.#ledger.isQuarantined(identity.fingerprint)) return false;
-    this.#logQuarantine(identity.fingerprint);
+    if (this.#ledger.size === 0) return false;
+    if (this.#ledger.isQuarantined(identity.fingerprint)) {
+      this.#logQuarantine(identity.fingerprint, this.#ledger.strikesOf(identity.fingerprint));
+      return true;
+    }
+    const cause = this.#sharedCauseOf(identity);
+    if (cause === undefined) return false;
+    this.#logQuarantine(cause.key.hash, cause.strikes, cause.key);
     return true;
   }
 
-  /** Time after which a quarantined request may be sent again, in ms; undefined if it crashes servers itself. */
-  quarantineEndsInMs({ fingerprint }: RequestIdentity): number | undefined {
-    return this.#ledger.heldBackMs(fingerprint);
+  /** Time after which a quarantined request may be sent again, in ms; undefined if it is not. */
+  quarantineEndsInMs(identity: RequestIdentity): number | undefined {
+    if (!this.#ledger.isQuarantined(identity.fingerprint)) return this.#sharedCauseOf(identity)?.endsInMs;
+    return this.#ledger.heldBackMs(identity.fingerprint);
+  }
+
+  #sharedCauseOf({ sharedKeys }: RequestIdentity): ISharedCause | undefined {
+    return this.#ledger.sharedCauseOf(sharedKeys, (key) => this.#isTried(key));
+  }
+
+  /** Whether another request with a suspected part is being run, as far as this instance knows. */
+  #isTried({ hash }: IRequestKey): boolean {
+    const hasKey = ({ suspectedKeys }: { readonly suspectedKeys: readonly IRequestKey[] }) =>
+      suspectedKeys.some((key) => key.hash === hash);
+    return [...this.#running.values()].some((attempts) => [...attempts].some(hasKey));
   }
 
   /** Returns how a suspect is separated from the others; undefined if it has no strikes. */
-  separationOf({ fingerprint }: RequestIdentity): ISeparation | undefined {
-    return this.#ledger.separationOf(fingerprint);
+  separationOf({ fingerprint, sharedKeys }: RequestIdentity): ISeparation | undefined {
+    if (this.#ledger.size === 0) return undefined;
+    const separation = this.#ledger.separationOf(fingerprint);
+    if (separation !== undefined) return separation;
+    const [key] = this.#ledger.suspectedAmong(sharedKeys);
+    return key === undefined
+      ? undefined
+      : { crash: String(key.hash), position: Number(fingerprint & 0xffffn) };
   }
 
   /** Returns the servers without those on which the request has a strike, or all if none remain. */
@@ -162,12 +158,16 @@
   }
 
   /** Returns the log fields that show what is known about a request. */
-  evidenceFor({ fingerprint, logFields }: RequestIdentity): object {
+  evidenceFor(identity: RequestIdentity): object {
+    const { fingerprint, logFields } = identity;
     const strikes = this.#ledger.strikesOf(fingerprint);
+    const cause = this.#ledger.size === 0 ? undefined : this.#sharedCauseOf(identity);
     return {
       fingerprint: formatFingerprint(fingerprint),
       strikes: strikes.length,
       strikeLevel: this.#ledger.levelOf(fingerprint),
+      key: cause === undefined ? undefined : formatKey(cause.key),
+      keyServers: cause?.strikes.map(serverKey),
       ...logFields,
     };
   }
@@ -180,8 +180,18 @@
     const level = this.#ledger.size === 0 ? 0 : this.#ledger.levelOf(identity.fingerprint);
     const server = toServerRun(backend);
     const sentAtMs = this.#opts.now();
+    const suspectedKeys = this.#ledger.size === 0 ? [] : this.#ledger.suspectedAmong(identity.sharedKeys);
     const result = AttemptResult.Unknown;
-    const attempt = { requestId, identity, server, level, sentAtMs, isStreaming: false, result };
+    const attempt = {
+      requestId,
+      identity,
+      server,
+      level,
+      suspectedKeys,
+      sentAtMs,
+      isStreaming: false,
+      result,
+    };
     const key = serverKey(server);
     const running = this.#running.get(key) ?? new Set();
     running.add(attempt);
@@ -199,7 +209,7 @@
       case AttemptResult.ConnectionLost:
         return this.#strike(toEnded(attempt), CrashEvidence.ConnectionLost);
       case AttemptResult.Succeeded:
-        return this.#clear(attempt.identity);
+        return this.#clear(attempt);
       case AttemptResult.Unknown:
         if (hasServerEnded) this.#strike(toEnded(attempt), CrashEvidence.ServerEnded);
         else this.#awaitServer(toEnded(attempt));
@@ -257,9 +267,10 @@
   reportAtRisk(): IStrike[] {
     const now = this.#opts.now();
     const isListLive = now - this.#newestHeartbeatMs <= LIVE_LIST_MS;
-    const isAtRisk = ({ server, level }: IEndedAttempt) => {
+    const isAtRisk = ({ server, level, suspectedKeys }: IEndedAttempt) => {
       const heartbeatMs = this.#heartbeats.get(serverKey(server)) ?? now;
-      return level > 0 || (isListLive && now - heartbeatMs > OVERDUE_HEARTBEAT_MS);
+      return level > 0 || suspectedKeys.length > 0 ||
+        (isListLive && now - heartbeatMs > OVERDUE_HEARTBEAT_MS);
     };
     const observed = [...this.#running.values()].flatMap((attempts) => [...attempts]);
     for (const attempt of observed) {
@@ -291,9 +302,10 @@
       return false;
     }
     this.#reportedPending.set(key, this.#opts.now());
-    const { fingerprint, backendId, startedAtMs, level } = strike;
+    const { fingerprint, backendId, startedAtMs, level, keys = [] } = strike;
     const server = { backendId, startedAtMs };
-    const attempt = { requestId: undefined, fingerprint, server, level: level - 1 };
+    const rest = { suspectedKeys: [], keys: () => keys };
+    const attempt = { requestId: undefined, fingerprint, server, level: level - 1, ...rest };
     const hasEnded = (this.#latestStarts.get(backendId) ?? 0) > startedAtMs;
     if (hasEnded) this.#strike(attempt, CrashEvidence.ServerEnded);
     else this.#unresolved.add(server, attempt);
@@ -344,8 +356,8 @@
     for (const strike of this.#ledger.evict()) this.#recordWithdrawal(strike, WithdrawalReason.Expired);
   }
 
-  #toStrike({ fingerprint, server, level }: IEndedAttempt): IStrike {
-    return { ...server, fingerprint, level: level + 1, atMs: this.#opts.now() };
+  #toStrike({ fingerprint, server, level, keys }: IEndedAttempt): IStrike {
+    return { ...server, fingerprint, level: level + 1, atMs: this.#opts.now(), keys: keys() };
   }
 
   #strike(attempt: IEndedAttempt, evidence: CrashEvidence): void {
@@ -359,17 +371,21 @@
       fingerprint: formatFingerprint(fingerprint),
       backend: server.backendId,
       strikeLevel: strike.level,
+      suspected: this.#ledger.suspectedAmong(strike.keys ?? []).map(formatKey),
       evidence,
     });
     this.#publish({ strike, isWithdrawn: false, isPending: false });
   }
 
-  #clear(identity: RequestIdentity): void {
+  #clear({ identity, sentAtMs }: IObservedAttempt): void {
     this.#ledger.recordProven(identity.fingerprint);
     if (this.#ledger.size === 0) return;
     for (const strike of this.#ledger.strikesOf(identity.fingerprint)) {
       this.#withdraw(strike, WithdrawalReason.Succeeded);
     }
+    for (const strike of this.#ledger.acquit(identity.sharedKeys, sentAtMs)) {
+      this.#publish({ strike, isWithdrawn: false, isPending: false });
+    }
   }
 
   #withdraw(strike: IStrike, reason: WithdrawalReason): void {
@@ -396,22 +412,20 @@
     this.#recentChanges.set(strikeKey(change.strike), { change, atMs: this.#opts.now() });
   }
 
-  /** Logs the first refusal of a request since its last strike was withdrawn. */
-  #logQuarantine(fingerprint: bigint): void {
-    if (this.#loggedQuarantines.has(fingerprint)) return;
-    this.#loggedQuarantines.add(fingerprint);
+  /** Logs the first refusal because of a content or of a shared part of it since its last strike was withdrawn. */
+  #logQuarantine(hash: bigint, strikes: readonly IStrike[], key?: IRequestKey): void {
+    if (this.#loggedQuarantines.has(hash)) return;
+    this.#loggedQuarantines.add(hash);
     this.#opts.logger.warn("request-quarantined", {
-      fingerprint: formatFingerprint(fingerprint),
-      strikeLevel: this.#ledger.levelOf(fingerprint),
-      servers: this.#ledger.strikesOf(fingerprint).map(serverKey),
+      fingerprint: key === undefined ? formatFingerprint(hash) : undefined,
+      key: key === undefined ? undefined : formatKey(key),
+      strikeLevel: key === undefined ? this.#ledger.levelOf(hash) : undefined,
+      servers: strikes.map(serverKey),
     });
   }
 }
 
-function toEnded({ requestId, identity, server, level }: IObservedAttempt): IEndedAttempt {
-  return { requestId, fingerprint: identity.fingerprint, server, level };
-}
-
-function toServerRun({ id, startedAtMs }: IBackendEntry): IServerRun {
-  return { backendId: id, startedAtMs };
+/** Names a shared part and its value, for example "target:0123456789abcdef". */
+function formatKey({ parts, hash }: IRequestKey): string {
+  return `${formatParts(parts)}:${formatFingerprint(hash)}`;
 }
--- a/src/call/common/crash_monitor_test.ts
+++ b/src/call/common/crash_monitor_test.ts
@@ -3,7 +3,8 @@
 import { NullLogger } from "../../services/logging/common/logger.ts";
 import { Metrics } from "../../services/metrics/common/metrics.ts";
 import type { IStrikeChange } from "./crash_monitor.ts";
-import { AttemptResult, CrashMonitor } from "./crash_monitor.ts";
+import { CrashMonitor } from "./crash_monitor.ts";
+import { AttemptResult } from "./observed_attempt.ts";
 import { RequestIdentity } from "./request_identity.ts";
 
 function identityOf(text: string, affinityKey = "c"): RequestIdentity {
--- /dev/null
+++ b/src/call/common/shared_part_ledger.ts
@@ -0,0 +1,256 @@
+/** Decides which parts of requests' content crash servers, from the strikes of requests that share them. */
+import type { IRequestKey } from "./request_keys.ts";
+import type { IStrike } from "./strike_ledger.ts";
+import { serverKey, strikeKey } from "./strike_ledger.ts";
+
+/** Number of crashes from which requests with a part in common are refused. */
+const QUARANTINE_CRASHES = 3;
+/** The same while the latest crashes are so recent that other instances may not have reported theirs. */
+const UNSETTLED_QUARANTINE_CRASHES = 5;
+/** Crashes at the same moment count as at most this many: servers that are lost together have no common cause in a request. */
+const MAX_SIMULTANEOUS_CRASHES = 2;
+/** Time within which crashes count as simultaneous, in ms. */
+const SIMULTANEOUS_MS = 250;
+/** Time after the crash that quarantines a part from which trials are limited, in ms; its callers return at once until then. */
+const TRIAL_LIMIT_DELAY_MS = 3000;
+/** Number of crashes by limited trials after which a part is refused until its strikes expire. */
+const MAX_TRIAL_CRASHES = 2;
+/** Time without a crash after which a request that shares all suspected parts is tried, in ms; longer after each such trial. */
+const TRIAL_DELAY_MS = 3000;
+const TRIAL_DELAY_FACTOR = 4;
+
+/** Maximum number of keys whose last completion is remembered; the one that completed first is evicted first. */
+const MAX_ACQUITTED = 2000;
+
+/** A strike with the parts that may still have caused its crash. */
+interface ITrackedStrike {
+  readonly strike: IStrike;
+  readonly addedAtMs: number;
+  readonly keys: Map<bigint, IRequestKey>;
+}
+
+/** Why a request is refused: it shares a part with requests that have crashed servers. */
+export interface ISharedCause {
+  readonly key: IRequestKey;
+  readonly strikes: readonly IStrike[];
+  /** Time after which a request is tried again, in ms; undefined if none is. */
+  readonly endsInMs: number | undefined;
+}
+
+export interface ISharedPartLedgerOptions {
+  /** Unix time in ms. */
+  readonly now: () => number;
+  /** In [0, 1), different for each instance, so that instances do not try a request at the same time. */
+  readonly spread: number;
+  /** Returns the strikes of all requests that were unfinished on the same server at the same crash. */
+  readonly strikesOfSameCrash: (strike: IStrike) => readonly IStrike[];
+  /** Whether the content of a request as a whole has crashed servers. */
+  readonly isCause: (fingerprint: bigint) => boolean;
+  readonly isSettled: (strike: IStrike) => boolean;
+}
+
+/**
+ * Expected load pattern: a target, body, object, prompt part or two of them together crash every server that runs a
+ * request with them, and return in ever new requests, beside many sound requests that share other parts.
+ *
+ * Each completed request acquits its parts. If all crashes of a part have another part or a whole request in common as well, only
+ * requests with both are refused; one with the first alone is tried, so that it either is served, which acquits its parts, or shows that the
+ * first part is the cause by itself.
+ */
+export class SharedPartLedger {
+  readonly #opts: ISharedPartLedgerOptions;
+  readonly #strikes = new Map<string, ITrackedStrike>();
+  readonly #byKey = new Map<bigint, Set<ITrackedStrike>>();
+  /** Time at which the last completed request with a key was sent, in Unix ms, for strikes that are reported later. */
+  readonly #acquittedMs = new Map<bigint, number>();
+
+  constructor(opts: ISharedPartLedgerOptions) {
+    this.#opts = opts;
+  }
+
+  /** Adds a strike with the keys that are not acquitted. */
+  add(strike: IStrike, suspected: readonly IRequestKey[] = []): void {
+    const remaining = suspected.filter(({ hash }) => !this.#isAcquitted(hash, strike.atMs));
+    const keys = new Map(remaining.map((key) => [key.hash, key]));
+    const tracked = { strike, addedAtMs: this.#opts.now(), keys };
+    this.#strikes.set(strikeKey(strike), tracked);
+    for (const hash of keys.keys()) {
+      const strikes = this.#byKey.get(hash) ?? new Set();
+      strikes.add(tracked);
+      this.#byKey.set(hash, strikes);
+    }
+  }
+
+  remove(strike: IStrike): void {
+    const tracked = this.#strikes.get(strikeKey(strike));
+    if (tracked === undefined) return;
+    this.#strikes.delete(strikeKey(strike));
+    for (const hash of [...tracked.keys.keys()]) this.#acquit(tracked, hash);
+  }
+
+  /** Returns the parts that may still have caused a strike's crash. */
+  keysOf(strike: IStrike): IRequestKey[] {
+    return [...this.#strikes.get(strikeKey(strike))?.keys.values() ?? []];
+  }
+
+  /** Removes the keys of a strike that another copy of it no longer has; returns whether there were any. */
+  narrow(strike: IStrike): boolean {
+    const tracked = this.#strikes.get(strikeKey(strike));
+    if (tracked === undefined) return false;
+    const remaining = new Set((strike.keys ?? []).map(({ hash }) => hash));
+    const removed = [...tracked.keys.keys()].filter((hash) => !remaining.has(hash));
+    for (const hash of removed) this.#acquit(tracked, hash);
+    return removed.length > 0;
+  }
+
+  /**
+   * Records that a request with these keys has completed, which was sent at the given time. Returns the strikes that lose a
+   * part that other instances may suspect, without it.
+   */
+  acquit(keys: readonly IRequestKey[], sentAtMs: number): IStrike[] {
+    const changed = new Set<ITrackedStrike>();
+    for (const { hash } of keys) {
+      this.#recordAcquittal(hash, sentAtMs);
+      const strikes = [...this.#byKey.get(hash) ?? []];
+      const isSuspected = distinctCrashes(strikes).length >= MAX_SIMULTANEOUS_CRASHES;
+      for (const tracked of strikes) {
+        if (!this.#isAcquitted(hash, tracked.strike.atMs)) continue;
+        this.#acquit(tracked, hash);
+        if (isSuspected) changed.add(tracked);
+      }
+    }
+    return [...changed].map(({ strike, keys: remaining }) => ({ ...strike, keys: [...remaining.values()] }));
+  }
+
+  /** Whether requests that share the key are suspected of crashing servers. */
+  isSuspect({ hash }: IRequestKey): boolean {
+    return this.#weigh(this.#byKey.get(hash)) >= QUARANTINE_CRASHES;
+  }
+
+  /** Returns why a request with these keys is refused; undefined if it may be sent. */
+  causeOf(
+    keys: readonly IRequestKey[],
+    isTried: (key: IRequestKey) => boolean,
+  ): ISharedCause | undefined {
+    for (const key of keys) {
+      const strikes = [...this.#byKey.get(key.hash) ?? []];
+      if (!this.#isQuarantined(key, strikes)) continue;
+      const endsInMs = this.#trialInMs(strikes, sharesCause(keys, { key, strikes }));
+      if (endsInMs === 0 && !(this.#isTrialLimited(strikes) && isTried(key))) continue;
+      return { key, strikes: strikes.map(({ strike }) => strike), endsInMs };
+    }
+    return undefined;
+  }
+
+  #isQuarantined(key: IRequestKey, strikes: readonly ITrackedStrike[]): boolean {
+    const weight = this.#weigh(strikes);
+    if (weight < QUARANTINE_CRASHES) return false;
+    const settled = strikes.filter(({ strike }) => this.#opts.isSettled(strike));
+    if (this.#weigh(settled) < QUARANTINE_CRASHES && weight < UNSETTLED_QUARANTINE_CRASHES) return false;
+    return !strikes.every((tracked) => this.#isExplainedWithout(key, tracked));
+  }
+
+  /** Time until a request with a part may be tried, in ms: 0 if it may be now, undefined if it is not at all. */
+  #trialInMs(strikes: readonly ITrackedStrike[], hasCause: boolean): number | undefined {
+    const trialCrashes = this.#trialCrashes(strikes);
+    if (trialCrashes >= MAX_TRIAL_CRASHES) return undefined;
+    if (!hasCause) return 0;
+    const latestMs = Math.max(...strikes.map(({ addedAtMs }) => addedAtMs));
+    const delayMs = TRIAL_DELAY_MS * TRIAL_DELAY_FACTOR ** trialCrashes * (1 + this.#opts.spread);
+    return Math.max(0, latestMs + delayMs - this.#opts.now());
+  }
+
+  #isTrialLimited(strikes: readonly ITrackedStrike[]): boolean {
+    return this.#opts.now() > trialLimitStartMs(strikes);
+  }
+
+  /** Number of crashes since trials have been limited. */
+  #trialCrashes(strikes: readonly ITrackedStrike[]): number {
+    const startMs = trialLimitStartMs(strikes);
+    return distinctCrashes(strikes).filter((atMs) => atMs > startMs).length;
+  }
+
+  /** Whether another request without the key explains a crash, because it has crashed servers itself. */
+  #isExplainedWithout({ hash }: IRequestKey, { strike, keys }: ITrackedStrike): boolean {
+    return this.#opts.strikesOfSameCrash(strike).some((other) => {
+      const otherKeys = this.#strikes.get(strikeKey(other))?.keys;
+      if (otherKeys === undefined || otherKeys.has(hash) || other.fingerprint === strike.fingerprint) {
+        return false;
+      }
+      if (this.#opts.isCause(other.fingerprint)) return true;
+      return [...otherKeys.values()].some((key) => !keys.has(key.hash) && this.isSuspect(key));
+    });
+  }
+
+  #weigh(strikes: Iterable<ITrackedStrike> = []): number {
+    const crashes = distinctCrashes(strikes);
+    const isSimultaneous = crashes.every((atMs, index) =>
+      index === 0 || atMs - crashes[index - 1] < SIMULTANEOUS_MS
+    );
+    return isSimultaneous ? Math.min(MAX_SIMULTANEOUS_CRASHES, crashes.length) : crashes.length;
+  }
+
+  #recordAcquittal(hash: bigint, sentAtMs: number): void {
+    const latestMs = Math.max(sentAtMs, this.#acquittedMs.get(hash) ?? -Infinity);
+    this.#acquittedMs.delete(hash);
+    this.#acquittedMs.set(hash, latestMs);
+    const [oldest] = this.#acquittedMs.keys();
+    if (this.#acquittedMs.size > MAX_ACQUITTED) this.#acquittedMs.delete(oldest);
+  }
+
+  /** Whether a request with the key was sent after a crash, by all observers' times of it, and has completed. */
+  #isAcquitted(hash: bigint, crashMs: number): boolean {
+    return crashMs <= (this.#acquittedMs.get(hash) ?? -Infinity) + SIMULTANEOUS_MS;
+  }
+
+  #acquit(tracked: ITrackedStrike, hash: bigint): void {
+    tracked.keys.delete(hash);
+    const strikes = this.#byKey.get(hash);
+    strikes?.delete(tracked);
+    if (strikes?.size === 0) this.#byKey.delete(hash);
+  }
+}
+
+/** Times of the crashes in order, in Unix ms; several requests may have strikes for the same one. */
+function distinctCrashes(strikes: Iterable<ITrackedStrike>): number[] {
+  const times = new Map<string, number>();
+  for (const { strike } of strikes) {
+    const key = serverKey(strike);
+    times.set(key, Math.min(strike.atMs, times.get(key) ?? Infinity));
+  }
+  return [...times.values()].sort((a, b) => a - b);
+}
+
+/** Time from which trials are limited, in Unix ms. */
+function trialLimitStartMs(strikes: readonly ITrackedStrike[]): number {
+  return (distinctCrashes(strikes)[QUARANTINE_CRASHES - 1] ?? Infinity) + TRIAL_LIMIT_DELAY_MS;
+}
+
+/** Whether a request shares what the crashes have in common: the part, or with another part if all of them have that too. */
+function sharesCause(
+  keys: readonly IRequestKey[],
+  { key, strikes }: { key: IRequestKey; strikes: readonly ITrackedStrike[] },
+): boolean {
+  const common = commonRefinements(key, strikes);
+  return common.size === 0 || keys.some(({ hash }) => common.has(hash));
+}
+
+/**
+ * Hashes of what each crash has in common beyond a key: keys that contain it and another part, and the fingerprints of
+ * requests that were part of all of them.
+ */
+function commonRefinements(key: IRequestKey, strikes: readonly ITrackedStrike[]): Set<bigint> {
+  const byCrash = new Map<string, Set<bigint>>();
+  for (const { strike, keys } of strikes) {
+    const crash = serverKey(strike);
+    const hashes = byCrash.get(crash) ?? new Set();
+    byCrash.set(crash, hashes);
+    const { parts } = keys.get(key.hash)!;
+    hashes.add(strike.fingerprint);
+    for (const other of keys.values()) {
+      if (other.parts !== parts && (other.parts & parts) === parts) hashes.add(other.hash);
+    }
+  }
+  const [first, ...rest] = [...byCrash.values()];
+  return new Set([...first].filter((hash) => rest.every((hashes) => hashes.has(hash))));
+}
--- a/src/call/common/strike_ledger.ts
+++ b/src/call/common/strike_ledger.ts
@@ -1,6 +1,9 @@
 /** Strikes of the gateway's requests, and the decision which requests are quarantined. */
 import type { ISeparation } from "../../routing/common/backend_chooser.ts";
 import type { IServerRun } from "../../services/backends/common/leaving_servers.ts";
+import type { IRequestKey } from "./request_keys.ts";
+import type { ISharedCause } from "./shared_part_ledger.ts";
+import { SharedPartLedger } from "./shared_part_ledger.ts";
 
 /** A request was unfinished on a server when that server crashed. */
 export interface IStrike extends IServerRun {
@@ -13,6 +16,8 @@
   readonly level: number;
   /** Unix time of the crash, in ms, by the clock of the instance that observed it. */
   readonly atMs: number;
+  /** Parts of the request that may have caused the crash, without those that a completed request has; absent in old strikes. */
+  readonly keys?: readonly IRequestKey[];
 }
 
 /** Weight from which a request is quarantined. */
@@ -67,8 +72,18 @@
   /** Local time at which each strike was added, in ms. */
   readonly #addedAtMs = new Map<IStrike, number>();
 
-  constructor(now: () => number) {
+  readonly #sharedParts: SharedPartLedger;
+
+  /** The spread, in [0, 1), is different for each instance, so that they do not try a request at the same time. */
+  constructor(now: () => number, spread = 0) {
     this.#now = now;
+    this.#sharedParts = new SharedPartLedger({
+      now,
+      spread,
+      strikesOfSameCrash: (strike) => this.#strikesOfSameCrash(strike),
+      isCause: (fingerprint) => this.#weigh(fingerprint, this.strikesOf(fingerprint)) >= QUARANTINE_WEIGHT,
+      isSettled: (strike) => this.#isSettled(strike),
+    });
   }
 
   get size(): number {
@@ -83,16 +98,21 @@
   }
 
   /**
-   * Adds a strike unless it is known, withdrawn or expired; returns whether it was added. Of two strikes for
-   * the same server run the higher level counts: while the store is unavailable, a restart is not noticed.
+   * Adds a strike unless it is known, withdrawn or expired; returns whether anything has changed. Of two strikes for
+   * the same server run the higher level counts: while the store is unavailable, a restart is not noticed. A key that one
+   * of the two lacks has been acquitted.
    */
   add(strike: IStrike): boolean {
     const key = strikeKey(strike);
     if (this.isObsolete(strike)) return false;
-    if ((this.#strikes.get(key)?.level ?? 0) >= strike.level) return false;
+    const known = this.#strikes.get(key);
+    const isNarrowed = this.#sharedParts.narrow(strike);
+    if ((known?.level ?? 0) >= strike.level) return isNarrowed;
+    const keys = known === undefined ? strike.keys : this.#sharedParts.keysOf(known);
     this.#remove(key);
     this.#strikes.set(key, strike);
     this.#addedAtMs.set(strike, this.#now());
+    this.#sharedParts.add(strike, keys);
     addToIndex(this.#byFingerprint, strike.fingerprint, strike);
     addToIndex(this.#byBackend, strike.backendId, strike);
     return true;
@@ -115,9 +135,30 @@
     return this.#remove(key);
   }
 
-  /** Returns all strikes. */
+  /** Returns all strikes, each with the keys that are not acquitted. */
   list(): IStrike[] {
-    return [...this.#strikes.values()];
+    return [...this.#strikes.values()].map((strike) => ({
+      ...strike,
+      keys: this.#sharedParts.keysOf(strike),
+    }));
+  }
+
+  /** Returns the part because of which a request is refused that shares it with others; undefined if it may be sent. */
+  sharedCauseOf(
+    keys: readonly IRequestKey[],
+    isTried: (key: IRequestKey) => boolean,
+  ): ISharedCause | undefined {
+    return this.#sharedParts.causeOf(keys, isTried);
+  }
+
+  /** Returns the keys among these that are suspected of crashing servers. */
+  suspectedAmong(keys: readonly IRequestKey[]): IRequestKey[] {
+    return keys.filter((key) => this.#sharedParts.isSuspect(key));
+  }
+
+  /** Records the completion of a request with these keys; returns the changed strikes that others should know. */
+  acquit(keys: readonly IRequestKey[], sentAtMs: number): IStrike[] {
+    return this.#sharedParts.acquit(keys, sentAtMs);
   }
 
   strikesOf(fingerprint: bigint): IStrike[] {
@@ -231,6 +272,7 @@
     if (strike === undefined) return undefined;
     this.#strikes.delete(key);
     this.#addedAtMs.delete(strike);
+    this.#sharedParts.remove(strike);
     removeFromIndex(this.#byFingerprint, strike.fingerprint, strike);
     removeFromIndex(this.#byBackend, strike.backendId, strike);
     return strike;
--- a/src/call/common/strike_replicator.ts
+++ b/src/call/common/strike_replicator.ts
@@ -1,5 +1,5 @@
 /** Keeps the strikes of all instances in a keyed topic of the store, so that they survive the instances. */
-import { create, fromBinary, toBinary } from "@bufbuild/protobuf";
+import { fromBinary, toBinary } from "@bufbuild/protobuf";
 import type { Scope } from "effect";
 import { Effect } from "effect";
 import { toError } from "../../base/common/errors.ts";
@@ -17,6 +17,7 @@
 import type { CrashMonitor, IStrikeChange } from "./crash_monitor.ts";
 import type { IStrike } from "./strike_ledger.ts";
 import { strikeKey } from "./strike_ledger.ts";
+import { toStrikeMessage } from "./strike_message.ts";
 
 const POLL_TIMEOUT_MS = 3000;
 /** Limits the calls to the store after a crash, when all instances write strikes of its victims. */
@@ -234,5 +235,5 @@
 }
 
 function encode(strike: IStrike): Uint8Array {
-  return toBinary(StrikeSchema, create(StrikeSchema, strike));
+  return toBinary(StrikeSchema, toStrikeMessage(strike));
 }
--- a/src/call/common/strike_replicator_test.ts
+++ b/src/call/common/strike_replicator_test.ts
@@ -5,7 +5,8 @@
 import type { IBackendEntry } from "../../services/backends/common/backend_directory.ts";
 import { NullLogger } from "../../services/logging/common/logger.ts";
 import { Metrics } from "../../services/metrics/common/metrics.ts";
-import { AttemptResult, CrashMonitor } from "./crash_monitor.ts";
+import { CrashMonitor } from "./crash_monitor.ts";
+import { AttemptResult } from "./observed_attempt.ts";
 import { RequestIdentity } from "./request_identity.ts";
 import { StrikeReplicator } from "./strike_replicator.ts";
 
--- a/src/cli/common/request_causes.ts
+++ b/src/cli/common/request_causes.ts
@@ -99,8 +99,17 @@
     } sent a response that exceeds maxResponseBytes, maxEventBytes or the ` +
     "response memory; its connection was closed, and the request may have run",
   ],
-  [RefusalReason.CrashingRequest]:
-    () => ["requests with this content have crashed three backend servers, so no further one receives it"],
+  [RefusalReason.CrashingRequest]: ({ fields }) => {
+    if (fields.key === undefined) {
+      return ["requests with this content have crashed three backend servers, so no further one receives it"];
+    }
+    const servers = Array.isArray(fields.keyServers) ? [...new Set(fields.keyServers)] : [];
+    return [
+      `requests that share its ${fields.key} have crashed ${servers.length} backend servers (${
+        servers.join(", ")
+      }), and none has completed since`,
+    ];
+  },
 };
 
 /** Returns the causes of a request's outcome, the likeliest first; empty for a success on time. */
--- a/src/cli/common/request_explanation_test.ts
+++ b/src/cli/common/request_explanation_test.ts
@@ -138,3 +138,12 @@
   t.is(causes.length, 2);
   t.regex(causes[1], /^9 slices/);
 });
+
+test("a refusal because of a shared part names the part and the servers that crashed", (t) => {
+  const keyServers = ["b1@5", "b2@6", "b2@6", "b3@7"];
+  const refusal = { event: "request", request: "r", status: 503, reason: RefusalReason.CrashingRequest };
+  const [cause] = explainRequest([logLine(1, "i", { ...refusal, key: "target:01", keyServers })], "r").causes;
+  t.regex(cause, /share its target:01 have crashed 3 backend servers \(b1@5, b2@6, b3@7\)/);
+  const [other] = explainRequest([logLine(1, "i", refusal)], "r").causes;
+  t.regex(other, /with this content/);
+});
--- a/src/daemon/common/gateway_core.ts
+++ b/src/daemon/common/gateway_core.ts
@@ -100,7 +100,12 @@
     this.leaving = new LeavingServers(logger, now);
     this.directory = new BackendDirectory(logger, { now, leaving: this.leaving });
     this.loads = new BackendLoadTracker(now);
-    this.crashes = new CrashMonitor({ logger, metrics: this.metrics, now });
+    this.crashes = new CrashMonitor({
+      logger,
+      metrics: this.metrics,
+      now,
+      spread: dependencies.random(),
+    });
     this.streams = new StreamOriginRegistry(now);
     this.#peers = new PeerRpcClients(TurnService, dependencies.transports);
     const shared = { log: adapter.log, logger };
--- a/src/peer/common/turn_service.ts
+++ b/src/peer/common/turn_service.ts
@@ -12,10 +12,10 @@
   BegunStreamSchema,
   ServerRunSchema,
   StrikeChangeSchema,
-  StrikeSchema,
 } from "../../base/common/gen/ragwortcleat/v1/turns_pb.ts";
 import type { CrashMonitor, IStrikeChange } from "../../call/common/crash_monitor.ts";
 import type { StreamOriginRegistry } from "../../call/common/stream_origin_registry.ts";
+import { toStrikeMessage } from "../../call/common/strike_message.ts";
 import type { LeavingServers } from "../../services/backends/common/leaving_servers.ts";
 import type { KeyedTopicFollower } from "../../services/store/common/keyed_topic_follower.ts";
 import type { IKeyedItems } from "../../services/store/common/partitioned_log.ts";
@@ -71,7 +71,7 @@
 }
 
 function toStrikeChange({ strike, ...change }: IStrikeChange): StrikeChange {
-  return create(StrikeChangeSchema, { strike: create(StrikeSchema, strike), ...change });
+  return create(StrikeChangeSchema, { strike: toStrikeMessage(strike), ...change });
 }
 
 function toKeyedSnapshot(snapshot: IKeyedItems | undefined): Omit<KeyedSnapshot, "$typeName"> | undefined {
--- a/src/peer/node/load_reporter.ts
+++ b/src/peer/node/load_reporter.ts
@@ -12,9 +12,9 @@
   PromptHomeSchema,
   ServerRunSchema,
   StrikeChangeSchema,
-  StrikeSchema,
 } from "../../base/common/gen/ragwortcleat/v1/turns_pb.ts";
 import type { CrashMonitor } from "../../call/common/crash_monitor.ts";
+import { toStrikeMessage } from "../../call/common/strike_message.ts";
 import type { StreamOriginRegistry } from "../../call/common/stream_origin_registry.ts";
 import type { BackendLoadTracker } from "../../routing/common/backend_load_tracker.ts";
 import type { PromptCacheIndex } from "../../routing/common/prompt_cache_index.ts";
@@ -97,7 +97,7 @@
   #send(hosts: readonly string[]): void {
     const localLoads = this.#opts.loads.localLoads();
     const strikeChanges = this.#opts.crashes.recentChanges().map(({ strike, ...change }) =>
-      create(StrikeChangeSchema, { strike: create(StrikeSchema, strike), ...change })
+      create(StrikeChangeSchema, { strike: toStrikeMessage(strike), ...change })
     );
     const prefixes = this.#opts.caches.takeUnreportedPrefixes().map((prefix) =>
       create(PromptHomeSchema, prefix)
--- a/test/harness/gateway_cluster.ts
+++ b/test/harness/gateway_cluster.ts
@@ -14,6 +14,7 @@
 import { makeTurnService } from "../../src/peer/common/turn_service.ts";
 import type { ILogger } from "../../src/services/logging/common/logger.ts";
 import { JsonLogger } from "../../src/services/logging/common/logger.ts";
+import type { IUpstreamRequest } from "../../src/call/common/opaque_request.ts";
 import { parseGatewaySettings } from "../../src/services/settings/common/gateway_validation.ts";
 import type { IPartitionedLog } from "../../src/services/store/common/partitioned_log.ts";
 import type { IPlatformAdapter } from "../../src/services/store/common/platform_adapter.ts";
@@ -67,6 +68,10 @@
   readonly body?: string;
   /** Session or affinity key; the default is the name. */
   readonly callerId?: string;
+  /** Affinity key, beside the caller's program if there is one. */
+  readonly affinityKey?: string;
+  /** Ids of the parts of the prompt. */
+  readonly promptParts?: readonly string[];
   /** Token budget of the program; sufficient for any test by default. */
   readonly budgetTokens?: number;
   /** Id of the turn that this one continues. */
@@ -101,6 +106,8 @@
   readonly serversPerService?: number;
   /** Software versions that the servers have by turns. */
   readonly softwareVersions?: readonly string[];
+  /** Which requests crash the servers that run them; by default those with a mark in their target. */
+  readonly isCrashing?: (req: IUpstreamRequest) => boolean;
 }
 
 export class GatewayCluster {
@@ -114,11 +121,11 @@
   #nextWriter = 0n;
   #seed = 1;
 
-  private constructor({ crashForm, restartForm }: IGatewayClusterOptions) {
+  private constructor({ crashForm, restartForm, isCrashing = hasCrashingMark }: IGatewayClusterOptions) {
     this.fleet = new BackendFleet({
       now: () => this.nowMs,
       isAnswerLost: ({ target }) => this.losesAnswers && target.includes(LOST_ANSWER_MARK),
-      isCrashing: ({ target }) => target.includes(CRASHING_MARK),
+      isCrashing,
       publish: (id, server) => this.store.putKey(BACKEND_TOPIC, id, encodeServer(server)),
       crashForm,
       restartForm,
@@ -341,6 +348,10 @@
     if (isTurn && caller === CallerKind.Program) {
       headers.push("Ragwortcleat-Token-Budget", String(req.budgetTokens ?? 100_000));
     }
+    if (req.affinityKey !== undefined) headers.push("Ragwortcleat-Affinity-Key", req.affinityKey);
+    if (req.promptParts !== undefined) {
+      headers.push("Ragwortcleat-Prompt-Prefix", req.promptParts.map((part) => `${part}:100`).join(","));
+    }
     if (previousTurn !== undefined) headers.push("Ragwortcleat-Previous-Turn", previousTurn);
     if (isTurn) headers.push("Ragwortcleat-Model", "m", "Ragwortcleat-Token-Count", "10,44");
     if (body !== undefined) headers.push("Content-Type", "text/plain");
@@ -354,6 +365,10 @@
   }
 }
 
+function hasCrashingMark({ target }: IUpstreamRequest): boolean {
+  return target.includes(CRASHING_MARK);
+}
+
 /** Returns the platform adapter for a fake of the store. */
 export function adapterFor(log: IPartitionedLog): IPlatformAdapter {
   return {
--- /dev/null
+++ b/test/proofs/deadly_part_test.ts
@@ -0,0 +1,72 @@
+/**
+ * A part of requests' content that crashes servers is refused after three crashes, whichever part it is, also if it returns
+ * in ever new requests, and requests that share other parts with it are served.
+ */
+import test from "ava";
+import type { IDeadlyScenario } from "../harness/deadly_part.ts";
+import { DeadlyPart, EntryMode, playDeadly } from "../harness/deadly_part.ts";
+import { RoutePath } from "../harness/gateway_cluster.ts";
+import { CrashForm } from "../stand_ins/backend_fleet.ts";
+
+/** Attempts that the users' rule permits from its delay after the third crash on. */
+const MAX_LATER_ATTEMPTS = 3;
+/** Time that a trial of a request that shares a suspected part takes, from its arrival until all instances know its end. */
+const TRIAL_MS = 500;
+
+const BASE: IDeadlyScenario = {
+  parts: [DeadlyPart.Target],
+  count: 1,
+  route: RoutePath.Safe,
+  servers: 8,
+  crashForm: CrashForm.BeforeHead,
+  entry: EntryMode.Alternating,
+  seed: 1,
+};
+
+function testDeadly(title: string, overrides: Partial<IDeadlyScenario>): void {
+  test(title, async (t) => {
+    const { laterAttempts, longestRefusalMs, crashes, servedOthers, refusedOthers } = await playDeadly({
+      ...BASE,
+      ...overrides,
+    });
+    t.log({ laterAttempts, crashes, longestRefusalMs, refusedOthers, servedOthers });
+    t.true(crashes >= 3);
+    t.true(Math.max(...laterAttempts) <= MAX_LATER_ATTEMPTS, `later attempts: ${laterAttempts.join(", ")}`);
+    t.true(longestRefusalMs <= TRIAL_MS, `others were refused for ${longestRefusalMs} ms`);
+    t.true(servedOthers > 0);
+  });
+}
+
+const PARTS: readonly (readonly DeadlyPart[])[] = [
+  ...Object.values(DeadlyPart).map((part) => [part]),
+  [DeadlyPart.Target, DeadlyPart.AffinityKey],
+  [DeadlyPart.Target, DeadlyPart.Body],
+  [DeadlyPart.AffinityKey, DeadlyPart.PromptPart],
+];
+
+for (const parts of PARTS) {
+  const name = parts.join(" and ");
+  const needsPrompt = parts.includes(DeadlyPart.PromptPart);
+  const routes = needsPrompt ? [RoutePath.Turn] : [RoutePath.Safe, RoutePath.Unsafe, RoutePath.Turn];
+  for (const route of routes) {
+    testDeadly(`a deadly ${name} in ever new requests is refused on ${route}`, { parts, route });
+  }
+  testDeadly(`two deadly ${name} values at once are refused`, {
+    parts,
+    count: 2,
+    route: needsPrompt ? RoutePath.Turn : RoutePath.Safe,
+  });
+}
+
+for (const servers of [4, 24]) {
+  testDeadly(`a deadly target is refused on ${servers} servers`, { servers });
+}
+for (const crashForm of [CrashForm.AfterHead, CrashForm.MidBody, CrashForm.Silent]) {
+  testDeadly(`a deadly target that crashes servers ${crashForm} is refused`, {
+    crashForm,
+    route: RoutePath.Turn,
+  });
+}
+for (const entry of [EntryMode.Fixed, EntryMode.Restarted]) {
+  testDeadly(`a deadly target that arrives through ${entry} is refused`, { entry });
+}
