Try requests that lack what all crashes of a shared part have in common, however often it was tried

If two parts are deadly only together, and their trials had used up the two crashes that are allowed, a harmless request with one of the parts was refused until the strikes expire, as no trial was left to acquit it. Such a request is tried at any time now: should it crash as well, nothing is in common but the part, so that there is one such crash at most, and three in all after the limit.

--- a/src/call/common/shared_part_ledger.ts
+++ b/src/call/common/shared_part_ledger.ts
@@ -18,7 +18,6 @@
 /** Time without a crash after which a request that shares all suspected parts is tried, in ms; longer after each such trial. */
 const TRIAL_DELAY_MS = 3000;
 const TRIAL_DELAY_FACTOR = 4;
-
 /** Maximum number of keys whose last completion is remembered; the one that completed first is evicted first. */
 const MAX_ACQUITTED = 2000;
 
@@ -53,9 +52,9 @@
  * Expected load pattern: a target, body, object, prompt part or two of them together crash every server that runs a
  * request with them, and return in ever new requests, beside many sound requests that share other parts.
  *
- * Each completed request acquits its parts. If all crashes of a part have another part or a whole request in common as well, only
- * requests with both are refused; one with the first alone is tried, so that it either is served, which acquits its parts, or shows that the
- * first part is the cause by itself.
+ * Each completed request acquits its parts. If all crashes of a part have another part or a whole request in common as
+ * well, only requests with both are refused; one with the first alone is tried, so that it either is served, which acquits
+ * its parts, or shows that the first part is the cause by itself.
  */
 export class SharedPartLedger {
   readonly #opts: ISharedPartLedgerOptions;
@@ -152,9 +151,10 @@
 
   /** Time until a request with a part may be tried, in ms: 0 if it may be now, undefined if it is not at all. */
   #trialInMs(strikes: readonly ITrackedStrike[], hasCause: boolean): number | undefined {
+    // Its crash would leave nothing in common but the part, so that no second trial of this kind follows.
+    if (!hasCause) return 0;
     const trialCrashes = this.#trialCrashes(strikes);
     if (trialCrashes >= MAX_TRIAL_CRASHES) return undefined;
-    if (!hasCause) return 0;
     const latestMs = Math.max(...strikes.map(({ addedAtMs }) => addedAtMs));
     const delayMs = TRIAL_DELAY_MS * TRIAL_DELAY_FACTOR ** trialCrashes * (1 + this.#opts.spread);
     return Math.max(0, latestMs + delayMs - this.#opts.now());
--- a/src/call/common/shared_part_ledger_test.ts
+++ b/src/call/common/shared_part_ledger_test.ts
@@ -81,6 +81,18 @@
   t.true(isRefused([TARGET]));
 });
 
+test("a request with the part alone is tried also after the trials of both parts have ended", (t) => {
+  const { clock, crash, isRefused } = setUp();
+  for (const [index, id] of ["b1", "b2", "b3", "b4", "b5", "b6", "b7"].entries()) {
+    clock.now += 3000;
+    crash(id, BigInt(index), [TARGET, BODY, BOTH]);
+  }
+  clock.now += 1_000_000;
+  t.true(isRefused([TARGET, BODY, BOTH]));
+  t.false(isRefused([TARGET]));
+  t.true(isRefused([TARGET], true));
+});
+
 test("a request with the part alone is tried if all crashes have one request in common", (t) => {
   const { crash, isRefused } = setUp();
   for (const id of ["b1", "b2", "b3"]) crash(id, 7n, [TARGET]);
