Do not count refused connections among the servers that may decline a request

A request gives up after four servers that decline it, and a server whose process is gone refuses the connection at once.

Change: a refused connection is a fault of its own and does not count; the request goes on to the next server, each at most once. A connection that times out counts as before, as it takes half a second.

--- a/src/call/common/backend_dispatcher.ts
+++ b/src/call/common/backend_dispatcher.ts
@@ -44,6 +44,11 @@
  * from the server the request may have run.
  */
 const NOT_RUN_STATUSES = new Set([408, 421, 429, 503]);
+/** Outcomes of attempts that have certainly not run. */
+const FAULT_OUTCOMES: ReadonlyMap<UpstreamFault, AttemptOutcome> = new Map([
+  [UpstreamFault.NotSent, AttemptOutcome.NotRun],
+  [UpstreamFault.Refused, AttemptOutcome.Refused],
+]);
 /** Urgency of a request with route priority 0, the highest one. Engines run lower urgency values first. */
 const BASE_URGENCY = 3;
 const URGENCY_PER_PRIORITY = 2;
@@ -142,8 +147,9 @@
     const id = call.choice!.backend.id;
     call.fault = fault;
     this.#opts.loads.recordFailure(id);
-    if (fault !== UpstreamFault.NotSent) call.runs += 1;
-    if (fault === UpstreamFault.NotSent) observed.result = AttemptResult.NotStarted;
+    const outcome = FAULT_OUTCOMES.get(fault) ?? AttemptOutcome.Failed;
+    if (outcome === AttemptOutcome.Failed) call.runs += 1;
+    else observed.result = AttemptResult.NotStarted;
     if (fault === UpstreamFault.Broken) observed.result = AttemptResult.ConnectionLost;
     this.#opts.metrics.incrementCounter("backend_faults", { fault });
     const { runs, events } = call;
@@ -159,7 +165,7 @@
       error: message,
       ...this.#opts.crashes.evidenceFor(call.identity),
     });
-    return fault === UpstreamFault.NotSent ? AttemptOutcome.NotRun : AttemptOutcome.Failed;
+    return outcome;
   }
 
   #send(attempt: IObservedSend, choice: IBackendChoice): Effect.Effect<AttemptOutcome, UpstreamError> {
--- a/src/call/common/gateway_relay.ts
+++ b/src/call/common/gateway_relay.ts
@@ -246,6 +246,8 @@
         const outcome = yield* this.#dispatcher.run(attempt, choice);
         if (outcome === AttemptOutcome.Done) return undefined;
         call.excluded.add(choice.backend.id);
+        // A refused connection costs next to nothing, and many servers may have ended at once.
+        if (outcome === AttemptOutcome.Refused) continue;
         if (outcome === AttemptOutcome.NotRun) {
           call.refusals += 1;
           if (call.refusals >= MAX_REFUSALS) return this.#noBackendRefusal(call);
--- a/src/call/common/opaque_request.ts
+++ b/src/call/common/opaque_request.ts
@@ -114,6 +114,8 @@
 export enum UpstreamFault {
   /** No connection could be established, so no byte of the request was sent and it has not run. */
   NotSent = "not-sent",
+  /** The same, found out at once: nothing listens at the server's address. */
+  Refused = "refused",
   /** The established connection failed. The request may have run. */
   Broken = "broken",
   /**
--- a/src/call/common/relayed_call.ts
+++ b/src/call/common/relayed_call.ts
@@ -12,6 +12,8 @@
   Done = "done",
   /** The server did not run the request. */
   NotRun = "not-run",
+  /** The request was not sent, as nothing listens at the server's address. */
+  Refused = "refused",
   /** The server may have run the request, but no complete response arrived. */
   Failed = "failed",
 }
