Acquit parts by the time at which requests were sent, and try suspected parts sooner

Cause: a silent end is noticed after up to 4 s, and what had completed in the meantime acquitted nothing, as it was sent before the crash by its recorded time.

Change: a strike has the time at which its request was sent; a request that was sent later and completes acquits, also if it does so before the first strike is known. Trials of a suspected part are limited from 1 s after the third crash on, instead of 3 s, and made after 1 to 2 s and 4 to 8 s, instead of 3 to 6 and 12 to 24.

--- a/src/call/common/crash_monitor.ts
+++ b/src/call/common/crash_monitor.ts
@@ -302,9 +302,9 @@
       return false;
     }
     this.#reportedPending.set(key, this.#opts.now());
-    const { fingerprint, backendId, startedAtMs, level, keys = [] } = strike;
+    const { fingerprint, backendId, startedAtMs, level, atMs, sentAtMs = atMs, keys = [] } = strike;
     const server = { backendId, startedAtMs };
-    const rest = { suspectedKeys: [], keys: () => keys };
+    const rest = { sentAtMs, suspectedKeys: [], keys: () => keys };
     const attempt = { requestId: undefined, fingerprint, server, level: level - 1, ...rest };
     const hasEnded = (this.#latestStarts.get(backendId) ?? 0) > startedAtMs;
     if (hasEnded) this.#strike(attempt, CrashEvidence.ServerEnded);
@@ -356,8 +356,8 @@
     for (const strike of this.#ledger.evict()) this.#recordWithdrawal(strike, WithdrawalReason.Expired);
   }
 
-  #toStrike({ fingerprint, server, level, keys }: IEndedAttempt): IStrike {
-    return { ...server, fingerprint, level: level + 1, atMs: this.#opts.now(), keys: keys() };
+  #toStrike({ fingerprint, server, level, sentAtMs, keys }: IEndedAttempt): IStrike {
+    return { ...server, fingerprint, level: level + 1, atMs: this.#opts.now(), sentAtMs, keys: keys() };
   }
 
   #strike(attempt: IEndedAttempt, evidence: CrashEvidence): void {
@@ -379,7 +379,8 @@
 
   #clear({ identity, sentAtMs }: IObservedAttempt): void {
     this.#ledger.recordProven(identity.fingerprint);
-    if (this.#ledger.size === 0) return;
+    // Requests whose end is unknown may have crashed a server unnoticed.
+    if (this.#ledger.size === 0 && this.#unresolved.size === 0) return;
     for (const strike of this.#ledger.strikesOf(identity.fingerprint)) {
       this.#withdraw(strike, WithdrawalReason.Succeeded);
     }
--- a/src/call/common/observed_attempt.ts
+++ b/src/call/common/observed_attempt.ts
@@ -41,16 +41,17 @@
   readonly fingerprint: bigint;
   readonly server: IServerRun;
   readonly level: number;
+  readonly sentAtMs: number;
   readonly suspectedKeys: readonly IRequestKey[];
   /** Returns the keys of the request; only needed for strikes. */
   readonly keys: () => readonly IRequestKey[];
 }
 
 export function toEnded(
-  { requestId, identity, server, level, suspectedKeys }: IObservedAttempt,
+  { requestId, identity, server, level, sentAtMs, suspectedKeys }: IObservedAttempt,
 ): IEndedAttempt {
   const keys = () => identity.sharedKeys;
-  return { requestId, fingerprint: identity.fingerprint, server, level, suspectedKeys, keys };
+  return { requestId, fingerprint: identity.fingerprint, server, level, sentAtMs, suspectedKeys, keys };
 }
 
 export function toServerRun({ id, startedAtMs }: IBackendEntry): IServerRun {
--- a/src/call/common/shared_part_ledger.ts
+++ b/src/call/common/shared_part_ledger.ts
@@ -11,15 +11,17 @@
 const MAX_SIMULTANEOUS_CRASHES = 2;
 /** Time within which crashes count as simultaneous, in ms. */
 const SIMULTANEOUS_MS = 250;
-/** Time after the crash that quarantines a part from which trials are limited, in ms; its callers return at once until then. */
-const TRIAL_LIMIT_DELAY_MS = 3000;
+/** Time after the crash that quarantines a part from which trials are limited, in ms; callers' first retries come before. */
+const TRIAL_LIMIT_DELAY_MS = 1000;
 /** Number of crashes by limited trials after which a part is refused until its strikes expire. */
 const MAX_TRIAL_CRASHES = 2;
 /** Time without a crash after which a request that shares all suspected parts is tried, in ms; longer after each such trial. */
-const TRIAL_DELAY_MS = 3000;
+const TRIAL_DELAY_MS = 1000;
 const TRIAL_DELAY_FACTOR = 4;
+/** Tolerated difference between the clocks of two instances, in ms. */
+const CLOCK_TOLERANCE_MS = 100;
 /** Maximum number of keys whose last completion is remembered; the one that completed first is evicted first. */
-const MAX_ACQUITTED = 2000;
+const MAX_ACQUITTED = 10_000;
 
 /** A strike with the parts that may still have caused its crash. */
 interface ITrackedStrike {
@@ -69,7 +71,7 @@
 
   /** Adds a strike with the keys that are not acquitted. */
   add(strike: IStrike, suspected: readonly IRequestKey[] = []): void {
-    const remaining = suspected.filter(({ hash }) => !this.#isAcquitted(hash, strike.atMs));
+    const remaining = suspected.filter(({ hash }) => !this.#isAcquitted(hash, strike));
     const keys = new Map(remaining.map((key) => [key.hash, key]));
     const tracked = { strike, addedAtMs: this.#opts.now(), keys };
     this.#strikes.set(strikeKey(strike), tracked);
@@ -113,7 +115,7 @@
       const strikes = [...this.#byKey.get(hash) ?? []];
       const isSuspected = distinctCrashes(strikes).length >= MAX_SIMULTANEOUS_CRASHES;
       for (const tracked of strikes) {
-        if (!this.#isAcquitted(hash, tracked.strike.atMs)) continue;
+        if (!this.#isAcquitted(hash, tracked.strike)) continue;
         this.#acquit(tracked, hash);
         if (isSuspected) changed.add(tracked);
       }
@@ -198,9 +200,12 @@
     if (this.#acquittedMs.size > MAX_ACQUITTED) this.#acquittedMs.delete(oldest);
   }
 
-  /** Whether a request with the key was sent after a crash, by all observers' times of it, and has completed. */
-  #isAcquitted(hash: bigint, crashMs: number): boolean {
-    return crashMs <= (this.#acquittedMs.get(hash) ?? -Infinity) + SIMULTANEOUS_MS;
+  /**
+   * Whether a request with the key was sent after the one that a strike belongs to, and has completed. The crash may have been
+   * noticed long after it.
+   */
+  #isAcquitted(hash: bigint, { sentAtMs = 0, atMs }: IStrike): boolean {
+    return (sentAtMs || atMs) <= (this.#acquittedMs.get(hash) ?? -Infinity) + CLOCK_TOLERANCE_MS;
   }
 
   #acquit(tracked: ITrackedStrike, hash: bigint): void {
--- a/src/call/common/strike_ledger.ts
+++ b/src/call/common/strike_ledger.ts
@@ -16,6 +16,8 @@
   readonly level: number;
   /** Unix time of the crash, in ms, by the clock of the instance that observed it. */
   readonly atMs: number;
+  /** Unix time at which the request was sent to the server, in ms, by the clock of the sender; absent in old strikes. */
+  readonly sentAtMs?: number;
   /** Parts of the request that may have caused the crash, without those that a completed request has; absent in old strikes. */
   readonly keys?: readonly IRequestKey[];
 }
