Read the limits that servers state, and log when they begin, change and end

ServerLimits keeps the newest statement of each run of a server and logs each change. No decision uses it yet.

--- a/src/call/common/backend_dispatcher_test.ts
+++ b/src/call/common/backend_dispatcher_test.ts
@@ -76,6 +76,7 @@
   };
   const upstream: IUpstream = {
     onDidAnnounceLeaving: () => ({ dispose: () => {} }),
+    onDidStateLimit: () => ({ dispose: () => {} }),
     send: () => {
       sent += 1;
       return Effect.succeed({ head, body: makeResponseBody(() => Effect.void) });
--- a/src/call/common/gateway_relay_test.ts
+++ b/src/call/common/gateway_relay_test.ts
@@ -24,7 +24,13 @@
 import { GatewayRelay } from "./gateway_relay.ts";
 import { ResponseMemoryPool } from "./response_limits.ts";
 import { StreamOriginRegistry } from "./stream_origin_registry.ts";
-import type { IRequestCodec, IUpstream, IUpstreamRequest, IUpstreamResponse } from "./opaque_request.ts";
+import type {
+  ILimitStatement,
+  IRequestCodec,
+  IUpstream,
+  IUpstreamRequest,
+  IUpstreamResponse,
+} from "./opaque_request.ts";
 import { BodyFraming, UpstreamError, UpstreamFault } from "./opaque_request.ts";
 
 /** Scripted behavior of a server for one request. */
@@ -46,6 +52,7 @@
 
 class FakeUpstream implements IUpstream {
   readonly onDidAnnounceLeaving = new Emitter<IBackendEntry>().event;
+  readonly onDidStateLimit = new Emitter<ILimitStatement>().event;
   readonly sent: (IUpstreamRequest & { readonly backendId: string })[] = [];
   readonly #script: IServerBehavior[];
 
--- a/src/call/common/opaque_request.ts
+++ b/src/call/common/opaque_request.ts
@@ -89,6 +89,20 @@
   readonly isSigned: boolean;
   /** Whether the server that the request was addressed to states that it is leaving. */
   readonly isLeaving: boolean;
+  /**
+   * Requests per second that the server accepts from all instances together; undefined if it states no limit,
+   * NaN if its statement is not a number.
+   */
+  readonly limitPerSecond?: number | undefined;
+  /** Whether another server than the one that the request was addressed to has responded. */
+  readonly isMisdirected?: boolean;
+}
+
+/** What one response of a server states about its limit. */
+export interface ILimitStatement {
+  readonly backend: IBackendEntry;
+  /** See {@link IResponseHead.limitPerSecond}. */
+  readonly limitPerSecond: number | undefined;
 }
 
 export interface IRawRequest {
@@ -177,6 +191,8 @@
 export interface IUpstream {
   /** Fires for each response, relayed or not, in which a server announces that it is leaving. */
   readonly onDidAnnounceLeaving: Event<IBackendEntry>;
+  /** Fires for each response, relayed or not, from which a limit of the server begins, continues or ends. */
+  readonly onDidStateLimit: Event<ILimitStatement>;
   /** Succeeds with the response head. Interruption closes the connection, so that the server stops. */
   send(backend: IBackendEntry, req: IUpstreamRequest): Effect.Effect<IUpstreamResponse, UpstreamError>;
 }
--- a/src/call/node/http_upstream.ts
+++ b/src/call/node/http_upstream.ts
@@ -7,6 +7,7 @@
 import { KeepAliveAgent } from "../../base/node/keep_alive_agent.ts";
 import type { IBackendEntry } from "../../services/backends/common/backend_directory.ts";
 import type {
+  ILimitStatement,
   IRequestCodec,
   IResponseBody,
   IResponseHead,
@@ -50,6 +51,8 @@
   readonly #agents = new Map<string, KeepAliveAgent>();
   readonly #onDidAnnounceLeaving = new Emitter<IBackendEntry>();
   readonly onDidAnnounceLeaving: Event<IBackendEntry> = this.#onDidAnnounceLeaving.event;
+  readonly #onDidStateLimit = new Emitter<ILimitStatement>();
+  readonly onDidStateLimit: Event<ILimitStatement> = this.#onDidStateLimit.event;
 
   constructor(codec: IRequestCodec) {
     this.#codec = codec;
@@ -106,6 +109,7 @@
           resume(Effect.fail(new UpstreamError(UpstreamFault.Invalid, err)));
           return;
         }
+        this.#reportLimitEnd(backend, { head, requestId: req.requestId });
         resume(Effect.succeed({ head, body: new HttpResponseBody(res, () => requestError) }));
       });
       clientRequest.end(req.body);
@@ -134,9 +138,20 @@
   #readHead(backend: IBackendEntry, { status, rawHeaders }: IRawHead): IResponseHead {
     const head = this.#codec.readResponse(status, rawHeaders);
     if (head.isLeaving) this.#onDidAnnounceLeaving.fire(backend);
+    const { limitPerSecond } = head;
+    if (limitPerSecond !== undefined) this.#onDidStateLimit.fire({ backend, limitPerSecond });
     return head;
   }
 
+  /** Only the addressed server's response to this very request shows that there is no limit any more. */
+  #reportLimitEnd(
+    backend: IBackendEntry,
+    { head, requestId }: { head: IResponseHead; requestId: string },
+  ): void {
+    if (head.limitPerSecond !== undefined || head.isMisdirected || head.requestId !== requestId) return;
+    this.#onDidStateLimit.fire({ backend, limitPerSecond: undefined });
+  }
+
   #agentOf({ id }: IBackendEntry): KeepAliveAgent {
     let agent = this.#agents.get(id);
     if (agent === undefined) {
--- a/src/daemon/common/gateway_core.ts
+++ b/src/daemon/common/gateway_core.ts
@@ -23,6 +23,7 @@
 import type { IBackendEntry } from "../../services/backends/common/backend_directory.ts";
 import { BackendDirectory } from "../../services/backends/common/backend_directory.ts";
 import { LeavingServers } from "../../services/backends/common/leaving_servers.ts";
+import { ServerLimits } from "../../services/backends/common/server_limits.ts";
 import type { ILogger } from "../../services/logging/common/logger.ts";
 import { Metrics } from "../../services/metrics/common/metrics.ts";
 import type { ICallerLimits } from "../../services/routes/common/route_table.ts";
@@ -78,6 +79,7 @@
   readonly metrics = new Metrics();
   readonly routes = new RouteTable();
   readonly leaving: LeavingServers;
+  readonly limits: ServerLimits;
   readonly directory: BackendDirectory;
   readonly loads: BackendLoadTracker;
   readonly caches = new PromptCacheIndex();
@@ -98,6 +100,7 @@
     this.#settings = settings;
     this.#dependencies = dependencies;
     this.leaving = new LeavingServers(logger, now);
+    this.limits = new ServerLimits(logger, now);
     this.directory = new BackendDirectory(logger, { now, leaving: this.leaving });
     this.loads = new BackendLoadTracker(now);
     this.crashes = new CrashMonitor({
@@ -219,11 +222,15 @@
       this.#dependencies.closeBackendConnections(entry);
       this.crashes.serverEnded(entry);
       this.loads.remove(entry);
+      this.limits.remove({ backendId: entry.id, startedAtMs: entry.startedAtMs });
       this.caches.removeEngine(entry.id);
     });
     this.#dependencies.upstream.onDidAnnounceLeaving(({ id: backendId, startedAtMs }) =>
       this.leaving.recordAnnouncement({ backendId, startedAtMs })
     );
+    this.#dependencies.upstream.onDidStateLimit((
+      { backend: { id: backendId, startedAtMs }, limitPerSecond },
+    ) => this.limits.record({ backendId, startedAtMs }, limitPerSecond));
     this.leaving.onDidAdd(({ backendId }) => {
       const entry = this.directory.get(backendId);
       if (entry !== undefined) this.#dependencies.closeBackendConnections(entry);
--- a/test/stand_ins/backend_fleet.ts
+++ b/test/stand_ins/backend_fleet.ts
@@ -3,6 +3,7 @@
 import type { Event } from "../../src/base/common/emitter.ts";
 import { Emitter } from "../../src/base/common/emitter.ts";
 import type {
+  ILimitStatement,
   IResponseBody,
   IResponseHead,
   IUpstream,
@@ -64,6 +65,8 @@
   isSilent: boolean;
   /** Whether the server says so in its responses. */
   isLeaving: boolean;
+  /** Requests per second that the server states as its limit in each response; undefined if it states none. */
+  limitPerSecond: number | undefined;
   behavior: ServerBehavior;
   /** Number of requests that were sent to the server while it was not sound. */
   faultyAttempts: number;
@@ -95,6 +98,8 @@
 export class BackendFleet implements IUpstream {
   readonly #onDidAnnounceLeaving = new Emitter<IBackendEntry>();
   readonly onDidAnnounceLeaving: Event<IBackendEntry> = this.#onDidAnnounceLeaving.event;
+  readonly #onDidStateLimit = new Emitter<ILimitStatement>();
+  readonly onDidStateLimit: Event<ILimitStatement> = this.#onDidStateLimit.event;
   readonly servers: IFleetServer[] = [];
   readonly runs: IServerRun[] = [];
   /** Times of the crashes, in ms. */
@@ -123,6 +128,7 @@
         isUp: true,
         isSilent: false,
         isLeaving: false,
+        limitPerSecond: undefined,
         behavior: ServerBehavior.Sound,
         faultyAttempts: 0,
         runCount: 0,
@@ -163,7 +169,8 @@
       const status = isFaulty && behavior === ServerBehavior.Errors ? 500 : this.status;
       const hasFirstChunk = !isCrashing || this.#hasFirstChunk();
       const body = this.#makeBody(server, { isCrashing, hasFirstChunk });
-      const { isLeaving } = server;
+      const { isLeaving, limitPerSecond } = server;
+      this.#onDidStateLimit.fire({ backend, limitPerSecond });
       if (isLeaving) this.#onDidAnnounceLeaving.fire(backend);
       return { head: headOf(req, { status, isLeaving }), body };
     });
