--- a/test/harness/gateway_cluster.ts
+++ b/test/harness/gateway_cluster.ts
@@ -324,8 +324,9 @@
       const changes = core.crashes.recentChanges();
       const streams = core.streams.recentStreams();
       const leaving = core.leaving.listRecent();
+      const addresses = new Set(core.group.peers);
       for (const peer of connected) {
-        if (peer.name === name) continue;
+        if (!addresses.has(`${peer.name}:3`)) continue;
         peer.core.loads.recordPeerReport({ instance: name, running });
         for (const change of changes) peer.core.crashes.merge(change);
         for (const stream of streams) peer.core.streams.add(stream);
