Keep what all instances send to a server within the limit that it states

What callers saw: nothing yet; the servers got 28 to 50 requests more in 4 s than the users' rule allows.

Cause: no instance knew or kept a limit. Class of fault: a bound on the sum over all instances, which no instance can keep by itself.

Change: before each send, on the one way that all of them take (first sends, retries, trials of suspects, resumed streams), the dispatcher acquires a permit if the server states a limit. The owner of the slice that the server's id hashes to grants the permits of that server, at the stated rate and in the order of requests; this ownership exists already, and every instance knows it. A server without a permit is passed over; if there is no other, the request waits for a permit with a definite time, at most a third of the time left and 1 s, or is refused at once as not run, with the time of the next permit. While the owner does not respond, an instance keeps to an equal share of half of the limit. Limits travel with the reports; as those reach owners of slices only, the owner of a limit tells the instances that own none. Engines without a permit offer no capacity to the admission of new programs.

Weighed: an equal share for each instance (at 195 instances and a limit of 1 most places stay unused, and the first request of each alone exceeds it); counts of sends in the reports (late, and they do not reach all beyond 32 instances).

--- a/src/call/common/backend_dispatcher.ts
+++ b/src/call/common/backend_dispatcher.ts
@@ -8,7 +8,7 @@
 } from "../../routing/common/backend_chooser.ts";
 import type { BackendLoadTracker } from "../../routing/common/backend_load_tracker.ts";
 import type { PromptCacheIndex } from "../../routing/common/prompt_cache_index.ts";
-import type { BackendDirectory } from "../../services/backends/common/backend_directory.ts";
+import type { BackendDirectory, IBackendEntry } from "../../services/backends/common/backend_directory.ts";
 import type { ILogger } from "../../services/logging/common/logger.ts";
 import type { Metrics } from "../../services/metrics/common/metrics.ts";
 import type { IEngineInfo, RouteTable } from "../../services/routes/common/route_table.ts";
@@ -28,6 +28,7 @@
   IUpstreamResponse,
 } from "./opaque_request.ts";
 import { UpstreamError, UpstreamFault } from "./opaque_request.ts";
+import type { IPermitClient } from "./permit_client.ts";
 import type { RelayedCall } from "./relayed_call.ts";
 import { AttemptOutcome } from "./relayed_call.ts";
 import type { ILimitedReceiver, IResponseLimits, ResponseMemoryPool } from "./response_limits.ts";
@@ -55,6 +56,11 @@
 /** Added to the urgency of a request that can no longer finish on time. */
 const LATE_URGENCY_PENALTY = 1;
 const MAX_URGENCY = 9;
+/** Upper bound of the wait for a permit, and share of the remaining time that a request may spend on it. */
+const MAX_PERMIT_WAIT_MS = 1000;
+const MAX_PERMIT_WAIT_SHARE = 0.33;
+/** Time after which a permit that was not used, because the instance stood still, is void. */
+const PERMIT_TTL_MS = 300;
 
 export interface IBackendDispatcherOptions {
   readonly codec: IRequestCodec;
@@ -64,6 +70,7 @@
   readonly caches: PromptCacheIndex;
   readonly crashes: CrashMonitor;
   readonly streams: IStreamOriginRecorder;
+  readonly permits: IPermitClient;
   readonly upstream: IUpstream;
   readonly responseLimits: IResponseLimits;
   readonly responseMemory: ResponseMemoryPool;
@@ -93,9 +100,56 @@
     this.#opts = opts;
   }
 
+  /**
+   * Selects a server for a request and acquires the permit to send it there. Servers without a permit are passed over;
+   * if there is no other, the request waits for the first permit that becomes available in time. Returns undefined
+   * if no server may receive the request.
+   */
+  chooseWithPermit(call: RelayedCall): Effect.Effect<IBackendChoice | undefined> {
+    return Effect.gen({ self: this }, function* () {
+      /** Time until the next permit, in ms, by server. */
+      const exhausted = new Map<IBackendEntry, number>();
+      const excluded = new Set(call.excluded);
+      while (true) {
+        const choice = this.choose(call, excluded);
+        if (choice === undefined) break;
+        const { isGranted, waitMs } = yield* this.#opts.permits.acquire(choice.backend, 0);
+        if (isGranted) return choice;
+        exhausted.set(choice.backend, waitMs);
+        excluded.add(choice.backend.id);
+      }
+      call.limitedServers = exhausted.size;
+      return exhausted.size === 0 ? undefined : yield* this.#awaitPermit(call, exhausted);
+    });
+  }
+
+  /** Waits for a permit of one of the servers. Returns undefined at once if none becomes available in time. */
+  #awaitPermit(
+    call: RelayedCall,
+    exhausted: ReadonlyMap<IBackendEntry, number>,
+  ): Effect.Effect<IBackendChoice | undefined> {
+    return Effect.gen({ self: this }, function* () {
+      const startedAtMs = yield* Clock.currentTimeMillis;
+      const remainingMs = call.deadlineAtMs - startedAtMs;
+      const maxWaitMs = Math.floor(Math.min(MAX_PERMIT_WAIT_MS, remainingMs * MAX_PERMIT_WAIT_SHARE));
+      call.nextPermitMs = Math.min(...exhausted.values());
+      for (const [backend] of [...exhausted].sort(([, a], [, b]) => a - b)) {
+        const { isGranted, waitMs } = yield* this.#opts.permits.acquire(backend, maxWaitMs);
+        if (!isGranted) continue;
+        const validAtMs = (yield* Clock.currentTimeMillis) + waitMs;
+        yield* Effect.sleep(waitMs);
+        const now = yield* Clock.currentTimeMillis;
+        call.permitWaitMs += now - startedAtMs;
+        if (now > validAtMs + PERMIT_TTL_MS) continue;
+        return { backend, costMs: waitMs, running: this.#opts.loads.running(backend.id), cachedTokens: 0 };
+      }
+      return undefined;
+    });
+  }
+
   /** Selects a server for a request. Returns undefined if no server may receive it. */
-  choose(call: RelayedCall): IBackendChoice | undefined {
-    const { req, service, excluded } = call;
+  choose(call: RelayedCall, excluded: ReadonlySet<string> = call.excluded): IBackendChoice | undefined {
+    const { req, service } = call;
     const input = {
       zone: this.#opts.zone,
       affinity: req.program?.sessionId ?? req.affinityKey ?? "",
--- a/src/call/common/backend_dispatcher_test.ts
+++ b/src/call/common/backend_dispatcher_test.ts
@@ -1,6 +1,7 @@
 import test from "ava";
 import { Effect } from "effect";
 import { RecordingSink } from "../../../test/stand_ins/recording_sink.ts";
+import { UNLIMITED_PERMITS } from "../../../test/stand_ins/unlimited_permits.ts";
 import { makeResponseBody } from "../../../test/stand_ins/response_body.ts";
 import type { IBackendEntry } from "../../services/backends/common/backend_directory.ts";
 import { BackendDirectory } from "../../services/backends/common/backend_directory.ts";
@@ -96,6 +97,7 @@
     caches: new PromptCacheIndex(),
     crashes: new CrashMonitor({ logger, metrics, now }),
     streams: { record: () => {} },
+    permits: UNLIMITED_PERMITS,
     upstream,
     responseLimits: { maxResponseBytes: 1000, maxEventBytes: 100 },
     responseMemory: new ResponseMemoryPool(1000),
--- a/src/call/common/gateway_refusal.ts
+++ b/src/call/common/gateway_refusal.ts
@@ -22,6 +22,8 @@
   NoConfiguration = "no-configuration",
   NoBackend = "no-backend",
   BackendsFull = "backends-full",
+  /** Every server that could run the request states a limit, and no permit becomes available in time. */
+  BackendsLimited = "backends-limited",
   /** Admitting another program would delay the running ones beyond their deadlines. */
   Overloaded = "overloaded",
   BudgetExhausted = "budget-spent",
--- a/src/call/common/gateway_relay.ts
+++ b/src/call/common/gateway_relay.ts
@@ -240,7 +240,7 @@
       const { call, sink } = attempt;
       while (true) {
         if (this.#opts.crashes.isQuarantined(call.identity)) return this.#quarantineRefusal(call);
-        const choice = this.#dispatcher.choose(call);
+        const choice = yield* this.#dispatcher.chooseWithPermit(call);
         if (choice === undefined) return this.#noBackendRefusal(call);
         call.choice = choice;
         const outcome = yield* this.#dispatcher.run(attempt, choice);
@@ -263,10 +263,12 @@
 
   /** Admits or refuses a program before its first turn, by the utilization of the engines. */
   #admit({ route, service }: RelayedCall): IRefusal | undefined {
-    const { directory, loads, admission, random } = this.#opts;
-    const engineUtilizations = directory.listAvailable(service).map(({ id, slots }) =>
-      loads.running(id) / slots
-    );
+    const { directory, loads, permits, admission, random } = this.#opts;
+    const engines = directory.listAvailable(service);
+    // Engines that accept nothing more for now offer no capacity, however few requests they run.
+    const open = engines.filter((backend) => !permits.isExhausted(backend));
+    const engineUtilizations = open.map(({ id, slots }) => loads.running(id) / slots);
+    if (open.length === 0 && engines.length > 0) engineUtilizations.push(1);
     const decision = admission.decide({
       engineUtilizations,
       priority: route.priority,
@@ -293,6 +295,10 @@
   /** Creates the refusal for lack of a server. It is retryable only if the request has not run anywhere. */
   #noBackendRefusal(call: RelayedCall): IRefusal {
     if (call.runs > 0) return finalRefusal(GatewayStatus.BadGateway, unknownOutcomeReason(call));
+    if (call.nextPermitMs !== undefined) {
+      const retryAfterMs = call.nextPermitMs * (1 + this.#opts.random());
+      return retryableRefusal(RefusalReason.BackendsLimited, retryAfterMs);
+    }
     if (call.refusals === 0) return retryableRefusal(RefusalReason.NoBackend, UNAVAILABLE_RETRY_AFTER_MS);
     return retryableRefusal(
       RefusalReason.BackendsFull,
--- a/src/call/common/gateway_relay_test.ts
+++ b/src/call/common/gateway_relay_test.ts
@@ -3,6 +3,7 @@
 import { Effect, Fiber } from "effect";
 import { TestClock } from "effect/testing";
 import { RecordingSink } from "../../../test/stand_ins/recording_sink.ts";
+import { UNLIMITED_PERMITS } from "../../../test/stand_ins/unlimited_permits.ts";
 import { makeResponseBody } from "../../../test/stand_ins/response_body.ts";
 import { Emitter } from "../../base/common/emitter.ts";
 import type { PromptHome } from "../../base/common/gen/ragwortcleat/v1/turns_pb.ts";
@@ -251,6 +252,7 @@
     streams,
     streamFinder: { find: (resumed) => Effect.succeed(streams.find(resumed)) },
     admission: setup.admission ?? new UtilizationAdmission(),
+    permits: UNLIMITED_PERMITS,
     upstream,
     responseLimits: { maxResponseBytes: 5000, maxEventBytes: 300 },
     responseMemory: new ResponseMemoryPool(0),
--- /dev/null
+++ b/src/call/common/permit_client.ts
@@ -0,0 +1,202 @@
+/** Permits to send requests to backend servers that state a limit, which holds for all instances together. */
+import { Clock, Effect } from "effect";
+import type { TurnService } from "../../base/common/gen/ragwortcleat/v1/turns_pb.ts";
+import { AcquirePermitRequestSchema } from "../../base/common/gen/ragwortcleat/v1/turns_pb.ts";
+import { create } from "@bufbuild/protobuf";
+import type { PeerError } from "../../base/common/errors.ts";
+import type { PeerRpcClients } from "../../membership/common/peer_client.ts";
+import type { IPermit } from "../../routing/common/send_rate_limiter.ts";
+import { SendRateLimiter } from "../../routing/common/send_rate_limiter.ts";
+import type { IBackendEntry } from "../../services/backends/common/backend_directory.ts";
+import type { IServerRun } from "../../services/backends/common/leaving_servers.ts";
+import type { IServerLimit, ServerLimits } from "../../services/backends/common/server_limits.ts";
+import type { ILogger } from "../../services/logging/common/logger.ts";
+import type { Metrics } from "../../services/metrics/common/metrics.ts";
+import { fromLimitMessage, toLimitMessage } from "./limit_message.ts";
+
+/** Time limit for the owner of a server's limit; a live one responds within a few milliseconds. */
+const OWNER_TIMEOUT_MS = 250;
+/** Time after a failure for which the owner is not asked again. */
+const OWNER_BACKOFF_MS = 1000;
+/** Time for which the refusal of a permit is remembered, at most. */
+const MAX_REFUSAL_TTL_MS = 5000;
+
+/**
+ * Part of a limit that all instances without the owner's response use together: the owner may still grant the
+ * whole limit to those that reach it.
+ */
+const OWNERLESS_PART = 0.5;
+
+/** The instance that grants the permits of a server. */
+export interface IPermitOwner {
+  /** Peer address of the owner of a server's limit; empty if none is known. */
+  ownerOf(backendId: string): string;
+  /** Number of instances that are known to this one, itself included. */
+  readonly instanceCount: number;
+}
+
+/** What a request can expect of a limited server. */
+export interface IPermitDecision {
+  readonly isGranted: boolean;
+  /** Time until the permit is valid, or until the next one may be available if none was granted, in ms. */
+  readonly waitMs: number;
+}
+
+export interface IPermitClient {
+  /** Acquires the permit to send one request. Servers without a limit always grant it at once. */
+  acquire(backend: IBackendEntry, maxWaitMs: number): Effect.Effect<IPermitDecision>;
+  /** Whether a server is known to have no permit now. */
+  isExhausted(backend: IBackendEntry): boolean;
+}
+
+export interface IPermitClientOptions {
+  readonly limits: ServerLimits;
+  /** Grants the permits of the servers that this instance owns. */
+  readonly limiter: SendRateLimiter;
+  readonly owners: IPermitOwner;
+  readonly peers: PeerRpcClients<typeof TurnService>;
+  readonly logger: ILogger;
+  readonly metrics: Metrics;
+  /** Name of this instance. */
+  readonly instance: string;
+  /** Address at which peers reach this instance. */
+  readonly address: string;
+  readonly now: () => number;
+  /** Returns a random number in [0, 1). */
+  readonly random: () => number;
+}
+
+interface IRefusedPermit {
+  readonly startedAtMs: number;
+  /** Time at which the next permit becomes available, in ms of the clock. */
+  readonly nextAtMs: number;
+  /** Time before which a request that cannot wait does not ask again, in ms of the clock. */
+  readonly askAgainAtMs: number;
+}
+
+const UNLIMITED: IPermitDecision = { isGranted: true, waitMs: 0 };
+
+/**
+ * Acquires permits from one owner for each server, so that what all instances send stays within the server's limit and
+ * no instance keeps a share that others need. While the owner does not respond, each instance keeps to an equal
+ * share of a part of the limit.
+ */
+export class PermitClient implements IPermitClient {
+  readonly #opts: IPermitClientOptions;
+  readonly #ownShare: SendRateLimiter;
+  readonly #refused = new Map<string, IRefusedPermit>();
+  /** Number of instances that competed for a server, as last reported by its owner. */
+  readonly #askers = new Map<string, number>();
+  /** Time until which an owner is not asked after a failure, by peer address. */
+  readonly #lostUntilMs = new Map<string, number>();
+
+  constructor(opts: IPermitClientOptions) {
+    this.#opts = opts;
+    this.#ownShare = new SendRateLimiter({ now: opts.now, firstDelay: opts.random });
+  }
+
+  isExhausted({ id, startedAtMs }: IBackendEntry): boolean {
+    const { limits, now } = this.#opts;
+    const refused = this.#refused.get(id);
+    const isLimited = limits.perSecond({ backendId: id, startedAtMs }) !== undefined;
+    return isLimited && refused?.startedAtMs === startedAtMs && refused.nextAtMs > now();
+  }
+
+  acquire({ id: backendId, startedAtMs }: IBackendEntry, maxWaitMs: number): Effect.Effect<IPermitDecision> {
+    return Effect.gen({ self: this }, function* () {
+      const run = { backendId, startedAtMs };
+      const limit = this.#opts.limits.get(run);
+      if (limit?.perSecond === undefined) return UNLIMITED;
+      const knownWaitMs = this.#knownWaitMs(run, maxWaitMs);
+      if (knownWaitMs > maxWaitMs) return { isGranted: false, waitMs: knownWaitMs };
+      const permit = (yield* this.#askOwner(limit, maxWaitMs)) ?? this.#takeOwnShare(limit, maxWaitMs);
+      const outcome = permit.isGranted ? "granted" : "refused";
+      this.#opts.metrics.incrementCounter("send_permits", { outcome });
+      if (permit.isGranted) this.#refused.delete(backendId);
+      else this.#remember(run, permit);
+      return permit;
+    });
+  }
+
+  remove({ id }: IBackendEntry): void {
+    this.#refused.delete(id);
+    this.#askers.delete(id);
+  }
+
+  /** Time until the owner may grant a permit, by its last refusal; 0 if it can be asked now. */
+  #knownWaitMs({ backendId, startedAtMs }: IServerRun, maxWaitMs: number): number {
+    const refused = this.#refused.get(backendId);
+    if (refused?.startedAtMs !== startedAtMs) return 0;
+    const readyAtMs = maxWaitMs > 0 ? refused.nextAtMs : refused.askAgainAtMs;
+    return Math.max(0, readyAtMs - this.#opts.now());
+  }
+
+  #remember({ backendId, startedAtMs }: IServerRun, { waitMs, retryAfterMs }: IPermit): void {
+    const now = this.#opts.now();
+    this.#refused.set(backendId, {
+      startedAtMs,
+      nextAtMs: now + Math.min(MAX_REFUSAL_TTL_MS, waitMs),
+      askAgainAtMs: now + Math.min(MAX_REFUSAL_TTL_MS, retryAfterMs),
+    });
+  }
+
+  /** Returns undefined if no owner responds. */
+  #askOwner(limit: IServerLimit, maxWaitMs: number): Effect.Effect<IPermit | undefined> {
+    return Effect.gen({ self: this }, function* () {
+      const { owners, address, limiter, instance } = this.#opts;
+      const { backendId } = limit.run;
+      const owner = owners.ownerOf(backendId);
+      if (owner === address) {
+        return limiter.acquire({ run: limit.run, perSecond: limit.perSecond!, instance, maxWaitMs });
+      }
+      const now = yield* Clock.currentTimeMillis;
+      if (owner === "" || (this.#lostUntilMs.get(owner) ?? 0) > now) return undefined;
+      const permit = yield* Effect.catchTag(
+        this.#callOwner(owner, { limit, maxWaitMs }),
+        "PeerError",
+        (err) => this.#recordLostOwner(owner, err),
+      );
+      if (permit === undefined) return undefined;
+      if (this.#lostUntilMs.delete(owner)) this.#opts.logger.info("permit-owner-regained", { owner });
+      this.#askers.set(backendId, permit.askers);
+      return permit;
+    });
+  }
+
+  /** Returns undefined if the instance at the address does not own the limit any more. */
+  #callOwner(
+    owner: string,
+    { limit, maxWaitMs }: { limit: IServerLimit; maxWaitMs: number },
+  ): Effect.Effect<IPermit | undefined, PeerError> {
+    const { peers, instance, limits } = this.#opts;
+    const req = create(AcquirePermitRequestSchema, { instance, limit: toLimitMessage(limit), maxWaitMs });
+    const call = peers.call(owner, {
+      timeoutMs: OWNER_TIMEOUT_MS,
+      invoke: (client, signal) => client.acquirePermit(req, { signal }),
+    });
+    return Effect.map(call, (res) => {
+      if (!res.isOwner) return undefined;
+      const newest = fromLimitMessage(res.limit);
+      if (newest !== undefined) limits.merge(newest);
+      return res;
+    });
+  }
+
+  #recordLostOwner(owner: string, err: Error): Effect.Effect<undefined> {
+    return Effect.map(Clock.currentTimeMillis, (now) => {
+      if (!this.#lostUntilMs.has(owner)) {
+        this.#opts.logger.warn("permit-owner-lost", { owner, error: err.message });
+      }
+      this.#lostUntilMs.set(owner, now + OWNER_BACKOFF_MS);
+      return undefined;
+    });
+  }
+
+  /** Grants a permit from an equal part of the limit, which needs no owner. */
+  #takeOwnShare({ run, perSecond }: IServerLimit, maxWaitMs: number): IPermit {
+    const { owners, instance } = this.#opts;
+    const instances = Math.max(owners.instanceCount, this.#askers.get(run.backendId) ?? 1);
+    const parts = instances / OWNERLESS_PART;
+    return this.#ownShare.acquire({ run, perSecond: perSecond!, instance, parts, maxWaitMs });
+  }
+}
--- a/src/call/common/relayed_call.ts
+++ b/src/call/common/relayed_call.ts
@@ -44,6 +44,12 @@
   /** How the last attempt failed; undefined if none has failed. */
   fault: UpstreamFault | undefined;
   choice: IBackendChoice | undefined;
+  /** Servers that had no permit for the request, because of the limits that they state. */
+  limitedServers = 0;
+  /** Time until the first permit of one of them, in ms; undefined if no server lacked a permit. */
+  nextPermitMs: number | undefined;
+  /** Time for which the request has waited for permits, in ms. */
+  permitWaitMs = 0;
   /** Software that produced the stream's first event; undefined before that event. */
   origin: IStreamOrigin | undefined;
   refusal: IRefusal | undefined;
@@ -101,6 +107,8 @@
       costMs: choice === undefined ? undefined : Math.round(choice.costMs),
       runs: this.runs,
       refusals: this.refusals,
+      limitedServers: this.limitedServers === 0 ? undefined : this.limitedServers,
+      permitWaitMs: this.permitWaitMs === 0 ? undefined : Math.round(this.permitWaitMs),
       events: this.events,
       framing: this.framing,
       connectionError: this.connectionError,
--- a/src/cli/common/request_causes.ts
+++ b/src/cli/common/request_causes.ts
@@ -47,6 +47,10 @@
   [RefusalReason.BackendsFull]: (end) => [
     `${numberField(end, "refusals") ?? "several"} backend servers refused the request as full; none ran it`,
   ],
+  [RefusalReason.BackendsLimited]: (end, { beliefs }) => [
+    `${numberField(end, "limitedServers") ?? "all"} backend servers state limits, and none had room in time`,
+    ...beliefs.filter(({ event }) => event === "backend-limit").map(formatBackendEvent),
+  ],
   [RefusalReason.Overloaded]: () => [
     "the engines were too heavily loaded to admit a new program without delaying the running ones",
   ],
--- a/src/daemon/common/gateway_core.ts
+++ b/src/daemon/common/gateway_core.ts
@@ -8,6 +8,7 @@
 import { TurnService } from "../../base/common/gen/ragwortcleat/v1/turns_pb.ts";
 import type { GetSnapshotResponse, KeyedSnapshot } from "../../base/common/gen/ragwortcleat/v1/turns_pb.ts";
 import { CrashMonitor } from "../../call/common/crash_monitor.ts";
+import { PermitClient } from "../../call/common/permit_client.ts";
 import { StreamOriginFinder } from "../../call/common/stream_origin_finder.ts";
 import { StreamOriginRegistry } from "../../call/common/stream_origin_registry.ts";
 import { StreamOriginReplicator } from "../../call/common/stream_origin_replicator.ts";
@@ -19,6 +20,8 @@
 import { PeerRpcClients } from "../../membership/common/peer_client.ts";
 import { BackendLoadTracker } from "../../routing/common/backend_load_tracker.ts";
 import { UtilizationAdmission } from "../../routing/common/program_admission.ts";
+import { LimitForwarder } from "../../peer/common/limit_forwarder.ts";
+import { SendRateLimiter } from "../../routing/common/send_rate_limiter.ts";
 import { PromptCacheIndex } from "../../routing/common/prompt_cache_index.ts";
 import type { IBackendEntry } from "../../services/backends/common/backend_directory.ts";
 import { BackendDirectory } from "../../services/backends/common/backend_directory.ts";
@@ -80,6 +83,10 @@
   readonly routes = new RouteTable();
   readonly leaving: LeavingServers;
   readonly limits: ServerLimits;
+  /** Grants the permits of the limited servers whose slice this instance owns. */
+  readonly limiter: SendRateLimiter;
+  readonly permits: PermitClient;
+  readonly limitForwarder: LimitForwarder;
   readonly directory: BackendDirectory;
   readonly loads: BackendLoadTracker;
   readonly caches = new PromptCacheIndex();
@@ -138,6 +145,14 @@
     this.owned = new OwnedSlices({ ...shared, instance, address, partitions, newWriter, askRelease });
     const askPeer = (peer: string) => this.#fetchTable(peer);
     this.group = new SliceGroup({ ...shared, address, partitions, owned: this.owned, askPeer });
+    this.limiter = new SendRateLimiter({ now, firstDelay: () => 1 });
+    this.permits = this.#makePermitClient();
+    this.limitForwarder = new LimitForwarder({
+      limits: this.limits,
+      isOwner: (backendId) => this.#ownerOfLimit(backendId) === address,
+      peers: () => this.group.peers.map(hostOf),
+      now,
+    });
     this.relay = this.#makeRelay();
     this.#subscribe();
   }
@@ -180,6 +195,34 @@
     return [...new Set([...this.group.peers, ...seeds])].filter((peer) => peer !== peerAddress);
   }
 
+  /** Peer address of the instance that grants the permits of a server: the owner of the slice of its id. */
+  #ownerOfLimit(backendId: string): string {
+    return this.group.ownerOf(this.owned.sliceOf(backendId));
+  }
+
+  #makePermitClient(): PermitClient {
+    const { logger, now, random } = this.#dependencies;
+    const { instance, peerAddress: address } = this.#settings;
+    const { group } = this;
+    return new PermitClient({
+      limits: this.limits,
+      limiter: this.limiter,
+      owners: {
+        ownerOf: (backendId) => this.#ownerOfLimit(backendId),
+        get instanceCount() {
+          return group.peers.length + 1;
+        },
+      },
+      peers: this.#peers,
+      logger,
+      metrics: this.metrics,
+      instance,
+      address,
+      now,
+      random,
+    });
+  }
+
   #makeRelay(): GatewayRelay {
     const { codec, upstream, logger, random } = this.#dependencies;
     const { peerAddress, zone, maxResponseBytes, maxEventBytes, responseMemoryBytes } = this.#settings;
@@ -206,6 +249,7 @@
         peerAddresses: () => this.#peerAddresses(),
         logger,
       }),
+      permits: this.permits,
       upstream,
       responseLimits: { maxResponseBytes, maxEventBytes },
       responseMemory: new ResponseMemoryPool(responseMemoryBytes),
@@ -222,7 +266,10 @@
       this.#dependencies.closeBackendConnections(entry);
       this.crashes.serverEnded(entry);
       this.loads.remove(entry);
-      this.limits.remove({ backendId: entry.id, startedAtMs: entry.startedAtMs });
+      const run = { backendId: entry.id, startedAtMs: entry.startedAtMs };
+      this.limits.remove(run);
+      this.limiter.remove(run);
+      this.permits.remove(entry);
       this.caches.removeEngine(entry.id);
     });
     this.#dependencies.upstream.onDidAnnounceLeaving(({ id: backendId, startedAtMs }) =>
@@ -345,6 +392,11 @@
   }
 }
 
+/** Host of a peer address. */
+export function hostOf(address: string): string {
+  return address.slice(0, address.lastIndexOf(":"));
+}
+
 /** Store partition of each slice, indexed by slice number. */
 function slicePartitions({ sliceTopics, storeParts }: GatewaySettings): IPartition[] {
   return Array.from({ length: sliceTopics * storeParts }, (_, slice) => ({
--- a/src/daemon/node/gateway.ts
+++ b/src/daemon/node/gateway.ts
@@ -12,7 +12,7 @@
 import type { ILogger } from "../../services/logging/common/logger.ts";
 import type { GatewaySettings } from "../../services/settings/common/gen/gateway_settings.ts";
 import type { IPlatformAdapter } from "../../services/store/common/platform_adapter.ts";
-import { GatewayCore } from "../common/gateway_core.ts";
+import { GatewayCore, hostOf } from "../common/gateway_core.ts";
 import { registerGatewayGauges } from "../common/gateway_gauges.ts";
 
 const MS_PER_SECOND = 1000;
@@ -93,7 +93,7 @@
     const context = yield* Effect.context<never>();
     const peer = parseAddress(settings.peerAddress);
     const turnServer = yield* disposeWithScope(
-      new TurnServer(makeTurnService({ ...turnServiceParts(core), context })),
+      new TurnServer(makeTurnService({ ...turnServiceParts(core), address: settings.peerAddress, context })),
     );
     const probe = yield* disposeWithScope(
       new PlainTextServer(() => ({ status: isReady() ? 200 : 503, body: "" })),
@@ -111,7 +111,9 @@
         crashes: core.crashes,
         streams: core.streams,
         leaving: core.leaving,
-        peerHosts: () => core.group.peers.map((address) => parseAddress(address).host),
+        limits: core.limits,
+        limitForwarder: core.limitForwarder,
+        peerHosts: () => core.group.peers.map(hostOf),
         logger,
       }),
     );
@@ -124,8 +126,19 @@
 }
 
 function turnServiceParts(core: GatewayCore) {
-  const { owned, group, configuration, backends, strikes, crashes, streams, leaving } = core;
-  return { owned, group, configuration, backends, strikes: strikes.follower, crashes, streams, leaving };
+  const { owned, group, configuration, backends, strikes, crashes, streams, leaving, limits, limiter } = core;
+  return {
+    owned,
+    group,
+    configuration,
+    backends,
+    strikes: strikes.follower,
+    crashes,
+    streams,
+    leaving,
+    limits,
+    limiter,
+  };
 }
 
 interface IDrainOptions {
--- /dev/null
+++ b/src/peer/common/limit_forwarder_test.ts
@@ -0,0 +1,59 @@
+import test from "ava";
+import { ServerLimits } from "../../services/backends/common/server_limits.ts";
+import { NullLogger } from "../../services/logging/common/logger.ts";
+import { LimitForwarder } from "./limit_forwarder.ts";
+
+const OWNED = { backendId: "owned", startedAtMs: 1 };
+
+function makeForwarder() {
+  const clock = { nowMs: 10_000 };
+  const now = () => clock.nowMs;
+  const limits = new ServerLimits(new NullLogger(), now);
+  const forwarder = new LimitForwarder({
+    limits,
+    isOwner: (id) => id === OWNED.backendId,
+    peers: () => ["peer"],
+    now,
+  });
+  return { clock, limits, forwarder };
+}
+
+test("changes of owned limits go to the reporters that own no slices", (t) => {
+  const { limits, forwarder } = makeForwarder();
+  for (const sender of ["peer", "other"]) forwarder.recordReport(sender);
+  limits.record(OWNED, 4);
+  limits.record({ backendId: "not owned", startedAtMs: 1 }, 4);
+  const messages = forwarder.takeDue();
+  t.deepEqual([...new Set(messages.flatMap(({ recipients }) => recipients))], ["other"]);
+  t.deepEqual([...new Set(messages.flatMap(({ limits }) => limits.map(({ run }) => run.backendId)))], [
+    "owned",
+  ]);
+  t.deepEqual(forwarder.takeDue(), []);
+});
+
+test("a change is forwarded about three times, its end too", (t) => {
+  const { clock, limits, forwarder } = makeForwarder();
+  limits.record(OWNED, 4);
+  forwarder.recordReport("other");
+  clock.nowMs += 5000;
+  forwarder.recordReport("other");
+  limits.record(OWNED, undefined);
+  let messages = 0;
+  for (let round = 0; round < 100; round++) {
+    messages += forwarder.takeDue().length;
+    clock.nowMs += 100;
+  }
+  t.is(messages, 4);
+});
+
+test("an instance that reports for the first time is told of all limits", (t) => {
+  const { clock, limits, forwarder } = makeForwarder();
+  limits.record(OWNED, 4);
+  clock.nowMs += 60_000;
+  t.deepEqual(forwarder.takeDue(), []);
+  forwarder.recordReport("other");
+  t.deepEqual(forwarder.takeDue().map(({ recipients, limits }) => [recipients, limits[0].perSecond]), [[
+    ["other"],
+    4,
+  ]]);
+});
--- a/src/peer/common/turn_service.ts
+++ b/src/peer/common/turn_service.ts
@@ -4,6 +4,8 @@
 import type { Context } from "effect";
 import { Effect } from "effect";
 import type {
+  AcquirePermitRequest,
+  AcquirePermitResponse,
   KeyedSnapshot,
   StrikeChange,
   TurnService,
@@ -15,8 +17,11 @@
 } from "../../base/common/gen/ragwortcleat/v1/turns_pb.ts";
 import type { CrashMonitor, IStrikeChange } from "../../call/common/crash_monitor.ts";
 import type { StreamOriginRegistry } from "../../call/common/stream_origin_registry.ts";
+import { fromLimitMessage, toLimitMessage } from "../../call/common/limit_message.ts";
 import { toStrikeMessage } from "../../call/common/strike_message.ts";
+import type { SendRateLimiter } from "../../routing/common/send_rate_limiter.ts";
 import type { LeavingServers } from "../../services/backends/common/leaving_servers.ts";
+import type { ServerLimits } from "../../services/backends/common/server_limits.ts";
 import type { KeyedTopicFollower } from "../../services/store/common/keyed_topic_follower.ts";
 import type { IKeyedItems } from "../../services/store/common/partitioned_log.ts";
 import type { OwnedSlices } from "../../turns/common/owned_slices.ts";
@@ -32,6 +37,10 @@
   readonly crashes: CrashMonitor;
   readonly streams: StreamOriginRegistry;
   readonly leaving: LeavingServers;
+  readonly limits: ServerLimits;
+  readonly limiter: SendRateLimiter;
+  /** Address at which peers reach this instance. */
+  readonly address: string;
   readonly context: Context.Context<never>;
 }
 
@@ -63,6 +72,7 @@
       const resumed = { attemptId: attemptId === "" ? undefined : attemptId, contentKey };
       return { streams: opts.streams.list(resumed).map((stream) => create(BegunStreamSchema, stream)) };
     },
+    acquirePermit: (req) => acquirePermit(req, opts),
     reassigned: () => {
       group.renewNow();
       return {};
@@ -70,6 +80,24 @@
   };
 }
 
+/** Grants a permit of a server that this instance owns. A limit that has ended meanwhile needs none. */
+function acquirePermit(
+  { instance, limit, maxWaitMs }: AcquirePermitRequest,
+  { owned, group, limits, limiter, address }: ITurnServiceOptions,
+): Partial<Omit<AcquirePermitResponse, "$typeName">> {
+  const asked = fromLimitMessage(limit);
+  if (asked === undefined) return { isOwner: false };
+  const { run } = asked;
+  if (group.ownerOf(owned.sliceOf(run.backendId)) !== address) return { isOwner: false };
+  limits.merge(asked);
+  const newest = limits.get(run) ?? asked;
+  if (newest.perSecond === undefined) {
+    return { isOwner: true, isGranted: true, limit: toLimitMessage(newest) };
+  }
+  const permit = limiter.acquire({ run, perSecond: newest.perSecond, instance, maxWaitMs });
+  return { isOwner: true, ...permit, limit: toLimitMessage(newest) };
+}
+
 function toStrikeChange({ strike, ...change }: IStrikeChange): StrikeChange {
   return create(StrikeChangeSchema, { strike: toStrikeMessage(strike), ...change });
 }
--- a/src/peer/node/load_reporter.ts
+++ b/src/peer/node/load_reporter.ts
@@ -1,4 +1,4 @@
-/** Exchanges UDP datagrams on backend load, prompt prefixes, strikes, begun streams and leaving servers with the peers. */
+/** Exchanges UDP datagrams on backend load, prompt prefixes, strikes, begun streams, leaving servers and limits with the peers. */
 import type { Socket } from "node:dgram";
 import { createSocket } from "node:dgram";
 import { create, fromBinary, toBinary } from "@bufbuild/protobuf";
@@ -14,11 +14,14 @@
   StrikeChangeSchema,
 } from "../../base/common/gen/ragwortcleat/v1/turns_pb.ts";
 import type { CrashMonitor } from "../../call/common/crash_monitor.ts";
+import { fromLimitMessage, toLimitMessage } from "../../call/common/limit_message.ts";
 import { toStrikeMessage } from "../../call/common/strike_message.ts";
 import type { StreamOriginRegistry } from "../../call/common/stream_origin_registry.ts";
 import type { BackendLoadTracker } from "../../routing/common/backend_load_tracker.ts";
 import type { PromptCacheIndex } from "../../routing/common/prompt_cache_index.ts";
 import type { LeavingServers } from "../../services/backends/common/leaving_servers.ts";
+import type { ServerLimits } from "../../services/backends/common/server_limits.ts";
+import type { LimitForwarder } from "../common/limit_forwarder.ts";
 import type { ILogger } from "../../services/logging/common/logger.ts";
 
 /** Short compared with the duration of a request. */
@@ -39,6 +42,8 @@
   readonly crashes: CrashMonitor;
   readonly streams: StreamOriginRegistry;
   readonly leaving: LeavingServers;
+  readonly limits: ServerLimits;
+  readonly limitForwarder: LimitForwarder;
   readonly peerHosts: () => readonly string[];
   readonly logger: ILogger;
 }
@@ -54,7 +59,7 @@
   constructor(opts: ILoadReporterOptions) {
     this.#opts = opts;
     this.#socket = createSocket("udp4");
-    this.#socket.on("message", (message) => this.#receive(message));
+    this.#socket.on("message", (message, { address }) => this.#receive(message, address));
     this.#socket.on("error", (err) => opts.logger.warn("load-datagrams-failed", { error: err.message }));
     this.#subscription = opts.streams.onDidBegin(() => this.#sendSoon());
   }
@@ -73,6 +78,7 @@
       while (true) {
         const hosts = this.#opts.peerHosts();
         this.#send(hosts);
+        this.#forwardLimits();
         yield* Effect.sleep(Math.max(MIN_REPORT_INTERVAL_MS, hosts.length * REPORT_INTERVAL_PER_PEER_MS));
       }
     });
@@ -104,7 +110,8 @@
     );
     const streams = this.#opts.streams.recentStreams().map((stream) => create(BegunStreamSchema, stream));
     const leaving = this.#opts.leaving.listRecent().map((run) => create(ServerRunSchema, run));
-    const events = strikeChanges.length + prefixes.length + streams.length + leaving.length;
+    const limits = this.#opts.limits.listRecentChanges().map(toLimitMessage);
+    const events = strikeChanges.length + prefixes.length + streams.length + leaving.length + limits.length;
     const isIdle = localLoads.size + events === 0;
     // One empty report follows the last load, so that peers discard the previous one.
     if (isIdle && !this.#wasBusy) return;
@@ -113,8 +120,19 @@
     const loads = [...localLoads].map(([backendId, running]) => ({ backendId, running }));
     const message = toBinary(
       LoadDigestSchema,
-      create(LoadDigestSchema, { instance, loads, strikeChanges, prefixes, streams, leaving }),
+      create(LoadDigestSchema, { instance, loads, strikeChanges, prefixes, streams, leaving, limits }),
     );
+    this.#sendTo(hosts, message);
+  }
+
+  #forwardLimits(): void {
+    for (const { recipients, limits } of this.#opts.limitForwarder.takeDue()) {
+      const digest = create(LoadDigestSchema, { limits: limits.map(toLimitMessage) });
+      this.#sendTo(recipients, toBinary(LoadDigestSchema, digest));
+    }
+  }
+
+  #sendTo(hosts: readonly string[], message: Uint8Array): void {
     for (const host of hosts) {
       this.#socket.send(message, this.#opts.port, host, (err) => this.#handleSendResult(err));
     }
@@ -126,20 +144,26 @@
     this.#opts.logger.warn("load-datagram-not-sent", { error: err.message });
   }
 
-  #receive(message: Uint8Array): void {
+  #receive(message: Uint8Array, sender: string): void {
     try {
-      const { instance, loads, strikeChanges, prefixes, streams, leaving } = fromBinary(
+      const { instance, loads, strikeChanges, prefixes, streams, leaving, limits } = fromBinary(
         LoadDigestSchema,
         message,
       );
+      this.#opts.limitForwarder.recordReport(sender);
       const running = new Map(loads.map((load) => [load.backendId, load.running]));
-      this.#opts.loads.recordPeerReport({ instance, running });
+      // Forwarded limits come without an instance and its loads.
+      if (instance !== "") this.#opts.loads.recordPeerReport({ instance, running });
       for (const { strike, isWithdrawn, isPending } of strikeChanges) {
         if (strike !== undefined) this.#opts.crashes.merge({ strike, isWithdrawn, isPending });
       }
       for (const prefix of prefixes) this.#opts.caches.recordReportedPart(prefix);
       for (const stream of streams) this.#opts.streams.add(stream);
       for (const run of leaving) this.#opts.leaving.merge(run);
+      for (const message of limits) {
+        const limit = fromLimitMessage(message);
+        if (limit !== undefined) this.#opts.limits.merge(limit);
+      }
     } catch (err) {
       this.#opts.logger.warn("load-datagram-unreadable", { error: toError(err).message });
     }
--- a/test/harness/gateway_cluster.ts
+++ b/test/harness/gateway_cluster.ts
@@ -189,6 +189,9 @@
         crashes: core.crashes,
         streams: core.streams,
         leaving: core.leaving,
+        limits: core.limits,
+        limiter: core.limiter,
+        address: `${name}:3`,
         context: yield* Effect.context<never>(),
       });
       const transport = createRouterTransport((router) => router.service(TurnService, service));
@@ -324,6 +327,7 @@
       const changes = core.crashes.recentChanges();
       const streams = core.streams.recentStreams();
       const leaving = core.leaving.listRecent();
+      const limits = core.limits.listRecentChanges();
       const addresses = new Set(core.group.peers);
       for (const peer of connected) {
         if (!addresses.has(`${peer.name}:3`)) continue;
@@ -331,6 +335,14 @@
         for (const change of changes) peer.core.crashes.merge(change);
         for (const stream of streams) peer.core.streams.add(stream);
         for (const run of leaving) peer.core.leaving.merge(run);
+        for (const limit of limits) peer.core.limits.merge(limit);
+        peer.core.limitForwarder.recordReport(name);
+      }
+      for (const { recipients, limits } of core.limitForwarder.takeDue()) {
+        for (const peer of connected) {
+          if (!recipients.includes(peer.name)) continue;
+          for (const limit of limits) peer.core.limits.merge(limit);
+        }
       }
     }
   }
--- a/test/proofs/server_limit_test.ts
+++ b/test/proofs/server_limit_test.ts
@@ -17,6 +17,11 @@
 /** Share of the stated places that must be used while there is demand for them. */
 const MIN_USED_SHARE = 0.8;
 
+/** Longest time for which a request may be kept that waits for a place: half of what its caller waits. */
+const MAX_HELD_MS = 1250;
+/** Time limit for a refusal: asking each owner once, by the time limit of such a call. */
+const REFUSAL_MS = 300;
+
 /** What happens beside the limit; called before each step with the time since the start of the play. */
 type Disruption = (cluster: GatewayCluster, elapsedMs: number) => Effect.Effect<void>;
 
@@ -159,3 +164,108 @@
     });
   }
 }
+
+const EVERY_ROUTE = [RoutePath.Safe, RoutePath.Unsafe, RoutePath.ResumableTurn];
+
+function testLimit(title: string, scenario: IPlay, minUsedShare = 0): void {
+  test(title, async (t) => {
+    const played = await play(scenario);
+    t.true(Math.max(...played.excess) <= 0, `${played.excess.join()} too many`);
+    const used = usedShare(played, scenario.limitAt(STABLE_MS) ?? 0);
+    t.true(used >= minUsedShare, `${used} of the places used`);
+    if (scenario.route === RoutePath.Unsafe) t.deepEqual(played.runTwice, []);
+  });
+}
+
+for (const route of EVERY_ROUTE) {
+  testLimit(
+    `retries and repeated trials count, on ${route}`,
+    { route, demand: 60, limitAt: () => 3, behavior: ServerBehavior.LosesAnswers },
+  );
+  testLimit(
+    `error responses name a limit as well, on ${route}`,
+    { route, demand: 60, limitAt: () => 3, behavior: ServerBehavior.Errors },
+  );
+  testLimit(`a limit below one a second, on ${route}`, { route, demand: 60, limitAt: () => 0.4 }, 0.7);
+  testLimit(`a limit of none, on ${route}`, { route, demand: 60, limitAt: () => 0 });
+  testLimit(
+    `a limit that falls and rises, on ${route}`,
+    { route, demand: 60, limitAt: (elapsedMs) => elapsedMs < 4000 ? 8 : elapsedMs < 8000 ? 2 : 6 },
+  );
+}
+
+const restartOwners: Disruption = (cluster, elapsedMs) =>
+  elapsedMs % 1500 === 0 && elapsedMs > 0
+    ? cluster.restart(cluster.names[(elapsedMs / 1500) % cluster.names.length])
+    : Effect.void;
+
+const refuseStore: Disruption = (cluster, elapsedMs) =>
+  Effect.sync(() => {
+    if (elapsedMs === 2000) {
+      for (const gateway of cluster.gateways.values()) gateway.isStoreRefused = true;
+    }
+  });
+
+const isolate: Disruption = (cluster, elapsedMs) =>
+  Effect.sync(() => {
+    if (elapsedMs === 2000) {
+      for (const gateway of cluster.gateways.values()) gateway.isPeerDisconnected = true;
+    }
+  });
+
+const isolateOne: Disruption = (cluster, elapsedMs) =>
+  Effect.sync(() => {
+    if (elapsedMs === 2000) cluster.gateways.get("g0")!.isPeerDisconnected = true;
+  });
+
+const killOne: Disruption = (cluster, elapsedMs) => elapsedMs === 4000 ? cluster.kill("g1") : Effect.void;
+
+const loseResponses: Disruption = (cluster, elapsedMs) =>
+  Effect.sync(() => {
+    if (elapsedMs === 2000) cluster.gateways.get("g0")!.losesPeerResponses = true;
+  });
+
+const DISRUPTIONS: readonly (readonly [string, Disruption])[] = [
+  ["while instances restart", restartOwners],
+  ["while the store refuses all", refuseStore],
+  ["while the instances do not reach each other", isolate],
+  ["while an instance is out of reach", isolateOne],
+  ["after an instance was lost", killOne],
+  ["while the answers of an instance are lost", loseResponses],
+];
+
+for (const [title, disrupt] of DISRUPTIONS) {
+  testLimit(`the limit of two servers holds ${title}`, { demand: 60, limitAt: () => 4, disrupt }, 0.5);
+}
+
+test("when all servers are limited, callers get places in time or are refused at once as not run", async (t) => {
+  for (const route of EVERY_ROUTE) {
+    const played = await play({ route, limited: 4, demand: 60, limitAt: () => 4 });
+    t.true(Math.max(...played.excess) <= 0, `${played.excess.join()} too many`);
+    t.true(usedShare(played, 4) >= MIN_USED_SHARE, `${usedShare(played, 4)} of the places used`);
+    for (const { status, tookMs, hasRetryAfter } of played.answers) {
+      t.true(status === 200 || status === 503 && hasRetryAfter, String(status));
+      t.true(tookMs <= (status === 200 ? MAX_HELD_MS : REFUSAL_MS), `${status} after ${tookMs} ms`);
+    }
+  }
+});
+
+test("a limit that ends is forgotten by all instances", async (t) => {
+  const limitAt = (elapsedMs: number) => elapsedMs < 5000 ? 2 : undefined;
+  const { answers } = await play({ limited: 4, demand: 60, limitAt });
+  t.deepEqual(answers.filter(({ status, sentAtMs }) => status !== 200 && sentAtMs > 6000), []);
+  t.true(answers.some(({ status }) => status === 503));
+});
+
+for (const instances of [11, 73, 195]) {
+  test(`a limit of one a second is shared by ${instances} instances, of which most have not met it`, async (t) => {
+    const played = await play({ instances, demand: 120, limitAt: () => 1 });
+    // Stricter than the users' rule: instances count that have not relayed the limit themselves.
+    const all = played.arrivals.map((list) =>
+      worstExcess(list.map(({ atMs }) => ({ atMs, instance: "any" })), () => 1)
+    );
+    t.true(Math.max(...all) <= 0, `${all.join()} too many`);
+    t.true(usedShare(played, 1) >= MIN_USED_SHARE, `${usedShare(played, 1)} of the places used`);
+    t.deepEqual(played.answers.filter(({ status }) => status !== 200), []);
+  });
+}
