Find out and log when an instance has lost its links to all backend servers

Change: ServerLinkMonitor tries new connections to four servers of all services when a connection fails or when a request has waited for 400 ms in which no server has responded to any. If none is established it logs servers-unreachable, and servers-reachable when one is again. One silent or lost server says nothing; nor does a check that took too long because the instance itself stood still. No decision uses it yet.

--- /dev/null
+++ b/src/call/common/server_link_monitor.ts
@@ -0,0 +1,180 @@
+/** Finds out whether this instance has lost its links to all backend servers. */
+import type { Scope } from "effect";
+import { Clock, Deferred, Effect } from "effect";
+import type { Event } from "../../base/common/emitter.ts";
+import { Emitter } from "../../base/common/emitter.ts";
+import { Signal } from "../../base/common/signal.ts";
+import type { BackendDirectory, IBackendEntry } from "../../services/backends/common/backend_directory.ts";
+import type { ILogger } from "../../services/logging/common/logger.ts";
+
+/** Time for which a request waits, with no response from any server meanwhile, before the links are checked. */
+const SILENCE_MS = 400;
+/** Interval between two looks at the waiting requests. */
+const CHECK_INTERVAL_MS = 100;
+/** Minimum interval between two checks of the links that requests cause. */
+const MIN_PROBE_INTERVAL_MS = 700;
+/** Interval between checks while the links are lost. */
+const RECOVERY_PROBE_INTERVAL_MS = 500;
+/** Number of servers to which connections are tried at once; all must fail. */
+const PROBED_SERVERS = 4;
+/** Time limit for a connection. A reachable server accepts one within a few milliseconds. */
+export const PROBE_TIMEOUT_MS = 400;
+/** Delay beyond the time limit from which a check proves nothing: this instance stood still. */
+const MAX_PROBE_DELAY_MS = 200;
+
+/** Tries to connect to backend servers. */
+export interface IConnectProbe {
+  /** Whether a new connection is established within {@link PROBE_TIMEOUT_MS}. Nothing is sent on it. */
+  connect(backend: IBackendEntry): Effect.Effect<boolean>;
+}
+
+export interface IServerLinkMonitorOptions {
+  readonly directory: BackendDirectory;
+  readonly probe: IConnectProbe;
+  readonly logger: ILogger;
+  /** Returns a random number in [0, 1). */
+  readonly random: () => number;
+}
+
+/** A request for which no response has arrived yet. */
+interface IWaitingSend {
+  readonly sentAtMs: number;
+}
+
+/**
+ * Tries new connections to several servers of all services at once if a connection fails or nothing arrives from any
+ * server for a moment. One silent, overloaded or lost server says nothing about the links; neither does a check
+ * that took too long because this instance stood still.
+ */
+export class ServerLinkMonitor {
+  readonly #opts: IServerLinkMonitorOptions;
+  readonly #waiting = new Set<IWaitingSend>();
+  /** Notified when there is a reason to look at the links. */
+  readonly #wakeSignal = new Signal();
+  readonly #onDidChange = new Emitter<boolean>();
+  /** Fires when the links are lost (true) or regained (false). */
+  readonly onDidChange: Event<boolean> = this.#onDidChange.event;
+  #isCutOff = false;
+  #lastResponseAtMs = 0;
+  #lastProbeAtMs = 0;
+  #cutOffSinceMs = 0;
+  #hasConnectFailed = false;
+  #runningCheck: Deferred.Deferred<void> | undefined;
+
+  constructor(opts: IServerLinkMonitorOptions) {
+    this.#opts = opts;
+  }
+
+  /** Whether no server accepts connections from this instance, as far as it knows. */
+  get isCutOff(): boolean {
+    return this.#isCutOff;
+  }
+
+  /** Observes a request until its response head arrives or it fails. */
+  observe<A, E>(send: Effect.Effect<A, E>): Effect.Effect<A, E> {
+    return Effect.flatMap(Clock.currentTimeMillis, (sentAtMs) => {
+      const waiting = { sentAtMs };
+      this.#waiting.add(waiting);
+      if (this.#waiting.size === 1) this.#wakeSignal.notify();
+      const recordResponse = Effect.map(Clock.currentTimeMillis, (now) => {
+        this.#lastResponseAtMs = now;
+      });
+      const observed = Effect.tap(send, () => recordResponse);
+      return Effect.ensuring(observed, Effect.sync(() => this.#waiting.delete(waiting)));
+    });
+  }
+
+  /** Records that no connection to a server could be established, and returns whether that holds for all servers. */
+  checkAfterConnectFailure(): Effect.Effect<boolean> {
+    return Effect.gen({ self: this }, function* () {
+      this.#hasConnectFailed = true;
+      if (this.#isDue(yield* Clock.currentTimeMillis)) yield* this.#check();
+      else if (this.#runningCheck !== undefined) yield* Deferred.await(this.#runningCheck);
+      return this.#isCutOff;
+    });
+  }
+
+  /** Checks the links when there is a reason, until the scope ends. */
+  start(): Effect.Effect<void, never, Scope.Scope> {
+    const loop = Effect.gen({ self: this }, function* () {
+      while (true) {
+        const isIdle = this.#waiting.size === 0 && !this.#isCutOff;
+        yield* isIdle ? this.#wakeSignal.wait() : Effect.sleep(CHECK_INTERVAL_MS);
+        if (this.#isDue(yield* Clock.currentTimeMillis)) yield* this.#check();
+      }
+    });
+    return Effect.asVoid(Effect.forkScoped(loop));
+  }
+
+  #isDue(now: number): boolean {
+    if (this.#runningCheck !== undefined) return false;
+    const elapsedMs = now - this.#lastProbeAtMs;
+    if (this.#isCutOff) return elapsedMs >= RECOVERY_PROBE_INTERVAL_MS;
+    return elapsedMs >= MIN_PROBE_INTERVAL_MS && (this.#hasConnectFailed || this.#isSilent(now));
+  }
+
+  /** Whether a request has waited too long, and no server has responded to any since it was sent. */
+  #isSilent(now: number): boolean {
+    return [...this.#waiting].some(({ sentAtMs }) =>
+      sentAtMs <= now - SILENCE_MS && this.#lastResponseAtMs < sentAtMs
+    );
+  }
+
+  #check(): Effect.Effect<void> {
+    return Effect.suspend(() => {
+      const finished = Deferred.makeUnsafe<void>();
+      this.#runningCheck = finished;
+      this.#hasConnectFailed = false;
+      const finish = Effect.sync(() => {
+        this.#runningCheck = undefined;
+        Deferred.doneUnsafe(finished, Effect.void);
+      });
+      return Effect.ensuring(this.#probeServers(), finish);
+    });
+  }
+
+  #probeServers(): Effect.Effect<void> {
+    return Effect.gen({ self: this }, function* () {
+      const startedAtMs = yield* Clock.currentTimeMillis;
+      this.#lastProbeAtMs = startedAtMs;
+      const servers = this.#selectServers();
+      if (servers.length === 0) return;
+      const connect = (backend: IBackendEntry) => this.#opts.probe.connect(backend);
+      const connected = yield* Effect.forEach(servers, connect, { concurrency: "unbounded" });
+      const now = yield* Clock.currentTimeMillis;
+      const isReachable = connected.some((isConnected) => isConnected);
+      const isConclusive = isReachable || now - startedAtMs <= PROBE_TIMEOUT_MS + MAX_PROBE_DELAY_MS;
+      if (isConclusive) this.#setCutOff(!isReachable, { now, probed: servers.length });
+    });
+  }
+
+  /** Selects servers at random, of each service by turns. */
+  #selectServers(): IBackendEntry[] {
+    const byService = new Map<string, IBackendEntry[]>();
+    for (const entry of this.#opts.directory.listAll()) {
+      byService.set(entry.service, [...byService.get(entry.service) ?? [], entry]);
+    }
+    const selected: IBackendEntry[] = [];
+    while (selected.length < PROBED_SERVERS && byService.size > 0) {
+      for (const [service, entries] of byService) {
+        const [entry] = entries.splice(Math.floor(this.#opts.random() * entries.length), 1);
+        if (selected.length < PROBED_SERVERS) selected.push(entry);
+        if (entries.length === 0) byService.delete(service);
+      }
+    }
+    return selected;
+  }
+
+  #setCutOff(isCutOff: boolean, { now, probed }: { now: number; probed: number }): void {
+    if (isCutOff === this.#isCutOff) return;
+    this.#isCutOff = isCutOff;
+    if (isCutOff) {
+      this.#cutOffSinceMs = now;
+      const silentMs = this.#lastResponseAtMs === 0 ? undefined : now - this.#lastResponseAtMs;
+      this.#opts.logger.warn("servers-unreachable", { probed, silentMs, waiting: this.#waiting.size });
+    } else {
+      this.#opts.logger.info("servers-reachable", { awayMs: now - this.#cutOffSinceMs });
+    }
+    this.#onDidChange.fire(isCutOff);
+  }
+}
--- /dev/null
+++ b/src/call/node/connect_probe.ts
@@ -0,0 +1,23 @@
+/** Tries TCP connections to backend servers. */
+import { connect } from "node:net";
+import { Effect } from "effect";
+import type { IBackendEntry } from "../../services/backends/common/backend_directory.ts";
+import type { IConnectProbe } from "../common/server_link_monitor.ts";
+import { PROBE_TIMEOUT_MS } from "../common/server_link_monitor.ts";
+
+export class ConnectProbe implements IConnectProbe {
+  connect({ host, port }: IBackendEntry): Effect.Effect<boolean> {
+    return Effect.callback<boolean>((resume) => {
+      const socket = connect({ host, port });
+      const finish = (isConnected: boolean) => {
+        clearTimeout(timer);
+        socket.destroy();
+        resume(Effect.succeed(isConnected));
+      };
+      const timer = setTimeout(() => finish(false), PROBE_TIMEOUT_MS);
+      socket.on("connect", () => finish(true));
+      socket.on("error", () => finish(false));
+      return Effect.sync(() => finish(false));
+    });
+  }
+}
--- a/src/daemon/common/gateway_core.ts
+++ b/src/daemon/common/gateway_core.ts
@@ -8,6 +8,9 @@
 import { TurnService } from "../../base/common/gen/ragwortcleat/v1/turns_pb.ts";
 import type { GetSnapshotResponse, KeyedSnapshot } from "../../base/common/gen/ragwortcleat/v1/turns_pb.ts";
 import { CrashMonitor } from "../../call/common/crash_monitor.ts";
+import type { IConnectProbe } from "../../call/common/server_link_monitor.ts";
+import { ServerLinkMonitor } from "../../call/common/server_link_monitor.ts";
+import { ObservedUpstream } from "../../call/common/observed_upstream.ts";
 import { PermitClient } from "../../call/common/permit_client.ts";
 import { StreamOriginFinder } from "../../call/common/stream_origin_finder.ts";
 import { StreamOriginRegistry } from "../../call/common/stream_origin_registry.ts";
@@ -64,6 +67,7 @@
   readonly logger: ILogger;
   readonly transports: IPeerTransports;
   readonly upstream: IUpstream;
+  readonly connectProbe: IConnectProbe;
   /** Closes the connections to a backend server that is no longer listed. */
   readonly closeBackendConnections: (entry: IBackendEntry) => void;
   /** Applies the configured limits on callers' requests. */
@@ -87,6 +91,7 @@
   readonly limiter: SendRateLimiter;
   readonly permits: PermitClient;
   readonly limitForwarder: LimitForwarder;
+  readonly links: ServerLinkMonitor;
   readonly directory: BackendDirectory;
   readonly loads: BackendLoadTracker;
   readonly caches = new PromptCacheIndex();
@@ -153,6 +158,8 @@
       peers: () => this.group.peers.map(hostOf),
       now,
     });
+    const { connectProbe: probe, random } = dependencies;
+    this.links = new ServerLinkMonitor({ directory: this.directory, probe, logger, random });
     this.relay = this.#makeRelay();
     this.#subscribe();
   }
@@ -168,6 +175,7 @@
       yield* this.configuration.start();
       yield* this.backends.start();
       yield* this.strikes.start();
+      yield* this.links.start();
       yield* this.#makeStreamReplicator().start();
       yield* this.group.start();
       yield* Effect.forkScoped(this.#syncFromPeers());
@@ -250,7 +258,7 @@
         logger,
       }),
       permits: this.permits,
-      upstream,
+      upstream: new ObservedUpstream(upstream, this.links),
       responseLimits: { maxResponseBytes, maxEventBytes },
       responseMemory: new ResponseMemoryPool(responseMemoryBytes),
       logger,
--- a/src/daemon/node/gateway.ts
+++ b/src/daemon/node/gateway.ts
@@ -4,6 +4,7 @@
 import { Clock, Effect } from "effect";
 import { disposeWithScope } from "../../base/common/scoped_disposable.ts";
 import type { IRequestCodec } from "../../call/common/opaque_request.ts";
+import { ConnectProbe } from "../../call/node/connect_probe.ts";
 import { HttpUpstream } from "../../call/node/http_upstream.ts";
 import { GatewayServer, PlainTextServer } from "../../entry/node/gateway_server.ts";
 import { makeTurnService } from "../../peer/common/turn_service.ts";
@@ -50,6 +51,7 @@
       logger,
       transports,
       upstream,
+      connectProbe: new ConnectProbe(),
       closeBackendConnections: (entry) => upstream.removeBackend(entry),
       applyCallerLimits: (limits) => server.applyLimits(limits),
       now: Date.now,
--- a/test/harness/gateway_cluster.ts
+++ b/test/harness/gateway_cluster.ts
@@ -5,7 +5,7 @@
  */
 import type { Transport } from "@connectrpc/connect";
 import { Code, ConnectError, createRouterTransport } from "@connectrpc/connect";
-import { Effect, Exit, Scope } from "effect";
+import { Deferred, Effect, Exit, Scope } from "effect";
 import { TestClock } from "effect/testing";
 import { decodeBackend, decodeConfiguration } from "../../platform/decoders.ts";
 import { RequestCodec } from "../../platform/request_codec.ts";
@@ -22,6 +22,7 @@
 import type { CrashForm, IFleetServer, RestartForm } from "../stand_ins/backend_fleet.ts";
 import { BackendFleet } from "../stand_ins/backend_fleet.ts";
 import { PartitionedLogCore } from "../stand_ins/partitioned_log_core.ts";
+import { ServerLinks } from "./server_links.ts";
 import { RecordingSink } from "../stand_ins/recording_sink.ts";
 
 const CLOCK_STEP_MS = 10;
@@ -92,6 +93,9 @@
   readonly scope: Scope.Closeable;
   readonly transport: Transport;
   readonly lines: string[];
+  readonly links: ServerLinks;
+  /** Completes when the instance is terminated. */
+  readonly ended: Deferred.Deferred<void>;
   isStoreRefused: boolean;
   isPeerDisconnected: boolean;
   /** Whether the instance executes the calls of peers and its responses do not arrive. */
@@ -179,7 +183,8 @@
       const scope = yield* Scope.make();
       const lines: string[] = [];
       const logger: ILogger = new JsonLogger(name, "info", (line) => lines.push(line));
-      const core = this.#makeCore(name, logger);
+      const links = new ServerLinks(this.fleet);
+      const core = this.#makeCore(name, { logger, links });
       const service = makeTurnService({
         owned: core.owned,
         group: core.group,
@@ -201,6 +206,8 @@
         scope,
         transport,
         lines,
+        links,
+        ended: Deferred.makeUnsafe<void>(),
         isStoreRefused,
         isPeerDisconnected: false,
         losesPeerResponses: false,
@@ -215,6 +222,7 @@
     return Effect.suspend(() => {
       const gateway = this.gateways.get(name)!;
       this.gateways.delete(name);
+      Deferred.doneUnsafe(gateway.ended, Effect.void);
       return Scope.close(gateway.scope, Exit.void);
     });
   }
@@ -252,7 +260,7 @@
     return this.fleet.runs.filter(({ target }) => target.endsWith(name)).length;
   }
 
-  #makeCore(name: string, logger: ILogger): GatewayCore {
+  #makeCore(name: string, { logger, links }: { logger: ILogger; links: ServerLinks }): GatewayCore {
     const settings = parseGatewaySettings(
       JSON.stringify({
         instance: name,
@@ -273,7 +281,8 @@
       codec: new RequestCodec(),
       logger,
       transports: { get: (address) => this.#transportBetween(name, address), reset: () => {} },
-      upstream: this.fleet,
+      upstream: links,
+      connectProbe: links,
       closeBackendConnections: () => {},
       applyCallerLimits: () => {},
       now: () => this.nowMs,
--- a/test/stand_ins/backend_fleet.ts
+++ b/test/stand_ins/backend_fleet.ts
@@ -176,6 +176,12 @@
     });
   }
 
+  /** Whether a connection to a server can be established. */
+  isListening({ host, port }: IBackendEntry): boolean {
+    const server = this.servers.find(({ address }) => address === `${host}:${port}`);
+    return server?.isUp === true && server.behavior !== ServerBehavior.Unreachable;
+  }
+
   /** Removes the entry of a server from the platform's list. */
   unlist({ id }: IFleetServer): void {
     this.#opts.publish(id, undefined);
