Send requests through another instance while no backend server is reachable from this one

What callers saw: of the first tries at instances that had lost their links to all servers 47 of 355 were served, of the others 769 of 772.

Cause: an instance sends to servers only from itself. Class of fault: a path that has no alternative, although the system as a whole has one.

Change: while no server accepts connections (ServerLinkMonitor), the upstream of the dispatcher has another instance send each request; a request whose connection fails is forwarded as soon as the check of the links says so. The other instance passes on the bytes only: choice of the server, budget, history, retries, deadlines and outcome stay where the request arrived, so that nothing of the relay exists twice and a budget's turn begins and ends once. It never forwards in turn, refuses while it reaches no server or stops, and checks what it knows itself of the server: whether this run is listed and not leaving, and whether a limit needs a permit. Each forwarded request has a connection of its own. A fault of the server arrives as such, in the head or in a trailer; a lost connection between the instances says nothing about the server. Reports say which instances are cut off. The back-off of servers ends with each change of the links.

Weighed: forwarding the caller's request as a whole (a turn that began here would have to end there, a stream that broke could not be resumed, and the other instance may have an older configuration); a failing readiness probe (open connections stay, and with most of a zone cut off the platform uses all of its instances).

--- /dev/null
+++ b/src/base/common/http_headers.ts
@@ -0,0 +1,22 @@
+/** HTTP headers as alternating names and values. */
+
+/** Hop-by-hop headers, and `Content-Length`, which is recomputed for each message. */
+const HOP_BY_HOP_HEADERS = new Set([
+  "connection",
+  "keep-alive",
+  "proxy-connection",
+  "transfer-encoding",
+  "content-length",
+  "te",
+  "trailer",
+  "upgrade",
+]);
+
+/** Removes the hop-by-hop headers and `Content-Length`. */
+export function endToEndHeaders(raw: readonly string[]): string[] {
+  const headers: string[] = [];
+  for (let i = 0; i < raw.length; i += 2) {
+    if (!HOP_BY_HOP_HEADERS.has(raw[i].toLowerCase())) headers.push(raw[i], raw[i + 1]);
+  }
+  return headers;
+}
--- /dev/null
+++ b/src/call/common/forwarding_upstream.ts
@@ -0,0 +1,159 @@
+/** Sends requests through other instances while this one reaches no backend server. */
+import { Clock, Effect } from "effect";
+import type { Event } from "../../base/common/emitter.ts";
+import { Emitter } from "../../base/common/emitter.ts";
+import type { IBackendEntry } from "../../services/backends/common/backend_directory.ts";
+import type { ServerLimits } from "../../services/backends/common/server_limits.ts";
+import type { ILogger } from "../../services/logging/common/logger.ts";
+import type { Metrics } from "../../services/metrics/common/metrics.ts";
+import type { IForwardTransport } from "./forwarding.ts";
+import type { ILimitStatement, IUpstream, IUpstreamRequest, IUpstreamResponse } from "./opaque_request.ts";
+import type { UpstreamError } from "./opaque_request.ts";
+import { isNotSent } from "./opaque_request.ts";
+import type { ServerLinkMonitor } from "./server_link_monitor.ts";
+
+/** Number of instances that are asked to forward one request. */
+const MAX_FORWARDERS = 4;
+/** Time for which an instance that has refused is not asked again, unless no other is known. */
+const REFUSAL_TTL_MS = 1500;
+
+export interface IForwardingUpstreamOptions {
+  /** Sends from this instance. */
+  readonly direct: IUpstream;
+  readonly transport: IForwardTransport;
+  readonly links: ServerLinkMonitor;
+  readonly limits: ServerLimits;
+  /** Addresses of the other instances. */
+  readonly peers: () => readonly string[];
+  /** Whether an instance has reported that it reaches no server either. */
+  readonly isPeerCutOff: (address: string) => boolean;
+  readonly logger: ILogger;
+  readonly metrics: Metrics;
+  /** Returns a random number in [0, 1). */
+  readonly random: () => number;
+}
+
+/**
+ * Sends from this instance as long as it reaches servers, and otherwise through another instance, which only passes
+ * on the bytes: the choice of the server, budgets, history, retries and outcomes stay here. Designed for
+ * instances that lose their links to all servers for seconds, up to most of a deployment or a whole availability
+ * zone, while callers still reach them.
+ */
+export class ForwardingUpstream implements IUpstream {
+  readonly #opts: IForwardingUpstreamOptions;
+  readonly #refusedUntilMs = new Map<string, number>();
+  /** Number of requests that each instance is forwarding. */
+  readonly #forwarding = new Map<string, number>();
+  readonly #onDidAnnounceLeaving = new Emitter<IBackendEntry>();
+  readonly onDidAnnounceLeaving: Event<IBackendEntry> = this.#onDidAnnounceLeaving.event;
+  readonly #onDidStateLimit = new Emitter<ILimitStatement>();
+  readonly onDidStateLimit: Event<ILimitStatement> = this.#onDidStateLimit.event;
+
+  constructor(opts: IForwardingUpstreamOptions) {
+    this.#opts = opts;
+    opts.direct.onDidAnnounceLeaving((backend) => this.#onDidAnnounceLeaving.fire(backend));
+    opts.direct.onDidStateLimit((statement) => this.#onDidStateLimit.fire(statement));
+  }
+
+  send(backend: IBackendEntry, req: IUpstreamRequest): Effect.Effect<IUpstreamResponse, UpstreamError> {
+    return Effect.suspend(() => {
+      const { links } = this.#opts;
+      if (links.isCutOff) return this.#forward(backend, req);
+      return Effect.catchTag(
+        this.sendDirect(backend, req),
+        "UpstreamError",
+        (err) =>
+          isNotSent(err)
+            ? Effect.flatMap(
+              links.checkAfterConnectFailure(),
+              (isCutOff) => isCutOff ? this.#forward(backend, req) : Effect.fail(err),
+            )
+            : Effect.fail(err),
+      );
+    });
+  }
+
+  /** Sends from this instance whatever is known of its links. */
+  sendDirect(backend: IBackendEntry, req: IUpstreamRequest): Effect.Effect<IUpstreamResponse, UpstreamError> {
+    const { links, direct } = this.#opts;
+    return links.observe(direct.send(backend, req));
+  }
+
+  /** Has another instance send the request. If none does, sends it from here, as the links may have returned. */
+  #forward(backend: IBackendEntry, req: IUpstreamRequest): Effect.Effect<IUpstreamResponse, UpstreamError> {
+    return Effect.gen({ self: this }, function* () {
+      const asked = new Set<string>();
+      while (asked.size < MAX_FORWARDERS) {
+        const address = this.#selectForwarder(asked, yield* Clock.currentTimeMillis);
+        if (address === undefined) break;
+        asked.add(address);
+        const response = yield* this.#forwardThrough(address, { backend, req, askedCount: asked.size });
+        if (response !== undefined) return response;
+      }
+      this.#opts.metrics.incrementCounter("forwards", { outcome: "none" });
+      return yield* this.sendDirect(backend, req);
+    });
+  }
+
+  /** Returns undefined if the instance refuses. */
+  #forwardThrough(
+    address: string,
+    { backend, req, askedCount }: { backend: IBackendEntry; req: IUpstreamRequest; askedCount: number },
+  ): Effect.Effect<IUpstreamResponse | undefined, UpstreamError> {
+    const { transport, limits, logger, metrics } = this.#opts;
+    const run = { backendId: backend.id, startedAtMs: backend.startedAtMs };
+    const hasPermit = limits.perSecond(run) !== undefined;
+    const count = (change: number) =>
+      Effect.sync(() => this.#forwarding.set(address, (this.#forwarding.get(address) ?? 0) + change));
+    const sending = Effect.andThen(count(1), transport.send(address, { backend, req, hasPermit })).pipe(
+      Effect.ensuring(count(-1)),
+      Effect.map((response) => {
+        metrics.incrementCounter("forwards", { outcome: "sent" });
+        logger.info("request-forwarded", {
+          request: req.requestId,
+          forwarder: address,
+          backend: backend.id,
+          asked: askedCount,
+        });
+        this.#readHead(backend, { response, requestId: req.requestId });
+        return response;
+      }),
+    );
+    return Effect.catchTag(
+      sending,
+      "ForwardRefusedError",
+      ({ reason }) =>
+        Effect.map(Clock.currentTimeMillis, (now) => {
+          this.#refusedUntilMs.set(address, now + REFUSAL_TTL_MS);
+          metrics.incrementCounter("forwards", { outcome: reason });
+          logger.info("forward-refused", { request: req.requestId, forwarder: address, reason });
+          return undefined;
+        }),
+    );
+  }
+
+  #readHead(
+    backend: IBackendEntry,
+    { response: { head }, requestId }: { response: IUpstreamResponse; requestId: string },
+  ): void {
+    const { limitPerSecond } = head;
+    if (head.isLeaving) this.#onDidAnnounceLeaving.fire(backend);
+    const isOwn = head.requestId === requestId && !head.isMisdirected;
+    if (limitPerSecond !== undefined || isOwn) this.#onDidStateLimit.fire({ backend, limitPerSecond });
+  }
+
+  /** Selects the less busy of two random instances, preferring those that have not refused lately. */
+  #selectForwarder(asked: ReadonlySet<string>, now: number): string | undefined {
+    const { peers, isPeerCutOff, random } = this.#opts;
+    const others = peers().filter((address) => !asked.has(address));
+    const willing = others.filter((address) =>
+      !isPeerCutOff(address) && (this.#refusedUntilMs.get(address) ?? 0) <= now
+    );
+    const candidates = willing.length > 0 ? willing : others;
+    const pick = () => candidates.at(Math.floor(random() * candidates.length));
+    const [first, second] = [pick(), pick()];
+    if (first === undefined || second === undefined) return undefined;
+    const busyOf = (address: string) => this.#forwarding.get(address) ?? 0;
+    return busyOf(first) <= busyOf(second) ? first : second;
+  }
+}
--- a/src/call/common/opaque_request.ts
+++ b/src/call/common/opaque_request.ts
@@ -141,6 +141,8 @@
   TimedOut = "silent",
   /** The response exceeds a limit on its size. The request may have run. */
   TooLarge = "too-large",
+  /** The instance that forwarded the request was lost. The request may have run; nothing is known of the server. */
+  ForwarderLost = "forwarder-lost",
 }
 
 export class UpstreamError extends VError {
@@ -153,6 +155,11 @@
   }
 }
 
+/** Whether no byte of the request was sent, because no connection could be established. */
+export function isNotSent({ fault }: UpstreamError): boolean {
+  return fault === UpstreamFault.NotSent || fault === UpstreamFault.Refused;
+}
+
 /** What shows where the body of a response ends. */
 export enum BodyFraming {
   Length = "length",
@@ -166,6 +173,8 @@
   readonly framing: BodyFraming;
   /** Code of the error that ended the connection; undefined if it has not failed. */
   readonly connectionError: string | undefined;
+  /** Alternating names and values of the trailers; empty until the body has been read. */
+  readonly trailers?: readonly string[];
   /** Passes each chunk to the callback. Succeeds once the complete body has been read. */
   read(onChunk: (chunk: Uint8Array) => void): Effect.Effect<void, UpstreamError>;
   /** Reads and ignores a short rest of the body, so that the connection can be reused; closes it if the rest is long. */
--- a/src/call/node/http_upstream.ts
+++ b/src/call/node/http_upstream.ts
@@ -48,14 +48,16 @@
 
 export class HttpUpstream implements IUpstream {
   readonly #codec: IRequestCodec;
+  readonly #reusesConnections: boolean;
   readonly #agents = new Map<string, KeepAliveAgent>();
   readonly #onDidAnnounceLeaving = new Emitter<IBackendEntry>();
   readonly onDidAnnounceLeaving: Event<IBackendEntry> = this.#onDidAnnounceLeaving.event;
   readonly #onDidStateLimit = new Emitter<ILimitStatement>();
   readonly onDidStateLimit: Event<ILimitStatement> = this.#onDidStateLimit.event;
 
-  constructor(codec: IRequestCodec) {
+  constructor(codec: IRequestCodec, { reusesConnections = true } = {}) {
     this.#codec = codec;
+    this.#reusesConnections = reusesConnections;
   }
 
   send(backend: IBackendEntry, req: IUpstreamRequest): Effect.Effect<IUpstreamResponse, UpstreamError> {
@@ -129,6 +131,12 @@
     this.#agents.delete(id);
   }
 
+  /** Closes all idle connections; those of requests in progress are not reused. */
+  closeIdleConnections(): void {
+    for (const agent of this.#agents.values()) agent.drain();
+    this.#agents.clear();
+  }
+
   dispose(): void {
     for (const agent of this.#agents.values()) agent.destroy();
     this.#agents.clear();
@@ -155,7 +163,10 @@
   #agentOf({ id }: IBackendEntry): KeepAliveAgent {
     let agent = this.#agents.get(id);
     if (agent === undefined) {
-      agent = new KeepAliveAgent({ keepAliveMsecs: KEEP_ALIVE_PROBE_DELAY_MS });
+      agent = new KeepAliveAgent({
+        keepAliveMsecs: KEEP_ALIVE_PROBE_DELAY_MS,
+        ...this.#reusesConnections ? {} : { maxFreeSockets: 0 },
+      });
       this.#agents.set(id, agent);
     }
     return agent;
@@ -195,6 +206,10 @@
     return framingOf(this.#res);
   }
 
+  get trailers(): readonly string[] {
+    return this.#res.rawTrailers;
+  }
+
   get connectionError(): string | undefined {
     const err: NodeJS.ErrnoException | undefined = this.#requestError();
     return err?.code ?? err?.message;
--- a/src/daemon/common/gateway_core.ts
+++ b/src/daemon/common/gateway_core.ts
@@ -7,10 +7,13 @@
 import { Effect } from "effect";
 import { TurnService } from "../../base/common/gen/ragwortcleat/v1/turns_pb.ts";
 import type { GetSnapshotResponse, KeyedSnapshot } from "../../base/common/gen/ragwortcleat/v1/turns_pb.ts";
+import { CutOffPeers } from "../../call/common/cut_off_peers.ts";
 import { CrashMonitor } from "../../call/common/crash_monitor.ts";
 import type { IConnectProbe } from "../../call/common/server_link_monitor.ts";
 import { ServerLinkMonitor } from "../../call/common/server_link_monitor.ts";
-import { ObservedUpstream } from "../../call/common/observed_upstream.ts";
+import type { IForwardTransport } from "../../call/common/forwarding.ts";
+import { ForwardingUpstream } from "../../call/common/forwarding_upstream.ts";
+import { ForwardService } from "../../call/common/forward_service.ts";
 import { PermitClient } from "../../call/common/permit_client.ts";
 import { StreamOriginFinder } from "../../call/common/stream_origin_finder.ts";
 import { StreamOriginRegistry } from "../../call/common/stream_origin_registry.ts";
@@ -66,8 +69,13 @@
   readonly codec: IRequestCodec;
   readonly logger: ILogger;
   readonly transports: IPeerTransports;
+  /** Sends requests from this instance. */
   readonly upstream: IUpstream;
+  /** Has other instances send requests. */
+  readonly forwardTransport: IForwardTransport;
   readonly connectProbe: IConnectProbe;
+  /** Closes the idle connections to all backend servers. */
+  readonly closeIdleBackendConnections: () => void;
   /** Closes the connections to a backend server that is no longer listed. */
   readonly closeBackendConnections: (entry: IBackendEntry) => void;
   /** Applies the configured limits on callers' requests. */
@@ -92,6 +100,10 @@
   readonly permits: PermitClient;
   readonly limitForwarder: LimitForwarder;
   readonly links: ServerLinkMonitor;
+  /** Other instances that reach no server, by host. */
+  readonly cutOffPeers: CutOffPeers;
+  readonly upstream: ForwardingUpstream;
+  readonly forwardService: ForwardService;
   readonly directory: BackendDirectory;
   readonly loads: BackendLoadTracker;
   readonly caches = new PromptCacheIndex();
@@ -160,6 +172,14 @@
     });
     const { connectProbe: probe, random } = dependencies;
     this.links = new ServerLinkMonitor({ directory: this.directory, probe, logger, random });
+    this.cutOffPeers = new CutOffPeers(now);
+    this.upstream = this.#makeUpstream();
+    this.forwardService = new ForwardService({
+      upstream: this.upstream,
+      links: this.links,
+      directory: this.directory,
+      permits: this.permits,
+    });
     this.relay = this.#makeRelay();
     this.#subscribe();
   }
@@ -231,8 +251,23 @@
     });
   }
 
+  #makeUpstream(): ForwardingUpstream {
+    const { upstream: direct, forwardTransport: transport, logger, random } = this.#dependencies;
+    return new ForwardingUpstream({
+      direct,
+      transport,
+      links: this.links,
+      limits: this.limits,
+      peers: () => this.group.peers,
+      isPeerCutOff: (address) => this.cutOffPeers.has(hostOf(address)),
+      logger,
+      metrics: this.metrics,
+      random,
+    });
+  }
+
   #makeRelay(): GatewayRelay {
-    const { codec, upstream, logger, random } = this.#dependencies;
+    const { codec, logger, random } = this.#dependencies;
     const { peerAddress, zone, maxResponseBytes, maxEventBytes, responseMemoryBytes } = this.#settings;
     const turns = new TurnClient({
       owned: this.owned,
@@ -258,7 +293,7 @@
         logger,
       }),
       permits: this.permits,
-      upstream: new ObservedUpstream(upstream, this.links),
+      upstream: this.upstream,
       responseLimits: { maxResponseBytes, maxEventBytes },
       responseMemory: new ResponseMemoryPool(responseMemoryBytes),
       logger,
@@ -280,12 +315,17 @@
       this.permits.remove(entry);
       this.caches.removeEngine(entry.id);
     });
-    this.#dependencies.upstream.onDidAnnounceLeaving(({ id: backendId, startedAtMs }) =>
+    this.upstream.onDidAnnounceLeaving(({ id: backendId, startedAtMs }) =>
       this.leaving.recordAnnouncement({ backendId, startedAtMs })
     );
-    this.#dependencies.upstream.onDidStateLimit((
+    this.upstream.onDidStateLimit((
       { backend: { id: backendId, startedAtMs }, limitPerSecond },
     ) => this.limits.record({ backendId, startedAtMs }, limitPerSecond));
+    this.links.onDidChange((isCutOff) => {
+      if (isCutOff) this.#dependencies.closeIdleBackendConnections();
+      // The failures of the last moments were due to the links, not to the servers.
+      this.loads.clearFailures();
+    });
     this.leaving.onDidAdd(({ backendId }) => {
       const entry = this.directory.get(backendId);
       if (entry !== undefined) this.#dependencies.closeBackendConnections(entry);
--- a/src/daemon/common/gateway_gauges.ts
+++ b/src/daemon/common/gateway_gauges.ts
@@ -44,6 +44,18 @@
     help: "Requests that are refused because they crash backend servers.",
     read: () => crashes.quarantinedCount,
   });
+  metrics.registerGauge("servers_limited", {
+    help: "Backend servers that state a limit.",
+    read: () => core.limits.list().length,
+  });
+  metrics.registerGauge("servers_unreachable", {
+    help: "1 while no backend server accepts connections from this instance.",
+    read: () => core.links.isCutOff ? 1 : 0,
+  });
+  metrics.registerGauge("forwards_active", {
+    help: "Requests that are being sent to backend servers for other instances.",
+    read: () => core.forwardService.activeCount,
+  });
   metrics.registerGauge("peers_known", {
     help: "Other instances that own slices.",
     read: () => group.peers.length,
--- a/src/daemon/common/gateway_gauges_test.ts
+++ b/src/daemon/common/gateway_gauges_test.ts
@@ -14,6 +14,9 @@
     configuration: { lastReadMs: 400 },
     backends: { lastReadMs: 900 },
     crashes: { strikeCount: 4, quarantinedCount: 1 },
+    limits: { list: () => [1, 2] },
+    links: { isCutOff: true },
+    forwardService: { activeCount: 5 },
   } as unknown as GatewayCore;
   registerGatewayGauges({ core, activeRequests: () => 7, droppedLines: () => 0, now: () => 1000 });
   const text = metrics.render();
@@ -26,6 +29,9 @@
       "ragwortcleat_strikes_known 4",
       "ragwortcleat_requests_quarantined 1",
       "ragwortcleat_requests_active 7",
+      "ragwortcleat_servers_limited 2",
+      "ragwortcleat_servers_unreachable 1",
+      "ragwortcleat_forwards_active 5",
     ]
   ) t.true(text.includes(line), line);
 });
--- a/src/daemon/node/gateway.ts
+++ b/src/daemon/node/gateway.ts
@@ -5,10 +5,12 @@
 import { disposeWithScope } from "../../base/common/scoped_disposable.ts";
 import type { IRequestCodec } from "../../call/common/opaque_request.ts";
 import { ConnectProbe } from "../../call/node/connect_probe.ts";
+import { HttpForwardTransport } from "../../call/node/http_forward_transport.ts";
 import { HttpUpstream } from "../../call/node/http_upstream.ts";
 import { GatewayServer, PlainTextServer } from "../../entry/node/gateway_server.ts";
 import { makeTurnService } from "../../peer/common/turn_service.ts";
 import { Http1Transports, TurnServer } from "../../peer/node/http1_transports.ts";
+import { ForwardServer } from "../../peer/node/forward_server.ts";
 import { LoadReporter } from "../../peer/node/load_reporter.ts";
 import type { ILogger } from "../../services/logging/common/logger.ts";
 import type { GatewaySettings } from "../../services/settings/common/gen/gateway_settings.ts";
@@ -44,6 +46,7 @@
 ): Effect.Effect<IGateway, Error, Scope.Scope> {
   return Effect.gen(function* () {
     const upstream = yield* disposeWithScope(new HttpUpstream(codec));
+    const forwardTransport = yield* disposeWithScope(new HttpForwardTransport(codec));
     const transports = yield* disposeWithScope(new Http1Transports());
     const core = new GatewayCore(settings, {
       adapter,
@@ -51,8 +54,10 @@
       logger,
       transports,
       upstream,
+      forwardTransport,
       connectProbe: new ConnectProbe(),
       closeBackendConnections: (entry) => upstream.removeBackend(entry),
+      closeIdleBackendConnections: () => upstream.closeIdleConnections(),
       applyCallerLimits: (limits) => server.applyLimits(limits),
       now: Date.now,
       random: Math.random,
@@ -95,7 +100,10 @@
     const context = yield* Effect.context<never>();
     const peer = parseAddress(settings.peerAddress);
     const turnServer = yield* disposeWithScope(
-      new TurnServer(makeTurnService({ ...turnServiceParts(core), address: settings.peerAddress, context })),
+      new TurnServer(
+        makeTurnService({ ...turnServiceParts(core), address: settings.peerAddress, context }),
+        new ForwardServer({ service: core.forwardService, directory: core.directory, logger, context }),
+      ),
     );
     const probe = yield* disposeWithScope(
       new PlainTextServer(() => ({ status: isReady() ? 200 : 503, body: "" })),
@@ -115,6 +123,8 @@
         leaving: core.leaving,
         limits: core.limits,
         limitForwarder: core.limitForwarder,
+        links: core.links,
+        cutOffPeers: core.cutOffPeers,
         peerHosts: () => core.group.peers.map(hostOf),
         logger,
       }),
@@ -152,18 +162,20 @@
 function drain(core: GatewayCore, { server, settings, logger }: IDrainOptions): Effect.Effect<void> {
   return Effect.gen(function* () {
     const startedAt = yield* Clock.currentTimeMillis;
-    logger.info("stopping", { active: server.activeCount });
+    const activeCount = () => server.activeCount + core.forwardService.activeCount;
+    logger.info("stopping", { active: activeCount() });
     server.disableKeepAlive();
     yield* core.leave();
     yield* Effect.sleep(READINESS_DELAY_MS);
     server.stopAccepting();
+    core.forwardService.stopAccepting();
     const deadline = startedAt + settings.stopGraceS * MS_PER_SECOND - EXIT_MARGIN_MS;
-    while (server.activeCount > 0 && (yield* Clock.currentTimeMillis) < deadline) {
+    while (activeCount() > 0 && (yield* Clock.currentTimeMillis) < deadline) {
       yield* Effect.sleep(DRAIN_POLL_MS);
     }
     logger.info("stopped", {
       tookMs: (yield* Clock.currentTimeMillis) - startedAt,
-      active: server.activeCount,
+      active: activeCount(),
     });
   });
 }
--- a/src/entry/node/gateway_server.ts
+++ b/src/entry/node/gateway_server.ts
@@ -5,6 +5,7 @@
 import type { Context } from "effect";
 import { Effect, Fiber } from "effect";
 import { toError } from "../../base/common/errors.ts";
+import { endToEndHeaders } from "../../base/common/http_headers.ts";
 import type { IListenAddress } from "../../base/node/listen.ts";
 import { listen } from "../../base/node/listen.ts";
 import type { GatewayRelay } from "../../call/common/gateway_relay.ts";
@@ -16,18 +17,6 @@
 
 /** Fixed when the server is created, before the configured limits are known. */
 const MAX_HEADER_BYTES = 32 * 1024;
-/** Hop-by-hop headers, and `Content-Length`, which is recomputed for each message. */
-const HOP_BY_HOP_HEADERS = new Set([
-  "connection",
-  "keep-alive",
-  "proxy-connection",
-  "transfer-encoding",
-  "content-length",
-  "te",
-  "trailer",
-  "upgrade",
-]);
-
 export interface IGatewayServerOptions {
   readonly relay: GatewayRelay;
   readonly logger: ILogger;
@@ -138,15 +127,6 @@
   });
 }
 
-/** Removes the hop-by-hop headers and `Content-Length`. */
-function endToEndHeaders(raw: readonly string[]): string[] {
-  const headers: string[] = [];
-  for (let i = 0; i < raw.length; i += 2) {
-    if (!HOP_BY_HOP_HEADERS.has(raw[i].toLowerCase())) headers.push(raw[i], raw[i + 1]);
-  }
-  return headers;
-}
-
 /** Writes a response to a caller through a Node.js server response. */
 class ResponseSink implements IResponseSink {
   readonly #res: ServerResponse;
--- a/src/peer/node/http1_transports.ts
+++ b/src/peer/node/http1_transports.ts
@@ -1,6 +1,7 @@
 /** HTTP/1.1 client connections and server for short calls between peers. */
 import type { Server } from "node:http";
 import { createServer } from "node:http";
+import type { ForwardServer } from "./forward_server.ts";
 import type { ServiceImpl, Transport } from "@connectrpc/connect";
 import { connectNodeAdapter, createConnectTransport } from "@connectrpc/connect-node";
 import { TurnService } from "../../base/common/gen/ragwortcleat/v1/turns_pb.ts";
@@ -44,13 +45,17 @@
 export class TurnServer {
   readonly #server: Server;
 
-  constructor(service: ServiceImpl<typeof TurnService>) {
+  /** Requests that are to be forwarded do not go to the service. */
+  constructor(service: ServiceImpl<typeof TurnService>, forwards?: ForwardServer) {
     const handler = connectNodeAdapter({
       routes: (router) => router.service(TurnService, service),
       readMaxBytes: MAX_MESSAGE_BYTES,
       writeMaxBytes: MAX_MESSAGE_BYTES,
     });
-    this.#server = createServer({ noDelay: true, keepAliveTimeout: KEEP_ALIVE_TIMEOUT_MS }, handler);
+    this.#server = createServer({ noDelay: true, keepAliveTimeout: KEEP_ALIVE_TIMEOUT_MS }, (req, res) => {
+      if (forwards?.accepts(req)) forwards.handle(req, res);
+      else handler(req, res);
+    });
   }
 
   listen(address: IListenAddress): Promise<void> {
--- a/src/peer/node/load_reporter.ts
+++ b/src/peer/node/load_reporter.ts
@@ -13,6 +13,8 @@
   ServerRunSchema,
   StrikeChangeSchema,
 } from "../../base/common/gen/ragwortcleat/v1/turns_pb.ts";
+import type { CutOffPeers } from "../../call/common/cut_off_peers.ts";
+import type { ServerLinkMonitor } from "../../call/common/server_link_monitor.ts";
 import type { CrashMonitor } from "../../call/common/crash_monitor.ts";
 import { fromLimitMessage, toLimitMessage } from "../../call/common/limit_message.ts";
 import { toStrikeMessage } from "../../call/common/strike_message.ts";
@@ -44,6 +46,8 @@
   readonly leaving: LeavingServers;
   readonly limits: ServerLimits;
   readonly limitForwarder: LimitForwarder;
+  readonly links: ServerLinkMonitor;
+  readonly cutOffPeers: CutOffPeers;
   readonly peerHosts: () => readonly string[];
   readonly logger: ILogger;
 }
@@ -112,7 +116,8 @@
     const leaving = this.#opts.leaving.listRecent().map((run) => create(ServerRunSchema, run));
     const limits = this.#opts.limits.listRecentChanges().map(toLimitMessage);
     const events = strikeChanges.length + prefixes.length + streams.length + leaving.length + limits.length;
-    const isIdle = localLoads.size + events === 0;
+    const { isCutOff } = this.#opts.links;
+    const isIdle = localLoads.size + events === 0 && !isCutOff;
     // One empty report follows the last load, so that peers discard the previous one.
     if (isIdle && !this.#wasBusy) return;
     this.#wasBusy = !isIdle;
@@ -120,7 +125,16 @@
     const loads = [...localLoads].map(([backendId, running]) => ({ backendId, running }));
     const message = toBinary(
       LoadDigestSchema,
-      create(LoadDigestSchema, { instance, loads, strikeChanges, prefixes, streams, leaving, limits }),
+      create(LoadDigestSchema, {
+        instance,
+        loads,
+        strikeChanges,
+        prefixes,
+        streams,
+        leaving,
+        limits,
+        isCutOff,
+      }),
     );
     this.#sendTo(hosts, message);
   }
@@ -146,14 +160,17 @@
 
   #receive(message: Uint8Array, sender: string): void {
     try {
-      const { instance, loads, strikeChanges, prefixes, streams, leaving, limits } = fromBinary(
+      const { instance, loads, strikeChanges, prefixes, streams, leaving, limits, isCutOff } = fromBinary(
         LoadDigestSchema,
         message,
       );
       this.#opts.limitForwarder.recordReport(sender);
       const running = new Map(loads.map((load) => [load.backendId, load.running]));
       // Forwarded limits come without an instance and its loads.
-      if (instance !== "") this.#opts.loads.recordPeerReport({ instance, running });
+      if (instance !== "") {
+        this.#opts.loads.recordPeerReport({ instance, running });
+        this.#opts.cutOffPeers.record(sender, isCutOff);
+      }
       for (const { strike, isWithdrawn, isPending } of strikeChanges) {
         if (strike !== undefined) this.#opts.crashes.merge({ strike, isWithdrawn, isPending });
       }
--- a/src/routing/common/backend_load_tracker.ts
+++ b/src/routing/common/backend_load_tracker.ts
@@ -82,6 +82,14 @@
     state.backoffUntilMs = this.#now() + backoffMs;
   }
 
+  /** Ends the back-off of all servers: their failures were due to the links of this instance. */
+  clearFailures(): void {
+    for (const state of this.#servers.values()) {
+      state.failures = 0;
+      state.backoffUntilMs = 0;
+    }
+  }
+
   /** Records the time per unit of work: a token for an engine, a request for a plain service. */
   recordUnitLatency(id: string, latencyMs: number): void {
     const state = this.#state(id);
--- a/test/harness/gateway_cluster.ts
+++ b/test/harness/gateway_cluster.ts
@@ -14,7 +14,10 @@
 import { makeTurnService } from "../../src/peer/common/turn_service.ts";
 import type { ILogger } from "../../src/services/logging/common/logger.ts";
 import { JsonLogger } from "../../src/services/logging/common/logger.ts";
+import type { ForwardResult, IForwardedSend } from "../../src/call/common/forwarding.ts";
+import { ForwardRefusal, ForwardRefusedError } from "../../src/call/common/forwarding.ts";
 import type { IUpstreamRequest } from "../../src/call/common/opaque_request.ts";
+import { UpstreamError, UpstreamFault } from "../../src/call/common/opaque_request.ts";
 import { parseGatewaySettings } from "../../src/services/settings/common/gateway_validation.ts";
 import type { IPartitionedLog } from "../../src/services/store/common/partitioned_log.ts";
 import type { IPlatformAdapter } from "../../src/services/store/common/platform_adapter.ts";
@@ -22,6 +25,7 @@
 import type { CrashForm, IFleetServer, RestartForm } from "../stand_ins/backend_fleet.ts";
 import { BackendFleet } from "../stand_ins/backend_fleet.ts";
 import { PartitionedLogCore } from "../stand_ins/partitioned_log_core.ts";
+import { makeResponseBody } from "../stand_ins/response_body.ts";
 import { ServerLinks } from "./server_links.ts";
 import { RecordingSink } from "../stand_ins/recording_sink.ts";
 
@@ -282,8 +286,10 @@
       logger,
       transports: { get: (address) => this.#transportBetween(name, address), reset: () => {} },
       upstream: links,
+      forwardTransport: { send: (address, send) => this.#forward(name, { address, send }) },
       connectProbe: links,
       closeBackendConnections: () => {},
+      closeIdleBackendConnections: () => links.closeIdle(),
       applyCallerLimits: () => {},
       now: () => this.nowMs,
       random: () => this.#random(),
@@ -309,6 +315,25 @@
     });
   }
 
+  /** Has an instance send a request for another one; fails when that is terminated meanwhile. */
+  #forward(from: string, { address, send }: { address: string; send: IForwardedSend }): ForwardResult {
+    return Effect.suspend((): ForwardResult => {
+      const target = this.gateways.get(address.split(":")[0]);
+      const isReachable = target !== undefined && !target.isPeerDisconnected &&
+        this.gateways.get(from)?.isPeerDisconnected === false;
+      if (!isReachable) return Effect.fail(new ForwardRefusedError(ForwardRefusal.Unreachable));
+      const lost = Effect.andThen(
+        Deferred.await(target.ended),
+        Effect.fail(new UpstreamError(UpstreamFault.ForwarderLost)),
+      );
+      const response = Effect.raceFirst(target.core.forwardService.send(send), lost);
+      return Effect.map(response, ({ head, body }) => ({
+        head,
+        body: makeResponseBody((onChunk) => Effect.raceFirst(body.read(onChunk), lost), body.framing),
+      }));
+    });
+  }
+
   #transportBetween(from: string, address: string): Transport {
     const connect = () => {
       const target = this.gateways.get(address.split(":")[0]);
@@ -346,6 +371,7 @@
         for (const run of leaving) peer.core.leaving.merge(run);
         for (const limit of limits) peer.core.limits.merge(limit);
         peer.core.limitForwarder.recordReport(name);
+        peer.core.cutOffPeers.record(name, core.links.isCutOff);
       }
       for (const { recipients, limits } of core.limitForwarder.takeDue()) {
         for (const peer of connected) {
