Do not suspect servers and requests for connections that are lost with all links

Cause: a reset connection counts as a crash of its server. A cut resets the connections to all servers, idle ones when they are used next, so that one request that is sent again and again meets several crashes within a tenth of a second.

Change: when connections to two servers are lost within 300 ms, the links are checked before the loss is evaluated. If all links are lost the attempt fails with path-lost: nothing is concluded on the server, and the request counts as unresolved, as after a time limit. Strikes of the last moments are withdrawn once another instance has reached a server, which proves that the servers have not ended; without that proof they stay. The same fault stands for a forwarding instance that is lost. The monitor's first look no longer depends on the time since the epoch.

The virtual cluster's log lines were mixed up between tests of one file (loggers of the same name share their output); each instance now has its own.

--- a/src/call/common/backend_dispatcher.ts
+++ b/src/call/common/backend_dispatcher.ts
@@ -200,7 +200,7 @@
   #recordFault({ call, observed }: IObservedSend, { fault, message }: UpstreamError): AttemptOutcome {
     const id = call.choice!.backend.id;
     call.fault = fault;
-    if (fault !== UpstreamFault.ForwarderLost) this.#opts.loads.recordFailure(id);
+    if (fault !== UpstreamFault.PathLost) this.#opts.loads.recordFailure(id);
     const outcome = FAULT_OUTCOMES.get(fault) ?? AttemptOutcome.Failed;
     if (outcome === AttemptOutcome.Failed) call.runs += 1;
     else observed.result = AttemptResult.NotStarted;
--- a/src/call/common/crash_monitor.ts
+++ b/src/call/common/crash_monitor.ts
@@ -22,6 +22,8 @@
 /** Maximum number of changes in one report, so that it fits into a datagram. */
 const MAX_REPORTED_CHANGES = 100;
 
+/** Time before the loss of all links is noticed in which lost connections may be due to it, in ms. */
+const LINK_LOSS_LOOKBACK_MS = 1500;
 /** Time without a response after which an attempt is reported to the peers, in ms. */
 const REPORTED_WAIT_MS = 500;
 /** Time since the last heartbeat after which a server may have ended, in ms: one and a half intervals, and reading delay. */
@@ -53,6 +55,8 @@
   /** The server has not crashed. */
   ServerAlive = "server-alive",
   Expired = "expired",
+  /** The instance had lost its links to all servers. */
+  LinksLost = "links-lost",
 }
 
 export interface ICrashMonitorOptions {
@@ -75,6 +79,8 @@
   readonly #refutableStrikes: SurvivalTracker<IStrike>;
   /** Unix time in ms at which other instances' attempts with an unknown end became known, by strike. */
   readonly #reportedPending = new Map<string, number>();
+  /** Attempts of this instance that were struck because their connections were lost a moment ago. */
+  #recentLosses: { readonly attempt: IEndedAttempt; readonly strike: IStrike; readonly atMs: number }[] = [];
   readonly #loggedQuarantines = new Set<bigint>();
   /** Unix time in ms of the last heartbeat of each listed server run. */
   readonly #heartbeats = new Map<string, number>();
@@ -242,6 +248,20 @@
     for (const attempt of unresolved) this.#strike(attempt, CrashEvidence.ServerEnded);
   }
 
+  /**
+   * Withdraws the strikes for connections that were lost a moment ago, because this instance has lost its links to all
+   * servers and others have not. The attempts count as unresolved, as any of the servers may have ended as well.
+   */
+  reconsiderLosses(): void {
+    const oldestMs = this.#opts.now() - LINK_LOSS_LOOKBACK_MS;
+    const losses = this.#recentLosses.filter(({ atMs }) => atMs >= oldestMs);
+    this.#recentLosses = [];
+    for (const { attempt, strike } of losses) {
+      this.#withdraw(strike, WithdrawalReason.LinksLost);
+      this.#awaitServer(attempt);
+    }
+  }
+
   /** Records a heartbeat of a server, which shows that it has not crashed during earlier attempts. */
   serverRenewed(entry: IBackendEntry): void {
     const server = toServerRun(entry);
@@ -365,6 +385,7 @@
     const strike = this.#toStrike(attempt);
     if (!this.#ledger.add(strike)) return;
     this.#refutableStrikes.add(server, strike);
+    if (evidence === CrashEvidence.ConnectionLost) this.#rememberLoss(attempt, strike);
     this.#opts.metrics.incrementCounter("strikes", { evidence });
     this.#opts.logger.warn("strike-added", {
       request: requestId,
@@ -377,6 +398,12 @@
     this.#publish({ strike, isWithdrawn: false, isPending: false });
   }
 
+  #rememberLoss(attempt: IEndedAttempt, strike: IStrike): void {
+    const atMs = this.#opts.now();
+    this.#recentLosses = this.#recentLosses.filter((loss) => loss.atMs >= atMs - LINK_LOSS_LOOKBACK_MS);
+    this.#recentLosses.push({ attempt, strike, atMs });
+  }
+
   #clear({ identity, sentAtMs }: IObservedAttempt): void {
     this.#ledger.recordProven(identity.fingerprint);
     // Requests whose end is unknown may have crashed a server unnoticed.
--- a/src/call/common/forwarding_upstream.ts
+++ b/src/call/common/forwarding_upstream.ts
@@ -7,9 +7,14 @@
 import type { ILogger } from "../../services/logging/common/logger.ts";
 import type { Metrics } from "../../services/metrics/common/metrics.ts";
 import type { IForwardTransport } from "./forwarding.ts";
-import type { ILimitStatement, IUpstream, IUpstreamRequest, IUpstreamResponse } from "./opaque_request.ts";
-import type { UpstreamError } from "./opaque_request.ts";
-import { isNotSent } from "./opaque_request.ts";
+import type {
+  ILimitStatement,
+  IResponseBody,
+  IUpstream,
+  IUpstreamRequest,
+  IUpstreamResponse,
+} from "./opaque_request.ts";
+import { isNotSent, UpstreamError, UpstreamFault } from "./opaque_request.ts";
 import type { ServerLinkMonitor } from "./server_link_monitor.ts";
 
 /** Number of instances that are asked to forward one request. */
@@ -49,8 +54,16 @@
   readonly #onDidStateLimit = new Emitter<ILimitStatement>();
   readonly onDidStateLimit: Event<ILimitStatement> = this.#onDidStateLimit.event;
 
+  readonly #onDidConfirmLinkLoss = new Emitter<void>();
+  /** Fires when another instance has reached a server for the first time since the links of this one were lost. */
+  readonly onDidConfirmLinkLoss: Event<void> = this.#onDidConfirmLinkLoss.event;
+  #isLinkLossConfirmed = false;
+
   constructor(opts: IForwardingUpstreamOptions) {
     this.#opts = opts;
+    opts.links.onDidChange(() => {
+      this.#isLinkLossConfirmed = false;
+    });
     opts.direct.onDidAnnounceLeaving((backend) => this.#onDidAnnounceLeaving.fire(backend));
     opts.direct.onDidStateLimit((statement) => this.#onDidStateLimit.fire(statement));
   }
@@ -76,7 +89,37 @@
   /** Sends from this instance whatever is known of its links. */
   sendDirect(backend: IBackendEntry, req: IUpstreamRequest): Effect.Effect<IUpstreamResponse, UpstreamError> {
     const { links, direct } = this.#opts;
-    return links.observe(direct.send(backend, req));
+    const sending = Effect.catchTag(
+      links.observe(direct.send(backend, req)),
+      "UpstreamError",
+      (err) => this.#explainLoss(backend, err),
+    );
+    return Effect.map(sending, ({ head, body }) => ({ head, body: this.#explainLossIn(body, backend) }));
+  }
+
+  #explainLossIn(body: IResponseBody, backend: IBackendEntry): IResponseBody {
+    return {
+      framing: body.framing,
+      get connectionError() {
+        return body.connectionError;
+      },
+      get trailers() {
+        return body.trailers ?? [];
+      },
+      read: (onChunk) =>
+        Effect.catchTag(body.read(onChunk), "UpstreamError", (err) => this.#explainLoss(backend, err)),
+      drain: () => body.drain(),
+      discard: () => body.discard(),
+    };
+  }
+
+  /** A lost connection says nothing about its server if the links to all servers were lost with it. */
+  #explainLoss(backend: IBackendEntry, err: UpstreamError): Effect.Effect<never, UpstreamError> {
+    if (err.fault !== UpstreamFault.Broken) return Effect.fail(err);
+    return Effect.flatMap(
+      this.#opts.links.checkAfterConnectionLoss(backend),
+      (isCutOff) => Effect.fail(isCutOff ? new UpstreamError(UpstreamFault.PathLost, err) : err),
+    );
   }
 
   /** Has another instance send the request. If none does, sends it from here, as the links may have returned. */
@@ -116,6 +159,7 @@
           asked: askedCount,
         });
         this.#readHead(backend, { response, requestId: req.requestId });
+        this.#confirmLinkLoss();
         return response;
       }),
     );
@@ -132,6 +176,12 @@
     );
   }
 
+  #confirmLinkLoss(): void {
+    if (this.#isLinkLossConfirmed || !this.#opts.links.isCutOff) return;
+    this.#isLinkLossConfirmed = true;
+    this.#onDidConfirmLinkLoss.fire();
+  }
+
   #readHead(
     backend: IBackendEntry,
     { response: { head }, requestId }: { response: IUpstreamResponse; requestId: string },
--- a/src/call/common/opaque_request.ts
+++ b/src/call/common/opaque_request.ts
@@ -141,8 +141,11 @@
   TimedOut = "silent",
   /** The response exceeds a limit on its size. The request may have run. */
   TooLarge = "too-large",
-  /** The instance that forwarded the request was lost. The request may have run; nothing is known of the server. */
-  ForwarderLost = "forwarder-lost",
+  /**
+   * The links of this instance to all servers were lost, or those of the instance that forwarded the request. The request
+   * may have run; nothing is known of the server.
+   */
+  PathLost = "path-lost",
 }
 
 export class UpstreamError extends VError {
--- a/src/call/common/server_link_monitor.ts
+++ b/src/call/common/server_link_monitor.ts
@@ -13,6 +13,12 @@
 const CHECK_INTERVAL_MS = 100;
 /** Minimum interval between two checks of the links that requests cause. */
 const MIN_PROBE_INTERVAL_MS = 700;
+/** Time within which connections to several servers are lost if the links are lost. */
+const LOSS_WINDOW_MS = 300;
+/** Number of servers from which the loss of connections is a reason to check the links. */
+const MIN_LOST_SERVERS = 2;
+/** Minimum interval between two checks that lost connections cause. */
+const MIN_LOSS_PROBE_INTERVAL_MS = 100;
 /** Interval between checks while the links are lost. */
 const RECOVERY_PROBE_INTERVAL_MS = 500;
 /** Number of servers to which connections are tried at once; all must fail. */
@@ -55,10 +61,12 @@
   /** Fires when the links are lost (true) or regained (false). */
   readonly onDidChange: Event<boolean> = this.#onDidChange.event;
   #isCutOff = false;
-  #lastResponseAtMs = 0;
-  #lastProbeAtMs = 0;
+  #lastResponseAtMs = -Infinity;
+  #lastProbeAtMs = -Infinity;
   #cutOffSinceMs = 0;
   #hasConnectFailed = false;
+  /** Time of the last loss of an established connection, by server id. */
+  readonly #lostAtMs = new Map<string, number>();
   #runningCheck: Deferred.Deferred<void> | undefined;
 
   constructor(opts: IServerLinkMonitorOptions) {
@@ -94,6 +102,24 @@
     });
   }
 
+  /**
+   * Records that an established connection to a server was lost, and returns whether the links to all servers are.
+   * The loss of one server's connections is no reason to check.
+   */
+  checkAfterConnectionLoss({ id }: IBackendEntry): Effect.Effect<boolean> {
+    return Effect.gen({ self: this }, function* () {
+      const now = yield* Clock.currentTimeMillis;
+      this.#lostAtMs.set(id, now);
+      for (const [server, atMs] of this.#lostAtMs) {
+        if (atMs < now - LOSS_WINDOW_MS) this.#lostAtMs.delete(server);
+      }
+      if (this.#isCutOff || this.#lostAtMs.size < MIN_LOST_SERVERS) return this.#isCutOff;
+      if (this.#runningCheck !== undefined) yield* Deferred.await(this.#runningCheck);
+      else if (now - this.#lastProbeAtMs >= MIN_LOSS_PROBE_INTERVAL_MS) yield* this.#check();
+      return this.#isCutOff;
+    });
+  }
+
   /** Checks the links when there is a reason, until the scope ends. */
   start(): Effect.Effect<void, never, Scope.Scope> {
     const loop = Effect.gen({ self: this }, function* () {
@@ -170,7 +196,7 @@
     this.#isCutOff = isCutOff;
     if (isCutOff) {
       this.#cutOffSinceMs = now;
-      const silentMs = this.#lastResponseAtMs === 0 ? undefined : now - this.#lastResponseAtMs;
+      const silentMs = now - this.#lastResponseAtMs;
       this.#opts.logger.warn("servers-unreachable", { probed, silentMs, waiting: this.#waiting.size });
     } else {
       this.#opts.logger.info("servers-reachable", { awayMs: now - this.#cutOffSinceMs });
--- a/src/call/node/http_forward_transport.ts
+++ b/src/call/node/http_forward_transport.ts
@@ -30,7 +30,7 @@
         Effect.fail(
           isNotSent(err)
             ? new ForwardRefusedError(ForwardRefusal.Unreachable, err)
-            : new UpstreamError(UpstreamFault.ForwarderLost, err),
+            : new UpstreamError(UpstreamFault.PathLost, err),
         ),
     );
     return Effect.flatMap(response, (res) => readForwarded(res));
@@ -74,7 +74,7 @@
 ): Effect.Effect<void, UpstreamError> {
   const read = Effect.mapError(
     body.read(onChunk),
-    (err) => new UpstreamError(UpstreamFault.ForwarderLost, err),
+    (err) => new UpstreamError(UpstreamFault.PathLost, err),
   );
   return Effect.flatMap(read, () => {
     const { fault } = readVerdict({ headers: body.trailers ?? [] });
--- a/src/daemon/common/gateway_core.ts
+++ b/src/daemon/common/gateway_core.ts
@@ -326,6 +326,8 @@
       // The failures of the last moments were due to the links, not to the servers.
       this.loads.clearFailures();
     });
+    // Without this proof, the servers themselves may have crashed.
+    this.upstream.onDidConfirmLinkLoss(() => this.crashes.reconsiderLosses());
     this.leaving.onDidAdd(({ backendId }) => {
       const entry = this.directory.get(backendId);
       if (entry !== undefined) this.#dependencies.closeBackendConnections(entry);
--- a/src/peer/node/forward_server_test.ts
+++ b/src/peer/node/forward_server_test.ts
@@ -185,7 +185,7 @@
     if (req.url === "/body") res.write("part");
     setTimeout(() => setup.killForwarder(), 30);
   });
-  for (const target of ["/head", "/body"]) t.is(await send(setup, { target }), "forwarder-lost");
+  for (const target of ["/head", "/body"]) t.is(await send(setup, { target }), "path-lost");
 });
 
 test("responses without a body are forwarded", async (t) => {
--- a/test/harness/gateway_cluster.ts
+++ b/test/harness/gateway_cluster.ts
@@ -13,7 +13,6 @@
 import { GatewayCore } from "../../src/daemon/common/gateway_core.ts";
 import { makeTurnService } from "../../src/peer/common/turn_service.ts";
 import type { ILogger } from "../../src/services/logging/common/logger.ts";
-import { JsonLogger } from "../../src/services/logging/common/logger.ts";
 import type { ForwardResult, IForwardedSend } from "../../src/call/common/forwarding.ts";
 import { ForwardRefusal, ForwardRefusedError } from "../../src/call/common/forwarding.ts";
 import type { IUpstreamRequest } from "../../src/call/common/opaque_request.ts";
@@ -25,6 +24,7 @@
 import type { CrashForm, IFleetServer, RestartForm } from "../stand_ins/backend_fleet.ts";
 import { BackendFleet } from "../stand_ins/backend_fleet.ts";
 import { PartitionedLogCore } from "../stand_ins/partitioned_log_core.ts";
+import { LineLogger } from "../stand_ins/line_logger.ts";
 import { makeResponseBody } from "../stand_ins/response_body.ts";
 import { ServerLinks } from "./server_links.ts";
 import { RecordingSink } from "../stand_ins/recording_sink.ts";
@@ -185,8 +185,8 @@
   start(name: string, { isStoreRefused = false } = {}): Effect.Effect<void> {
     return Effect.gen({ self: this }, function* () {
       const scope = yield* Scope.make();
-      const lines: string[] = [];
-      const logger: ILogger = new JsonLogger(name, "info", (line) => lines.push(line));
+      const logger = new LineLogger(name);
+      const { lines } = logger;
       const links = new ServerLinks(this.fleet);
       const core = this.#makeCore(name, { logger, links });
       const service = makeTurnService({
@@ -324,7 +324,7 @@
       if (!isReachable) return Effect.fail(new ForwardRefusedError(ForwardRefusal.Unreachable));
       const lost = Effect.andThen(
         Deferred.await(target.ended),
-        Effect.fail(new UpstreamError(UpstreamFault.ForwarderLost)),
+        Effect.fail(new UpstreamError(UpstreamFault.PathLost)),
       );
       const response = Effect.raceFirst(target.core.forwardService.send(send), lost);
       return Effect.map(response, ({ head, body }) => ({
--- a/test/harness/server_links.ts
+++ b/test/harness/server_links.ts
@@ -19,7 +19,7 @@
 export enum LinkCut {
   /** Open connections stay silent, new ones are not established. */
   Hang = "hang",
-  /** Open connections are reset, new ones are refused. */
+  /** Open connections are reset, idle ones when they are used next; new ones are refused. */
   Reset = "are reset",
   /** Open connections live on, new ones are refused. */
   Refuse = "live on, new ones are refused",
@@ -46,7 +46,6 @@
 
   cut(form: LinkCut): void {
     this.#cut = form;
-    if (form === LinkCut.Reset) this.#open.clear();
     Deferred.doneUnsafe(this.#cutBegan, Effect.void);
   }
 
@@ -75,6 +74,9 @@
         const failure = Effect.fail(new UpstreamError(UpstreamFault.NotSent));
         return Effect.andThen(Effect.sleep(CONNECT_TIMEOUT_MS), failure);
       }
+      if (this.#cut === LinkCut.Reset && hasConnection) {
+        return Effect.fail(new UpstreamError(UpstreamFault.Broken));
+      }
       if (this.#cut !== undefined && !hasConnection) {
         return Effect.fail(new UpstreamError(UpstreamFault.Refused));
       }
--- a/test/proofs/cut_off_instance_test.ts
+++ b/test/proofs/cut_off_instance_test.ts
@@ -17,6 +17,8 @@
 /** Statuses that promise that the request has not run and never will. */
 const NOT_RUN_STATUSES = new Set([408, 421, 429, 503]);
 
+const EVENTS = ["request-quarantined", "servers-unreachable", "servers-reachable", "internal-error"];
+
 /** What happens beside the cut; called before each step with the time since the start of the play. */
 type Disruption = (cluster: GatewayCluster, elapsedMs: number) => Effect.Effect<void>;
 
@@ -100,12 +102,7 @@
       yield* cluster.advance(3500);
       const runsOf = new Map<string, number>();
       for (const { requestId } of cluster.fleet.runs) runsOf.set(requestId, (runsOf.get(requestId) ?? 0) + 1);
-      const events = new Map(
-        ["strike-added", "request-quarantined", "servers-unreachable", "servers-reachable", "internal-error"]
-          .map(
-            (event) => [event, cluster.linesOf(event).length],
-          ),
-      );
+      const events = new Map(EVENTS.map((event) => [event, cluster.linesOf(event).length]));
       return { tries, runsOf, events };
     }));
 }
@@ -145,6 +142,7 @@
       t.deepEqual([...played.runsOf].filter(([, runs]) => runs > 1), []);
     }
     t.is(played.events.get("internal-error"), 0);
+    t.is(played.events.get("request-quarantined"), 0);
   });
 }
 
@@ -160,3 +158,41 @@
     testCut(`callers of instances whose connections ${form} are served, on ${route}`, { form, route });
   }
 }
+
+for (const route of [RoutePath.Safe, RoutePath.Turn, RoutePath.ResumableTurn]) {
+  test(`a request that is repeated on connections that are reset is not suspected, on ${route}`, async (t) => {
+    const opts = {
+      instances: 2,
+      serversPerService: 8,
+      crashForm: CrashForm.BeforeHead,
+      restartForm: RestartForm.SameId,
+    };
+    const reasons = await GatewayCluster.run(opts, (cluster) =>
+      Effect.gen(function* () {
+        const send = (name: string, content: string) =>
+          cluster.send(name, {
+            route,
+            name: content,
+            caller: CallerKind.Program,
+            callerId: content,
+            affinityKey: content,
+            body: "x",
+          });
+        // Opens a connection to each server.
+        for (let index = 0; index < 60; index++) {
+          yield* Effect.forkDetach(send("g0", `warm-up-${index}`));
+          yield* cluster.advance(10);
+        }
+        yield* cluster.advance(500);
+        cluster.gateways.get("g0")!.links.cut(LinkCut.Reset);
+        const repeat = Effect.forEach([1, 2, 3, 4, 5, 6], () => send("g0", "repeated"), { discard: true });
+        yield* Effect.forkDetach(repeat);
+        yield* cluster.advance(3000);
+        yield* Effect.forkDetach(send("g1", "repeated"));
+        yield* cluster.advance(1000);
+        return cluster.linesOf("request").map(({ reason }) => reason);
+      }));
+    t.is(reasons.filter((reason) => reason === "crashing-request").length, 0);
+    t.is(reasons.length, 67);
+  });
+}
