Find instances that forward beyond the owners of slices

Cause: an instance knows only the owners of slices, at most 32. Where all of them are cut off, as in a zone that holds them, or are few for the instances that need them, nobody forwards.

Change: owners receive the reports of all busy instances. KnownInstances keeps who has reported and who is cut off (the list that the forwarding of limits had for itself); an instance that needs forwarders asks an owner, at most once a second, for up to 12 that reach servers, in random order, and uses them beside the owners that it knows. The owner need not reach servers itself.

--- a/src/call/common/forwarding_upstream.ts
+++ b/src/call/common/forwarding_upstream.ts
@@ -22,14 +22,19 @@
 /** Time for which an instance that has refused is not asked again, unless no other is known. */
 const REFUSAL_TTL_MS = 1500;
 
+/** Access to the other instances. */
+export interface IForwarderFinder {
+  /** Addresses of instances that may forward. */
+  find(): Effect.Effect<readonly string[]>;
+}
+
 export interface IForwardingUpstreamOptions {
   /** Sends from this instance. */
   readonly direct: IUpstream;
   readonly transport: IForwardTransport;
   readonly links: ServerLinkMonitor;
   readonly limits: ServerLimits;
-  /** Addresses of the other instances. */
-  readonly peers: () => readonly string[];
+  readonly finder: IForwarderFinder;
   /** Whether an instance has reported that it reaches no server either. */
   readonly isPeerCutOff: (address: string) => boolean;
   readonly logger: ILogger;
@@ -126,8 +131,10 @@
   #forward(backend: IBackendEntry, req: IUpstreamRequest): Effect.Effect<IUpstreamResponse, UpstreamError> {
     return Effect.gen({ self: this }, function* () {
       const asked = new Set<string>();
+      const others = yield* this.#opts.finder.find();
       while (asked.size < MAX_FORWARDERS) {
-        const address = this.#selectForwarder(asked, yield* Clock.currentTimeMillis);
+        const now = yield* Clock.currentTimeMillis;
+        const address = this.#selectForwarder(others.filter((other) => !asked.has(other)), now);
         if (address === undefined) break;
         asked.add(address);
         const response = yield* this.#forwardThrough(address, { backend, req, askedCount: asked.size });
@@ -193,9 +200,8 @@
   }
 
   /** Selects the less busy of two random instances, preferring those that have not refused lately. */
-  #selectForwarder(asked: ReadonlySet<string>, now: number): string | undefined {
-    const { peers, isPeerCutOff, random } = this.#opts;
-    const others = peers().filter((address) => !asked.has(address));
+  #selectForwarder(others: readonly string[], now: number): string | undefined {
+    const { isPeerCutOff, random } = this.#opts;
     const willing = others.filter((address) =>
       !isPeerCutOff(address) && (this.#refusedUntilMs.get(address) ?? 0) <= now
     );
--- a/src/daemon/common/gateway_core.ts
+++ b/src/daemon/common/gateway_core.ts
@@ -7,7 +7,8 @@
 import { Effect } from "effect";
 import { TurnService } from "../../base/common/gen/ragwortcleat/v1/turns_pb.ts";
 import type { GetSnapshotResponse, KeyedSnapshot } from "../../base/common/gen/ragwortcleat/v1/turns_pb.ts";
-import { CutOffPeers } from "../../call/common/cut_off_peers.ts";
+import { ForwarderFinder } from "../../call/common/forwarder_finder.ts";
+import { KnownInstances } from "../../call/common/known_instances.ts";
 import { CrashMonitor } from "../../call/common/crash_monitor.ts";
 import type { IConnectProbe } from "../../call/common/server_link_monitor.ts";
 import { ServerLinkMonitor } from "../../call/common/server_link_monitor.ts";
@@ -60,6 +61,8 @@
  */
 const MIN_LAPSE_HEARTBEATS = 2;
 const PEER_TIMEOUT_MS = 300;
+/** Number of instances that are named to one that needs others to forward its requests. */
+const MAX_NAMED_FORWARDERS = 12;
 /** Interval at which a peer's snapshot is fetched while the store is unavailable. */
 const SNAPSHOT_INTERVAL_MS = 700;
 
@@ -100,8 +103,8 @@
   readonly permits: PermitClient;
   readonly limitForwarder: LimitForwarder;
   readonly links: ServerLinkMonitor;
-  /** Other instances that reach no server, by host. */
-  readonly cutOffPeers: CutOffPeers;
+  /** Other instances from which reports arrive. */
+  readonly instances: KnownInstances;
   readonly upstream: ForwardingUpstream;
   readonly forwardService: ForwardService;
   readonly directory: BackendDirectory;
@@ -125,6 +128,7 @@
     this.#dependencies = dependencies;
     this.leaving = new LeavingServers(logger, now);
     this.limits = new ServerLimits(logger, now);
+    this.instances = new KnownInstances(now);
     this.directory = new BackendDirectory(logger, { now, leaving: this.leaving });
     this.loads = new BackendLoadTracker(now);
     this.crashes = new CrashMonitor({
@@ -168,11 +172,11 @@
       limits: this.limits,
       isOwner: (backendId) => this.#ownerOfLimit(backendId) === address,
       peers: () => this.group.peers.map(hostOf),
+      instances: this.instances,
       now,
     });
     const { connectProbe: probe, random } = dependencies;
     this.links = new ServerLinkMonitor({ directory: this.directory, probe, logger, random });
-    this.cutOffPeers = new CutOffPeers(now);
     this.upstream = this.#makeUpstream();
     this.forwardService = new ForwardService({
       upstream: this.upstream,
@@ -189,6 +193,16 @@
     return this.routes.configuration !== undefined && this.directory.size > 0;
   }
 
+  /** Peer addresses of some instances that reach backend servers, in random order. All use the same port. */
+  readonly forwarders = (): string[] => {
+    const { peerAddress } = this.#settings;
+    const port = peerAddress.slice(peerAddress.lastIndexOf(":"));
+    const hosts = this.instances.list().filter((host) => !this.instances.isCutOff(host));
+    const shuffled = hosts.map((host) => ({ host, rank: this.#dependencies.random() }))
+      .sort((a, b) => a.rank - b.rank);
+    return shuffled.slice(0, MAX_NAMED_FORWARDERS).map(({ host }) => `${host}${port}`);
+  };
+
   /** Follows the store and the peers until the scope ends. */
   start(): Effect.Effect<void, never, Scope.Scope> {
     return Effect.gen({ self: this }, function* () {
@@ -253,13 +267,20 @@
 
   #makeUpstream(): ForwardingUpstream {
     const { upstream: direct, forwardTransport: transport, logger, random } = this.#dependencies;
+    const { peerAddress: address } = this.#settings;
     return new ForwardingUpstream({
       direct,
       transport,
       links: this.links,
       limits: this.limits,
-      peers: () => this.group.peers,
-      isPeerCutOff: (address) => this.cutOffPeers.has(hostOf(address)),
+      finder: new ForwarderFinder({
+        peers: this.#peers,
+        owners: () => this.group.peers,
+        address,
+        logger,
+        random,
+      }),
+      isPeerCutOff: (peer) => this.instances.isCutOff(hostOf(peer)),
       logger,
       metrics: this.metrics,
       random,
--- a/src/daemon/node/gateway.ts
+++ b/src/daemon/node/gateway.ts
@@ -124,7 +124,7 @@
         limits: core.limits,
         limitForwarder: core.limitForwarder,
         links: core.links,
-        cutOffPeers: core.cutOffPeers,
+        instances: core.instances,
         peerHosts: () => core.group.peers.map(hostOf),
         logger,
       }),
@@ -138,7 +138,8 @@
 }
 
 function turnServiceParts(core: GatewayCore) {
-  const { owned, group, configuration, backends, strikes, crashes, streams, leaving, limits, limiter } = core;
+  const { owned, group, configuration, backends, strikes, crashes, streams, leaving } = core;
+  const { limits, limiter, forwarders } = core;
   return {
     owned,
     group,
@@ -150,6 +151,7 @@
     leaving,
     limits,
     limiter,
+    forwarders,
   };
 }
 
--- a/src/peer/common/limit_forwarder_test.ts
+++ b/src/peer/common/limit_forwarder_test.ts
@@ -1,6 +1,7 @@
 import test from "ava";
 import { ServerLimits } from "../../services/backends/common/server_limits.ts";
 import { NullLogger } from "../../services/logging/common/logger.ts";
+import { KnownInstances } from "../../call/common/known_instances.ts";
 import { LimitForwarder } from "./limit_forwarder.ts";
 
 const OWNED = { backendId: "owned", startedAtMs: 1 };
@@ -9,18 +10,21 @@
   const clock = { nowMs: 10_000 };
   const now = () => clock.nowMs;
   const limits = new ServerLimits(new NullLogger(), now);
+  const instances = new KnownInstances(now);
+  const recordReport = (host: string) => instances.recordReport(host, { isCutOff: false });
   const forwarder = new LimitForwarder({
+    instances,
     limits,
     isOwner: (id) => id === OWNED.backendId,
     peers: () => ["peer"],
     now,
   });
-  return { clock, limits, forwarder };
+  return { clock, limits, forwarder, recordReport };
 }
 
 test("changes of owned limits go to the reporters that own no slices", (t) => {
-  const { limits, forwarder } = makeForwarder();
-  for (const sender of ["peer", "other"]) forwarder.recordReport(sender);
+  const { limits, forwarder, recordReport } = makeForwarder();
+  for (const sender of ["peer", "other"]) recordReport(sender);
   limits.record(OWNED, 4);
   limits.record({ backendId: "not owned", startedAtMs: 1 }, 4);
   const messages = forwarder.takeDue();
@@ -32,11 +36,11 @@
 });
 
 test("a change is forwarded about three times, its end too", (t) => {
-  const { clock, limits, forwarder } = makeForwarder();
+  const { clock, limits, forwarder, recordReport } = makeForwarder();
   limits.record(OWNED, 4);
-  forwarder.recordReport("other");
+  recordReport("other");
   clock.nowMs += 5000;
-  forwarder.recordReport("other");
+  recordReport("other");
   limits.record(OWNED, undefined);
   let messages = 0;
   for (let round = 0; round < 100; round++) {
@@ -47,11 +51,11 @@
 });
 
 test("an instance that reports for the first time is told of all limits", (t) => {
-  const { clock, limits, forwarder } = makeForwarder();
+  const { clock, limits, forwarder, recordReport } = makeForwarder();
   limits.record(OWNED, 4);
   clock.nowMs += 60_000;
   t.deepEqual(forwarder.takeDue(), []);
-  forwarder.recordReport("other");
+  recordReport("other");
   t.deepEqual(forwarder.takeDue().map(({ recipients, limits }) => [recipients, limits[0].perSecond]), [[
     ["other"],
     4,
--- a/src/peer/common/turn_service.ts
+++ b/src/peer/common/turn_service.ts
@@ -39,6 +39,8 @@
   readonly leaving: LeavingServers;
   readonly limits: ServerLimits;
   readonly limiter: SendRateLimiter;
+  /** Returns peer addresses of instances that reach backend servers. */
+  readonly forwarders: () => string[];
   /** Address at which peers reach this instance. */
   readonly address: string;
   readonly context: Context.Context<never>;
@@ -72,6 +74,7 @@
       const resumed = { attemptId: attemptId === "" ? undefined : attemptId, contentKey };
       return { streams: opts.streams.list(resumed).map((stream) => create(BegunStreamSchema, stream)) };
     },
+    findForwarders: () => ({ addresses: opts.forwarders() }),
     acquirePermit: (req) => acquirePermit(req, opts),
     reassigned: () => {
       group.renewNow();
--- a/src/peer/node/forward_server_test.ts
+++ b/src/peer/node/forward_server_test.ts
@@ -97,7 +97,7 @@
     transport,
     links,
     limits: new ServerLimits(logger, now),
-    peers: () => [],
+    finder: { find: () => Effect.succeed([]) },
     isPeerCutOff: () => false,
     logger,
     metrics: new Metrics(),
--- a/src/peer/node/load_reporter.ts
+++ b/src/peer/node/load_reporter.ts
@@ -13,7 +13,7 @@
   ServerRunSchema,
   StrikeChangeSchema,
 } from "../../base/common/gen/ragwortcleat/v1/turns_pb.ts";
-import type { CutOffPeers } from "../../call/common/cut_off_peers.ts";
+import type { KnownInstances } from "../../call/common/known_instances.ts";
 import type { ServerLinkMonitor } from "../../call/common/server_link_monitor.ts";
 import type { CrashMonitor } from "../../call/common/crash_monitor.ts";
 import { fromLimitMessage, toLimitMessage } from "../../call/common/limit_message.ts";
@@ -47,7 +47,7 @@
   readonly limits: ServerLimits;
   readonly limitForwarder: LimitForwarder;
   readonly links: ServerLinkMonitor;
-  readonly cutOffPeers: CutOffPeers;
+  readonly instances: KnownInstances;
   readonly peerHosts: () => readonly string[];
   readonly logger: ILogger;
 }
@@ -164,12 +164,11 @@
         LoadDigestSchema,
         message,
       );
-      this.#opts.limitForwarder.recordReport(sender);
       const running = new Map(loads.map((load) => [load.backendId, load.running]));
       // Forwarded limits come without an instance and its loads.
       if (instance !== "") {
         this.#opts.loads.recordPeerReport({ instance, running });
-        this.#opts.cutOffPeers.record(sender, isCutOff);
+        this.#opts.instances.recordReport(sender, { isCutOff });
       }
       for (const { strike, isWithdrawn, isPending } of strikeChanges) {
         if (strike !== undefined) this.#opts.crashes.merge({ strike, isWithdrawn, isPending });
--- a/test/harness/gateway_cluster.ts
+++ b/test/harness/gateway_cluster.ts
@@ -200,6 +200,7 @@
         leaving: core.leaving,
         limits: core.limits,
         limiter: core.limiter,
+        forwarders: core.forwarders,
         address: `${name}:3`,
         context: yield* Effect.context<never>(),
       });
@@ -370,8 +371,7 @@
         for (const stream of streams) peer.core.streams.add(stream);
         for (const run of leaving) peer.core.leaving.merge(run);
         for (const limit of limits) peer.core.limits.merge(limit);
-        peer.core.limitForwarder.recordReport(name);
-        peer.core.cutOffPeers.record(name, core.links.isCutOff);
+        peer.core.instances.recordReport(name, { isCutOff: core.links.isCutOff });
       }
       for (const { recipients, limits } of core.limitForwarder.takeDue()) {
         for (const peer of connected) {
--- a/test/proofs/cut_off_instance_test.ts
+++ b/test/proofs/cut_off_instance_test.ts
@@ -138,7 +138,8 @@
     for (const { id, status } of played.tries) {
       if (NOT_RUN_STATUSES.has(status)) t.is(played.runsOf.get(id) ?? 0, 0, `${id} was refused as not run`);
     }
-    if (scenario.route !== RoutePath.Safe && scenario.route !== RoutePath.ResumableTurn) {
+    const { route = RoutePath.Safe } = scenario;
+    if (route !== RoutePath.Safe && route !== RoutePath.ResumableTurn) {
       t.deepEqual([...played.runsOf].filter(([, runs]) => runs > 1), []);
     }
     t.is(played.events.get("internal-error"), 0);
@@ -196,3 +197,111 @@
     t.is(reasons.length, 67);
   });
 }
+
+for (const [instances, cutOff] of [[11, 7], [73, 44], [195, 117]]) {
+  testCut(`of ${instances} instances ${cutOff} are cut off`, {
+    form: LinkCut.Hang,
+    instances,
+    cutOff,
+    servers: 8,
+    demand: 200,
+    route: RoutePath.Unsafe,
+  });
+}
+
+testCut("all instances but one are cut off", {
+  form: LinkCut.Hang,
+  cutOff: 4,
+  route: RoutePath.ResumableTurn,
+});
+
+const restartForwarders: Disruption = (cluster, elapsedMs) =>
+  elapsedMs % 2500 === 0 && elapsedMs > CUT_AT_MS && elapsedMs < HEALED_AT_MS
+    ? cluster.restart(elapsedMs % 5000 === 0 ? "g3" : "g4")
+    : Effect.void;
+
+const refuseStore: Disruption = (cluster, elapsedMs) =>
+  Effect.sync(() => {
+    if (elapsedMs === 1000) {
+      for (const gateway of cluster.gateways.values()) gateway.isStoreRefused = true;
+    }
+  });
+
+const crashServers: Disruption = (cluster, elapsedMs) => {
+  const server = cluster.fleet.servers.find(({ id, isUp }) => isUp && id.endsWith("2"));
+  return elapsedMs % 4000 === 0 && server !== undefined
+    ? Effect.asVoid(Effect.forkDetach(cluster.fleet.crash(server)))
+    : Effect.void;
+};
+
+const limitServers: Disruption = (cluster, elapsedMs) =>
+  Effect.sync(() => {
+    if (elapsedMs !== 500) return;
+    for (const server of cluster.fleet.servers) if (server.id.endsWith("0")) server.limitPerSecond = 2;
+  });
+
+testCut("instances that forward are restarted", { form: LinkCut.Hang, disrupt: restartForwarders });
+testCut("the store refuses all meanwhile", {
+  form: LinkCut.Hang,
+  route: RoutePath.Unsafe,
+  disrupt: refuseStore,
+});
+testCut("servers crash meanwhile", { form: LinkCut.Reset, disrupt: crashServers });
+testCut("servers state limits meanwhile", {
+  form: LinkCut.Hang,
+  route: RoutePath.Unsafe,
+  disrupt: limitServers,
+});
+
+test("forwarded requests count for the limit of a server", async (t) => {
+  const LIMIT = 2;
+  const arrivals: number[] = [];
+  const disrupt: Disruption = (cluster, elapsedMs) =>
+    Effect.sync(() => {
+      limitServers(cluster, elapsedMs);
+      for (const server of cluster.fleet.servers) if (server.id === "plain0") server.limitPerSecond = LIMIT;
+      if (elapsedMs !== HEALED_AT_MS) return;
+      const runs = cluster.fleet.runs.filter(({ serverId }) => serverId === "plain0");
+      arrivals.push(...runs.map(({ atMs }) => cluster.nowMs - atMs));
+    });
+  await play({ form: LinkCut.Hang, route: RoutePath.Unsafe, disrupt });
+  const sinceCutMs = HEALED_AT_MS - CUT_AT_MS;
+  const duringCut = arrivals.filter((agoMs) => agoMs < sinceCutMs - STABLE_MS).length;
+  const allowed = (sinceCutMs - STABLE_MS) / 1000 * LIMIT * 1.5 + 5;
+  t.true(duringCut > 0 && duringCut <= allowed, `${duringCut} of ${allowed}`);
+});
+
+test("a server that has said that it leaves gets no forwarded request", async (t) => {
+  let late = -1;
+  const disrupt: Disruption = (cluster, elapsedMs) =>
+    Effect.sync(() => {
+      const leaver = cluster.fleet.servers.find(({ id }) => id === "plain1")!;
+      if (elapsedMs === CUT_AT_MS + 2000) leaver.isLeaving = true;
+      const sinceMs = cluster.nowMs - (elapsedMs - (CUT_AT_MS + 2000)) + 2000;
+      if (elapsedMs !== HEALED_AT_MS) return;
+      late = cluster.fleet.runs.filter(({ serverId, atMs }) =>
+        serverId === "plain1" && atMs > sinceMs
+      ).length;
+    });
+  const { tries } = await play({ form: LinkCut.Hang, route: RoutePath.Unsafe, disrupt });
+  t.is(late, 0);
+  t.true(
+    tries.some((attempt) =>
+      attempt.isCutOff && isServed(attempt) && attempt.sentAtMs > CUT_AT_MS + STABLE_MS
+    ),
+  );
+});
+
+test("when all instances are cut off, requests end truthfully and are not passed around", async (t) => {
+  const { tries, runsOf } = await play({ form: LinkCut.Hang, cutOff: 5, route: RoutePath.Unsafe });
+  const during = tries.filter(({ sentAtMs }) =>
+    sentAtMs >= CUT_AT_MS + 1500 && sentAtMs < HEALED_AT_MS - 3500
+  );
+  t.true(during.length > 100);
+  for (const { id, status } of during) {
+    t.true(NOT_RUN_STATUSES.has(status), `${id}: ${status}`);
+    t.is(runsOf.get(id) ?? 0, 0);
+  }
+  const afterwards = tries.filter(({ sentAtMs }) => sentAtMs >= HEALED_AT_MS + 1000);
+  t.deepEqual(afterwards.filter((attempt) => !isServed(attempt)), []);
+});
