Check the links with one connection where they are sound

Cause: each check tried four connections. Overloaded servers let many requests wait, so that an instance with little traffic may check often, and new connections to servers cost them something.

Change: the first of the four servers is tried alone; the others follow after 150 ms or its failure. Checks because of waiting requests are at least 1.5 s apart.

A cut whose connections hang is noticed up to 0.15 s later.

--- a/src/call/common/server_link_monitor.ts
+++ b/src/call/common/server_link_monitor.ts
@@ -1,6 +1,6 @@
 /** Finds out whether this instance has lost its links to all backend servers. */
 import type { Scope } from "effect";
-import { Clock, Deferred, Effect } from "effect";
+import { Clock, Deferred, Effect, Fiber } from "effect";
 import type { Event } from "../../base/common/emitter.ts";
 import { Emitter } from "../../base/common/emitter.ts";
 import { Signal } from "../../base/common/signal.ts";
@@ -11,8 +11,10 @@
 const SILENCE_MS = 400;
 /** Interval between two looks at the waiting requests. */
 const CHECK_INTERVAL_MS = 100;
-/** Minimum interval between two checks of the links that requests cause. */
+/** Minimum interval between two checks of the links that failed connections cause. */
 const MIN_PROBE_INTERVAL_MS = 700;
+/** The same for requests that wait: overloaded servers let many wait, and each check costs a connection. */
+const MIN_SILENCE_PROBE_INTERVAL_MS = 1500;
 /** Time within which connections to several servers are lost if the links are lost. */
 const LOSS_WINDOW_MS = 300;
 /** Number of servers from which the loss of connections is a reason to check the links. */
@@ -21,13 +23,18 @@
 const MIN_LOSS_PROBE_INTERVAL_MS = 100;
 /** Interval between checks while the links are lost. */
 const RECOVERY_PROBE_INTERVAL_MS = 500;
-/** Number of servers to which connections are tried at once; all must fail. */
+/** Number of servers to which connections are tried; all must fail. */
 const PROBED_SERVERS = 4;
+/** Time after which the others are tried beside the first one, which is enough as long as the links are sound. */
+const FIRST_PROBE_MS = 150;
 /** Time limit for a connection. A reachable server accepts one within a few milliseconds. */
 export const PROBE_TIMEOUT_MS = 400;
 /** Delay beyond the time limit from which a check proves nothing: this instance stood still. */
 const MAX_PROBE_DELAY_MS = 200;
 
+/** Time after which a failed check proves nothing. */
+const MAX_CHECK_MS = FIRST_PROBE_MS + PROBE_TIMEOUT_MS + MAX_PROBE_DELAY_MS;
+
 /** Tries to connect to backend servers. */
 export interface IConnectProbe {
   /** Whether a new connection is established within {@link PROBE_TIMEOUT_MS}. Nothing is sent on it. */
@@ -48,7 +55,7 @@
 }
 
 /**
- * Tries new connections to several servers of all services at once if a connection fails or nothing arrives from any
+ * Tries new connections to several servers of all services if a connection fails or nothing arrives from any
  * server for a moment. One silent, overloaded or lost server says nothing about the links; neither does a check
  * that took too long because this instance stood still.
  */
@@ -136,7 +143,8 @@
     if (this.#runningCheck !== undefined) return false;
     const elapsedMs = now - this.#lastProbeAtMs;
     if (this.#isCutOff) return elapsedMs >= RECOVERY_PROBE_INTERVAL_MS;
-    return elapsedMs >= MIN_PROBE_INTERVAL_MS && (this.#hasConnectFailed || this.#isSilent(now));
+    if (elapsedMs >= MIN_PROBE_INTERVAL_MS && this.#hasConnectFailed) return true;
+    return elapsedMs >= MIN_SILENCE_PROBE_INTERVAL_MS && this.#isSilent(now);
   }
 
   /** Whether a request has waited too long, and no server has responded to any since it was sent. */
@@ -165,15 +173,24 @@
       this.#lastProbeAtMs = startedAtMs;
       const servers = this.#selectServers();
       if (servers.length === 0) return;
-      const connect = (backend: IBackendEntry) => this.#opts.probe.connect(backend);
-      const connected = yield* Effect.forEach(servers, connect, { concurrency: "unbounded" });
+      const isReachable = yield* this.#connectToAny(servers);
       const now = yield* Clock.currentTimeMillis;
-      const isReachable = connected.some((isConnected) => isConnected);
-      const isConclusive = isReachable || now - startedAtMs <= PROBE_TIMEOUT_MS + MAX_PROBE_DELAY_MS;
+      const isConclusive = isReachable || now - startedAtMs <= MAX_CHECK_MS;
       if (isConclusive) this.#setCutOff(!isReachable, { now, probed: servers.length });
     });
   }
 
+  #connectToAny([first, ...others]: readonly IBackendEntry[]): Effect.Effect<boolean> {
+    return Effect.gen({ self: this }, function* () {
+      const connect = (backend: IBackendEntry) => this.#opts.probe.connect(backend);
+      const firstProbe = yield* Effect.forkChild(connect(first));
+      const early = yield* Effect.timeoutOption(Fiber.join(firstProbe), FIRST_PROBE_MS);
+      if (early._tag === "Some" && early.value) return true;
+      const connected = yield* Effect.forEach(others, connect, { concurrency: "unbounded" });
+      return connected.some((isConnected) => isConnected) || (yield* Fiber.join(firstProbe));
+    });
+  }
+
   /** Selects servers at random, of each service by turns. */
   #selectServers(): IBackendEntry[] {
     const byService = new Map<string, IBackendEntry[]>();
