Do not take an instance's own response for a server's

What callers saw: nothing yet. An instance whose build does not forward answers 404 to a forwarded request, and Node.js itself answers 400 or 431 to one without a Host header or with more headers than 16 KiB; both would have reached the caller as the server's response.

Cause: only refusals and faults were marked, not the responses of servers.

Change: a response that lacks the framing header, which each relayed response has, is a refusal to forward: nothing was sent. The listener for instances accepts as many headers as callers may send, and requests without a Host header.

Evidence: forward_server_test, an instance that answers 404, failed before.

--- a/src/call/common/forwarding.ts
+++ b/src/call/common/forwarding.ts
@@ -11,6 +11,8 @@
   Stopping = "stopping",
   /** It does not accept the connection. */
   Unreachable = "unreachable",
+  /** Its software does not forward requests, or does not accept this one. */
+  Unsupported = "unsupported",
 }
 
 /** The request has not been sent, and another instance may forward it. */
--- a/src/call/node/http_forward_transport.ts
+++ b/src/call/node/http_forward_transport.ts
@@ -43,15 +43,16 @@
 
 function readForwarded(response: IUpstreamResponse): ForwardResult {
   const { head, body } = response;
-  const { refusal, fault, framing = body.framing } = readVerdict(head);
-  if (refusal !== undefined) {
-    body.drain();
-    return Effect.fail(new ForwardRefusedError(refusal));
-  }
+  const { refusal, fault, framing } = readVerdict(head);
   if (fault !== undefined) {
     body.drain();
     return Effect.fail(new UpstreamError(fault));
   }
+  // A server's response always comes with its framing; any other is the instance's own, which has sent nothing.
+  if (refusal !== undefined || framing === undefined) {
+    body.drain();
+    return Effect.fail(new ForwardRefusedError(refusal ?? ForwardRefusal.Unsupported));
+  }
   const forwardedBody: IResponseBody = {
     framing,
     get connectionError() {
--- a/src/peer/node/forward_server_test.ts
+++ b/src/peer/node/forward_server_test.ts
@@ -211,11 +211,13 @@
   t.is(sent, 0);
 });
 
-test("an instance that stops or does not listen refuses", async (t) => {
+test("an instance that stops, does not listen or cannot forward refuses", async (t) => {
   const setup = await setUp(t, (_req, res) => void res.end());
   setup.service.stopAccepting();
   t.is(await send(setup), "refused: stopping");
   t.is(await send({ ...setup, address: "127.0.0.1:1" }), "refused: unreachable");
+  const other = await startServer(t, (_req, res) => void res.writeHead(404).end("no such path"));
+  t.is(await send({ ...setup, address: `127.0.0.1:${other.port}` }), "refused: unsupported");
 });
 
 test("when the sender gives up, the server's connection is closed", async (t) => {
--- a/src/peer/node/http1_transports.ts
+++ b/src/peer/node/http1_transports.ts
@@ -11,6 +11,8 @@
 import type { IPeerTransports } from "../../membership/common/peer_client.ts";
 
 const MAX_MESSAGE_BYTES = 8 * 1024 * 1024;
+/** Forwarded requests have the headers of callers, and some of their own. */
+const MAX_HEADER_BYTES = 40 * 1024;
 /** Longer than the pauses between two turns, so that connections are reused. */
 const KEEP_ALIVE_TIMEOUT_MS = 20_000;
 
@@ -52,7 +54,13 @@
       readMaxBytes: MAX_MESSAGE_BYTES,
       writeMaxBytes: MAX_MESSAGE_BYTES,
     });
-    this.#server = createServer({ noDelay: true, keepAliveTimeout: KEEP_ALIVE_TIMEOUT_MS }, (req, res) => {
+    const opts = {
+      noDelay: true,
+      keepAliveTimeout: KEEP_ALIVE_TIMEOUT_MS,
+      maxHeaderSize: MAX_HEADER_BYTES,
+      requireHostHeader: false,
+    };
+    this.#server = createServer(opts, (req, res) => {
       if (forwards?.accepts(req)) forwards.handle(req, res);
       else handler(req, res);
     });
