Compute the time limit of a request again when it goes another way

What callers saw: nothing. Servers were given up to 1.55 s more than was left for requests whose connection had failed before another instance sent them; the users' rule BUDGET allows half a second.

Cause: the headers of an attempt, one of which states the time that is left, are written before its connection is tried, and a failed connection takes 500 ms, the check of the links up to 550 ms, and a forwarding instance that is cut off itself as much again.

Change: an attempt that was not sent because the links were lost ends (links-lost) and is made anew, on the same server if it is still the best; so does one that instances have refused to forward for more than 200 ms. It excludes and blames no server.

--- a/src/call/common/backend_dispatcher.ts
+++ b/src/call/common/backend_dispatcher.ts
@@ -49,7 +49,10 @@
 const FAULT_OUTCOMES: ReadonlyMap<UpstreamFault, AttemptOutcome> = new Map([
   [UpstreamFault.NotSent, AttemptOutcome.NotRun],
   [UpstreamFault.Refused, AttemptOutcome.Refused],
+  [UpstreamFault.LinksLost, AttemptOutcome.NotSent],
 ]);
+/** Faults of the links of instances, which say nothing about servers. */
+const LINK_FAULTS = new Set([UpstreamFault.LinksLost, UpstreamFault.PathLost]);
 /** Urgency of a request with route priority 0, the highest one. Engines run lower urgency values first. */
 const BASE_URGENCY = 3;
 const URGENCY_PER_PRIORITY = 2;
@@ -200,7 +203,7 @@
   #recordFault({ call, observed }: IObservedSend, { fault, message }: UpstreamError): AttemptOutcome {
     const id = call.choice!.backend.id;
     call.fault = fault;
-    if (fault !== UpstreamFault.PathLost) this.#opts.loads.recordFailure(id);
+    if (!LINK_FAULTS.has(fault)) this.#opts.loads.recordFailure(id);
     const outcome = FAULT_OUTCOMES.get(fault) ?? AttemptOutcome.Failed;
     if (outcome === AttemptOutcome.Failed) call.runs += 1;
     else observed.result = AttemptResult.NotStarted;
--- a/src/call/common/forwarding_upstream.ts
+++ b/src/call/common/forwarding_upstream.ts
@@ -19,6 +19,8 @@
 
 /** Number of instances that are asked to forward one request. */
 const MAX_FORWARDERS = 4;
+/** Time after which a prepared request is outdated: it states how much time is left. */
+const MAX_PREPARED_MS = 200;
 /** Time for which an instance that has refused is not asked again, unless no other is known. */
 const REFUSAL_TTL_MS = 1500;
 
@@ -84,7 +86,8 @@
           isNotSent(err)
             ? Effect.flatMap(
               links.checkAfterConnectFailure(),
-              (isCutOff) => isCutOff ? this.#forward(backend, req) : Effect.fail(err),
+              // The connection has taken time, so that the request's time limit must be computed again.
+              (isCutOff) => Effect.fail(isCutOff ? new UpstreamError(UpstreamFault.LinksLost, err) : err),
             )
             : Effect.fail(err),
       );
@@ -131,9 +134,13 @@
   #forward(backend: IBackendEntry, req: IUpstreamRequest): Effect.Effect<IUpstreamResponse, UpstreamError> {
     return Effect.gen({ self: this }, function* () {
       const asked = new Set<string>();
+      const startedAtMs = yield* Clock.currentTimeMillis;
       const others = yield* this.#opts.finder.find();
       while (asked.size < MAX_FORWARDERS) {
         const now = yield* Clock.currentTimeMillis;
+        if (now - startedAtMs > MAX_PREPARED_MS) {
+          return yield* Effect.fail(new UpstreamError(UpstreamFault.LinksLost));
+        }
         const address = this.#selectForwarder(others.filter((other) => !asked.has(other)), now);
         if (address === undefined) break;
         asked.add(address);
@@ -199,12 +206,15 @@
     if (limitPerSecond !== undefined || isOwn) this.#onDidStateLimit.fire({ backend, limitPerSecond });
   }
 
+  /** Whether an instance has neither refused lately nor reported that it reaches no server. */
+  #isWilling(address: string, now: number): boolean {
+    return !this.#opts.isPeerCutOff(address) && (this.#refusedUntilMs.get(address) ?? 0) <= now;
+  }
+
   /** Selects the less busy of two random instances, preferring those that have not refused lately. */
   #selectForwarder(others: readonly string[], now: number): string | undefined {
-    const { isPeerCutOff, random } = this.#opts;
-    const willing = others.filter((address) =>
-      !isPeerCutOff(address) && (this.#refusedUntilMs.get(address) ?? 0) <= now
-    );
+    const { random } = this.#opts;
+    const willing = others.filter((address) => this.#isWilling(address, now));
     const candidates = willing.length > 0 ? willing : others;
     const pick = () => candidates.at(Math.floor(random() * candidates.length));
     const [first, second] = [pick(), pick()];
--- a/src/call/common/gateway_relay.ts
+++ b/src/call/common/gateway_relay.ts
@@ -245,6 +245,7 @@
         call.choice = choice;
         const outcome = yield* this.#dispatcher.run(attempt, choice);
         if (outcome === AttemptOutcome.Done) return undefined;
+        if (outcome === AttemptOutcome.NotSent) continue;
         call.excluded.add(choice.backend.id);
         // A refused connection costs next to nothing, and many servers may have ended at once.
         if (outcome === AttemptOutcome.Refused) continue;
--- a/src/call/common/opaque_request.ts
+++ b/src/call/common/opaque_request.ts
@@ -130,6 +130,11 @@
   NotSent = "not-sent",
   /** The same, found out at once: nothing listens at the server's address. */
   Refused = "refused",
+  /**
+   * No byte was sent, and no server accepts connections from this instance any more. The next attempt, on the same
+   * server too, goes through another instance.
+   */
+  LinksLost = "links-lost",
   /** The established connection failed. The request may have run. */
   Broken = "broken",
   /**
--- a/src/call/common/relayed_call.ts
+++ b/src/call/common/relayed_call.ts
@@ -14,6 +14,8 @@
   NotRun = "not-run",
   /** The request was not sent, as nothing listens at the server's address. */
   Refused = "refused",
+  /** The request was not sent, for a reason that has nothing to do with the server. */
+  NotSent = "not-sent",
   /** The server may have run the request, but no complete response arrived. */
   Failed = "failed",
 }
--- a/test/proofs/cut_off_instance_test.ts
+++ b/test/proofs/cut_off_instance_test.ts
@@ -14,6 +14,10 @@
 const STEP_MS = 50;
 /** The users' rule: how much less often first tries may be served at instances that are cut off. */
 const MIN_SERVED_RATIO = 2 / 3;
+/** Time that callers of the virtual cluster wait. */
+const CALLER_TIMEOUT_MS = 2500;
+/** The users' rule: how much longer than its caller waits a server may be given for a request. */
+const MAX_EXCESS_TIME_MS = 500;
 /** Statuses that promise that the request has not run and never will. */
 const NOT_RUN_STATUSES = new Set([408, 421, 429, 503]);
 
@@ -45,6 +49,8 @@
 interface IPlayed {
   readonly tries: readonly ITry[];
   readonly runsOf: ReadonlyMap<string, number>;
+  /** Longest time by which a server's time limit for a request exceeds that of the caller, in ms. */
+  readonly excessTimeMs: number;
   /** Events of the instances' logs by name. */
   readonly events: ReadonlyMap<string, number>;
 }
@@ -103,7 +109,11 @@
       const runsOf = new Map<string, number>();
       for (const { requestId } of cluster.fleet.runs) runsOf.set(requestId, (runsOf.get(requestId) ?? 0) + 1);
       const events = new Map(EVENTS.map((event) => [event, cluster.linesOf(event).length]));
-      return { tries, runsOf, events };
+      const sentAtMs = new Map(tries.map((attempt) => [attempt.id, startMs + attempt.sentAtMs]));
+      const excessTimesMs = cluster.fleet.runs.map(({ requestId, atMs, timeoutMs }) =>
+        atMs + timeoutMs - ((sentAtMs.get(requestId) ?? Infinity) + CALLER_TIMEOUT_MS)
+      );
+      return { tries, runsOf, events, excessTimeMs: Math.max(...excessTimesMs) };
     }));
 }
 
@@ -142,6 +152,7 @@
     if (route !== RoutePath.Safe && route !== RoutePath.ResumableTurn) {
       t.deepEqual([...played.runsOf].filter(([, runs]) => runs > 1), []);
     }
+    t.true(played.excessTimeMs <= MAX_EXCESS_TIME_MS, `${played.excessTimeMs} ms too long`);
     t.is(played.events.get("internal-error"), 0);
     t.is(played.events.get("request-quarantined"), 0);
   });
--- a/test/stand_ins/backend_fleet.ts
+++ b/test/stand_ins/backend_fleet.ts
@@ -47,6 +47,7 @@
   Silent = "silent",
 }
 
+const TIMEOUT_HEADER = "Ragwortcleat-Deadline-Ms";
 const RUN_MS = 80;
 const CRASH_AFTER_MS = 30;
 const RESTART_AFTER_MS = 2500;
@@ -81,6 +82,8 @@
   readonly target: string;
   readonly serverId: string;
   readonly atMs: number;
+  /** Time that the server was given for the request, in ms. */
+  readonly timeoutMs: number;
 }
 
 export interface IBackendFleetOptions {
@@ -151,6 +154,7 @@
         target: req.target,
         serverId: server.id,
         atMs: this.#opts.now(),
+        timeoutMs: Number(req.headers[req.headers.indexOf(TIMEOUT_HEADER) + 1]),
       });
       server.runCount += 1;
       const isFaulty = server.runCount % 2 === 1;
