Refuse requests at once while no instance reaches a server

What callers saw: nothing yet. With all instances cut off, each request tried four servers and was refused as backends-full after 2 s.

Cause: when no instance forwarded, the request was sent from here all the same, into connections that are not established.

If some may be willing that were not asked yet, the attempt is made anew.

Evidence: cut_off_instance_test, all instances cut off: refused after 2,000 ms before, within 300 ms now.

--- a/src/call/common/backend_dispatcher.ts
+++ b/src/call/common/backend_dispatcher.ts
@@ -50,9 +50,10 @@
   [UpstreamFault.NotSent, AttemptOutcome.NotRun],
   [UpstreamFault.Refused, AttemptOutcome.Refused],
   [UpstreamFault.LinksLost, AttemptOutcome.NotSent],
+  [UpstreamFault.Unreachable, AttemptOutcome.Unreachable],
 ]);
 /** Faults of the links of instances, which say nothing about servers. */
-const LINK_FAULTS = new Set([UpstreamFault.LinksLost, UpstreamFault.PathLost]);
+const LINK_FAULTS = new Set([UpstreamFault.LinksLost, UpstreamFault.PathLost, UpstreamFault.Unreachable]);
 /** Urgency of a request with route priority 0, the highest one. Engines run lower urgency values first. */
 const BASE_URGENCY = 3;
 const URGENCY_PER_PRIORITY = 2;
--- a/src/call/common/forwarding_upstream.ts
+++ b/src/call/common/forwarding_upstream.ts
@@ -130,7 +130,7 @@
     );
   }
 
-  /** Has another instance send the request. If none does, sends it from here, as the links may have returned. */
+  /** Has another instance send the request. Fails at once if none that is known reaches servers. */
   #forward(backend: IBackendEntry, req: IUpstreamRequest): Effect.Effect<IUpstreamResponse, UpstreamError> {
     return Effect.gen({ self: this }, function* () {
       const asked = new Set<string>();
@@ -148,7 +148,10 @@
         if (response !== undefined) return response;
       }
       this.#opts.metrics.incrementCounter("forwards", { outcome: "none" });
-      return yield* this.sendDirect(backend, req);
+      const now = yield* Clock.currentTimeMillis;
+      const isAnyWilling = others.some((address) => this.#isWilling(address, now));
+      const fault = isAnyWilling ? UpstreamFault.LinksLost : UpstreamFault.Unreachable;
+      return yield* Effect.fail(new UpstreamError(fault));
     });
   }
 
--- a/src/call/common/gateway_refusal.ts
+++ b/src/call/common/gateway_refusal.ts
@@ -24,6 +24,8 @@
   BackendsFull = "backends-full",
   /** Every server that could run the request states a limit, and no permit becomes available in time. */
   BackendsLimited = "backends-limited",
+  /** Neither this instance nor another one reaches any server. */
+  ServersUnreachable = "servers-unreachable",
   /** Admitting another program would delay the running ones beyond their deadlines. */
   Overloaded = "overloaded",
   BudgetExhausted = "budget-spent",
--- a/src/call/common/gateway_relay.ts
+++ b/src/call/common/gateway_relay.ts
@@ -246,6 +246,7 @@
         const outcome = yield* this.#dispatcher.run(attempt, choice);
         if (outcome === AttemptOutcome.Done) return undefined;
         if (outcome === AttemptOutcome.NotSent) continue;
+        if (outcome === AttemptOutcome.Unreachable) return this.#unreachableRefusal(call);
         call.excluded.add(choice.backend.id);
         // A refused connection costs next to nothing, and many servers may have ended at once.
         if (outcome === AttemptOutcome.Refused) continue;
@@ -293,6 +294,12 @@
     return retryableRefusal(RefusalReason.CrashingRequest, retryAfterMs);
   }
 
+  #unreachableRefusal(call: RelayedCall): IRefusal {
+    return call.runs > 0
+      ? finalRefusal(GatewayStatus.BadGateway, unknownOutcomeReason(call))
+      : retryableRefusal(RefusalReason.ServersUnreachable, UNAVAILABLE_RETRY_AFTER_MS);
+  }
+
   /** Creates the refusal for lack of a server. It is retryable only if the request has not run anywhere. */
   #noBackendRefusal(call: RelayedCall): IRefusal {
     if (call.runs > 0) return finalRefusal(GatewayStatus.BadGateway, unknownOutcomeReason(call));
--- a/src/call/common/opaque_request.ts
+++ b/src/call/common/opaque_request.ts
@@ -135,6 +135,8 @@
    * server too, goes through another instance.
    */
   LinksLost = "links-lost",
+  /** No byte was sent, and no instance that is known reaches any server. */
+  Unreachable = "unreachable",
   /** The established connection failed. The request may have run. */
   Broken = "broken",
   /**
--- a/src/call/common/relayed_call.ts
+++ b/src/call/common/relayed_call.ts
@@ -16,6 +16,8 @@
   Refused = "refused",
   /** The request was not sent, for a reason that has nothing to do with the server. */
   NotSent = "not-sent",
+  /** The request was not sent, and no server can be reached. */
+  Unreachable = "unreachable",
   /** The server may have run the request, but no complete response arrived. */
   Failed = "failed",
 }
--- a/src/cli/common/request_causes.ts
+++ b/src/cli/common/request_causes.ts
@@ -51,6 +51,12 @@
     `${numberField(end, "limitedServers") ?? "all"} backend servers state limits, and none had room in time`,
     ...beliefs.filter(({ event }) => event === "backend-limit").map(formatBackendEvent),
   ],
+  [RefusalReason.ServersUnreachable]: (_end, { beliefs }) => [
+    "no backend server accepted connections from this instance, and no other instance forwarded the request",
+    ...beliefs.filter(({ event }) => event === "servers-unreachable" || event === "forward-refused").map(
+      formatBackendEvent,
+    ),
+  ],
   [RefusalReason.Overloaded]: () => [
     "the engines were too heavily loaded to admit a new program without delaying the running ones",
   ],
--- a/test/proofs/cut_off_instance_test.ts
+++ b/test/proofs/cut_off_instance_test.ts
@@ -14,6 +14,8 @@
 const STEP_MS = 50;
 /** The users' rule: how much less often first tries may be served at instances that are cut off. */
 const MIN_SERVED_RATIO = 2 / 3;
+/** Time limit for a refusal while it is known that no server can be reached: a few short calls to other instances. */
+const MAX_REFUSAL_MS = 300;
 /** Time that callers of the virtual cluster wait. */
 const CALLER_TIMEOUT_MS = 2500;
 /** The users' rule: how much longer than its caller waits a server may be given for a request. */
@@ -309,9 +311,10 @@
     sentAtMs >= CUT_AT_MS + 1500 && sentAtMs < HEALED_AT_MS - 3500
   );
   t.true(during.length > 100);
-  for (const { id, status } of during) {
+  for (const { id, status, tookMs } of during) {
     t.true(NOT_RUN_STATUSES.has(status), `${id}: ${status}`);
     t.is(runsOf.get(id) ?? 0, 0);
+    t.true(tookMs <= MAX_REFUSAL_MS, `${id}: refused after ${tookMs} ms`);
   }
   const afterwards = tries.filter(({ sentAtMs }) => sentAtMs >= HEALED_AT_MS + 1000);
   t.deepEqual(afterwards.filter((attempt) => !isServed(attempt)), []);
