--- a/test/harness/gateway_cluster.ts
+++ b/test/harness/gateway_cluster.ts
@@ -413,6 +413,11 @@
   }
 }
 
+/** A request that differs from all others in its content, program and affinity key. */
+export function distinctRequest(route: RoutePath, id: string): IGatewayRequest {
+  return { route, id, caller: CallerKind.Program, body: "x", name: id, affinityKey: id };
+}
+
 function hasCrashingMark({ target }: IUpstreamRequest): boolean {
   return target.includes(CRASHING_MARK);
 }
--- a/test/proofs/cut_off_instance_test.ts
+++ b/test/proofs/cut_off_instance_test.ts
@@ -1,8 +1,7 @@
 /** Callers of an instance that has lost its links to all servers are served through the other instances. */
 import test from "ava";
 import { Effect } from "effect";
-import type { IGatewayRequest } from "../harness/gateway_cluster.ts";
-import { CallerKind, GatewayCluster, RoutePath } from "../harness/gateway_cluster.ts";
+import { CallerKind, distinctRequest, GatewayCluster, RoutePath } from "../harness/gateway_cluster.ts";
 import { LinkCut } from "../harness/server_links.ts";
 import { CrashForm, RestartForm } from "../stand_ins/backend_fleet.ts";
 
@@ -81,14 +80,6 @@
         for (; sent < demand * elapsedMs / 1000; sent++) {
           const name = cluster.names[sent % cluster.names.length];
           const id = `${name}-${sent}`;
-          const request: IGatewayRequest = {
-            route,
-            id,
-            caller: CallerKind.Program,
-            body: "x",
-            name: id,
-            affinityKey: id,
-          };
           const attempt: ITry = {
             id,
             isCutOff: cutNames.has(name),
@@ -98,11 +89,14 @@
             tookMs: Infinity,
           };
           tries.push(attempt);
-          const sending = Effect.map(cluster.send(name, request), ({ status, isEnded, isAborted }) => {
-            attempt.status = status;
-            attempt.isWhole = isEnded && !isAborted;
-            attempt.tookMs = cluster.nowMs - startMs - attempt.sentAtMs;
-          });
+          const sending = Effect.map(
+            cluster.send(name, distinctRequest(route, id)),
+            ({ status, isEnded, isAborted }) => {
+              attempt.status = status;
+              attempt.isWhole = isEnded && !isAborted;
+              attempt.tookMs = cluster.nowMs - startMs - attempt.sentAtMs;
+            },
+          );
           yield* Effect.forkDetach(sending);
         }
         yield* cluster.advance(STEP_MS);
--- a/test/proofs/server_limit_test.ts
+++ b/test/proofs/server_limit_test.ts
@@ -1,8 +1,7 @@
 /** A server that states a limit receives no more than that from all instances together, and no less if there is demand. */
 import test from "ava";
 import { Effect } from "effect";
-import type { IGatewayRequest } from "../harness/gateway_cluster.ts";
-import { CallerKind, GatewayCluster, RoutePath } from "../harness/gateway_cluster.ts";
+import { distinctRequest, GatewayCluster, RoutePath } from "../harness/gateway_cluster.ts";
 import type { IFleetServer } from "../stand_ins/backend_fleet.ts";
 import { CrashForm, RestartForm, ServerBehavior } from "../stand_ins/backend_fleet.ts";
 
@@ -107,23 +106,18 @@
         for (; sent < demand * elapsedMs / 1000; sent++) {
           const name = cluster.names[sent % cluster.names.length];
           const id = `${name}-${sent}`;
-          const request: IGatewayRequest = {
-            route,
-            id,
-            caller: CallerKind.Program,
-            body: "x",
-            name: id,
-            affinityKey: id,
-          };
           const sentAtMs = cluster.nowMs;
-          const sending = Effect.map(cluster.send(name, request), ({ status, headers }) => {
-            answers.push({
-              status,
-              tookMs: cluster.nowMs - sentAtMs,
-              sentAtMs: sentAtMs - limitedFromMs,
-              hasRetryAfter: headers.includes("retry-after"),
-            });
-          });
+          const sending = Effect.map(
+            cluster.send(name, distinctRequest(route, id)),
+            ({ status, headers }) => {
+              answers.push({
+                status,
+                tookMs: cluster.nowMs - sentAtMs,
+                sentAtMs: sentAtMs - limitedFromMs,
+                hasRetryAfter: headers.includes("retry-after"),
+              });
+            },
+          );
           yield* Effect.forkDetach(sending);
         }
         yield* cluster.advance(STEP_MS);
