--- a/test/proofs/cut_off_instance_test.ts
+++ b/test/proofs/cut_off_instance_test.ts
@@ -127,7 +127,7 @@
 }
 
 function testCut(title: string, scenario: IPlay): void {
-  test(title, async (t) => {
+  test.serial(title, async (t) => {
     const played = await play(scenario);
     const counted = countedTries(played);
     const cutOff = counted.filter((attempt) => attempt.isCutOff);
@@ -168,7 +168,7 @@
 }
 
 for (const route of [RoutePath.Safe, RoutePath.Turn, RoutePath.ResumableTurn]) {
-  test(`a request that is repeated on connections that are reset is not suspected, on ${route}`, async (t) => {
+  test.serial(`a request that is repeated on connections that are reset is not suspected, on ${route}`, async (t) => {
     const opts = {
       instances: 2,
       serversPerService: 8,
@@ -260,7 +260,7 @@
   disrupt: limitServers,
 });
 
-test("forwarded requests count for the limit of a server", async (t) => {
+test.serial("forwarded requests count for the limit of a server", async (t) => {
   const LIMIT = 2;
   const arrivals: number[] = [];
   const disrupt: Disruption = (cluster, elapsedMs) =>
@@ -278,7 +278,7 @@
   t.true(duringCut > 0 && duringCut <= allowed, `${duringCut} of ${allowed}`);
 });
 
-test("a server that has said that it leaves gets no forwarded request", async (t) => {
+test.serial("a server that has said that it leaves gets no forwarded request", async (t) => {
   let late = -1;
   const disrupt: Disruption = (cluster, elapsedMs) =>
     Effect.sync(() => {
@@ -299,7 +299,7 @@
   );
 });
 
-test("when all instances are cut off, requests end truthfully and are not passed around", async (t) => {
+test.serial("when all instances are cut off, requests end truthfully and are not passed around", async (t) => {
   const { tries, runsOf } = await play({ form: LinkCut.Hang, cutOff: 5, route: RoutePath.Unsafe });
   const during = tries.filter(({ sentAtMs }) =>
     sentAtMs >= CUT_AT_MS + 1500 && sentAtMs < HEALED_AT_MS - 3500
--- a/test/proofs/server_limit_test.ts
+++ b/test/proofs/server_limit_test.ts
@@ -150,7 +150,7 @@
 
 for (const instances of [5, 11]) {
   for (const route of [RoutePath.Safe, RoutePath.Unsafe, RoutePath.Turn]) {
-    test(`limited servers get no more than they state from ${instances} instances, on ${route}`, async (t) => {
+    test.serial(`limited servers get no more than they state from ${instances} instances, on ${route}`, async (t) => {
       const played = await play({ route, instances, demand: 60, limitAt: () => 4 });
       t.true(Math.max(...played.excess) <= 0, `${played.excess.join()} too many`);
       t.true(usedShare(played, 4) >= MIN_USED_SHARE, `${usedShare(played, 4)} of the places used`);
@@ -162,7 +162,7 @@
 const EVERY_ROUTE = [RoutePath.Safe, RoutePath.Unsafe, RoutePath.ResumableTurn];
 
 function testLimit(title: string, scenario: IPlay, minUsedShare = 0): void {
-  test(title, async (t) => {
+  test.serial(title, async (t) => {
     const played = await play(scenario);
     t.true(Math.max(...played.excess) <= 0, `${played.excess.join()} too many`);
     const used = usedShare(played, scenario.limitAt(STABLE_MS) ?? 0);
@@ -232,7 +232,7 @@
   testLimit(`the limit of two servers holds ${title}`, { demand: 60, limitAt: () => 4, disrupt }, 0.5);
 }
 
-test("when all servers are limited, callers get places in time or are refused at once as not run", async (t) => {
+test.serial("when all servers are limited, callers get places in time or are refused at once as not run", async (t) => {
   for (const route of EVERY_ROUTE) {
     const played = await play({ route, limited: 4, demand: 60, limitAt: () => 4 });
     t.true(Math.max(...played.excess) <= 0, `${played.excess.join()} too many`);
@@ -244,7 +244,7 @@
   }
 });
 
-test("a limit that ends is forgotten by all instances", async (t) => {
+test.serial("a limit that ends is forgotten by all instances", async (t) => {
   const limitAt = (elapsedMs: number) => elapsedMs < 5000 ? 2 : undefined;
   const { answers } = await play({ limited: 4, demand: 60, limitAt });
   t.deepEqual(answers.filter(({ status, sentAtMs }) => status !== 200 && sentAtMs > 6000), []);
@@ -252,7 +252,7 @@
 });
 
 for (const instances of [11, 73, 195]) {
-  test(`a limit of one a second is shared by ${instances} instances, of which most have not met it`, async (t) => {
+  test.serial(`a limit of one a second is shared by ${instances} instances, of which most have not met it`, async (t) => {
     const played = await play({ instances, demand: 120, limitAt: () => 1 });
     // Stricter than the users' rule: instances count that have not relayed the limit themselves.
     const all = played.arrivals.map((list) =>
