--- a/src/services/routes/common/route_table.ts
+++ b/src/services/routes/common/route_table.ts
@@ -1,4 +1,5 @@
 /** Routing table for opaque requests: maps a host and the longest path prefix to weighted services. */
+import type { IOrganisation } from "../../organisations/common/organisation.ts";
 
 /** Kind of a route, which determines whether its requests may be retried. */
 export enum RouteKind {
@@ -38,6 +39,8 @@
   readonly keepsHistory: boolean;
   /** Retention of turns and budgets after their last use, in ms; 0 for routes without turns. */
   readonly retainMs: number;
+  /** Whether requests need no API key although organisations are configured; false by default. */
+  readonly isPublic?: boolean;
 }
 
 /** A service as configured. */
@@ -69,6 +72,8 @@
   readonly routes: readonly IRoute[];
   readonly services: ReadonlyMap<string, IServiceInfo>;
   readonly limits: ICallerLimits;
+  /** Undefined if the deployment has no organisations, so that requests need no API key. */
+  readonly organisations?: readonly IOrganisation[] | undefined;
 }
 
 /** Whether a route's requests may be executed more than once. */
