Never take a lost try of a stream for an earlier one of the same request

Callers saw: after all instances were killed, a stream that named no attempt went on at the software version of an earlier try, so that the answer was joined from two versions. Cause: the lookup by content takes the only try that it knows, although a newer one may have been lost with its instance. Change: a lookup by content counts only if an instance that has known all streams since before the newest known try confirms it; tries of one request keep to one version while it has servers; a try that must begin at another version is recorded in the store first.

--- a/src/call/common/backend_dispatcher.ts
+++ b/src/call/common/backend_dispatcher.ts
@@ -153,6 +153,21 @@
 
   /** Selects a server for a request. Returns undefined if no server may receive it. */
   choose(call: RelayedCall, excluded: ReadonlySet<string> = call.excluded): IBackendChoice | undefined {
+    const available = this.#opts.directory.listAvailable(call.service);
+    if (call.origin !== undefined) {
+      return this.#chooseAmong(serversOfOrigin(call.origin, available), { call, excluded });
+    }
+    // Tries of one software version leave no doubt about how a caller that resumes the stream may go on.
+    const preferred = call.earlierOrigin === undefined ? [] : serversOfOrigin(call.earlierOrigin, available);
+    return this.#chooseAmong(preferred, { call, excluded }) ??
+      this.#chooseAmong(available, { call, excluded });
+  }
+
+  #chooseAmong(
+    backends: readonly IBackendEntry[],
+    { call, excluded }: { call: RelayedCall; excluded: ReadonlySet<string> },
+  ): IBackendChoice | undefined {
+    if (backends.length === 0) return undefined;
     const { req, service } = call;
     const input = {
       zone: this.#opts.zone,
@@ -163,8 +178,6 @@
       excluded,
     };
     const affinity = call.route.kind === RouteKind.Stream ? input.affinity : req.affinityKey ?? "";
-    const available = this.#opts.directory.listAvailable(service);
-    const backends = call.origin === undefined ? available : serversOfOrigin(call.origin, available);
     const separation = this.#opts.crashes.separationOf(call.identity);
     if (separation !== undefined) {
       const chooser = new SuspectBackendChooser(this.#opts.loads, separation);
--- a/src/call/common/gateway_refusal.ts
+++ b/src/call/common/gateway_refusal.ts
@@ -40,6 +40,8 @@
   CrashingRequest = "crashing-request",
   /** It is not known which software version began the stream that the caller resumes. */
   StreamUnknown = "stream-unknown",
+  /** The stream would begin at another software version than its earlier tries, which the store does not record now. */
+  StreamNotRecorded = "stream-not-recorded",
 }
 
 export interface IRefusal {
--- a/src/call/common/gateway_relay.ts
+++ b/src/call/common/gateway_relay.ts
@@ -1,6 +1,7 @@
 /** Relays opaque requests to backend servers and their responses to callers. */
 import { Clock, Effect } from "effect";
 import { TurnVerdict } from "../../base/common/gen/ragwortcleat/v1/turns_pb.ts";
+import type { IBackendChoice } from "../../routing/common/backend_chooser.ts";
 import type { IProgramAdmission } from "../../routing/common/program_admission.ts";
 import type { IRoute } from "../../services/routes/common/route_table.ts";
 import { isRepeatable, RouteKind, selectServiceByWeight } from "../../services/routes/common/route_table.ts";
@@ -17,6 +18,7 @@
 import type { IStreamOrigin } from "./stream_origin.ts";
 import { contentKeyOf } from "./stream_origin.ts";
 import type { IStreamOriginFinder } from "./stream_origin_finder.ts";
+import type { IStreamOriginAnnouncer } from "./stream_origin_replicator.ts";
 
 /** Number of servers that may decline a request, for example because they are full, before it is refused. */
 const MAX_REFUSALS = 4;
@@ -40,6 +42,7 @@
   readonly turns: ITurnClient;
   readonly admission: IProgramAdmission;
   readonly streamFinder: IStreamOriginFinder;
+  readonly streamAnnouncer: IStreamOriginAnnouncer;
   /** Returns a random number in [0, 1). */
   readonly random: () => number;
   /** Whether the configuration may be stale because the store does not respond. */
@@ -77,14 +80,17 @@
         const refusal = retryableRefusal(RefusalReason.StreamUnknown, STREAM_RETRY_AFTER_MS);
         return this.#refuseEarly(sink, refusal, req);
       }
+      const earlierOrigin = isResumed ? undefined : this.#findEarlierOrigin(req, { identity, route });
       const call = new RelayedCall(req, {
         identity,
         route,
-        service: origin?.service ?? selectServiceByWeight(route.services, this.#opts.random()),
+        service: (origin ?? earlierOrigin)?.service ??
+          selectServiceByWeight(route.services, this.#opts.random()),
         now,
         configurationVersion: routes.version,
       });
       call.origin = origin;
+      call.earlierOrigin = earlierOrigin;
       const work = isTurn(call)
         ? this.#serveTurn(call, sink)
         : this.#serve({ call, sink, body: req.body, beforeEnd: Effect.succeed(true) });
@@ -111,6 +117,16 @@
     );
   }
 
+  /** Returns the origin of earlier tries of a stream that its caller begins anew; undefined if none may be continued. */
+  #findEarlierOrigin(
+    req: IOpaqueRequest,
+    { identity, route }: { identity: RequestIdentity; route: IRoute },
+  ): IStreamOrigin | undefined {
+    if (route.kind !== RouteKind.Stream || !route.isResumable) return undefined;
+    const origin = this.#opts.streamFinder.findEarlier(contentKeyOf(identity, req));
+    return route.services.some(({ service }) => service === origin?.service) ? origin : undefined;
+  }
+
   /** Waits up to the startup timeout for the first configuration and server list. */
   #awaitConfiguration(): Effect.Effect<void> {
     return Effect.gen({ self: this }, function* () {
@@ -243,6 +259,7 @@
         const choice = yield* this.#dispatcher.chooseWithPermit(call);
         if (choice === undefined) return this.#noBackendRefusal(call);
         call.choice = choice;
+        if (!(yield* this.#announceVersionChange(call, choice))) return this.#notRecordedRefusal(call);
         const outcome = yield* this.#dispatcher.run(attempt, choice);
         if (outcome === AttemptOutcome.Done) return undefined;
         if (outcome === AttemptOutcome.NotSent) continue;
@@ -294,6 +311,31 @@
     return retryableRefusal(RefusalReason.CrashingRequest, retryAfterMs);
   }
 
+  /**
+   * Records the origin of a stream before it begins at another software version than its earlier tries: if only they
+   * were known after a loss of instances, the stream would go on at their version. Returns whether the stream may begin.
+   */
+  #announceVersionChange(call: RelayedCall, { backend }: IBackendChoice): Effect.Effect<boolean> {
+    return Effect.suspend(() => {
+      const { req, identity, earlierOrigin } = call;
+      const { service, softwareVersion } = backend;
+      if (call.origin !== undefined || earlierOrigin === undefined) return Effect.succeed(true);
+      if (earlierOrigin.softwareVersion === softwareVersion) return Effect.succeed(true);
+      const origin = { service, softwareVersion };
+      const stream = { attemptId: req.id, contentKey: contentKeyOf(identity, req) };
+      return Effect.map(this.#opts.streamAnnouncer.announce(stream, origin), (isRecorded) => {
+        if (isRecorded) call.origin = origin;
+        return isRecorded;
+      });
+    });
+  }
+
+  #notRecordedRefusal(call: RelayedCall): IRefusal {
+    return call.runs > 0
+      ? finalRefusal(GatewayStatus.BadGateway, unknownOutcomeReason(call))
+      : retryableRefusal(RefusalReason.StreamNotRecorded, STORE_RETRY_AFTER_MS);
+  }
+
   #unreachableRefusal(call: RelayedCall): IRefusal {
     return call.runs > 0
       ? finalRefusal(GatewayStatus.BadGateway, unknownOutcomeReason(call))
--- a/src/call/common/relayed_call.ts
+++ b/src/call/common/relayed_call.ts
@@ -56,6 +56,8 @@
   permitWaitMs = 0;
   /** Software that produced the stream's first event; undefined before that event. */
   origin: IStreamOrigin | undefined;
+  /** Software that produced an earlier try of the stream, whose servers are preferred; undefined if none is known. */
+  earlierOrigin: IStreamOrigin | undefined;
   refusal: IRefusal | undefined;
   status = 0;
   firstEventAtMs = 0;
--- a/src/call/common/stream_origin_finder.ts
+++ b/src/call/common/stream_origin_finder.ts
@@ -11,8 +11,13 @@
 
 /** Access to the origins of streams, whichever instance began them. */
 export interface IStreamOriginFinder {
-  /** Returns undefined if no instance that responds knows the stream, or if it is ambiguous. */
+  /**
+   * Returns undefined if no instance that responds knows the stream, if it is ambiguous, or if the caller names no attempt
+   * and a newer try than those that are known may have been lost with its instance.
+   */
   find(resumed: IResumedStream): Effect.Effect<IStreamOrigin | undefined>;
+  /** Returns the origin of the earlier tries of a request, as far as this instance knows; undefined if they differ. */
+  findEarlier(contentKey: bigint): IStreamOrigin | undefined;
 }
 
 export interface IStreamOriginFinderOptions {
@@ -23,6 +28,13 @@
   readonly logger: ILogger;
 }
 
+/** What a peer knows of a stream. */
+interface IPeerKnowledge {
+  readonly streams: readonly IBegunStream[];
+  /** Unix time in ms from which the peer knows all streams that any instance begins; `Infinity` if it does not say. */
+  readonly completeSinceMs: number;
+}
+
 /**
  * Looks a stream up here, then at all other instances at once. Expected load pattern: an instance is lost, and
  * the callers of its streams return within milliseconds through the others, which know the streams from its reports.
@@ -37,38 +49,52 @@
   find(resumed: IResumedStream): Effect.Effect<IStreamOrigin | undefined> {
     return Effect.suspend(() => {
       const { registry } = this.#opts;
-      if (registry.list(resumed).length > 0) return Effect.succeed(registry.find(resumed));
-      return Effect.map(this.#askPeers(resumed), () => registry.find(resumed));
+      if (registry.isConclusive(resumed, registry.completeSinceMs)) {
+        return Effect.succeed(registry.find(resumed));
+      }
+      return Effect.map(
+        this.#askPeers(resumed),
+        (isConclusive) => isConclusive ? registry.find(resumed) : undefined,
+      );
     });
   }
 
-  /** Adds what the peers know. The first one that knows a named attempt ends the search, so that it waits for no lost one. */
-  #askPeers(resumed: IResumedStream): Effect.Effect<void> {
+  findEarlier(contentKey: bigint): IStreamOrigin | undefined {
+    return this.#opts.registry.find({ attemptId: undefined, contentKey });
+  }
+
+  /**
+   * Adds what the peers know, and returns whether one of them knows all tries that the caller may mean. The first one that
+   * knows a named attempt ends the search, so that it waits for no lost peer.
+   */
+  #askPeers(resumed: IResumedStream): Effect.Effect<boolean> {
     const { registry, peerAddresses } = this.#opts;
     const found = Deferred.makeUnsafe<void>();
+    let isConclusive = false;
     const ask = (address: string) =>
-      Effect.map(this.#ask(address, resumed), (streams) => {
+      Effect.map(this.#ask(address, resumed), ({ streams, completeSinceMs }) => {
         for (const stream of streams) registry.add(stream);
+        isConclusive ||= registry.isConclusive(resumed, completeSinceMs);
         // Without a named attempt, each peer may know another try.
         if (streams.length > 0 && resumed.attemptId !== undefined) Deferred.doneUnsafe(found, Effect.void);
       });
     const askAll = Effect.forEach(peerAddresses(), ask, { concurrency: "unbounded", discard: true });
-    return Effect.raceFirst(askAll, Deferred.await(found));
+    return Effect.map(Effect.raceFirst(askAll, Deferred.await(found)), () => isConclusive);
   }
 
   #ask(
     address: string,
     { attemptId = "", contentKey }: IResumedStream,
-  ): Effect.Effect<readonly IBegunStream[]> {
+  ): Effect.Effect<IPeerKnowledge> {
     const call = this.#opts.peers.call(address, {
       timeoutMs: PEER_TIMEOUT_MS,
       invoke: (client, signal) => client.findStream({ attemptId, contentKey }, { signal }),
     });
     return call.pipe(
-      Effect.map(({ streams }) => streams),
+      Effect.map(({ streams, completeSinceMs = Infinity }) => ({ streams, completeSinceMs })),
       Effect.catchTag("PeerError", (err) => {
         this.#opts.logger.info("stream-lookup-failed", { peer: address, error: err.message });
-        return Effect.succeed([]);
+        return Effect.succeed({ streams: [], completeSinceMs: Infinity });
       }),
     );
   }
--- a/src/call/common/stream_origin_finder_test.ts
+++ b/src/call/common/stream_origin_finder_test.ts
@@ -11,8 +11,13 @@
 const BY_ATTEMPT = { attemptId: "r1", contentKey: 7n };
 const BY_CONTENT = { attemptId: undefined, contentKey: 7n };
 
-/** Creates a finder whose peers know the stream, do not know it, are lost, or do not respond. */
-function makeFinder(peers: readonly ("knows" | "lacks" | "lost" | "silent" | "other try")[]) {
+/**
+ * Creates a finder whose peers know the stream, do not know it, are lost, do not respond, or know the stream although they
+ * have started after it began.
+ */
+function makeFinder(
+  peers: readonly ("knows" | "lacks" | "lost" | "silent" | "other try" | "knows in part")[],
+) {
   const asked: number[] = [];
   const registry = new StreamOriginRegistry(() => 0);
   const transportOf = (address: string) => {
@@ -24,9 +29,10 @@
           if (peers[index] === "lost") throw new ConnectError("lost", Code.Unavailable);
           if (peers[index] === "silent") return new Promise<never>(() => {});
           if (peers[index] === "other try") {
-            return { streams: [{ ...STREAM, attemptId: "r2", softwareVersion: "v2" }] };
+            return { streams: [{ ...STREAM, attemptId: "r2", softwareVersion: "v2" }], completeSinceMs: -1 };
           }
-          return peers[index] === "knows" ? { streams: [STREAM] } : {};
+          if (peers[index] === "knows in part") return { streams: [STREAM], completeSinceMs: 1 };
+          return peers[index] === "knows" ? { streams: [STREAM], completeSinceMs: -1 } : {};
         },
       })
     );
@@ -60,6 +66,15 @@
   }
 });
 
+test("a newer try may be lost if no instance has run since before the known one", async (t) => {
+  const { finder, registry } = makeFinder(["knows in part", "lacks", "lost"]);
+  registry.add(STREAM);
+  t.is(await Effect.runPromise(finder.find(BY_CONTENT)), undefined);
+  t.is((await Effect.runPromise(finder.find(BY_ATTEMPT)))?.softwareVersion, "v1");
+  const confirmed = makeFinder(["knows in part", "knows"]);
+  t.is((await Effect.runPromise(confirmed.finder.find(BY_CONTENT)))?.softwareVersion, "v1");
+});
+
 test("a stream whose caller names no attempt is found by its content, unless its tries differ", async (t) => {
   const { finder } = makeFinder(["lacks", "knows"]);
   t.is((await Effect.runPromise(finder.find(BY_CONTENT)))?.softwareVersion, "v1");
--- a/src/call/common/stream_origin_registry.ts
+++ b/src/call/common/stream_origin_registry.ts
@@ -9,6 +9,11 @@
 const MAX_STREAMS = 20_000;
 /** How long a stream is repeated in the reports to the other instances, in ms: datagrams may be lost. */
 const REPORT_REPEAT_MS = 250;
+/**
+ * Time after its start from which an instance receives the reports of all others, in ms: it joins the group within a second,
+ * and the others read the owners of slices every 1.5 s.
+ */
+const COMPLETE_AFTER_MS = 2500;
 /** Maximum number of streams in one report, so that it fits into a datagram. */
 const MAX_REPORTED_STREAMS = 100;
 
@@ -31,9 +36,13 @@
   /** Fires when this instance has relayed the first event of a stream. */
   readonly onDidBegin: Event<IBegunStream> = this.#onDidBegin.event;
 
+  /** Unix time in ms from which this instance knows all streams that any instance begins. */
+  readonly completeSinceMs: number;
+
   /** `now` returns the Unix time in ms. */
   constructor(now: () => number) {
     this.#now = now;
+    this.completeSinceMs = now() + COMPLETE_AFTER_MS;
   }
 
   get size(): number {
@@ -74,6 +83,16 @@
     return stream === undefined ? [] : [stream].filter(this.#isCurrent);
   }
 
+  /**
+   * Whether all tries that a caller may mean are known to an instance whose knowledge is complete from a time on. Without a
+   * named attempt, the newest try counts, whose record may have been lost with its instance.
+   */
+  isConclusive(resumed: IResumedStream, completeSinceMs: number): boolean {
+    const streams = this.list(resumed);
+    if (resumed.attemptId !== undefined) return streams.length > 0;
+    return streams.some(({ atMs }) => atMs >= completeSinceMs);
+  }
+
   /** Returns the origin of a stream that a caller resumes; undefined if it is unknown or ambiguous. */
   find(resumed: IResumedStream): IStreamOrigin | undefined {
     const [first, ...others] = this.list(resumed);
--- a/src/call/common/stream_origin_replicator.ts
+++ b/src/call/common/stream_origin_replicator.ts
@@ -1,12 +1,13 @@
 /** Keeps the origins of recent streams in a keyed topic of the store, so that they survive a restart of all instances. */
 import { create, fromBinary, toBinary } from "@bufbuild/protobuf";
 import type { Scope } from "effect";
-import { Effect } from "effect";
+import { Effect, Semaphore } from "effect";
 import { toError } from "../../base/common/errors.ts";
 import type { BegunStreamList } from "../../base/common/gen/ragwortcleat/v1/turns_pb.ts";
 import { BegunStreamListSchema } from "../../base/common/gen/ragwortcleat/v1/turns_pb.ts";
 import type { ILogger } from "../../services/logging/common/logger.ts";
 import type { IKeyedItem, IPartitionedLog, StoreError } from "../../services/store/common/partitioned_log.ts";
+import type { IStreamOrigin } from "./stream_origin.ts";
 import type { IBegunStream, StreamOriginRegistry } from "./stream_origin_registry.ts";
 
 /** Interval between two writes; the streams begun within it are lost if all instances are killed at once. */
@@ -28,8 +29,20 @@
   readonly now: () => number;
 }
 
-export class StreamOriginReplicator {
+/** Makes the origin of a stream known before the stream begins. */
+export interface IStreamOriginAnnouncer {
+  /** Records the origin in the store and reports it to the other instances; returns false if the store does not accept it. */
+  announce(
+    stream: { readonly attemptId: string; readonly contentKey: bigint },
+    origin: IStreamOrigin,
+  ): Effect.Effect<boolean>;
+}
+
+export class StreamOriginReplicator implements IStreamOriginAnnouncer {
   readonly #opts: IStreamOriginReplicatorOptions;
+  /** Serializes writes, so that an older list never replaces a newer one. */
+  readonly #writing = Semaphore.makeUnsafe(1);
+  #isLoaded = false;
   #lastWritten: IBegunStream | undefined;
   #isFailing = false;
 
@@ -42,6 +55,7 @@
     const replicate = Effect.gen({ self: this }, function* () {
       // Nothing is written before the stored streams have been read, as a write replaces those of an earlier run.
       while (!(yield* this.#attempt(this.#load()))) yield* Effect.sleep(RETRY_DELAY_MS);
+      this.#isLoaded = true;
       while (true) {
         yield* Effect.sleep(WRITE_INTERVAL_MS);
         yield* this.#attempt(this.#write());
@@ -50,6 +64,17 @@
     return Effect.asVoid(Effect.forkScoped(replicate));
   }
 
+  announce(
+    stream: { readonly attemptId: string; readonly contentKey: bigint },
+    origin: IStreamOrigin,
+  ): Effect.Effect<boolean> {
+    return Effect.suspend(() => {
+      if (!this.#isLoaded || origin.softwareVersion === undefined) return Effect.succeed(false);
+      this.#opts.registry.record(stream, origin);
+      return this.#attempt(this.#write());
+    });
+  }
+
   #load(): Effect.Effect<void, StoreError> {
     return Effect.gen({ self: this }, function* () {
       const { log, topic, instance, registry } = this.#opts;
@@ -83,7 +108,7 @@
   }
 
   #write(): Effect.Effect<void, StoreError> {
-    return Effect.suspend(() => {
+    return this.#writing.withPermit(Effect.suspend(() => {
       const { log, topic, instance, registry, now } = this.#opts;
       const own = registry.ownStreams();
       const newest = own.at(-1);
@@ -93,7 +118,7 @@
       return Effect.map(log.writeKeys(topic, [{ key: instance, value }]), () => {
         this.#lastWritten = newest;
       });
-    });
+    }));
   }
 
   /** Makes a call to the store; returns whether it succeeded. Logs the first of consecutive failures. */
--- a/src/call/common/stream_origin_replicator_test.ts
+++ b/src/call/common/stream_origin_replicator_test.ts
@@ -119,3 +119,33 @@
       t.true((yield* setup.keys()).includes("a"));
     })
   ));
+
+test("an announced stream is in the store at once, unless the store refuses or has not been read", (t) =>
+  run((setup) =>
+    Effect.gen(function* () {
+      const { log } = setup;
+      const now = () => setup.now;
+      const registry = new StreamOriginRegistry(now);
+      const logger = new NullLogger();
+      const replicator = new StreamOriginReplicator({
+        log,
+        topic: TOPIC,
+        instance: "a",
+        registry,
+        logger,
+        now,
+      });
+      log.fault = LogFault.Refuse;
+      yield* replicator.start();
+      yield* setup.advance(100);
+      t.false(yield* replicator.announce(streamOf("r1"), ORIGIN));
+      log.fault = LogFault.None;
+      yield* setup.advance(600);
+      t.true(yield* replicator.announce(streamOf("r2"), ORIGIN));
+      log.fault = LogFault.Refuse;
+      t.false(yield* replicator.announce(streamOf("r3"), ORIGIN));
+      log.fault = LogFault.None;
+      const later = yield* setup.load("b");
+      t.deepEqual(["r1", "r2"].map((id) => later.find(streamOf(id))?.softwareVersion), [undefined, "v1"]);
+    })
+  ));
--- a/src/cli/common/request_causes.ts
+++ b/src/cli/common/request_causes.ts
@@ -44,6 +44,9 @@
       stringField(end, "resumes") ?? "(none named)"
     }, or the route no longer leads to its service`,
   ],
+  [RefusalReason.StreamNotRecorded]: () => [
+    "no server of the software version of the stream's earlier tries was left, and the store did not record the change",
+  ],
   [RefusalReason.BackendsFull]: (end) => [
     `${numberField(end, "refusals") ?? "several"} backend servers refused the request as full; none ran it`,
   ],
--- a/src/daemon/common/gateway_core.ts
+++ b/src/daemon/common/gateway_core.ts
@@ -112,6 +112,7 @@
   readonly caches = new PromptCacheIndex();
   readonly crashes: CrashMonitor;
   readonly streams: StreamOriginRegistry;
+  readonly #streamReplicator: StreamOriginReplicator;
   readonly configuration: KeyedTopicFollower;
   readonly backends: KeyedTopicFollower;
   readonly strikes: StrikeReplicator;
@@ -138,6 +139,7 @@
       spread: dependencies.random(),
     });
     this.streams = new StreamOriginRegistry(now);
+    this.#streamReplicator = this.#makeStreamReplicator();
     this.#peers = new PeerRpcClients(TurnService, dependencies.transports);
     const shared = { log: adapter.log, logger };
     this.configuration = new KeyedTopicFollower({
@@ -210,7 +212,7 @@
       yield* this.backends.start();
       yield* this.strikes.start();
       yield* this.links.start();
-      yield* this.#makeStreamReplicator().start();
+      yield* this.#streamReplicator.start();
       yield* this.group.start();
       yield* Effect.forkScoped(this.#syncFromPeers());
     });
@@ -313,6 +315,7 @@
         peerAddresses: () => this.#peerAddresses(),
         logger,
       }),
+      streamAnnouncer: this.#streamReplicator,
       permits: this.permits,
       upstream: this.upstream,
       responseLimits: { maxResponseBytes, maxEventBytes },
--- a/src/peer/common/turn_service.ts
+++ b/src/peer/common/turn_service.ts
@@ -72,7 +72,8 @@
     },
     findStream: ({ attemptId, contentKey }) => {
       const resumed = { attemptId: attemptId === "" ? undefined : attemptId, contentKey };
-      return { streams: opts.streams.list(resumed).map((stream) => create(BegunStreamSchema, stream)) };
+      const streams = opts.streams.list(resumed).map((stream) => create(BegunStreamSchema, stream));
+      return { streams, completeSinceMs: opts.streams.completeSinceMs };
     },
     findForwarders: () => ({ addresses: opts.forwarders() }),
     acquirePermit: (req) => acquirePermit(req, opts),
