Organisations: requests need an API key if the configuration has organisations

Cause: the configuration may contain organisations with API keys, and the gateway did not read them.

The relay answers 401 for a missing or unknown key, 503 if the configuration may be stale, and checks the key again before each send. Keyed topics are kept and passed to peers with digests in place of the keys.

--- a/src/call/common/backend_dispatcher.ts
+++ b/src/call/common/backend_dispatcher.ts
@@ -15,6 +15,7 @@
 import { isRepeatable, RouteKind } from "../../services/routes/common/route_table.ts";
 import type { IPromptHome } from "../../turns/common/prompt_home_cache.ts";
 import { BufferedBody } from "./buffered_body.ts";
+import { CallAuthorizer } from "./call_authorizer.ts";
 import type { CrashMonitor } from "./crash_monitor.ts";
 import type { IObservedAttempt } from "./observed_attempt.ts";
 import { AttemptResult } from "./observed_attempt.ts";
@@ -80,6 +81,8 @@
   readonly responseMemory: ResponseMemoryPool;
   readonly logger: ILogger;
   readonly metrics: Metrics;
+  /** Whether the configuration may be stale because the store does not respond. */
+  readonly isConfigurationStale: () => boolean;
   /** Availability zone of this instance. */
   readonly zone: string;
 }
@@ -99,9 +102,11 @@
 
 export class BackendDispatcher {
   readonly #opts: IBackendDispatcherOptions;
+  readonly #authorizer: CallAuthorizer;
 
   constructor(opts: IBackendDispatcherOptions) {
     this.#opts = opts;
+    this.#authorizer = new CallAuthorizer(opts);
   }
 
   /**
@@ -235,13 +240,27 @@
         this.#opts.logger.info("backend-unavailable", { request: req.id, backend: choice.backend.id });
         return AttemptOutcome.NotRun;
       }
+      call.denial = this.#authorizer.recheck(call);
+      if (call.denial !== undefined) {
+        observed.result = AttemptResult.NotStarted;
+        this.#opts.logger.info("send-denied", {
+          request: req.id,
+          reason: call.denial.reason,
+          version: this.#opts.routes.version,
+          ...this.#authorizer.logFields(req),
+        });
+        return AttemptOutcome.Denied;
+      }
       const now = yield* Clock.currentTimeMillis;
+      const hasOrganisations = this.#opts.routes.organisations.isConfigured;
       const headers = this.#opts.codec.dispatchHeaders(req, {
         timeoutMs: Math.max(1, Math.floor(call.deadlineAtMs - now)),
         backendId: choice.backend.id,
         urgency: req.prompt === undefined ? undefined : urgencyOf(call),
         lastEventId: call.lastEventId,
         bodyLength: body.length,
+        hasOrganisations,
+        organisation: hasOrganisations ? call.organisation?.name : undefined,
       });
       const request = this.#opts.upstream.send(choice.backend, {
         requestId: req.id,
--- a/src/call/common/backend_dispatcher_test.ts
+++ b/src/call/common/backend_dispatcher_test.ts
@@ -98,6 +98,7 @@
     crashes: new CrashMonitor({ logger, metrics, now }),
     streams: { record: () => {} },
     permits: UNLIMITED_PERMITS,
+    isConfigurationStale: () => false,
     upstream,
     responseLimits: { maxResponseBytes: 1000, maxEventBytes: 100 },
     responseMemory: new ResponseMemoryPool(1000),
--- a/src/call/common/gateway_refusal.ts
+++ b/src/call/common/gateway_refusal.ts
@@ -3,6 +3,8 @@
 /** HTTP status codes of the gateway's own responses. */
 export enum GatewayStatus {
   BadRequest = 400,
+  /** The API key is missing or unknown. The request has not run. */
+  Unauthorized = 401,
   /** The program's budget does not cover the turn. The turn has not run. */
   BudgetExhausted = 402,
   NotFound = 404,
@@ -19,6 +21,11 @@
 export enum RefusalReason {
   NoIdentity = "no-identity",
   NoRoute = "no-route",
+  /** Organisations are configured, and the request has no API key. */
+  KeyMissing = "key-missing",
+  KeyUnknown = "key-unknown",
+  /** The API key was assigned to another organisation while the request waited. */
+  OrganisationChanged = "organisation-changed",
   NoConfiguration = "no-configuration",
   NoBackend = "no-backend",
   BackendsFull = "backends-full",
@@ -31,6 +38,8 @@
   BudgetExhausted = "budget-spent",
   BudgetUnavailable = "budget-unavailable",
   TurnUnknown = "turn-unknown",
+  /** The previous turn belongs to another organisation. */
+  TurnNotOwned = "turn-not-owned",
   HistoryUnavailable = "history-unavailable",
   DeadlineExceeded = "deadline-over",
   OutcomeUnknown = "outcome-unknown",
--- a/src/call/common/gateway_relay.ts
+++ b/src/call/common/gateway_relay.ts
@@ -8,6 +8,7 @@
 import { ChainLookupStatus } from "../../turns/common/turn_client.ts";
 import type { IAttempt, IBackendDispatcherOptions } from "./backend_dispatcher.ts";
 import { BackendDispatcher } from "./backend_dispatcher.ts";
+import { CallAuthorizer } from "./call_authorizer.ts";
 import type { IRefusal } from "./gateway_refusal.ts";
 import { finalRefusal, GatewayStatus, RefusalReason, retryableRefusal } from "./gateway_refusal.ts";
 import type { IOpaqueRequest, IRawRequest, IResponseSink } from "./opaque_request.ts";
@@ -42,29 +43,37 @@
   readonly streamFinder: IStreamOriginFinder;
   /** Returns a random number in [0, 1). */
   readonly random: () => number;
-  /** Whether the configuration may be stale because the store does not respond. */
-  readonly isConfigurationStale: () => boolean;
 }
 
 export class GatewayRelay {
   readonly #opts: IGatewayRelayOptions;
   readonly #dispatcher: BackendDispatcher;
+  readonly #authorizer: CallAuthorizer;
 
   constructor(opts: IGatewayRelayOptions) {
     this.#opts = opts;
+    this.#authorizer = new CallAuthorizer(opts);
     this.#dispatcher = new BackendDispatcher(opts);
   }
 
   /** Serves one request. Interruption means that the caller has disconnected. */
   handle(raw: IRawRequest, sink: IResponseSink): Effect.Effect<void> {
     return Effect.gen({ self: this }, function* () {
-      const req = this.#opts.codec.readRequest(raw);
-      if (req === undefined) {
+      const { routes, codec } = this.#opts;
+      const { isConfigured: hadOrganisations } = routes.organisations;
+      const first = codec.readRequest(raw, { hasOrganisations: hadOrganisations });
+      if (first === undefined) {
         return this.#refuseEarly(sink, finalRefusal(GatewayStatus.BadRequest, RefusalReason.NoIdentity));
       }
-      const { routes } = this.#opts;
       yield* this.#awaitConfiguration();
+      const { isConfigured: hasOrganisations } = routes.organisations;
+      const req = hasOrganisations === hadOrganisations
+        ? first
+        : codec.readRequest(raw, { hasOrganisations })!;
       const route = routes.find(req.host, req.target);
+      const organisation = routes.organisations.find(req.apiKeyDigest);
+      const denial = this.#authorizer.check(req, route);
+      if (denial !== undefined) return this.#refuseEarly(sink, denial, req);
       if (route === undefined) return this.#refuseEarly(sink, this.#noRouteRefusal(), req);
       const identity = RequestIdentity.of(req);
       if (this.#opts.crashes.isQuarantined(identity)) {
@@ -83,6 +92,7 @@
         service: origin?.service ?? selectServiceByWeight(route.services, this.#opts.random()),
         now,
         configurationVersion: routes.version,
+        organisation,
       });
       call.origin = origin;
       const work = isTurn(call)
@@ -136,11 +146,14 @@
     const evidence = reason === RefusalReason.CrashingRequest && req !== undefined
       ? this.#opts.crashes.evidenceFor(RequestIdentity.of(req))
       : {};
+    const organisations = req === undefined ? {} : this.#authorizer.logFields(req);
     this.#opts.logger.info("request", {
       request: req?.id,
       target: req?.target,
       status,
       reason,
+      version: this.#opts.routes.configuration?.version,
+      ...organisations,
       resumedAfter: req?.lastEventId,
       resumes: req?.resumes,
       ...evidence,
@@ -245,6 +258,7 @@
         call.choice = choice;
         const outcome = yield* this.#dispatcher.run(attempt, choice);
         if (outcome === AttemptOutcome.Done) return undefined;
+        if (outcome === AttemptOutcome.Denied) return this.#deniedRefusal(call);
         if (outcome === AttemptOutcome.NotSent) continue;
         if (outcome === AttemptOutcome.Unreachable) return this.#unreachableRefusal(call);
         call.excluded.add(choice.backend.id);
@@ -294,6 +308,13 @@
     return retryableRefusal(RefusalReason.CrashingRequest, retryAfterMs);
   }
 
+  /** Creates the refusal of a request whose API key has been withdrawn since it arrived. */
+  #deniedRefusal(call: RelayedCall): IRefusal {
+    return call.runs > 0 || call.denial === undefined
+      ? finalRefusal(GatewayStatus.BadGateway, unknownOutcomeReason(call))
+      : call.denial;
+  }
+
   #unreachableRefusal(call: RelayedCall): IRefusal {
     return call.runs > 0
       ? finalRefusal(GatewayStatus.BadGateway, unknownOutcomeReason(call))
@@ -352,5 +373,6 @@
 function writeRefusal(sink: IResponseSink, { status, reason, retryAfterMs }: IRefusal): void {
   const headers = ["content-type", "application/problem+json"];
   if (retryAfterMs !== undefined) headers.push("retry-after", (retryAfterMs / 1000).toFixed(2));
+  if (status === GatewayStatus.Unauthorized) headers.push("www-authenticate", "Bearer");
   sink.respond(status, headers, Buffer.from(JSON.stringify({ status, title: reason })));
 }
--- a/src/call/common/opaque_request.ts
+++ b/src/call/common/opaque_request.ts
@@ -57,6 +57,8 @@
   readonly affinityKey: string | undefined;
   readonly prompt: IPromptInfo | undefined;
   readonly program: IProgramInfo | undefined;
+  /** SHA-256 digest of the caller's API key, in lower-case hexadecimal; undefined if the request has none. */
+  readonly apiKeyDigest?: string | undefined;
 }
 
 /** Information that the gateway adds to a request for one backend server. */
@@ -71,6 +73,10 @@
   readonly lastEventId: string | undefined;
   /** Length of the body sent, in bytes. Exceeds the caller's body length if history is prepended. */
   readonly bodyLength: number;
+  /** Whether organisations are configured, so that the caller's credentials are removed. */
+  readonly hasOrganisations?: boolean;
+  /** Name of the caller's organisation; undefined if it has none. */
+  readonly organisation?: string | undefined;
 }
 
 /** Status and headers of a backend server's response. */
@@ -113,10 +119,16 @@
   readonly body: Uint8Array;
 }
 
+/** What determines how a request is read. */
+export interface IReadOptions {
+  /** Whether organisations are configured, so that the caller's credentials are not kept in the headers. */
+  readonly hasOrganisations?: boolean;
+}
+
 /** Converts between HTTP headers and the request and response types. */
 export interface IRequestCodec {
   /** Returns undefined for a request without an id. */
-  readRequest(raw: IRawRequest): IOpaqueRequest | undefined;
+  readRequest(raw: IRawRequest, opts?: IReadOptions): IOpaqueRequest | undefined;
   dispatchHeaders(req: IOpaqueRequest, dispatch: IDispatchContext): string[];
   readResponse(status: number, headers: readonly string[]): IResponseHead;
 }
--- a/src/call/common/relayed_call.ts
+++ b/src/call/common/relayed_call.ts
@@ -1,5 +1,7 @@
 /** State of one request that the gateway is relaying. */
 import type { IBackendChoice } from "../../routing/common/backend_chooser.ts";
+import type { IOrganisation } from "../../services/organisations/common/organisation.ts";
+import { digestPrefixOf } from "../../services/organisations/common/organisation_table.ts";
 import type { IRoute } from "../../services/routes/common/route_table.ts";
 import type { GatewayStatus, IRefusal, RefusalReason } from "./gateway_refusal.ts";
 import type { BodyFraming, IOpaqueRequest, UpstreamFault } from "./opaque_request.ts";
@@ -18,6 +20,8 @@
   NotSent = "not-sent",
   /** The request was not sent, and no server can be reached. */
   Unreachable = "unreachable",
+  /** The request was not sent, because its API key is no longer valid. */
+  Denied = "denied",
   /** The server may have run the request, but no complete response arrived. */
   Failed = "failed",
 }
@@ -31,6 +35,10 @@
   /** Earlier of the caller's deadline and the route's timeout, in ms since the epoch. */
   readonly deadlineAtMs: number;
   readonly configurationVersion: number;
+  /** Organisation that the request's API key belongs to; undefined without organisations or on a public route. */
+  readonly organisation: IOrganisation | undefined;
+  /** Why the request may no longer be sent; undefined if it may. */
+  denial: IRefusal | undefined;
   /** Servers that refused the request or failed during it. */
   readonly excluded = new Set<string>();
   /** Number of attempts in which the server may have run the request. */
@@ -76,6 +84,7 @@
       service: string;
       now: number;
       configurationVersion: number;
+      organisation?: IOrganisation | undefined;
     },
   ) {
     this.req = req;
@@ -84,6 +93,7 @@
     this.service = opts.service;
     this.startedAtMs = opts.now;
     this.configurationVersion = opts.configurationVersion;
+    this.organisation = opts.organisation;
     this.deadlineAtMs = opts.now + Math.min(req.timeoutMs ?? Infinity, opts.route.timeoutMs);
     this.lastEventId = req.lastEventId;
   }
@@ -98,6 +108,8 @@
       maxTokens: req.prompt?.maxTokens,
       slackMs: req.program?.remainingMs,
       previousTurn: req.program?.previousTurnId,
+      organisation: this.organisation?.name,
+      keyDigest: this.#keyDigestPrefix,
       route: route.name,
       version: this.configurationVersion,
       status: this.status,
@@ -125,6 +137,12 @@
     };
   }
 
+  /** Undefined unless organisations are configured: other credentials of callers are not logged. */
+  get #keyDigestPrefix(): string | undefined {
+    const digest = this.req.apiKeyDigest;
+    return this.organisation === undefined || digest === undefined ? undefined : digestPrefixOf(digest);
+  }
+
   /** Records a refusal by the gateway as the outcome and returns its status. */
   refuse(refusal: IRefusal): GatewayStatus {
     this.refusal = refusal;
--- a/src/cli/common/request_causes.ts
+++ b/src/cli/common/request_causes.ts
@@ -28,6 +28,22 @@
     }`,
     ...storeCauses(beliefs),
   ],
+  [RefusalReason.KeyMissing]: (end, { beliefs }) => [
+    `the request carried no API key, and its route is not public in configuration ${versionOf(end)}`,
+    ...storeCauses(beliefs),
+  ],
+  [RefusalReason.KeyUnknown]: (end, { attempts, beliefs }) => [
+    ...attempts.filter(({ event }) => event === "send-denied").map((line) =>
+      `the key was valid when the request arrived, and no longer with configuration ${versionOf(line)}`
+    ),
+    `no organisation of configuration ${versionOf(end)} has a key whose digest begins with ${
+      keyDigestOf(end)
+    }`,
+    ...storeCauses(beliefs),
+  ],
+  [RefusalReason.OrganisationChanged]: (end) => [
+    `the key with digest ${keyDigestOf(end)} was assigned to another organisation while the request waited`,
+  ],
   [RefusalReason.NoConfiguration]: (_end, { beliefs }) => [
     "the instance had just started and had not read a configuration",
     ...storeCauses(beliefs),
@@ -78,6 +94,11 @@
       end.fields.previousTurn ?? "(id not logged)"
     }, or its retention has expired`,
   ],
+  [RefusalReason.TurnNotOwned]: (end) => [
+    `turn ${end.fields.previousTurn ?? "(id not logged)"} does not belong to ${
+      stringField(end, "organisation") ?? "a caller without an organisation"
+    }, which the key with digest ${keyDigestOf(end)} belongs to in configuration ${versionOf(end)}`,
+  ],
   [RefusalReason.HistoryUnavailable]: (_end, { beliefs }) => [
     "the previous turn could not be fetched, or this one could not be recorded, so its end was not sent to the caller",
     ...ownerCauses(beliefs),
@@ -201,6 +222,14 @@
   ];
 }
 
+function versionOf({ fields }: ILogLine): string {
+  return String(fields.version ?? "in force");
+}
+
+function keyDigestOf(line: ILogLine): string {
+  return stringField(line, "keyDigest") ?? "(none)";
+}
+
 function formatBackendEvent({ instance, event, fields }: ILogLine): string {
   return `${instance}: ${event} ${fields.id ?? ""}`;
 }
--- a/src/daemon/common/gateway_core.ts
+++ b/src/daemon/common/gateway_core.ts
@@ -145,6 +145,7 @@
       topic: adapter.configurationTopic,
       waitMs: CONFIGURATION_POLL_TIMEOUT_MS,
       pauseMs: CONFIGURATION_PAUSE_MS,
+      redact: adapter.withoutApiKeys,
     });
     this.backends = new KeyedTopicFollower({
       ...shared,
@@ -367,6 +368,7 @@
       version: configuration.version,
       isAdopted,
       routes: configuration.routes.length,
+      organisations: configuration.organisations?.length,
     });
     if (isAdopted) applyCallerLimits(configuration.limits);
   }
--- a/src/services/routes/common/route_table.ts
+++ b/src/services/routes/common/route_table.ts
@@ -1,5 +1,6 @@
 /** Routing table for opaque requests: maps a host and the longest path prefix to weighted services. */
 import type { IOrganisation } from "../../organisations/common/organisation.ts";
+import { OrganisationTable } from "../../organisations/common/organisation_table.ts";
 
 /** Kind of a route, which determines whether its requests may be retried. */
 export enum RouteKind {
@@ -81,8 +82,9 @@
   return route.kind === RouteKind.Safe || (route.kind === RouteKind.Stream && route.isResumable);
 }
 
-/** Routes and services of the configuration in force. The version never decreases. */
+/** Routes, services and organisations of the configuration in force. The version never decreases. */
 export class RouteTable {
+  readonly organisations = new OrganisationTable();
   #configuration: IRoutingConfiguration | undefined;
   #byHost = new Map<string, readonly IRoute[]>();
 
@@ -105,6 +107,7 @@
     }
     for (const routes of byHost.values()) routes.sort((a, b) => b.prefix.length - a.prefix.length);
     this.#byHost = byHost;
+    this.organisations.update(configuration.organisations);
     this.#configuration = configuration;
     return true;
   }
--- a/src/services/store/common/keyed_topic_follower.ts
+++ b/src/services/store/common/keyed_topic_follower.ts
@@ -29,6 +29,8 @@
   /** Delay between two reads, in ms; limits the rate of calls to the store when changes are frequent. */
   readonly pauseMs: number;
   readonly logger: ILogger;
+  /** Removes secrets from the values that are kept and passed to peers; listeners receive the values as read. */
+  readonly redact?: (value: Uint8Array) => Uint8Array;
 }
 
 export class KeyedTopicFollower {
@@ -155,7 +157,7 @@
     const current = this.#items.get(key);
     if (current !== undefined && current.offset >= offset) return;
     if (value === undefined) this.#items.delete(key);
-    else this.#items.set(key, { key, value, offset });
+    else this.#items.set(key, { key, value: this.#opts.redact?.(value) ?? value, offset });
     this.#onDidUpdate.fire({ key, value, outageMs });
   }
 
--- a/src/services/store/common/platform_adapter.ts
+++ b/src/services/store/common/platform_adapter.ts
@@ -17,6 +17,8 @@
   readonly streamTopic: string;
   /** Returns undefined for a value that cannot be decoded. */
   decodeConfiguration(value: Uint8Array): IRoutingConfiguration | undefined;
+  /** Replaces the API keys in a configuration by their digests; the result can be decoded like the configuration. */
+  withoutApiKeys(value: Uint8Array): Uint8Array;
   /** Returns undefined for a value that does not describe a usable backend server. */
   decodeBackend(id: string, value: Uint8Array): IBackendEntry | undefined;
 }
