Organisations share neither budgets nor streams nor history

Cause: program ids, sessions, request ids and prompt parts are chosen by callers, so that two organisations can use the same ones. A turn could be continued by whoever knew its id.

Change: program ids, the ids of prompt parts at the owners, sessions, and the attempts and contents of resumable streams are combined with the organisation's name; stored turns contain it, and a previous turn of another one gets 404 before anything is sent. Two organisations that use the same request id each have their own stored turn. The organisation's priority comes before the route's. Without organisations all ids stay as they are. The configuration also counts as possibly stale if a read of the store has not been answered for 1,500 ms.

--- a/src/call/common/backend_dispatcher.ts
+++ b/src/call/common/backend_dispatcher.ts
@@ -11,6 +11,7 @@
 import type { BackendDirectory, IBackendEntry } from "../../services/backends/common/backend_directory.ts";
 import type { ILogger } from "../../services/logging/common/logger.ts";
 import type { Metrics } from "../../services/metrics/common/metrics.ts";
+import { combinedPriority } from "../../services/organisations/common/organisation_scope.ts";
 import type { IEngineInfo, RouteTable } from "../../services/routes/common/route_table.ts";
 import { isRepeatable, RouteKind } from "../../services/routes/common/route_table.ts";
 import type { IPromptHome } from "../../turns/common/prompt_home_cache.ts";
@@ -161,13 +162,15 @@
     const { req, service } = call;
     const input = {
       zone: this.#opts.zone,
-      affinity: req.program?.sessionId ?? req.affinityKey ?? "",
+      affinity: affinityOf(call, req.program?.sessionId ?? req.affinityKey),
       parts: req.prompt?.parts ?? [],
       promptTokens: req.prompt?.promptTokens ?? 0,
       maxTokens: req.prompt?.maxTokens ?? 0,
       excluded,
     };
-    const affinity = call.route.kind === RouteKind.Stream ? input.affinity : req.affinityKey ?? "";
+    const affinity = call.route.kind === RouteKind.Stream
+      ? input.affinity
+      : affinityOf(call, req.affinityKey);
     const available = this.#opts.directory.listAvailable(service);
     const backends = call.origin === undefined ? available : serversOfOrigin(call.origin, available);
     const separation = this.#opts.crashes.separationOf(call.identity);
@@ -374,21 +377,22 @@
   }
 
   /** Records which engine has the prompt's prefix in its cache, as reported by the program's owner. */
-  recordPromptHome({ req }: RelayedCall, { backendId, partId, tokens }: IPromptHome): void {
+  recordPromptHome(call: RelayedCall, { backendId, partId, tokens }: IPromptHome): void {
     const { directory, caches } = this.#opts;
     if (!directory.has(backendId)) return;
-    for (const part of req.prompt?.parts ?? []) {
-      const isLast = part.id === partId;
+    for (const part of call.req.prompt?.parts ?? []) {
+      const isLast = call.scoped(part.id) === partId;
       caches.recordReportedPart({ backendId, partId: part.id, tokens: isLast ? tokens : part.tokens });
       if (isLast) return;
     }
   }
 
   /** Returns the engine that has processed a turn's prompt; undefined if none has sent any event. */
-  promptHomeOf({ req, choice, events }: RelayedCall, tokens: number): IPromptHome | undefined {
+  promptHomeOf(call: RelayedCall, tokens: number): IPromptHome | undefined {
+    const { req, choice, events } = call;
     const last = req.prompt?.parts.at(-1);
     if (last === undefined || choice === undefined || events === 0) return undefined;
-    return { partId: last.id, backendId: choice.backend.id, tokens: last.tokens + tokens };
+    return { partId: call.scoped(last.id), backendId: choice.backend.id, tokens: last.tokens + tokens };
   }
 
   #recordPrompt({ req, service, choice }: RelayedCall): void {
@@ -417,9 +421,16 @@
   return isSuccess(head) && !head.isSigned;
 }
 
+function affinityOf(call: RelayedCall, key: string | undefined): string {
+  return key === undefined || key === "" ? "" : call.scoped(key);
+}
+
 /** Returns the rank of a request on an engine. Within a priority, late requests rank behind the others. */
-function urgencyOf({ route, req }: RelayedCall): number {
+function urgencyOf({ route, req, organisation }: RelayedCall): number {
   const isLate = (req.program?.remainingMs ?? 1) <= 0;
-  const rank = BASE_URGENCY + route.priority * URGENCY_PER_PRIORITY + (isLate ? LATE_URGENCY_PENALTY : 0);
-  return Math.min(MAX_URGENCY, rank);
+  const priority = combinedPriority(organisation, route);
+  const rank = Math.floor(priority * URGENCY_PER_PRIORITY) + (isLate ? LATE_URGENCY_PENALTY : 0);
+  // A late request of an organisation does not rank as low as those of organisations with the next priority.
+  const lowestRank = Math.floor(priority) * URGENCY_PER_PRIORITY + LATE_URGENCY_PENALTY;
+  return Math.min(MAX_URGENCY, BASE_URGENCY + Math.min(rank, lowestRank));
 }
--- a/src/call/common/gateway_relay.ts
+++ b/src/call/common/gateway_relay.ts
@@ -2,6 +2,8 @@
 import { Clock, Effect } from "effect";
 import { TurnVerdict } from "../../base/common/gen/ragwortcleat/v1/turns_pb.ts";
 import type { IProgramAdmission } from "../../routing/common/program_admission.ts";
+import type { IOrganisation } from "../../services/organisations/common/organisation.ts";
+import { combinedPriority, scopedId } from "../../services/organisations/common/organisation_scope.ts";
 import type { IRoute } from "../../services/routes/common/route_table.ts";
 import { isRepeatable, RouteKind, selectServiceByWeight } from "../../services/routes/common/route_table.ts";
 import type { ITurnChain, ITurnClient } from "../../turns/common/turn_client.ts";
@@ -81,7 +83,7 @@
       }
       const now = yield* Clock.currentTimeMillis;
       const isResumed = route.kind === RouteKind.Stream && req.lastEventId !== undefined;
-      const origin = isResumed ? yield* this.#findOrigin(req, { identity, route }) : undefined;
+      const origin = isResumed ? yield* this.#findOrigin(req, { identity, route, organisation }) : undefined;
       if (isResumed && origin === undefined) {
         const refusal = retryableRefusal(RefusalReason.StreamUnknown, STREAM_RETRY_AFTER_MS);
         return this.#refuseEarly(sink, refusal, req);
@@ -93,6 +95,7 @@
         now,
         configurationVersion: routes.version,
         organisation,
+        hasOrganisations,
       });
       call.origin = origin;
       const work = isTurn(call)
@@ -113,10 +116,20 @@
   /** Returns the origin of a stream that a caller resumes; undefined if it may not go on here. */
   #findOrigin(
     req: IOpaqueRequest,
-    { identity, route }: { identity: RequestIdentity; route: IRoute },
+    { identity, route, organisation }: {
+      identity: RequestIdentity;
+      route: IRoute;
+      organisation: IOrganisation | undefined;
+    },
   ): Effect.Effect<IStreamOrigin | undefined> {
+    const { resumes, program } = req;
+    const name = organisation?.name;
+    const attemptId = resumes === undefined ? undefined : scopedId(resumes, name);
     return Effect.map(
-      this.#opts.streamFinder.find({ attemptId: req.resumes, contentKey: contentKeyOf(identity, req) }),
+      this.#opts.streamFinder.find({
+        attemptId,
+        contentKey: contentKeyOf(identity, { program, organisation: name }),
+      }),
       (origin) => route.services.some(({ service }) => service === origin?.service) ? origin : undefined,
     );
   }
@@ -191,7 +204,12 @@
     const { req, service, events } = call;
     const tokens = events * (this.#dispatcher.engineOf(service)?.tokensPerEvent ?? 0);
     const home = this.#dispatcher.promptHomeOf(call, tokens);
-    return this.#opts.turns.end({ programId: req.program!.programId, turnId: req.id, tokens, home });
+    return this.#opts.turns.end({
+      programId: call.scoped(req.program!.programId),
+      turnId: req.id,
+      tokens,
+      home,
+    });
   }
 
   /** Obtains the budget and the history of a turn and serves it. */
@@ -201,12 +219,12 @@
       const program = req.program!;
       const timeoutMs = Math.min(OWNER_TIMEOUT_MS, call.deadlineAtMs - call.startedAtMs);
       const grant = {
-        programId: program.programId,
+        programId: call.scoped(program.programId),
         turnId: req.id,
         maxTokens: req.prompt?.maxTokens ?? 0,
         budget: program.budgetTokens!,
         retainMs: route.retainMs,
-        partIds: (req.prompt?.parts ?? []).map(({ id }) => id),
+        partIds: (req.prompt?.parts ?? []).map(({ id }) => call.scoped(id)),
       };
       const beginTurn = Effect.map(this.#opts.turns.begin(grant, timeoutMs), (begun) => {
         call.isTurnRefused = begun !== undefined && begun.verdict !== TurnVerdict.GRANTED;
@@ -214,6 +232,9 @@
       });
       const loadChain = this.#loadChain(call, timeoutMs);
       const [begun, chain] = yield* Effect.all([beginTurn, loadChain], { concurrency: "unbounded" });
+      if (chain === ChainLookupStatus.NotOwned) {
+        return finalRefusal(GatewayStatus.NotFound, RefusalReason.TurnNotOwned);
+      }
       const verdict = begun?.verdict;
       if (verdict === TurnVerdict.SPENT) {
         return finalRefusal(GatewayStatus.BudgetExhausted, RefusalReason.BudgetExhausted);
@@ -242,7 +263,7 @@
     const previous = call.req.program?.previousTurnId;
     if (!call.route.keepsHistory || previous === undefined) return Effect.succeed({ contents: [], refs: [] });
     return Effect.map(
-      this.#opts.turns.load(previous, timeoutMs),
+      this.#opts.turns.load(previous, { timeoutMs, organisation: call.ownerName }),
       (result) => result.state === ChainLookupStatus.Found ? result.chain : result.state,
     );
   }
@@ -278,7 +299,7 @@
   }
 
   /** Admits or refuses a program before its first turn, by the utilization of the engines. */
-  #admit({ route, service }: RelayedCall): IRefusal | undefined {
+  #admit({ route, service, organisation }: RelayedCall): IRefusal | undefined {
     const { directory, loads, permits, admission, random } = this.#opts;
     const engines = directory.listAvailable(service);
     // Engines that accept nothing more for now offer no capacity, however few requests they run.
@@ -287,7 +308,7 @@
     if (open.length === 0 && engines.length > 0) engineUtilizations.push(1);
     const decision = admission.decide({
       engineUtilizations,
-      priority: route.priority,
+      priority: combinedPriority(organisation, route),
       random: random(),
     });
     return decision.isAdmitted
@@ -342,7 +363,8 @@
       if (!route.keepsHistory) return true;
       const now = yield* Clock.currentTimeMillis;
       const content = Buffer.concat([req.body, Buffer.from(call.output.join(""), "latin1")]);
-      const completed = { turnId: req.id, chain, content, retainMs: route.retainMs };
+      const { retainMs } = route;
+      const completed = { turnId: req.id, chain, content, retainMs, organisation: call.ownerName };
       return yield* this.#opts.turns.store(completed, call.deadlineAtMs - now);
     });
   }
--- a/src/call/common/relayed_call.ts
+++ b/src/call/common/relayed_call.ts
@@ -1,6 +1,7 @@
 /** State of one request that the gateway is relaying. */
 import type { IBackendChoice } from "../../routing/common/backend_chooser.ts";
 import type { IOrganisation } from "../../services/organisations/common/organisation.ts";
+import { scopedId } from "../../services/organisations/common/organisation_scope.ts";
 import { digestPrefixOf } from "../../services/organisations/common/organisation_table.ts";
 import type { IRoute } from "../../services/routes/common/route_table.ts";
 import type { GatewayStatus, IRefusal, RefusalReason } from "./gateway_refusal.ts";
@@ -37,6 +38,11 @@
   readonly configurationVersion: number;
   /** Organisation that the request's API key belongs to; undefined without organisations or on a public route. */
   readonly organisation: IOrganisation | undefined;
+  /**
+   * Name of the organisation that what the request stores belongs to; empty for a caller without one, undefined without
+   * organisations.
+   */
+  readonly ownerName: string | undefined;
   /** Why the request may no longer be sent; undefined if it may. */
   denial: IRefusal | undefined;
   /** Servers that refused the request or failed during it. */
@@ -85,6 +91,7 @@
       now: number;
       configurationVersion: number;
       organisation?: IOrganisation | undefined;
+      hasOrganisations?: boolean;
     },
   ) {
     this.req = req;
@@ -94,6 +101,7 @@
     this.startedAtMs = opts.now;
     this.configurationVersion = opts.configurationVersion;
     this.organisation = opts.organisation;
+    this.ownerName = opts.organisation?.name ?? (opts.hasOrganisations ? "" : undefined);
     this.deadlineAtMs = opts.now + Math.min(req.timeoutMs ?? Infinity, opts.route.timeoutMs);
     this.lastEventId = req.lastEventId;
   }
@@ -140,7 +148,12 @@
   /** Undefined unless organisations are configured: other credentials of callers are not logged. */
   get #keyDigestPrefix(): string | undefined {
     const digest = this.req.apiKeyDigest;
-    return this.organisation === undefined || digest === undefined ? undefined : digestPrefixOf(digest);
+    return this.ownerName === undefined || digest === undefined ? undefined : digestPrefixOf(digest);
+  }
+
+  /** Combines an id that the caller states with the name of its organisation. */
+  scoped(id: string): string {
+    return scopedId(id, this.organisation?.name);
   }
 
   /** Records a refusal by the gateway as the outcome and returns its status. */
--- a/src/call/common/stream_origin.ts
+++ b/src/call/common/stream_origin.ts
@@ -1,5 +1,6 @@
 /** Which software produces a stream. What servers of two software versions write does not fit together. */
 import { hash64 } from "../../base/common/hash.ts";
+import { scopedId } from "../../services/organisations/common/organisation_scope.ts";
 import type { IBackendEntry } from "../../services/backends/common/backend_directory.ts";
 import type { IOpaqueRequest } from "./opaque_request.ts";
 import type { RequestIdentity } from "./request_identity.ts";
@@ -19,9 +20,12 @@
   readonly contentKey: bigint;
 }
 
-/** Returns the key that all tries of a request of one session share. */
-export function contentKeyOf(identity: RequestIdentity, { program }: IOpaqueRequest): bigint {
-  return hash64(`${identity.fingerprint}/${program?.sessionId ?? ""}`);
+/** Returns the key that all tries of a request of one session share; those of two organisations never do. */
+export function contentKeyOf(
+  identity: RequestIdentity,
+  { program, organisation }: Pick<IOpaqueRequest, "program"> & { readonly organisation?: string | undefined },
+): bigint {
+  return hash64(`${identity.fingerprint}/${scopedId(program?.sessionId ?? "", organisation)}`);
 }
 
 /** Returns the servers at which a stream may go on; none if the version that began it is unknown. */
--- a/src/call/common/stream_relay.ts
+++ b/src/call/common/stream_relay.ts
@@ -152,8 +152,9 @@
     const { service, softwareVersion } = this.#call.choice!.backend;
     this.#call.origin ??= { service, softwareVersion };
     if (!this.#call.route.isResumable) return;
-    const { req, identity, origin } = this.#call;
-    this.#streams.record({ attemptId: req.id, contentKey: contentKeyOf(identity, req) }, origin);
+    const { req: { id, program }, identity, origin, organisation } = this.#call;
+    const contentKey = contentKeyOf(identity, { program, organisation: organisation?.name });
+    this.#streams.record({ attemptId: this.#call.scoped(id), contentKey }, origin);
   }
 
   /** Whether the caller already has the event, from a server that sent an earlier part of the stream. */
--- a/src/daemon/common/gateway_core.ts
+++ b/src/daemon/common/gateway_core.ts
@@ -53,6 +53,11 @@
 /** Long-poll timeout of configuration reads; also limits how long an unresponsive connection goes undetected. */
 const CONFIGURATION_POLL_TIMEOUT_MS = 1000;
 const CONFIGURATION_PAUSE_MS = 20;
+/**
+ * Age of the last configuration read from which the configuration may be stale: a long poll and the response of a slow
+ * store.
+ */
+const MAX_CONFIGURATION_READ_AGE_MS = CONFIGURATION_POLL_TIMEOUT_MS + 500;
 /** A third of the period within which a server that shuts down must stop receiving new requests. */
 const BACKENDS_POLL_INTERVAL_MS = 600;
 /**
@@ -322,7 +327,7 @@
       metrics: this.metrics,
       zone,
       random,
-      isConfigurationStale: () => this.configuration.isFailing,
+      isConfigurationStale: () => this.#isConfigurationStale,
     });
   }
 
@@ -407,6 +412,12 @@
     });
   }
 
+  /** Whether the store may hold a newer configuration: a call has failed, or one has not been answered in time. */
+  get #isConfigurationStale(): boolean {
+    const { isFailing, lastReadMs } = this.configuration;
+    return isFailing || this.#dependencies.now() - lastReadMs > MAX_CONFIGURATION_READ_AGE_MS;
+  }
+
   get #isStoreFailing(): boolean {
     return this.configuration.isFailing || this.backends.isFailing || this.strikes.follower.isFailing;
   }
--- a/src/peer/common/turn_service.ts
+++ b/src/peer/common/turn_service.ts
@@ -56,7 +56,7 @@
       const isStored = turn === undefined ? undefined : await run(owned.store(turn));
       return { isOwner: isStored !== undefined, isStored: isStored === true };
     },
-    loadTurn: ({ turnId }) => run(owned.load(turnId)),
+    loadTurn: ({ turnId, organisation }) => run(owned.load(turnId, organisation)),
     getSnapshot: () => ({
       configuration: toKeyedSnapshot(opts.configuration.snapshot()),
       backends: toKeyedSnapshot(opts.backends.snapshot()),
--- a/src/routing/common/program_admission.ts
+++ b/src/routing/common/program_admission.ts
@@ -15,7 +15,7 @@
 export interface IProgramAdmissionRequest {
   /** Utilization, in requests per slot, of each engine that may serve the program. */
   readonly engineUtilizations: readonly number[];
-  /** 0 is the highest priority. */
+  /** 0 is the highest priority; may be a fraction. */
   readonly priority: number;
   /** Random number in [0, 1) that adds jitter to the retry delay. */
   readonly random: number;
--- a/src/turns/common/kept_turn_map.ts
+++ b/src/turns/common/kept_turn_map.ts
@@ -1,12 +1,15 @@
 /** Completed turns that later turns continue, held in memory. */
 import type { KeptTurn } from "../../base/common/gen/ragwortcleat/v1/turns_pb.ts";
+import { scopedId } from "../../services/organisations/common/organisation_scope.ts";
 
 /** Multiplier on the retention period before a turn is evicted: allows for clock skew between instances. */
 const RETENTION_FACTOR = 1.5;
 
-/** Turns by id, until their retention period has passed. */
+/** Turns by id and organisation, until their retention period has passed. */
 export class KeptTurnMap {
   readonly #turns = new Map<string, KeptTurn>();
+  /** Turns by id. Several organisations may use the same id, as callers choose it. */
+  readonly #byId = new Map<string, readonly KeptTurn[]>();
   #bytes = 0;
 
   get size(): number {
@@ -18,14 +21,27 @@
     return this.#bytes;
   }
 
-  get(turnId: string): KeptTurn | undefined {
-    return this.#turns.get(turnId);
+  /** Returns the turn of an organisation. */
+  get(turnId: string, organisation?: string): KeptTurn | undefined {
+    return this.#turns.get(scopedId(turnId, organisation));
+  }
+
+  /** Returns the turn of an organisation or, if it has none of this id, that of another one. */
+  find(turnId: string, organisation?: string): KeptTurn | undefined {
+    return this.get(turnId, organisation) ?? this.#byId.get(turnId)?.[0];
+  }
+
+  /** Whether the organisation of a turn already has one of its id. */
+  has({ turnId, organisation }: KeptTurn): boolean {
+    return this.get(turnId, organisation) !== undefined;
   }
 
   put(turn: KeptTurn): void {
-    if (this.#turns.has(turn.turnId)) return;
-    this.#turns.set(turn.turnId, turn);
-    this.#bytes += turn.content.length;
+    if (this.has(turn)) return;
+    const { turnId, organisation, content } = turn;
+    this.#turns.set(scopedId(turnId, organisation), turn);
+    this.#byId.set(turnId, [...this.#byId.get(turnId) ?? [], turn]);
+    this.#bytes += content.length;
   }
 
   values(): IterableIterator<KeptTurn> {
@@ -34,10 +50,13 @@
 
   /** Removes expired turns, up to the first that is not: turns are added in the order of time. */
   evictExpired(now: number): void {
-    for (const [turnId, turn] of this.#turns) {
+    for (const [key, turn] of this.#turns) {
       if (now - turn.storedAtMs <= turn.retainMs * RETENTION_FACTOR) return;
       this.#bytes -= turn.content.length;
-      this.#turns.delete(turnId);
+      this.#turns.delete(key);
+      const others = this.#byId.get(turn.turnId)!.filter((other) => other !== turn);
+      if (others.length > 0) this.#byId.set(turn.turnId, others);
+      else this.#byId.delete(turn.turnId);
     }
   }
 }
--- a/src/turns/common/owned_slices.ts
+++ b/src/turns/common/owned_slices.ts
@@ -183,11 +183,11 @@
     });
   }
 
-  /** Looks up a kept turn. */
-  load(turnId: string): Effect.Effect<ILoadTurnResult> {
+  /** Looks up a kept turn: that of the organisation or, if it has none of this id, that of another one. */
+  load(turnId: string, organisation?: string): Effect.Effect<ILoadTurnResult> {
     return Effect.map(this.#findOpenJournal(turnId), (journal) => ({
       isOwner: journal !== undefined,
-      turn: journal?.slice.turns.get(turnId),
+      turn: journal?.slice.turns.find(turnId, organisation),
     }));
   }
 
--- a/src/turns/common/slice_journal.ts
+++ b/src/turns/common/slice_journal.ts
@@ -142,7 +142,7 @@
   /** Appends a turn; true once it is in the log, false when the ownership ended before. Idempotent. */
   storeTurn(turn: KeptTurn): Effect.Effect<boolean> {
     return Effect.suspend(() => {
-      if (this.#slice.turns.get(turn.turnId) !== undefined) return Effect.succeed(true);
+      if (this.#slice.turns.has(turn)) return Effect.succeed(true);
       return this.#enqueue({ events: toTurnEvents(turn), turn });
     });
   }
--- a/src/turns/common/turn_client.ts
+++ b/src/turns/common/turn_client.ts
@@ -19,6 +19,7 @@
 } from "../../base/common/gen/ragwortcleat/v1/turns_pb.ts";
 import type { PeerError } from "../../base/common/errors.ts";
 import type { PeerRpcClients } from "../../membership/common/peer_client.ts";
+import { mayContinue } from "../../services/organisations/common/organisation_scope.ts";
 import type { ILogger } from "../../services/logging/common/logger.ts";
 import { KeptTurnMap } from "./kept_turn_map.ts";
 import type { IPromptHome } from "./prompt_home_cache.ts";
@@ -61,14 +62,18 @@
   Found = "found",
   /** A turn of the chain is unknown to its owner. */
   Unknown = "unknown",
+  /** A turn of the chain belongs to another organisation. */
+  NotOwned = "not-owned",
   /** No owner responded in time. */
   Unavailable = "unavailable",
 }
 
+type ChainLookupFailure = Exclude<ChainLookupStatus, ChainLookupStatus.Found>;
+
 /** Result of a chain lookup. */
 export type ChainLookupResult =
   | { readonly state: ChainLookupStatus.Found; readonly chain: ITurnChain }
-  | { readonly state: ChainLookupStatus.Unknown | ChainLookupStatus.Unavailable };
+  | { readonly state: ChainLookupFailure };
 
 /** A turn whose response is complete. */
 export interface ICompletedTurn {
@@ -77,6 +82,15 @@
   /** Input and output of the turn itself. */
   readonly content: Uint8Array;
   readonly retainMs: number;
+  /** Name of the organisation that the turn belongs to, as in {@link KeptTurn}. */
+  readonly organisation?: string | undefined;
+}
+
+/** Who looks up a turn, and for how long. */
+export interface ILoadTurnOptions {
+  readonly timeoutMs: number;
+  /** Name of the caller's organisation, as in {@link KeptTurn}. */
+  readonly organisation?: string | undefined;
 }
 
 /** Access to budgets and kept turns, whichever instance owns them. */
@@ -85,8 +99,8 @@
   begin(request: ITurnRequest, timeoutMs: number): Effect.Effect<IBeginTurnResult | undefined>;
   /** Reports to the owner the tokens that a turn has delivered. */
   end(turn: IEndedTurn): Effect.Effect<void>;
-  /** Loads the chain that ends with a turn. */
-  load(turnId: string, timeoutMs: number): Effect.Effect<ChainLookupResult>;
+  /** Loads the chain that ends with a turn, all of which must belong to the caller's organisation. */
+  load(turnId: string, opts: ILoadTurnOptions): Effect.Effect<ChainLookupResult>;
   /** Stores a completed turn; true once it is in the log. */
   store(completed: ICompletedTurn, timeoutMs: number): Effect.Effect<boolean>;
 }
@@ -130,13 +144,13 @@
     });
   }
 
-  load(turnId: string, timeoutMs: number): Effect.Effect<ChainLookupResult> {
+  load(turnId: string, opts: ILoadTurnOptions): Effect.Effect<ChainLookupResult> {
     return Effect.gen({ self: this }, function* () {
-      const last = yield* this.#loadTurn(turnId, timeoutMs);
+      const last = yield* this.#loadTurn(turnId, opts);
       if (!(last instanceof Object)) return { state: last };
       const ancestors = yield* Effect.forEach(
         last.ancestors,
-        (ref) => this.#loadTurn(ref.turnId, timeoutMs),
+        (ref) => this.#loadTurn(ref.turnId, opts),
         { concurrency: "unbounded" },
       );
       const turns: KeptTurn[] = [];
@@ -166,14 +180,15 @@
 
   #loadTurn(
     turnId: string,
-    timeoutMs: number,
-  ): Effect.Effect<KeptTurn | ChainLookupStatus.Unknown | ChainLookupStatus.Unavailable> {
+    { timeoutMs, organisation }: ILoadTurnOptions,
+  ): Effect.Effect<KeptTurn | ChainLookupFailure> {
     return Effect.gen({ self: this }, function* () {
-      const recent = this.#recent.get(turnId);
-      if (recent !== undefined) return recent;
-      const found = yield* this.#retry(timeoutMs, () => this.#loadOnce(turnId));
+      const recent = this.#recent.find(turnId, organisation);
+      if (recent !== undefined && mayContinue(recent.organisation, organisation)) return recent;
+      const found = yield* this.#retry(timeoutMs, () => this.#loadOnce({ turnId, organisation }));
       if (found === undefined) return ChainLookupStatus.Unavailable;
       if (found.turn === undefined) return ChainLookupStatus.Unknown;
+      if (!mayContinue(found.turn.organisation, organisation)) return ChainLookupStatus.NotOwned;
       this.#recent.put(found.turn);
       return found.turn;
     });
@@ -222,11 +237,13 @@
     return Effect.map(isStored, (value) => value === true ? true : undefined);
   }
 
-  #loadOnce(turnId: string): Effect.Effect<{ turn: KeptTurn | undefined } | undefined, PeerError> {
+  #loadOnce(
+    { turnId, organisation }: { turnId: string; organisation: string | undefined },
+  ): Effect.Effect<{ turn: KeptTurn | undefined } | undefined, PeerError> {
     const owner = this.#ownerOf(turnId);
-    const loaded = owner === this.#opts.address ? this.#opts.owned.load(turnId) : this.#call(
+    const loaded = owner === this.#opts.address ? this.#opts.owned.load(turnId, organisation) : this.#call(
       owner,
-      (client, signal) => client.loadTurn({ turnId }, { signal }),
+      (client, signal) => client.loadTurn({ turnId, organisation }, { signal }),
       FAST_CALL_TIMEOUT_MS,
     );
     return Effect.map(loaded, (res) => res?.isOwner ? { turn: res.turn } : undefined);
@@ -250,7 +267,10 @@
  * Encodes a turn for storage: with a reference to each preceding turn, or with the content of the whole chain
  * if that is long or contains a turn that may be evicted before this one.
  */
-function toKeptTurn({ turnId, chain, content, retainMs }: ICompletedTurn, now: number): KeptTurn {
+function toKeptTurn(
+  { turnId, chain, content, retainMs, organisation }: ICompletedTurn,
+  now: number,
+): KeptTurn {
   const { contents, refs } = chain;
   const mayOutliveAncestor = refs.some(({ storedAtMs }) => now - storedAtMs > retainMs / 4);
   const isFullChain = mayOutliveAncestor || refs.length >= MAX_ANCESTORS;
@@ -260,5 +280,6 @@
     ancestors: isFullChain ? [] : [...refs],
     storedAtMs: now,
     retainMs,
+    organisation,
   });
 }
