Metrics: requests by organisation, for at most 20 organisations

Cause: operators could not see which organisation sends how much.

Change: organisation_requests_total by organisation and class of the status. The first 20 organisations that an instance serves have their own series, all others share "(other)", so that the number of series stays bounded.

--- a/src/call/common/gateway_relay.ts
+++ b/src/call/common/gateway_relay.ts
@@ -6,6 +6,7 @@
 import { combinedPriority, scopedId } from "../../services/organisations/common/organisation_scope.ts";
 import type { IRoute } from "../../services/routes/common/route_table.ts";
 import { isRepeatable, RouteKind, selectServiceByWeight } from "../../services/routes/common/route_table.ts";
+import { BoundedLabel } from "../../services/metrics/common/bounded_label.ts";
 import type { ITurnChain, ITurnClient } from "../../turns/common/turn_client.ts";
 import { ChainLookupStatus } from "../../turns/common/turn_client.ts";
 import type { IAttempt, IBackendDispatcherOptions } from "./backend_dispatcher.ts";
@@ -38,6 +39,8 @@
 /** Time limit for the first configuration and server list after startup: the time of a few store requests. */
 const STARTUP_TIMEOUT_MS = 600;
 const STARTUP_POLL_INTERVAL_MS = 20;
+/** Number of organisations with their own series in the metrics; all others share one. */
+const MAX_ORGANISATION_LABELS = 20;
 
 export interface IGatewayRelayOptions extends IBackendDispatcherOptions {
   readonly turns: ITurnClient;
@@ -51,6 +54,7 @@
   readonly #opts: IGatewayRelayOptions;
   readonly #dispatcher: BackendDispatcher;
   readonly #authorizer: CallAuthorizer;
+  readonly #organisationLabel = new BoundedLabel(MAX_ORGANISATION_LABELS);
 
   constructor(opts: IGatewayRelayOptions) {
     this.#opts = opts;
@@ -172,6 +176,8 @@
       ...evidence,
     });
     this.#opts.metrics.incrementCounter("early_refusals", { reason });
+    const name = this.#opts.routes.organisations.find(req?.apiKeyDigest)?.name;
+    if (name !== undefined) this.#countRequest(name, status);
     writeRefusal(sink, refusal);
   }
 
@@ -374,11 +380,19 @@
     if (call.choice !== undefined) call.crashEvidence = this.#opts.crashes.evidenceFor(call.identity);
   }
 
+  /** Counts a request of an organisation by the class of its status; "0xx" if its caller has left before a response. */
+  #countRequest(name: string, status: number): void {
+    const organisation = this.#organisationLabel.labelOf(name);
+    const statusClass = `${Math.floor(status / 100)}xx`;
+    this.#opts.metrics.incrementCounter("organisation_requests", { organisation, status: statusClass });
+  }
+
   #log(call: RelayedCall, event: string): Effect.Effect<void> {
     return Effect.map(Clock.currentTimeMillis, (now) => {
       this.#opts.logger.info(event, call.logFields(now));
       const labels = { route: call.route.kind, status: String(call.status) };
       this.#opts.metrics.recordDuration("request", now - call.startedAtMs, labels);
+      if (call.organisation !== undefined) this.#countRequest(call.organisation.name, call.status);
     });
   }
 }
