--- a/src/cli/common/request_causes.ts
+++ b/src/cli/common/request_causes.ts
@@ -10,6 +10,9 @@
 /** Number of running requests from which a server counts as heavily loaded. */
 const HIGH_LOAD_REQUESTS = 12;
 
+/** Event of a request that was not sent because its key is no longer valid. */
+const DENIED_EVENT = "send-denied";
+
 /** Log lines from which the causes are derived; the names are those of the JSON output of `explain`. */
 export interface IEvidence {
   readonly attempts: readonly ILogLine[];
@@ -32,15 +35,13 @@
     `the request carried no API key, and its route is not public in configuration ${versionOf(end)}`,
     ...storeCauses(beliefs),
   ],
-  [RefusalReason.KeyUnknown]: (end, { attempts, beliefs }) => [
-    ...attempts.filter(({ event }) => event === "send-denied").map((line) =>
-      `the key was valid when the request arrived, and no longer with configuration ${versionOf(line)}`
-    ),
-    `no organisation of configuration ${versionOf(end)} has a key whose digest begins with ${
+  [RefusalReason.KeyUnknown]: (end, { attempts, beliefs }) => {
+    const denials = denialCauses(attempts);
+    const unknown = `no organisation of configuration ${versionOf(end)} has a key whose digest begins with ${
       keyDigestOf(end)
-    }`,
-    ...storeCauses(beliefs),
-  ],
+    }`;
+    return [...(denials.length > 0 ? denials : [unknown]), ...storeCauses(beliefs)];
+  },
   [RefusalReason.OrganisationChanged]: (end) => [
     `the key with digest ${keyDigestOf(end)} was assigned to another organisation while the request waited`,
   ],
@@ -115,7 +116,8 @@
     ...storeCauses(evidence.beliefs),
   ],
   [RefusalReason.OutcomeUnknown]: (end, { attempts }) => [
-    ...attempts.map((line) =>
+    ...denialCauses(attempts),
+    ...attempts.filter(({ event }) => event !== DENIED_EVENT).map((line) =>
       `${line.fields.backend ?? "a backend server"} failed (${line.fields.fault ?? "no fault logged"}): ${
         line.fields.error ?? ""
       }`
@@ -222,6 +224,17 @@
   ];
 }
 
+/** Sends that did not take place because the key was withdrawn while the request waited. */
+function denialCauses(attempts: readonly ILogLine[]): string[] {
+  return attempts.filter(({ event }) => event === DENIED_EVENT).map((line) =>
+    `the key with digest ${
+      keyDigestOf(line)
+    } was valid when the request arrived, and no longer in configuration ${
+      versionOf(line)
+    }, so it was not sent (again)`
+  );
+}
+
 function versionOf({ fields }: ILogLine): string {
   return String(fields.version ?? "in force");
 }
--- a/src/cli/common/request_explanation_test.ts
+++ b/src/cli/common/request_explanation_test.ts
@@ -147,3 +147,46 @@
   const [other] = explainRequest([logLine(1, "i", refusal)], "r").causes;
   t.regex(other, /with this content/);
 });
+
+test("refusals by key name the reason, the start of the key's digest and the configuration version", (t) => {
+  const key = { keyDigest: "0123abcd", version: 7 };
+  const explain = (fields: object) =>
+    explainRequest([
+      logLine(9, "i", { event: "store-lost", topic: "t", error: "timed out" }),
+      logLine(10, "i", { event: "request", request: "r", tookMs: 0, ...fields }),
+    ], "r");
+  const store = "the store was unavailable to i (timed out)";
+  t.deepEqual(explain({ status: 401, reason: "key-unknown", ...key }).causes, [
+    "no organisation of configuration 7 has a key whose digest begins with 0123abcd",
+    store,
+  ]);
+  t.deepEqual(explain({ status: 401, reason: "key-missing", version: 7 }).causes, [
+    "the request carried no API key, and its route is not public in configuration 7",
+    store,
+  ]);
+  const turn = { status: 404, reason: "turn-not-owned", previousTurn: "t0", organisation: "acme", ...key };
+  t.deepEqual(explain(turn).causes, [
+    "turn t0 does not belong to acme, which the key with digest 0123abcd belongs to in configuration 7",
+  ]);
+  t.regex(renderExplanation("r", explain(turn)), /keyDigest=0123abcd/);
+});
+
+test("a request whose key was withdrawn while it waited names the configuration that did it", (t) => {
+  const key = { keyDigest: "0123abcd", version: 8 };
+  const explanation = explainRequest([
+    logLine(1, "i", { event: "send-denied", request: "r", reason: "key-unknown", ...key }),
+    logLine(1, "i", {
+      event: "request",
+      request: "r",
+      status: 502,
+      reason: "outcome-unknown",
+      runs: 1,
+      tookMs: 5,
+    }),
+  ], "r");
+  t.is(
+    explanation.causes[0],
+    "the key with digest 0123abcd was valid when the request arrived, and no longer in configuration 8, so it was not sent (again)",
+  );
+  t.is(explanation.causes.length, 2);
+});
