--- a/test/harness/gateway_cluster.ts
+++ b/test/harness/gateway_cluster.ts
@@ -146,6 +146,8 @@
   nowMs = 0;
   /** Whether the responses to requests with a mark in their target are lost. */
   losesAnswers = false;
+  /** Receives what instances send each other and the store, as messages and arguments of calls. */
+  recordTraffic: (traffic: unknown) => void = () => {};
   #nextId = 0;
   #nextWriter = 0n;
   #seed = 1;
@@ -339,11 +341,11 @@
           ...args: unknown[]
         ) => Effect.Effect<unknown, StoreError>;
         return (...args: unknown[]) =>
-          Effect.suspend(() =>
-            isRefused()
-              ? Effect.fail(new StoreError(StoreFault.Refused, "refused"))
-              : method.apply(store, args)
-          );
+          Effect.suspend(() => {
+            if (isRefused()) return Effect.fail(new StoreError(StoreFault.Refused, "refused"));
+            this.recordTraffic(args);
+            return method.apply(store, args);
+          });
       },
     });
   }
@@ -359,6 +361,7 @@
         Deferred.await(target.ended),
         Effect.fail(new UpstreamError(UpstreamFault.PathLost)),
       );
+      this.recordTraffic(send);
       const response = Effect.raceFirst(target.core.forwardService.send(send), lost);
       return Effect.map(response, ({ head, body }) => ({
         head,
@@ -379,6 +382,7 @@
       unary: async (...args) => {
         const target = connect();
         const response = await target.transport.unary(...args);
+        this.recordTraffic([args[4], response.message]);
         if (target.losesPeerResponses) return await new Promise(() => {});
         return response;
       },
--- a/test/stand_ins/backend_fleet.ts
+++ b/test/stand_ins/backend_fleet.ts
@@ -84,6 +84,9 @@
   readonly atMs: number;
   /** Time that the server was given for the request, in ms. */
   readonly timeoutMs: number;
+  /** Alternating names and values, as received. */
+  readonly headers: readonly string[];
+  readonly body: Uint8Array;
 }
 
 export interface IBackendFleetOptions {
@@ -154,6 +157,8 @@
         target: req.target,
         serverId: server.id,
         atMs: this.#opts.now(),
+        headers: req.headers,
+        body: req.body,
         timeoutMs: Number(req.headers[req.headers.indexOf(TIMEOUT_HEADER) + 1]),
       });
       server.runCount += 1;
