--- a/src/call/common/gateway_relay_test.ts
+++ b/src/call/common/gateway_relay_test.ts
@@ -17,6 +17,7 @@
 import { BackendDirectory } from "../../services/backends/common/backend_directory.ts";
 import { NullLogger } from "../../services/logging/common/logger.ts";
 import { Metrics } from "../../services/metrics/common/metrics.ts";
+import type { IOrganisation } from "../../services/organisations/common/organisation.ts";
 import type { IRoute } from "../../services/routes/common/route_table.ts";
 import { RouteKind, RouteTable } from "../../services/routes/common/route_table.ts";
 import type { ICompletedTurn, IEndedTurn, ITurnClient } from "../../turns/common/turn_client.ts";
@@ -140,6 +141,7 @@
     timeoutMs: 3000,
     lastEventId: undefined,
     ...resumeOf(headers),
+    apiKeyDigest: headers.includes("key") ? "digest" : undefined,
     affinityKey: undefined,
     prompt: { model: "m", promptTokens: 900, maxTokens: 50, parts: PARTS },
     program: {
@@ -188,6 +190,7 @@
   readonly backends?: number;
   readonly admission?: IProgramAdmission;
   readonly isStale?: boolean;
+  readonly organisations?: readonly IOrganisation[];
   readonly target?: string;
   readonly crashes?: CrashMonitor;
   /** Software versions of the servers; "v1" by default. */
@@ -216,6 +219,7 @@
     routes: [{ ...ROUTE, ...route, prefix: "/x" }],
     services: new Map([["s", { name: "s", maxConnections: 10, engine }]]),
     limits: { maxHeaderBytes: 1, maxBodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 },
+    organisations: setup.organisations,
   });
   const directory = new BackendDirectory(logger, {
     now: () => 0,
@@ -503,6 +507,42 @@
   t.is(fresh.sent.length, 0);
 });
 
+test("new programs are admitted by the organisation's priority first, then by the route's", async (t) => {
+  const turns = new FakeTurns();
+  turns.isFresh = true;
+  const priorities: number[] = [];
+  const admission: IProgramAdmission = {
+    decide: ({ priority }) => {
+      priorities.push(priority);
+      return { isAdmitted: true };
+    },
+  };
+  for (const [priority, routePriority] of [[undefined, 3], [0, 3], [0, 9], [1, 0]] as const) {
+    const organisations = [{ name: "a", keyDigests: ["digest"], priority, allotment: undefined }];
+    const route = { ...STREAM, priority: routePriority };
+    await relay({
+      route,
+      turns,
+      admission,
+      organisations,
+      headers: ["key"],
+      script: [{ chunks: [event(1)] }],
+    });
+  }
+  t.deepEqual(priorities, [3, 0.75, 0.9, 1]);
+});
+
+test("without a known key the answer is 401 before that for an unknown route, but 503 while the configuration may be stale", async (t) => {
+  const organisations: IOrganisation[] = [];
+  for (const target of ["/x", "/other"]) {
+    for (const headers of [[], ["key"]]) {
+      const refused = await relay({ target, headers, organisations });
+      t.deepEqual([refused.sink.status, refused.sent.length], [401, 0]);
+      t.is((await relay({ target, headers, organisations, isStale: true })).sink.status, 503);
+    }
+  }
+});
+
 test("responds with 404 for an unknown route, but 503 while the configuration may be stale", async (t) => {
   t.is((await relay({ target: "/other" })).sink.status, 404);
   t.is((await relay({ target: "/other", isStale: true })).sink.status, 503);
--- a/test/proofs/api_keys_test.ts
+++ b/test/proofs/api_keys_test.ts
@@ -9,7 +9,7 @@
   IWireOrganisation,
 } from "../harness/gateway_cluster.ts";
 import { CallerKind, GatewayCluster, RoutePath } from "../harness/gateway_cluster.ts";
-import { CrashForm, RestartForm } from "../stand_ins/backend_fleet.ts";
+import { CrashForm, RestartForm, ServerBehavior } from "../stand_ins/backend_fleet.ts";
 import type { RecordingSink } from "../stand_ins/recording_sink.ts";
 
 /** Longest time between the store's acknowledgement of a configuration and its effect. */
@@ -242,6 +242,22 @@
       t.deepEqual(valuesOf(cluster.fleet.runs.at(-1)!.headers, "ragwortcleat-tenant"), ["globex"]);
     }), { serversPerService: 1 }));
 
+test("a request that may have run is not sent again once its key is revoked, and its outcome is unknown", (t) =>
+  run((cluster) =>
+    Effect.gen(function* () {
+      for (const server of cluster.fleet.servers) server.behavior = ServerBehavior.Silent;
+      const req = { route: RoutePath.Safe, name: "n", caller: CallerKind.None, apiKey: ACME_KEY };
+      const sending = yield* Effect.forkChild(cluster.send("g0", req));
+      yield* cluster.advance(STEP_MS);
+      cluster.publishConfiguration({ organisations: [GLOBEX] });
+      yield* cluster.advance(APPLY_MS);
+      // 401 would promise that nothing has run.
+      assertRefused(t, yield* Fiber.join(sending), [502, "outcome-unknown"]);
+      t.is(cluster.fleet.runs.length, 1);
+      t.is(cluster.linesOf("send-denied").length, 1);
+    })
+  ));
+
 test("a stream that a server has begun continues after its key is revoked", (t) =>
   run((cluster) =>
     Effect.gen(function* () {
