Urgency: without a priority of the organisation the rank is computed exactly as before

Cause: rounding, which an organisation's priority needs, also applied to routes with a fraction as their priority.

Change: only the ranks of organisations with a priority are rounded. The test also covers a late request.

--- a/src/call/common/backend_dispatcher.ts
+++ b/src/call/common/backend_dispatcher.ts
@@ -427,9 +427,12 @@
 
 /** Returns the rank of a request on an engine. Within a priority, late requests rank behind the others. */
 function urgencyOf({ route, req, organisation }: RelayedCall): number {
-  const isLate = (req.program?.remainingMs ?? 1) <= 0;
+  const latePenalty = (req.program?.remainingMs ?? 1) <= 0 ? LATE_URGENCY_PENALTY : 0;
+  if (organisation?.priority === undefined) {
+    return Math.min(MAX_URGENCY, BASE_URGENCY + route.priority * URGENCY_PER_PRIORITY + latePenalty);
+  }
   const priority = combinedPriority(organisation, route);
-  const rank = Math.floor(priority * URGENCY_PER_PRIORITY) + (isLate ? LATE_URGENCY_PENALTY : 0);
+  const rank = Math.floor(priority * URGENCY_PER_PRIORITY) + latePenalty;
   // A late request of an organisation does not rank as low as those of organisations with the next priority.
   const lowestRank = Math.floor(priority) * URGENCY_PER_PRIORITY + LATE_URGENCY_PENALTY;
   return Math.min(MAX_URGENCY, BASE_URGENCY + Math.min(rank, lowestRank));
--- a/src/call/common/relayed_call.ts
+++ b/src/call/common/relayed_call.ts
@@ -36,7 +36,7 @@
   /** Earlier of the caller's deadline and the route's timeout, in ms since the epoch. */
   readonly deadlineAtMs: number;
   readonly configurationVersion: number;
-  /** Organisation that the request's API key belongs to; undefined without organisations or on a public route. */
+  /** Organisation that the request's API key belongs to; undefined without organisations, and on a public route without a known key. */
   readonly organisation: IOrganisation | undefined;
   /**
    * Name of the organisation that what the request stores belongs to; empty for a caller without one, undefined without
--- a/test/proofs/api_keys_test.ts
+++ b/test/proofs/api_keys_test.ts
@@ -409,12 +409,13 @@
   run((cluster) =>
     Effect.gen(function* () {
       const ranks: string[] = [];
-      for (const apiKey of [ACME_KEY, GLOBEX_KEY]) {
-        yield* send(cluster, turn(`t-${apiKey}`, { apiKey }));
+      const late = ["Ragwortcleat-Finish-Ms", "0"];
+      for (const [apiKey, headers] of [[ACME_KEY, []], [ACME_KEY, late], [GLOBEX_KEY, []]] as const) {
+        yield* send(cluster, turn(`t-${ranks.length}`, { apiKey, headers }));
         ranks.push(...valuesOf(cluster.fleet.runs.at(-1)!.headers, "ragwortcleat-urgency"));
       }
-      // Priority 1 of the organisation against the default priority 5 of the route.
-      t.deepEqual(ranks, ["6", "9"]);
+      // Priority 1 of the organisation, also if late, against the default priority 5 of the route.
+      t.deepEqual(ranks, ["6", "6", "9"]);
     })
   ));
 
