--- a/src/call/common/backend_dispatcher.ts
+++ b/src/call/common/backend_dispatcher.ts
@@ -11,10 +11,12 @@
 import type { BackendDirectory, IBackendEntry } from "../../services/backends/common/backend_directory.ts";
 import type { ILogger } from "../../services/logging/common/logger.ts";
 import type { Metrics } from "../../services/metrics/common/metrics.ts";
+import { combinedPriority } from "../../services/organisations/common/organisation_scope.ts";
 import type { IEngineInfo, RouteTable } from "../../services/routes/common/route_table.ts";
 import { isRepeatable, RouteKind } from "../../services/routes/common/route_table.ts";
 import type { IPromptHome } from "../../turns/common/prompt_home_cache.ts";
 import { BufferedBody } from "./buffered_body.ts";
+import { CallAuthorizer } from "./call_authorizer.ts";
 import type { CrashMonitor } from "./crash_monitor.ts";
 import type { IObservedAttempt } from "./observed_attempt.ts";
 import { AttemptResult } from "./observed_attempt.ts";
@@ -80,6 +82,8 @@
   readonly responseMemory: ResponseMemoryPool;
   readonly logger: ILogger;
   readonly metrics: Metrics;
+  /** Whether the configuration may be stale because the store does not respond. */
+  readonly isConfigurationStale: () => boolean;
   /** Availability zone of this instance. */
   readonly zone: string;
 }
@@ -99,9 +103,11 @@
 
 export class BackendDispatcher {
   readonly #opts: IBackendDispatcherOptions;
+  readonly #authorizer: CallAuthorizer;
 
   constructor(opts: IBackendDispatcherOptions) {
     this.#opts = opts;
+    this.#authorizer = new CallAuthorizer(opts);
   }
 
   /**
@@ -171,13 +177,15 @@
     const { req, service } = call;
     const input = {
       zone: this.#opts.zone,
-      affinity: req.program?.sessionId ?? req.affinityKey ?? "",
+      affinity: affinityOf(call, req.program?.sessionId ?? req.affinityKey),
       parts: req.prompt?.parts ?? [],
       promptTokens: req.prompt?.promptTokens ?? 0,
       maxTokens: req.prompt?.maxTokens ?? 0,
       excluded,
     };
-    const affinity = call.route.kind === RouteKind.Stream ? input.affinity : req.affinityKey ?? "";
+    const affinity = call.route.kind === RouteKind.Stream
+      ? input.affinity
+      : affinityOf(call, req.affinityKey);
     const separation = this.#opts.crashes.separationOf(call.identity);
     if (separation !== undefined) {
       const chooser = new SuspectBackendChooser(this.#opts.loads, separation);
@@ -248,13 +256,27 @@
         this.#opts.logger.info("backend-unavailable", { request: req.id, backend: choice.backend.id });
         return AttemptOutcome.NotRun;
       }
+      call.denial = this.#authorizer.recheck(call);
+      if (call.denial !== undefined) {
+        observed.result = AttemptResult.NotStarted;
+        this.#opts.logger.info("send-denied", {
+          request: req.id,
+          reason: call.denial.reason,
+          version: this.#opts.routes.version,
+          ...this.#authorizer.logFields(req),
+        });
+        return AttemptOutcome.Denied;
+      }
       const now = yield* Clock.currentTimeMillis;
+      const hasOrganisations = this.#opts.routes.organisations.isConfigured;
       const headers = this.#opts.codec.dispatchHeaders(req, {
         timeoutMs: Math.max(1, Math.floor(call.deadlineAtMs - now)),
         backendId: choice.backend.id,
         urgency: req.prompt === undefined ? undefined : urgencyOf(call),
         lastEventId: call.lastEventId,
         bodyLength: body.length,
+        hasOrganisations,
+        organisation: hasOrganisations ? call.organisation?.name : undefined,
       });
       const request = this.#opts.upstream.send(choice.backend, {
         requestId: req.id,
@@ -368,21 +390,22 @@
   }
 
   /** Records which engine has the prompt's prefix in its cache, as reported by the program's owner. */
-  recordPromptHome({ req }: RelayedCall, { backendId, partId, tokens }: IPromptHome): void {
+  recordPromptHome(call: RelayedCall, { backendId, partId, tokens }: IPromptHome): void {
     const { directory, caches } = this.#opts;
     if (!directory.has(backendId)) return;
-    for (const part of req.prompt?.parts ?? []) {
-      const isLast = part.id === partId;
+    for (const part of call.req.prompt?.parts ?? []) {
+      const isLast = call.scoped(part.id) === partId;
       caches.recordReportedPart({ backendId, partId: part.id, tokens: isLast ? tokens : part.tokens });
       if (isLast) return;
     }
   }
 
   /** Returns the engine that has processed a turn's prompt; undefined if none has sent any event. */
-  promptHomeOf({ req, choice, events }: RelayedCall, tokens: number): IPromptHome | undefined {
+  promptHomeOf(call: RelayedCall, tokens: number): IPromptHome | undefined {
+    const { req, choice, events } = call;
     const last = req.prompt?.parts.at(-1);
     if (last === undefined || choice === undefined || events === 0) return undefined;
-    return { partId: last.id, backendId: choice.backend.id, tokens: last.tokens + tokens };
+    return { partId: call.scoped(last.id), backendId: choice.backend.id, tokens: last.tokens + tokens };
   }
 
   #recordPrompt({ req, service, choice }: RelayedCall): void {
@@ -411,9 +434,19 @@
   return isSuccess(head) && !head.isSigned;
 }
 
+function affinityOf(call: RelayedCall, key: string | undefined): string {
+  return key === undefined || key === "" ? "" : call.scoped(key);
+}
+
 /** Returns the rank of a request on an engine. Within a priority, late requests rank behind the others. */
-function urgencyOf({ route, req }: RelayedCall): number {
-  const isLate = (req.program?.remainingMs ?? 1) <= 0;
-  const rank = BASE_URGENCY + route.priority * URGENCY_PER_PRIORITY + (isLate ? LATE_URGENCY_PENALTY : 0);
-  return Math.min(MAX_URGENCY, rank);
+function urgencyOf({ route, req, organisation }: RelayedCall): number {
+  const latePenalty = (req.program?.remainingMs ?? 1) <= 0 ? LATE_URGENCY_PENALTY : 0;
+  if (organisation?.priority === undefined) {
+    return Math.min(MAX_URGENCY, BASE_URGENCY + route.priority * URGENCY_PER_PRIORITY + latePenalty);
+  }
+  const priority = combinedPriority(organisation, route);
+  const rank = Math.floor(priority * URGENCY_PER_PRIORITY) + latePenalty;
+  // A late request of an organisation does not rank as low as those of organisations with the next priority.
+  const lowestRank = Math.floor(priority) * URGENCY_PER_PRIORITY + LATE_URGENCY_PENALTY;
+  return Math.min(MAX_URGENCY, BASE_URGENCY + Math.min(rank, lowestRank));
 }
--- a/src/call/common/gateway_relay.ts
+++ b/src/call/common/gateway_relay.ts
@@ -3,12 +3,16 @@
 import { TurnVerdict } from "../../base/common/gen/ragwortcleat/v1/turns_pb.ts";
 import type { IBackendChoice } from "../../routing/common/backend_chooser.ts";
 import type { IProgramAdmission } from "../../routing/common/program_admission.ts";
+import type { IOrganisation } from "../../services/organisations/common/organisation.ts";
+import { combinedPriority, scopedId } from "../../services/organisations/common/organisation_scope.ts";
 import type { IRoute } from "../../services/routes/common/route_table.ts";
 import { isRepeatable, RouteKind, selectServiceByWeight } from "../../services/routes/common/route_table.ts";
+import { BoundedLabel } from "../../services/metrics/common/bounded_label.ts";
 import type { ITurnChain, ITurnClient } from "../../turns/common/turn_client.ts";
 import { ChainLookupStatus } from "../../turns/common/turn_client.ts";
 import type { IAttempt, IBackendDispatcherOptions } from "./backend_dispatcher.ts";
 import { BackendDispatcher } from "./backend_dispatcher.ts";
+import { CallAuthorizer } from "./call_authorizer.ts";
 import type { IRefusal } from "./gateway_refusal.ts";
 import { finalRefusal, GatewayStatus, RefusalReason, retryableRefusal } from "./gateway_refusal.ts";
 import type { IOpaqueRequest, IRawRequest, IResponseSink } from "./opaque_request.ts";
@@ -37,6 +41,8 @@
 /** Time limit for the first configuration and server list after startup: the time of a few store requests. */
 const STARTUP_TIMEOUT_MS = 600;
 const STARTUP_POLL_INTERVAL_MS = 20;
+/** Number of organisations with their own series in the metrics; all others share one. */
+const MAX_ORGANISATION_LABELS = 20;
 
 export interface IGatewayRelayOptions extends IBackendDispatcherOptions {
   readonly turns: ITurnClient;
@@ -45,29 +51,45 @@
   readonly streamAnnouncer: IStreamOriginAnnouncer;
   /** Returns a random number in [0, 1). */
   readonly random: () => number;
-  /** Whether the configuration may be stale because the store does not respond. */
-  readonly isConfigurationStale: () => boolean;
+}
+
+/** What identifies the stream that a request begins or resumes, beside the request itself. */
+interface IStreamContext {
+  readonly identity: RequestIdentity;
+  readonly route: IRoute;
+  readonly organisation: IOrganisation | undefined;
 }
 
 export class GatewayRelay {
   readonly #opts: IGatewayRelayOptions;
   readonly #dispatcher: BackendDispatcher;
+  readonly #authorizer: CallAuthorizer;
+  readonly #organisationLabel = new BoundedLabel(MAX_ORGANISATION_LABELS);
 
   constructor(opts: IGatewayRelayOptions) {
     this.#opts = opts;
+    this.#authorizer = new CallAuthorizer(opts);
     this.#dispatcher = new BackendDispatcher(opts);
   }
 
   /** Serves one request. Interruption means that the caller has disconnected. */
   handle(raw: IRawRequest, sink: IResponseSink): Effect.Effect<void> {
     return Effect.gen({ self: this }, function* () {
-      const req = this.#opts.codec.readRequest(raw);
-      if (req === undefined) {
+      const { routes, codec } = this.#opts;
+      const { isConfigured: hadOrganisations } = routes.organisations;
+      const first = codec.readRequest(raw, { hasOrganisations: hadOrganisations });
+      if (first === undefined) {
         return this.#refuseEarly(sink, finalRefusal(GatewayStatus.BadRequest, RefusalReason.NoIdentity));
       }
-      const { routes } = this.#opts;
       yield* this.#awaitConfiguration();
+      const { isConfigured: hasOrganisations } = routes.organisations;
+      const req = hasOrganisations === hadOrganisations
+        ? first
+        : codec.readRequest(raw, { hasOrganisations })!;
       const route = routes.find(req.host, req.target);
+      const organisation = routes.organisations.find(req.apiKeyDigest);
+      const denial = this.#authorizer.check(req, route);
+      if (denial !== undefined) return this.#refuseEarly(sink, denial, req);
       if (route === undefined) return this.#refuseEarly(sink, this.#noRouteRefusal(), req);
       const identity = RequestIdentity.of(req);
       if (this.#opts.crashes.isQuarantined(identity)) {
@@ -75,12 +97,14 @@
       }
       const now = yield* Clock.currentTimeMillis;
       const isResumed = route.kind === RouteKind.Stream && req.lastEventId !== undefined;
-      const origin = isResumed ? yield* this.#findOrigin(req, { identity, route }) : undefined;
+      const origin = isResumed ? yield* this.#findOrigin(req, { identity, route, organisation }) : undefined;
       if (isResumed && origin === undefined) {
         const refusal = retryableRefusal(RefusalReason.StreamUnknown, STREAM_RETRY_AFTER_MS);
         return this.#refuseEarly(sink, refusal, req);
       }
-      const earlierOrigin = isResumed ? undefined : this.#findEarlierOrigin(req, { identity, route });
+      const earlierOrigin = isResumed
+        ? undefined
+        : this.#findEarlierOrigin(req, { identity, route, organisation });
       const call = new RelayedCall(req, {
         identity,
         route,
@@ -88,6 +112,8 @@
           selectServiceByWeight(route.services, this.#opts.random()),
         now,
         configurationVersion: routes.version,
+        organisation,
+        hasOrganisations,
       });
       call.origin = origin;
       call.earlierOrigin = earlierOrigin;
@@ -109,10 +135,16 @@
   /** Returns the origin of a stream that a caller resumes; undefined if it may not go on here. */
   #findOrigin(
     req: IOpaqueRequest,
-    { identity, route }: { identity: RequestIdentity; route: IRoute },
+    { identity, route, organisation }: IStreamContext,
   ): Effect.Effect<IStreamOrigin | undefined> {
+    const { resumes, program } = req;
+    const name = organisation?.name;
+    const attemptId = resumes === undefined ? undefined : scopedId(resumes, name);
     return Effect.map(
-      this.#opts.streamFinder.find({ attemptId: req.resumes, contentKey: contentKeyOf(identity, req) }),
+      this.#opts.streamFinder.find({
+        attemptId,
+        contentKey: contentKeyOf(identity, { program, organisation: name }),
+      }),
       (origin) => route.services.some(({ service }) => service === origin?.service) ? origin : undefined,
     );
   }
@@ -120,10 +152,12 @@
   /** Returns the origin of earlier tries of a stream that its caller begins anew; undefined if none may be continued. */
   #findEarlierOrigin(
     req: IOpaqueRequest,
-    { identity, route }: { identity: RequestIdentity; route: IRoute },
+    { identity, route, organisation }: IStreamContext,
   ): IStreamOrigin | undefined {
     if (route.kind !== RouteKind.Stream || !route.isResumable) return undefined;
-    const origin = this.#opts.streamFinder.findEarlier(contentKeyOf(identity, req));
+    const { program } = req;
+    const contentKey = contentKeyOf(identity, { program, organisation: organisation?.name });
+    const origin = this.#opts.streamFinder.findEarlier(contentKey);
     return route.services.some(({ service }) => service === origin?.service) ? origin : undefined;
   }
 
@@ -152,16 +186,21 @@
     const evidence = reason === RefusalReason.CrashingRequest && req !== undefined
       ? this.#opts.crashes.evidenceFor(RequestIdentity.of(req))
       : {};
+    const organisations = req === undefined ? {} : this.#authorizer.logFields(req);
     this.#opts.logger.info("request", {
       request: req?.id,
       target: req?.target,
       status,
       reason,
+      version: this.#opts.routes.configuration?.version,
+      ...organisations,
       resumedAfter: req?.lastEventId,
       resumes: req?.resumes,
       ...evidence,
     });
     this.#opts.metrics.incrementCounter("early_refusals", { reason });
+    const name = this.#opts.routes.organisations.find(req?.apiKeyDigest)?.name;
+    if (name !== undefined) this.#countRequest(name, status);
     writeRefusal(sink, refusal);
   }
 
@@ -194,7 +233,12 @@
     const { req, service, events } = call;
     const tokens = events * (this.#dispatcher.engineOf(service)?.tokensPerEvent ?? 0);
     const home = this.#dispatcher.promptHomeOf(call, tokens);
-    return this.#opts.turns.end({ programId: req.program!.programId, turnId: req.id, tokens, home });
+    return this.#opts.turns.end({
+      programId: call.scoped(req.program!.programId),
+      turnId: req.id,
+      tokens,
+      home,
+    });
   }
 
   /** Obtains the budget and the history of a turn and serves it. */
@@ -204,12 +248,12 @@
       const program = req.program!;
       const timeoutMs = Math.min(OWNER_TIMEOUT_MS, call.deadlineAtMs - call.startedAtMs);
       const grant = {
-        programId: program.programId,
+        programId: call.scoped(program.programId),
         turnId: req.id,
         maxTokens: req.prompt?.maxTokens ?? 0,
         budget: program.budgetTokens!,
         retainMs: route.retainMs,
-        partIds: (req.prompt?.parts ?? []).map(({ id }) => id),
+        partIds: (req.prompt?.parts ?? []).map(({ id }) => call.scoped(id)),
       };
       const beginTurn = Effect.map(this.#opts.turns.begin(grant, timeoutMs), (begun) => {
         call.isTurnRefused = begun !== undefined && begun.verdict !== TurnVerdict.GRANTED;
@@ -217,6 +261,9 @@
       });
       const loadChain = this.#loadChain(call, timeoutMs);
       const [begun, chain] = yield* Effect.all([beginTurn, loadChain], { concurrency: "unbounded" });
+      if (chain === ChainLookupStatus.NotOwned) {
+        return finalRefusal(GatewayStatus.NotFound, RefusalReason.TurnNotOwned);
+      }
       const verdict = begun?.verdict;
       if (verdict === TurnVerdict.SPENT) {
         return finalRefusal(GatewayStatus.BudgetExhausted, RefusalReason.BudgetExhausted);
@@ -245,7 +292,7 @@
     const previous = call.req.program?.previousTurnId;
     if (!call.route.keepsHistory || previous === undefined) return Effect.succeed({ contents: [], refs: [] });
     return Effect.map(
-      this.#opts.turns.load(previous, timeoutMs),
+      this.#opts.turns.load(previous, { timeoutMs, organisation: call.ownerName }),
       (result) => result.state === ChainLookupStatus.Found ? result.chain : result.state,
     );
   }
@@ -262,6 +309,7 @@
         if (!(yield* this.#announceVersionChange(call, choice))) return this.#notRecordedRefusal(call);
         const outcome = yield* this.#dispatcher.run(attempt, choice);
         if (outcome === AttemptOutcome.Done) return undefined;
+        if (outcome === AttemptOutcome.Denied) return this.#deniedRefusal(call);
         if (outcome === AttemptOutcome.NotSent) continue;
         if (outcome === AttemptOutcome.Unreachable) return this.#unreachableRefusal(call);
         call.excluded.add(choice.backend.id);
@@ -281,7 +329,7 @@
   }
 
   /** Admits or refuses a program before its first turn, by the utilization of the engines. */
-  #admit({ route, service }: RelayedCall): IRefusal | undefined {
+  #admit({ route, service, organisation }: RelayedCall): IRefusal | undefined {
     const { directory, loads, permits, admission, random } = this.#opts;
     const engines = directory.listAvailable(service);
     // Engines that accept nothing more for now offer no capacity, however few requests they run.
@@ -290,7 +338,7 @@
     if (open.length === 0 && engines.length > 0) engineUtilizations.push(1);
     const decision = admission.decide({
       engineUtilizations,
-      priority: route.priority,
+      priority: combinedPriority(organisation, route),
       random: random(),
     });
     return decision.isAdmitted
@@ -317,13 +365,12 @@
    */
   #announceVersionChange(call: RelayedCall, { backend }: IBackendChoice): Effect.Effect<boolean> {
     return Effect.suspend(() => {
-      const { req, identity, earlierOrigin } = call;
+      const { earlierOrigin } = call;
       const { service, softwareVersion } = backend;
       if (call.origin !== undefined || earlierOrigin === undefined) return Effect.succeed(true);
       if (earlierOrigin.softwareVersion === softwareVersion) return Effect.succeed(true);
       const origin = { service, softwareVersion };
-      const stream = { attemptId: req.id, contentKey: contentKeyOf(identity, req) };
-      return Effect.map(this.#opts.streamAnnouncer.announce(stream, origin), (isRecorded) => {
+      return Effect.map(this.#opts.streamAnnouncer.announce(call.streamKey, origin), (isRecorded) => {
         if (isRecorded) call.origin = origin;
         return isRecorded;
       });
@@ -336,6 +383,13 @@
       : retryableRefusal(RefusalReason.StreamNotRecorded, STORE_RETRY_AFTER_MS);
   }
 
+  /** Creates the refusal of a request whose API key has been withdrawn since it arrived. */
+  #deniedRefusal(call: RelayedCall): IRefusal {
+    return call.runs > 0 || call.denial === undefined
+      ? finalRefusal(GatewayStatus.BadGateway, unknownOutcomeReason(call))
+      : call.denial;
+  }
+
   #unreachableRefusal(call: RelayedCall): IRefusal {
     return call.runs > 0
       ? finalRefusal(GatewayStatus.BadGateway, unknownOutcomeReason(call))
@@ -363,7 +417,8 @@
       if (!route.keepsHistory) return true;
       const now = yield* Clock.currentTimeMillis;
       const content = Buffer.concat([req.body, Buffer.from(call.output.join(""), "latin1")]);
-      const completed = { turnId: req.id, chain, content, retainMs: route.retainMs };
+      const { retainMs } = route;
+      const completed = { turnId: req.id, chain, content, retainMs, organisation: call.ownerName };
       return yield* this.#opts.turns.store(completed, call.deadlineAtMs - now);
     });
   }
@@ -373,11 +428,19 @@
     if (call.choice !== undefined) call.crashEvidence = this.#opts.crashes.evidenceFor(call.identity);
   }
 
+  /** Counts a request of an organisation by the class of its status; "0xx" if its caller has left before a response. */
+  #countRequest(name: string, status: number): void {
+    const organisation = this.#organisationLabel.labelOf(name);
+    const statusClass = `${Math.floor(status / 100)}xx`;
+    this.#opts.metrics.incrementCounter("organisation_requests", { organisation, status: statusClass });
+  }
+
   #log(call: RelayedCall, event: string): Effect.Effect<void> {
     return Effect.map(Clock.currentTimeMillis, (now) => {
       this.#opts.logger.info(event, call.logFields(now));
       const labels = { route: call.route.kind, status: String(call.status) };
       this.#opts.metrics.recordDuration("request", now - call.startedAtMs, labels);
+      if (call.organisation !== undefined) this.#countRequest(call.organisation.name, call.status);
     });
   }
 }
@@ -394,5 +457,6 @@
 function writeRefusal(sink: IResponseSink, { status, reason, retryAfterMs }: IRefusal): void {
   const headers = ["content-type", "application/problem+json"];
   if (retryAfterMs !== undefined) headers.push("retry-after", (retryAfterMs / 1000).toFixed(2));
+  if (status === GatewayStatus.Unauthorized) headers.push("www-authenticate", "Bearer");
   sink.respond(status, headers, Buffer.from(JSON.stringify({ status, title: reason })));
 }
--- a/src/call/common/relayed_call.ts
+++ b/src/call/common/relayed_call.ts
@@ -1,10 +1,14 @@
 /** State of one request that the gateway is relaying. */
 import type { IBackendChoice } from "../../routing/common/backend_chooser.ts";
+import type { IOrganisation } from "../../services/organisations/common/organisation.ts";
+import { scopedId } from "../../services/organisations/common/organisation_scope.ts";
+import { digestPrefixOf } from "../../services/organisations/common/organisation_table.ts";
 import type { IRoute } from "../../services/routes/common/route_table.ts";
 import type { GatewayStatus, IRefusal, RefusalReason } from "./gateway_refusal.ts";
 import type { BodyFraming, IOpaqueRequest, UpstreamFault } from "./opaque_request.ts";
 import type { RequestIdentity } from "./request_identity.ts";
 import type { IStreamOrigin } from "./stream_origin.ts";
+import { contentKeyOf } from "./stream_origin.ts";
 
 /** Outcome of one attempt on a backend server. */
 export enum AttemptOutcome {
@@ -18,6 +22,8 @@
   NotSent = "not-sent",
   /** The request was not sent, and no server can be reached. */
   Unreachable = "unreachable",
+  /** The request was not sent, because its API key is no longer valid. */
+  Denied = "denied",
   /** The server may have run the request, but no complete response arrived. */
   Failed = "failed",
 }
@@ -31,6 +37,15 @@
   /** Earlier of the caller's deadline and the route's timeout, in ms since the epoch. */
   readonly deadlineAtMs: number;
   readonly configurationVersion: number;
+  /** Organisation that the request's API key belongs to; undefined without organisations, and on a public route without a known key. */
+  readonly organisation: IOrganisation | undefined;
+  /**
+   * Name of the organisation that what the request stores belongs to; empty for a caller without one, undefined without
+   * organisations.
+   */
+  readonly ownerName: string | undefined;
+  /** Why the request may no longer be sent; undefined if it may. */
+  denial: IRefusal | undefined;
   /** Servers that refused the request or failed during it. */
   readonly excluded = new Set<string>();
   /** Number of attempts in which the server may have run the request. */
@@ -78,6 +93,8 @@
       service: string;
       now: number;
       configurationVersion: number;
+      organisation?: IOrganisation | undefined;
+      hasOrganisations?: boolean;
     },
   ) {
     this.req = req;
@@ -86,6 +103,8 @@
     this.service = opts.service;
     this.startedAtMs = opts.now;
     this.configurationVersion = opts.configurationVersion;
+    this.organisation = opts.organisation;
+    this.ownerName = opts.organisation?.name ?? (opts.hasOrganisations ? "" : undefined);
     this.deadlineAtMs = opts.now + Math.min(req.timeoutMs ?? Infinity, opts.route.timeoutMs);
     this.lastEventId = req.lastEventId;
   }
@@ -100,6 +119,8 @@
       maxTokens: req.prompt?.maxTokens,
       slackMs: req.program?.remainingMs,
       previousTurn: req.program?.previousTurnId,
+      organisation: this.organisation?.name,
+      keyDigest: this.#keyDigestPrefix,
       route: route.name,
       version: this.configurationVersion,
       status: this.status,
@@ -127,6 +148,24 @@
     };
   }
 
+  /** Undefined unless organisations are configured: other credentials of callers are not logged. */
+  get #keyDigestPrefix(): string | undefined {
+    const digest = this.req.apiKeyDigest;
+    return this.ownerName === undefined || digest === undefined ? undefined : digestPrefixOf(digest);
+  }
+
+  /** Combines an id that the caller states with the name of its organisation. */
+  scoped(id: string): string {
+    return scopedId(id, this.organisation?.name);
+  }
+
+  /** Identifies the stream that the call begins. */
+  get streamKey(): { attemptId: string; contentKey: bigint } {
+    const { req: { id, program }, identity, organisation } = this;
+    const contentKey = contentKeyOf(identity, { program, organisation: organisation?.name });
+    return { attemptId: this.scoped(id), contentKey };
+  }
+
   /** Records a refusal by the gateway as the outcome and returns its status. */
   refuse(refusal: IRefusal): GatewayStatus {
     this.refusal = refusal;
--- a/src/call/common/stream_relay.ts
+++ b/src/call/common/stream_relay.ts
@@ -7,7 +7,6 @@
 import type { RelayedCall } from "./relayed_call.ts";
 import type { ILimitedReceiver, IResponseLimits } from "./response_limits.ts";
 import type { IStreamOrigin } from "./stream_origin.ts";
-import { contentKeyOf } from "./stream_origin.ts";
 
 /** Time without an event after which a stream counts as stalled. Callers time out after 2 s without data. */
 const STREAM_IDLE_TIMEOUT_MS = 1500;
@@ -152,8 +151,7 @@
     const { service, softwareVersion } = this.#call.choice!.backend;
     this.#call.origin ??= { service, softwareVersion };
     if (!this.#call.route.isResumable) return;
-    const { req, identity, origin } = this.#call;
-    this.#streams.record({ attemptId: req.id, contentKey: contentKeyOf(identity, req) }, origin);
+    this.#streams.record(this.#call.streamKey, this.#call.origin);
   }
 
   /** Whether the caller already has the event, from a server that sent an earlier part of the stream. */
