Weigh the failure rate of each server when a server is chosen

Cause: a server of which every second answer is an error or lost was used as before. An error response did not count against it, and one answer ended the back-off after a lost one.

Change: ServerFailureRates counts the recent answers of each server run: statuses from 500 on without the statement that the request has not run, lost answers, and answers that did not arrive in time. A server that fails clearly more than the others of its service receives once-only requests only while no other has a free slot; for repeatable ones its cost rises, and one request after 2 s without any probes it. Slowdown and back-off stay as they are. Services whose servers all fail alike, or 1 % each, are placed as before.

--- a/bench/placement/engine_selectors.ts
+++ b/bench/placement/engine_selectors.ts
@@ -97,6 +97,7 @@
       promptTokens: turn.sharedPrefixTokens + turn.sessionTokens,
       maxTokens: turn.maxTokens,
       excluded: new Set<string>(),
+      isRepeatable: false,
     };
     return chooser.choose(input, this.#backends)!.backend.id;
   }
--- a/src/call/common/backend_dispatcher.ts
+++ b/src/call/common/backend_dispatcher.ts
@@ -161,6 +161,7 @@
       promptTokens: req.prompt?.promptTokens ?? 0,
       maxTokens: req.prompt?.maxTokens ?? 0,
       excluded,
+      isRepeatable: isRepeatable(call.route),
     };
     const affinity = call.route.kind === RouteKind.Stream ? input.affinity : req.affinityKey ?? "";
     const available = this.#opts.directory.listAvailable(service);
@@ -193,21 +194,37 @@
     return Effect.suspend(() => {
       const observed = crashes.observe(call.identity, { requestId: call.req.id, backend });
       loads.recordRequestStart(backend.id);
+      loads.failureRates.recordSend(backend);
       const send = { ...attempt, observed };
       return this.#send(send, choice).pipe(
         Effect.catchTag("UpstreamError", (err) => Effect.sync(() => this.#recordFault(send, err))),
+        Effect.onInterrupt(() => this.#recordDeadline(call, choice)),
         Effect.ensuring(Effect.sync(() => crashes.finish(observed))),
       );
     }).pipe(Effect.ensuring(Effect.sync(() => loads.recordRequestEnd(backend.id))));
   }
 
+  /** Counts an attempt that was interrupted because the request's time was over. A full server owed no answer yet. */
+  #recordDeadline(call: RelayedCall, { backend, running }: IBackendChoice): Effect.Effect<void> {
+    return Effect.map(Clock.currentTimeMillis, (now) => {
+      if (now < call.deadlineAtMs || running >= backend.slots) return;
+      this.#opts.loads.failureRates.recordAnswer(backend, { isFailed: true });
+    });
+  }
+
   #recordFault({ call, observed }: IObservedSend, { fault, message }: UpstreamError): AttemptOutcome {
     const id = call.choice!.backend.id;
     call.fault = fault;
     if (!LINK_FAULTS.has(fault)) this.#opts.loads.recordFailure(id);
     const outcome = FAULT_OUTCOMES.get(fault) ?? AttemptOutcome.Failed;
-    if (outcome === AttemptOutcome.Failed) call.runs += 1;
-    else observed.result = AttemptResult.NotStarted;
+    if (outcome === AttemptOutcome.Failed) {
+      call.runs += 1;
+      if (!LINK_FAULTS.has(fault)) {
+        this.#opts.loads.failureRates.recordAnswer(call.choice!.backend, { isFailed: true });
+      }
+    } else {
+      observed.result = AttemptResult.NotStarted;
+    }
     if (fault === UpstreamFault.Broken) observed.result = AttemptResult.ConnectionLost;
     this.#opts.metrics.incrementCounter("backend_faults", { fault });
     const { runs, events } = call;
@@ -302,6 +319,8 @@
       );
       observed.result = isSuccess(head) && head.isSigned ? AttemptResult.Succeeded : AttemptResult.Responded;
       call.runs += 1;
+      const isFailed = head.status >= 500 || isUnsigned(head);
+      this.#opts.loads.failureRates.recordAnswer(call.choice!.backend, { isFailed });
       const now = yield* Clock.currentTimeMillis;
       if (isSuccess(head)) {
         this.#opts.loads.recordUnitLatency(call.choice!.backend.id, now - call.startedAtMs);
@@ -338,6 +357,7 @@
       yield* relay.failWhenBrokenOff(body.framing);
       attempt.observed.result = AttemptResult.Succeeded;
       call.runs += 1;
+      this.#opts.loads.failureRates.recordAnswer(call.choice!.backend, { isFailed: false });
       this.#recordPrompt(call);
       const eventIntervalMs = relay.meanEventIntervalMs;
       if (eventIntervalMs !== undefined) {
--- a/src/routing/common/backend_chooser.ts
+++ b/src/routing/common/backend_chooser.ts
@@ -19,6 +19,8 @@
 const MAX_TIE_BREAK_MS = 0.5;
 /** Upper bound of the factor by which observed latency raises a server's cost. */
 const MAX_SLOWDOWN = 10;
+/** Upper bound of the factor by which failed requests raise a server's cost. */
+const MAX_FAILURE_FACTOR = 10;
 /** Utilization (requests per slot) from which the preferred server for an affinity key is not used. */
 const MAX_AFFINITY_UTILIZATION = 0.5;
 
@@ -33,6 +35,8 @@
   readonly maxTokens: number;
   /** Ids of servers that have failed or refused this request. */
   readonly excluded: ReadonlySet<string>;
+  /** Whether the request may be sent again after an attempt that may have run. */
+  readonly isRepeatable: boolean;
 }
 
 /** The chosen server and the inputs to its cost. */
@@ -50,16 +54,54 @@
   choose(input: IBackendChoiceInput, backends: readonly IBackendEntry[]): IBackendChoice | undefined;
 }
 
+interface IEligibilityOptions {
+  readonly backends: readonly IBackendEntry[];
+  readonly loads: BackendLoadTracker;
+}
+
 /** Filters out excluded servers, and servers in back-off unless all others are excluded. */
 function eligibleBackends(
   { excluded }: IBackendChoiceInput,
-  { backends, loads }: { backends: readonly IBackendEntry[]; loads: BackendLoadTracker },
+  { backends, loads }: IEligibilityOptions,
 ): readonly IBackendEntry[] {
   const allowed = backends.filter(({ id }) => !excluded.has(id));
   const healthy = allowed.filter(({ id }) => !loads.isInBackoff(id));
   return healthy.length > 0 ? healthy : allowed;
 }
 
+/** Servers that may receive a request. */
+interface ICandidates {
+  readonly backends: readonly IBackendEntry[];
+  /** Failure rates of those that fail clearly more requests than the others, by id. */
+  readonly failing: ReadonlyMap<string, number>;
+  /** Failing server that should receive this request to find out whether it has recovered. */
+  readonly probed: IBackendEntry | undefined;
+}
+
+/**
+ * Selects the servers that may receive a request. Once-only requests pass failing servers over as long as another one has a
+ * free slot. Of the repeatable requests, one now and then is sent to a failing server, unless an attempt has failed already.
+ */
+function selectCandidates(input: IBackendChoiceInput, opts: IEligibilityOptions): ICandidates {
+  const { loads } = opts;
+  const backends = eligibleBackends(input, opts);
+  const failing = loads.failureRates.failingAmong(backends);
+  if (failing.size === 0) return { backends, failing, probed: undefined };
+  const sound = backends.filter(({ id }) => !failing.has(id));
+  if (input.isRepeatable) {
+    const isDue = (backend: IBackendEntry) =>
+      failing.has(backend.id) && loads.failureRates.isProbeDue(backend);
+    return { backends, failing, probed: input.excluded.size > 0 ? undefined : backends.find(isDue) };
+  }
+  const hasFreeSlot = sound.some(({ id, slots }) => loads.running(id) < slots);
+  return { backends: hasFreeSlot ? sound : backends, failing, probed: undefined };
+}
+
+/** Factor by which the attempts that a server fails raise the cost of a request there. */
+function failureFactorOf(id: string, failing: ReadonlyMap<string, number>): number {
+  return Math.min(MAX_FAILURE_FACTOR, 1 / (1 - (failing.get(id) ?? 0)));
+}
+
 function cheapest(choices: readonly IBackendChoice[]): IBackendChoice | undefined {
   let best: IBackendChoice | undefined;
   for (const choice of choices) if (best === undefined || choice.costMs < best.costMs) best = choice;
@@ -105,14 +147,22 @@
   }
 
   choose(input: IBackendChoiceInput, backends: readonly IBackendEntry[]): IBackendChoice | undefined {
-    const candidates = eligibleBackends(input, { backends, loads: this.#loads });
+    const { backends: candidates, failing, probed } = selectCandidates(input, {
+      backends,
+      loads: this.#loads,
+    });
     const medianMs = medianLatencyMs(candidates, this.#loads);
-    return cheapest(candidates.map((backend) => this.#score(input, { backend, medianMs })));
+    const eligible = probed === undefined ? candidates : [probed];
+    return cheapest(eligible.map((backend) => this.#score(input, { backend, medianMs, failing })));
   }
 
   #score(
     input: IBackendChoiceInput,
-    { backend, medianMs }: { backend: IBackendEntry; medianMs: number },
+    { backend, medianMs, failing }: {
+      backend: IBackendEntry;
+      medianMs: number;
+      failing: ReadonlyMap<string, number>;
+    },
   ): IBackendChoice {
     const running = this.#loads.running(backend.id);
     const cachedTokens = this.#caches.cachedTokens(backend.id, input.parts);
@@ -126,7 +176,8 @@
     const othersMs = (tokens * BATCH_OVERHEAD_MS_PER_TOKEN + prefillMs) * batch;
     const waitMs = Math.max(0, running + 1 - this.#engine.slots) * ownMs / this.#engine.slots;
     const zoneMs = backend.zone === input.zone ? 0 : CROSS_ZONE_MS;
-    const costMs = waitMs + prefillMs + ownMs + othersMs + zoneMs + tieBreakMs(input.affinity, backend.id);
+    const costMs = (waitMs + prefillMs + ownMs + othersMs) * failureFactorOf(backend.id, failing) +
+      zoneMs + tieBreakMs(input.affinity, backend.id);
     return { backend, costMs, running, cachedTokens };
   }
 }
@@ -144,18 +195,23 @@
   }
 
   choose(input: IBackendChoiceInput, backends: readonly IBackendEntry[]): IBackendChoice | undefined {
-    const candidates = eligibleBackends(input, { backends, loads: this.#loads });
+    const { backends: candidates, failing, probed } = selectCandidates(input, {
+      backends,
+      loads: this.#loads,
+    });
     const medianMs = medianLatencyMs(candidates, this.#loads);
-    const choices = candidates.map((backend) => {
+    const choices = (probed === undefined ? candidates : [probed]).map((backend) => {
       const running = this.#loads.running(backend.id);
       const slowdown = slowdownOf(backend.id, { loads: this.#loads, medianMs });
       const zoneMs = backend.zone === input.zone ? 0 : CROSS_ZONE_MS;
       const unitMs = medianMs > 0 ? medianMs : 1;
-      const costMs = (running + 1) / backend.slots * slowdown * unitMs + zoneMs +
-        tieBreakMs(input.affinity, backend.id);
+      const costMs =
+        (running + 1) / backend.slots * slowdown * failureFactorOf(backend.id, failing) * unitMs +
+        zoneMs + tieBreakMs(input.affinity, backend.id);
       return { backend, costMs, running, cachedTokens: 0 };
     });
-    return this.#preferred(input, choices) ?? cheapest(choices);
+    const sound = choices.filter(({ backend }) => !failing.has(backend.id));
+    return this.#preferred(input, sound) ?? cheapest(choices);
   }
 
   #preferred(
--- a/src/routing/common/backend_chooser_test.ts
+++ b/src/routing/common/backend_chooser_test.ts
@@ -23,6 +23,7 @@
     promptTokens: 12_800,
     maxTokens: 500,
     excluded,
+    isRepeatable: true,
     ...more,
   };
 }
@@ -139,6 +140,63 @@
   t.not(services.choose(makeInput({ affinity: "17" }), backends)!.backend.id, preferred);
 });
 
+/** Has the first server fail every second request, and returns a function that sends a request and names its server. */
+function setUpFailing() {
+  const { clock, loads, services, engines, backends } = setUp();
+  for (let answer = 0; answer < 40; answer++) {
+    for (const backend of backends) {
+      loads.failureRates.recordAnswer(backend, { isFailed: backend.id === "a" && answer % 2 === 0 });
+    }
+  }
+  for (const backend of backends) loads.failureRates.recordSend(backend);
+  return { clock, loads, services, engines, backends };
+}
+
+const AFFINITIES = Array.from({ length: 30 }, (_, index) => `key-${index}`);
+
+test("once-only requests reach a server that fails requests only while the others are full", (t) => {
+  const { clock, loads, services, engines, backends } = setUpFailing();
+  clock.now = 5000;
+  for (const chooser of [services, engines]) {
+    const choose = (affinity: string) =>
+      chooser.choose(makeInput({ affinity, isRepeatable: false, parts: [] }), backends)!.backend;
+    t.false(AFFINITIES.some((affinity) => choose(affinity).id === "a"));
+    for (const { id, slots } of backends.slice(1)) {
+      for (let i = 0; i < slots; i++) loads.recordRequestStart(id);
+    }
+    t.true(AFFINITIES.every((affinity) => choose(affinity).id === "a"));
+    for (const { id, slots } of backends.slice(1)) {
+      for (let i = 0; i < slots; i++) loads.recordRequestEnd(id);
+    }
+  }
+});
+
+test("one repeatable request now and then probes a server that fails requests", (t) => {
+  const { clock, loads, services, backends } = setUpFailing();
+  let probes = 0;
+  for (const affinity of ["", ...AFFINITIES]) {
+    clock.now += 200;
+    const { backend } = services.choose(makeInput({ affinity }), backends)!;
+    loads.failureRates.recordSend(backend);
+    if (backend.id === "a") probes += 1;
+  }
+  t.is(probes, 3);
+});
+
+test("a service whose servers all fail alike is used as before", (t) => {
+  const { loads, services, backends } = setUp();
+  const { services: untouched } = setUp();
+  for (let answer = 0; answer < 40; answer++) {
+    for (const backend of backends) loads.failureRates.recordAnswer(backend, { isFailed: answer % 2 === 0 });
+  }
+  for (const isRepeatable of [true, false]) {
+    for (const affinity of AFFINITIES) {
+      const input = makeInput({ affinity, isRepeatable });
+      t.is(services.choose(input, backends)?.backend.id, untouched.choose(input, backends)?.backend.id);
+    }
+  }
+});
+
 /**
  * Simulates a burst: programs of four turns arrive at a multiple of the engines' capacity, and their speed
  * falls with utilization. Returns the share that completes within 1.6 times its duration on idle engines.
--- a/src/routing/common/backend_load_tracker.ts
+++ b/src/routing/common/backend_load_tracker.ts
@@ -1,5 +1,7 @@
 /** Load, health and latency of backend servers as tracked by this instance. */
 import type { IBackendEntry } from "../../services/backends/common/backend_directory.ts";
+import type { IServerFailureRates } from "./server_failure_rates.ts";
+import { ServerFailureRates } from "./server_failure_rates.ts";
 
 /** Age at which another instance's load report expires; several consecutive reports were then lost. */
 const PEER_REPORT_TTL_MS = 1500;
@@ -29,12 +31,15 @@
 }
 
 export class BackendLoadTracker {
+  /** Share of its requests that each server fails, which back-off does not show once a single answer succeeds. */
+  readonly failureRates: IServerFailureRates;
   readonly #now: () => number;
   readonly #servers = new Map<string, IServerState>();
   readonly #peerReports = new Map<string, IPeerReport>();
 
   constructor(now: () => number) {
     this.#now = now;
+    this.failureRates = new ServerFailureRates(now);
   }
 
   /** Requests running on a server: those of this instance plus those last reported by other instances. */
@@ -82,8 +87,9 @@
     state.backoffUntilMs = this.#now() + backoffMs;
   }
 
-  /** Ends the back-off of all servers: their failures were due to the links of this instance. */
+  /** Ends the back-off of all servers and forgets their failures, which were due to the links of this instance. */
   clearFailures(): void {
+    this.failureRates.clear();
     for (const state of this.#servers.values()) {
       state.failures = 0;
       state.backoffUntilMs = 0;
@@ -111,8 +117,9 @@
     return this.#servers.get(id)?.backoffUntilMs ?? 0;
   }
 
-  remove({ id }: IBackendEntry): void {
-    this.#servers.delete(id);
+  remove(server: IBackendEntry): void {
+    this.#servers.delete(server.id);
+    this.failureRates.remove(server);
   }
 
   #state(id: string): IServerState {
