Conclude from failed connections that a server has ended while the list cannot be read

Cause: a server that ends silently is known to have ended only from the platform's list. While the store refuses all, no instance learns it, and a request that ends servers is sent on without limit. Failed connections of other requests are no sufficient evidence: these avoid a server on which a request hangs.

Change: while the list cannot be read, ServerEndDetector tries to connect to servers with requests that have waited for more than 0.5 s, or whose end is unknown. Two failed tries in a row, with another server of the same zone accepting at the same time, strike the requests that were sent since the server last accepted a connection. Later heartbeats of the same run withdraw these strikes, as others.

--- a/src/call/common/crash_monitor.ts
+++ b/src/call/common/crash_monitor.ts
@@ -3,6 +3,7 @@
 import { Emitter } from "../../base/common/emitter.ts";
 import type { ISeparation } from "../../routing/common/backend_chooser.ts";
 import type { IBackendEntry } from "../../services/backends/common/backend_directory.ts";
+import type { IServerRun } from "../../services/backends/common/leaving_servers.ts";
 import type { ILogger } from "../../services/logging/common/logger.ts";
 import type { Metrics } from "../../services/metrics/common/metrics.ts";
 import type { IEndedAttempt, IObservedAttempt } from "./observed_attempt.ts";
@@ -38,6 +39,8 @@
   ConnectionLost = "connection-lost",
   /** The platform's list shows that the server has ended or restarted. It may list a live one again later. */
   ServerEnded = "server-ended",
+  /** The server accepts no connections while others do, and the platform's list is not being read. */
+  Unreachable = "unreachable",
 }
 
 /** A strike that this instance has added or withdrawn, or adds once the server has ended. */
@@ -213,7 +216,8 @@
     if (running?.size === 0) this.#running.delete(key);
     switch (attempt.result) {
       case AttemptResult.ConnectionLost:
-        return this.#strike(toEnded(attempt), CrashEvidence.ConnectionLost);
+        this.#strike(toEnded(attempt), CrashEvidence.ConnectionLost);
+        return;
       case AttemptResult.Succeeded:
         return this.#clear(attempt);
       case AttemptResult.Unknown:
@@ -248,6 +252,32 @@
     for (const attempt of unresolved) this.#strike(attempt, CrashEvidence.ServerEnded);
   }
 
+  /** Server runs with requests that have waited for long, or of which it is not known whether the server survived them. */
+  listSilentServers(): IServerRun[] {
+    const silent = new Map(this.#unresolved.servers().map((server) => [serverKey(server), server]));
+    for (const attempts of this.#running.values()) {
+      const waiting = [...attempts].find((attempt) => this.#hasWaited(attempt));
+      if (waiting !== undefined) silent.set(serverKey(waiting.server), waiting.server);
+    }
+    return [...silent.values()];
+  }
+
+  #hasWaited({ isStreaming, sentAtMs }: IObservedAttempt): boolean {
+    return !isStreaming && this.#opts.now() - sentAtMs > REPORTED_WAIT_MS;
+  }
+
+  /**
+   * Records that a server accepts no connections any more, and returns the number of strikes for the requests that were sent to
+   * it after the given Unix time, in ms. Later heartbeats of the same run withdraw them.
+   */
+  serverUnreachable(server: IServerRun, sinceMs: number): number {
+    const isAffected = ({ sentAtMs }: { readonly sentAtMs: number }) => sentAtMs > sinceMs;
+    const running = [...this.#running.get(serverKey(server)) ?? []]
+      .filter((attempt) => isAffected(attempt) && this.#hasWaited(attempt));
+    const ended = [...this.#unresolved.recordEnd(server, isAffected), ...running.map(toEnded)];
+    return ended.filter((attempt) => this.#strike(attempt, CrashEvidence.Unreachable)).length;
+  }
+
   /**
    * Withdraws the strikes for connections that were lost a moment ago, because this instance has lost its links to all
    * servers and others have not. The attempts count as unresolved, as any of the servers may have ended as well.
@@ -294,9 +324,7 @@
     };
     const observed = [...this.#running.values()].flatMap((attempts) => [...attempts]);
     for (const attempt of observed) {
-      if (!attempt.isStreaming && now - attempt.sentAtMs > REPORTED_WAIT_MS) {
-        this.#reportPending(toEnded(attempt));
-      }
+      if (this.#hasWaited(attempt)) this.#reportPending(toEnded(attempt));
     }
     const running = observed.map(toEnded);
     const own = [...running, ...this.#unresolved.values()].filter(({ requestId }) => requestId !== undefined);
@@ -380,10 +408,11 @@
     return { ...server, fingerprint, level: level + 1, atMs: this.#opts.now(), sentAtMs, keys: keys() };
   }
 
-  #strike(attempt: IEndedAttempt, evidence: CrashEvidence): void {
+  /** Returns whether the strike is new. */
+  #strike(attempt: IEndedAttempt, evidence: CrashEvidence): boolean {
     const { requestId, fingerprint, server } = attempt;
     const strike = this.#toStrike(attempt);
-    if (!this.#ledger.add(strike)) return;
+    if (!this.#ledger.add(strike)) return false;
     this.#refutableStrikes.add(server, strike);
     if (evidence === CrashEvidence.ConnectionLost) this.#rememberLoss(attempt, strike);
     this.#opts.metrics.incrementCounter("strikes", { evidence });
@@ -396,6 +425,7 @@
       evidence,
     });
     this.#publish({ strike, isWithdrawn: false, isPending: false });
+    return true;
   }
 
   #rememberLoss(attempt: IEndedAttempt, strike: IStrike): void {
--- /dev/null
+++ b/src/call/common/server_end_detector.ts
@@ -0,0 +1,147 @@
+/** Finds out that servers have ended while the platform's list of servers cannot be read. */
+import type { Scope } from "effect";
+import { Clock, Effect } from "effect";
+import type { BackendDirectory, IBackendEntry } from "../../services/backends/common/backend_directory.ts";
+import type { ILogger } from "../../services/logging/common/logger.ts";
+import type { CrashMonitor } from "./crash_monitor.ts";
+import { toServerRun } from "./observed_attempt.ts";
+import type { IConnectProbe } from "./server_link_monitor.ts";
+import { PROBE_TIMEOUT_MS } from "./server_link_monitor.ts";
+import { serverKey } from "./strike_ledger.ts";
+
+/** Interval between two tries to connect to a silent server, in ms. A server that restarts is away for seconds. */
+const PROBE_INTERVAL_MS = 400;
+/** Time after a successful try for which a server is not tried again, in ms: long requests are silent as well. */
+const ACCEPTED_PAUSE_MS = 2000;
+/** Number of tries in a row that have to fail. */
+const MIN_FAILED_PROBES = 2;
+/** Maximum number of silent servers that are tried at a time. */
+const MAX_PROBED_SERVERS = 4;
+/** Number of other servers of the same zone that are tried at the same time, of which one has to accept. */
+const CONTROL_SERVERS = 3;
+/** Delay beyond the time limit from which a try proves nothing: this instance stood still. */
+const MAX_PROBE_DELAY_MS = 200;
+
+export interface IServerEndDetectorOptions {
+  readonly crashes: CrashMonitor;
+  readonly directory: BackendDirectory;
+  readonly probe: IConnectProbe;
+  /** Whether the platform's list is being read, which shows the ends of servers itself. */
+  readonly isListRead: () => boolean;
+  readonly logger: ILogger;
+  /** Returns a random number in [0, 1). */
+  readonly random: () => number;
+}
+
+interface IProbeState {
+  failures: number;
+  /** Unix time at which the last try that succeeded was begun, in ms. */
+  acceptedAtMs: number;
+  nextProbeAtMs: number;
+}
+
+/**
+ * Expected load pattern: a request ends servers without a trace on its connection, while the store is away, and instances
+ * restart before they could see that the servers are listed no more. Tries to connect to the servers of requests that wait
+ * for long or whose end is unknown. A server that accepts no connection while another one of its zone does has ended: this
+ * instance's links are sound then.
+ */
+export class ServerEndDetector {
+  readonly #opts: IServerEndDetectorOptions;
+  /** By server run; only of servers that have such requests. */
+  #states = new Map<string, IProbeState>();
+
+  constructor(opts: IServerEndDetectorOptions) {
+    this.#opts = opts;
+  }
+
+  /** Tries to connect to silent servers while the list is not read, until the scope ends. */
+  start(): Effect.Effect<void, never, Scope.Scope> {
+    const loop = Effect.gen({ self: this }, function* () {
+      while (true) {
+        yield* Effect.sleep(PROBE_INTERVAL_MS);
+        if (this.#opts.isListRead()) this.#states.clear();
+        else yield* this.probeSilentServers();
+      }
+    });
+    return Effect.asVoid(Effect.forkScoped(loop));
+  }
+
+  /** Tries to connect once to the servers that are due. */
+  probeSilentServers(): Effect.Effect<void> {
+    return Effect.gen({ self: this }, function* () {
+      const startedAtMs = yield* Clock.currentTimeMillis;
+      const silent = this.#listSilentServers();
+      const due = silent.filter((server) => this.#stateOf(server).nextProbeAtMs <= startedAtMs)
+        .slice(0, MAX_PROBED_SERVERS);
+      if (due.length === 0) return;
+      const zones = [...new Set(due.map(({ zone }) => zone))];
+      const controls = zones.flatMap((zone) => this.#selectControls(zone, due));
+      const connect = (server: IBackendEntry) =>
+        Effect.map(this.#opts.probe.connect(server), (isAccepted) => ({ server, isAccepted }));
+      const results = yield* Effect.forEach([...due, ...controls], connect, { concurrency: "unbounded" });
+      const now = yield* Clock.currentTimeMillis;
+      if (now - startedAtMs > PROBE_TIMEOUT_MS + MAX_PROBE_DELAY_MS) return;
+      for (const { server, isAccepted } of results.slice(0, due.length)) {
+        const isZoneReachable = results.some((other) =>
+          other.isAccepted && other.server.zone === server.zone
+        );
+        if (isAccepted) this.#recordAccepted(server, startedAtMs);
+        else if (isZoneReachable) this.#recordFailure(server);
+      }
+    });
+  }
+
+  /** Listed server runs with requests that wait for long or whose end is unknown, without those that are leaving anyway. */
+  #listSilentServers(): IBackendEntry[] {
+    const { crashes, directory } = this.#opts;
+    const silent: IBackendEntry[] = [];
+    for (const { backendId, startedAtMs } of crashes.listSilentServers()) {
+      const entry = directory.get(backendId);
+      if (entry?.startedAtMs === startedAtMs && !entry.isDraining) silent.push(entry);
+    }
+    const keys = new Set(silent.map(keyOf));
+    this.#states = new Map([...this.#states].filter(([key]) => keys.has(key)));
+    return silent;
+  }
+
+  /** Selects other servers of a zone at random. */
+  #selectControls(zone: string, due: readonly IBackendEntry[]): IBackendEntry[] {
+    const excluded = new Set(due.map(({ id }) => id));
+    const others = this.#opts.directory.listAll()
+      .filter((entry) => entry.zone === zone && !excluded.has(entry.id));
+    const controls: IBackendEntry[] = [];
+    while (controls.length < CONTROL_SERVERS && others.length > 0) {
+      controls.push(...others.splice(Math.floor(this.#opts.random() * others.length), 1));
+    }
+    return controls;
+  }
+
+  #stateOf(server: IBackendEntry): IProbeState {
+    const key = keyOf(server);
+    const state = this.#states.get(key) ?? { failures: 0, acceptedAtMs: -Infinity, nextProbeAtMs: -Infinity };
+    this.#states.set(key, state);
+    return state;
+  }
+
+  /** The server lives, or has restarted. Requests from before that are no longer struck, as nothing tells these cases apart. */
+  #recordAccepted(server: IBackendEntry, atMs: number): void {
+    const state = this.#stateOf(server);
+    state.failures = 0;
+    state.acceptedAtMs = atMs;
+    state.nextProbeAtMs = atMs + ACCEPTED_PAUSE_MS;
+  }
+
+  #recordFailure(server: IBackendEntry): void {
+    const state = this.#stateOf(server);
+    state.failures += 1;
+    if (state.failures < MIN_FAILED_PROBES) return;
+    state.failures = 0;
+    const strikes = this.#opts.crashes.serverUnreachable(toServerRun(server), state.acceptedAtMs);
+    if (strikes > 0) this.#opts.logger.warn("backend-end-concluded", { id: server.id, strikes });
+  }
+}
+
+function keyOf(server: IBackendEntry): string {
+  return serverKey(toServerRun(server));
+}
--- a/src/call/common/survival_tracker.ts
+++ b/src/call/common/survival_tracker.ts
@@ -70,6 +70,11 @@
     return [...this.#events.values()].flatMap(({ events }) => events.map(({ value }) => value));
   }
 
+  /** Server runs with events. */
+  servers(): IServerRun[] {
+    return [...this.#events.values()].map(({ server }) => server);
+  }
+
   /** Number of server runs with events. */
   get size(): number {
     return this.#events.size;
@@ -83,12 +88,11 @@
     }
   }
 
-  /** Records the end of a server; returns and forgets its events. */
-  recordEnd(server: IServerRun): T[] {
-    const key = serverKey(server);
-    const events = this.#events.get(key)?.events ?? [];
-    this.#events.delete(key);
-    return this.#recent(events);
+  /** Records the end of a server; returns and forgets its events, or those of them that it concerns. */
+  recordEnd(server: IServerRun, isAffected: (value: T) => boolean = () => true): T[] {
+    const events = this.#events.get(serverKey(server))?.events ?? [];
+    this.#set(server, events.filter(({ value }) => !isAffected(value)));
+    return this.#recent(events.filter(({ value }) => isAffected(value)));
   }
 
   #set(server: IServerRun, events: ITrackedEvent<T>[]): void {
--- a/src/daemon/common/gateway_core.ts
+++ b/src/daemon/common/gateway_core.ts
@@ -12,6 +12,7 @@
 import { CrashMonitor } from "../../call/common/crash_monitor.ts";
 import type { IConnectProbe } from "../../call/common/server_link_monitor.ts";
 import { ServerLinkMonitor } from "../../call/common/server_link_monitor.ts";
+import { ServerEndDetector } from "../../call/common/server_end_detector.ts";
 import type { IForwardTransport } from "../../call/common/forwarding.ts";
 import { ForwardingUpstream } from "../../call/common/forwarding_upstream.ts";
 import { ForwardService } from "../../call/common/forward_service.ts";
@@ -210,6 +211,7 @@
       yield* this.backends.start();
       yield* this.strikes.start();
       yield* this.links.start();
+      yield* this.#makeServerEndDetector().start();
       yield* this.#makeStreamReplicator().start();
       yield* this.group.start();
       yield* Effect.forkScoped(this.#syncFromPeers());
@@ -225,6 +227,13 @@
     });
   }
 
+  #makeServerEndDetector(): ServerEndDetector {
+    const { connectProbe: probe, logger, random } = this.#dependencies;
+    const { crashes, directory } = this;
+    const isListRead = () => !this.backends.isFailing && this.backends.lastReadMs > 0;
+    return new ServerEndDetector({ crashes, directory, probe, isListRead, logger, random });
+  }
+
   #makeStreamReplicator(): StreamOriginReplicator {
     const { adapter: { log, streamTopic: topic }, logger, now } = this.#dependencies;
     const { instance } = this.#settings;
--- a/test/proofs/crashing_request_test.ts
+++ b/test/proofs/crashing_request_test.ts
@@ -3,6 +3,7 @@
 import { Effect } from "effect";
 import type { IGatewayRequest } from "../harness/gateway_cluster.ts";
 import { CallerKind, GatewayCluster, RoutePath } from "../harness/gateway_cluster.ts";
+import { LinkCut } from "../harness/server_links.ts";
 import { CrashForm, RestartForm } from "../stand_ins/backend_fleet.ts";
 
 const INSTANCES = 3;
@@ -332,3 +333,23 @@
       }
     }));
 });
+
+for (const form of [LinkCut.Hang, LinkCut.Refuse]) {
+  test(`requests of an instance whose links to all servers ${form} are not struck while the store refuses all`, async (t) => {
+    const opts = { instances: INSTANCES, crashForm: CrashForm.Silent, restartForm: RestartForm.SameId };
+    await GatewayCluster.run(opts, (cluster) =>
+      Effect.gen(function* () {
+        for (const gateway of cluster.gateways.values()) gateway.isStoreRefused = true;
+        const { links } = cluster.gateways.get("g0")!;
+        for (let step = 0; step < 60; step++) {
+          if (step === 10) links.cut(form);
+          for (const name of cluster.names) {
+            const req = { route: RoutePath.Unsafe, caller: CallerKind.Program, name: `other-${step % 8}` };
+            yield* Effect.forkDetach(cluster.send(name, req));
+          }
+          yield* cluster.advance(100);
+        }
+        t.deepEqual(cluster.linesOf("strike-added"), []);
+      }));
+  });
+}
