Tell the crashes of a server apart whose restart has not been noticed

Cause: a server that restarts under its id is known by its old start time until the list is read again (600 ms). Crashes in that time fell under the crash of the earlier run: they added no weight to the part or request that caused them, and different requests explained each other's crashes. When all servers end and return together, every instance sent the suspected part again until the restarts were known. In virtual time, with 12 instances and 8 servers, 8 servers ended within 340 ms, and 8 more within 340 ms of their return, as "simultaneous" crashes of the first kind.

Change: a request that was sent after a crash (with a tolerance of 100 ms for the clocks) was unfinished in a later crash, whatever start time its strike states.

Tried and left out: counting crashes in quick succession as independent if each request was sent after the crash before.

--- a/src/call/common/shared_part_ledger.ts
+++ b/src/call/common/shared_part_ledger.ts
@@ -1,7 +1,7 @@
 /** Decides which parts of requests' content crash servers, from the strikes of requests that share them. */
 import type { IRequestKey } from "./request_keys.ts";
 import type { IStrike } from "./strike_ledger.ts";
-import { serverKey, strikeKey } from "./strike_ledger.ts";
+import { CLOCK_TOLERANCE_MS, isSentAfter, serverKey, strikeKey } from "./strike_ledger.ts";
 
 /** Number of crashes from which requests with a part in common are refused. */
 const QUARANTINE_CRASHES = 3;
@@ -18,8 +18,6 @@
 /** Time without a crash after which a request that shares all suspected parts is tried, in ms; longer after each such trial. */
 const TRIAL_DELAY_MS = 1000;
 const TRIAL_DELAY_FACTOR = 4;
-/** Tolerated difference between the clocks of two instances, in ms. */
-const CLOCK_TOLERANCE_MS = 100;
 /** Maximum number of keys whose last completion is remembered; the one that completed first is evicted first. */
 const MAX_ACQUITTED = 10_000;
 
@@ -216,14 +214,23 @@
   }
 }
 
-/** Times of the crashes in order, in Unix ms; several requests may have strikes for the same one. */
+/**
+ * Times of the crashes in order, in Unix ms. Several requests may have strikes for the same one. A restart is noticed late,
+ * so that strikes of the same server run may belong to several crashes: a request that was sent after a crash is one of a
+ * later one.
+ */
 function distinctCrashes(strikes: Iterable<ITrackedStrike>): number[] {
-  const times = new Map<string, number>();
-  for (const { strike } of strikes) {
+  const latest = new Map<string, IStrike>();
+  const times: number[] = [];
+  const inOrder = [...strikes].map(({ strike }) => strike).sort((a, b) => a.atMs - b.atMs);
+  for (const strike of inOrder) {
     const key = serverKey(strike);
-    times.set(key, Math.min(strike.atMs, times.get(key) ?? Infinity));
+    const known = latest.get(key);
+    if (known !== undefined && !isSentAfter(strike, known)) continue;
+    latest.set(key, strike);
+    times.push(strike.atMs);
   }
-  return [...times.values()].sort((a, b) => a - b);
+  return times;
 }
 
 /** Time from which trials are limited, in Unix ms. */
--- a/src/call/common/shared_part_ledger_test.ts
+++ b/src/call/common/shared_part_ledger_test.ts
@@ -44,6 +44,33 @@
   t.false(isRefused([TARGET]));
 });
 
+test("a crash of a server whose restart has not been noticed is another one than that of its earlier run", (t) => {
+  for (const [sentAtMs, expected] of [[2500, true], [50, false]] as const) {
+    const { clock, ledger, isRefused } = setUp();
+    const strike = (fingerprint: bigint, rest: { sentAtMs: number; atMs: number }) => {
+      clock.now = rest.atMs;
+      ledger.add({ fingerprint, backendId: "b1", startedAtMs: 1, level: 1, keys: [TARGET], ...rest });
+    };
+    strike(1n, { sentAtMs: 60, atMs: 100 });
+    strike(2n, { sentAtMs: 2000, atMs: 2030 });
+    strike(3n, { sentAtMs, atMs: 2600 });
+    clock.now += SETTLED_MS;
+    t.is(isRefused([TARGET]), expected);
+  }
+});
+
+test("a crash is not explained by a request that ended the server's earlier run", (t) => {
+  const { clock, ledger, crash, isRefused } = setUp();
+  for (const id of ["b1", "b2", "b3"]) crash(id, 50n, []);
+  for (const [index, backendId] of ["b1", "b2", "b3"].entries()) {
+    clock.now += SETTLED_MS;
+    const rest = { backendId, startedAtMs: 1, level: 1, sentAtMs: clock.now - 20, atMs: clock.now };
+    ledger.add({ ...rest, fingerprint: BigInt(index), keys: [TARGET] });
+  }
+  clock.now += SETTLED_MS;
+  t.true(isRefused([TARGET]));
+});
+
 test("a completed request acquits its parts, and those of strikes that are reported later", (t) => {
   const { clock, ledger, crash, isRefused } = setUp();
   for (const [index, id] of ["b1", "b2", "b3"].entries()) crash(id, BigInt(index), [TARGET, BODY]);
--- a/src/call/common/strike_ledger.ts
+++ b/src/call/common/strike_ledger.ts
@@ -44,6 +44,8 @@
  * attribute it to an earlier run of the server if it has not noticed a restart.
  */
 const SAME_CRASH_MS = 3000;
+/** Tolerated difference between the clocks of two instances, in ms. */
+export const CLOCK_TOLERANCE_MS = 100;
 /** Time within which the other instances report their strikes for the same crash, in ms. */
 const REPORT_DELAY_MS = 200;
 /** Positions that requests take by their hash as long as those of other instances are not known. */
@@ -246,7 +248,8 @@
   /** Strikes of all requests that were unfinished on the same server at the same crash. */
   #strikesOfSameCrash(strike: IStrike): IStrike[] {
     return [...(this.#byBackend.get(strike.backendId) ?? [])].filter((other) =>
-      other.startedAtMs === strike.startedAtMs || Math.abs(other.atMs - strike.atMs) <= SAME_CRASH_MS
+      (other.startedAtMs === strike.startedAtMs || Math.abs(other.atMs - strike.atMs) <= SAME_CRASH_MS) &&
+      !isSentAfter(other, strike) && !isSentAfter(strike, other)
     );
   }
 
@@ -285,6 +288,14 @@
   return strikes.reduce((level, strike) => Math.max(level, strike.level), 0);
 }
 
+/**
+ * Whether a request was sent after the crash of another strike, so that its own crash is a later one, even if a restart of the
+ * server in between has not been noticed.
+ */
+export function isSentAfter({ sentAtMs = 0 }: IStrike, { atMs }: IStrike): boolean {
+  return sentAtMs > atMs + CLOCK_TOLERANCE_MS;
+}
+
 export function serverKey({ backendId, startedAtMs }: IServerRun): string {
   return `${backendId}@${startedAtMs}`;
 }
--- a/test/harness/deadly_part.ts
+++ b/test/harness/deadly_part.ts
@@ -127,25 +127,80 @@
         }
       }
       yield* cluster.advance(STABLE_MS);
-      const laterAttempts = idsOf.map((ids) => {
-        const runs = cluster.fleet.runs.filter(({ requestId }) => ids.has(requestId));
-        const thirdCrashMs = (runs[CRASH_LIMIT - 1]?.atMs ?? Infinity) + CRASH_DELAY_MS;
-        return runs.filter(({ atMs }) => atMs > thirdCrashMs + STABLE_MS).length;
-      });
+      const laterAttempts = idsOf.map((ids) => countLaterAttempts(cluster, ids));
       return { laterAttempts, crashes: cluster.fleet.crashes.length, ...others.outcome };
     }));
 }
 
+/** A day on which all servers end together, and return together, while requests with a deadly part keep arriving everywhere. */
+export interface IOutageScenario extends IDeadlyScenario {
+  readonly instances: number;
+  /** Time between two requests with the same deadly content, over all instances, in ms. */
+  readonly intervalMs: number;
+  /** Time from the first deadly request until all servers end together, in ms. */
+  readonly outageAtMs: number;
+}
+
+const OUTAGE_PLAY_MS = 16_000;
+const STEP_MS = 50;
+
+/** Each deadly request is a new one that shares the deadly parts, and comes through another instance than the one before. */
+export function playDeadlyOutage(scenario: IOutageScenario): Promise<IDeadlyOutcome> {
+  const { parts, count, servers, crashForm, seed, instances, intervalMs, outageAtMs, route } = scenario;
+  const opts = {
+    instances,
+    serversPerService: servers,
+    crashForm,
+    restartForm: seed % 2 === 0 ? RestartForm.NewId : RestartForm.SameId,
+    isCrashing: (req: IUpstreamRequest) => isDeadly(req, scenario),
+  };
+  return GatewayCluster.run(opts, (cluster) =>
+    Effect.gen(function* () {
+      const others = new OtherRequests(scenario, instances);
+      const idsOf: Set<string>[] = Array.from({ length: count }, () => new Set());
+      let sent = 0;
+      for (let elapsedMs = 0; elapsedMs < OUTAGE_PLAY_MS; elapsedMs += STEP_MS) {
+        if (elapsedMs === outageAtMs) {
+          for (const server of cluster.fleet.servers) yield* Effect.forkDetach(cluster.fleet.crash(server));
+        }
+        for (; sent * intervalMs <= elapsedMs; sent++) {
+          for (let index = 0; index < count; index++) {
+            const shared = new Map(parts.map((part) => [part, valueOf(part, index)]));
+            const id = `d${seed}-${sent}-${index}`;
+            idsOf[index].add(id);
+            const req = { ...requestWith({ route, own: `${seed}-${sent}-${index}`, shared }), id };
+            const via = cluster.names[(sent * 5 + index + seed) % instances];
+            yield* Effect.forkDetach(cluster.send(via, req));
+          }
+        }
+        yield* Effect.forkDetach(others.send(cluster, elapsedMs / STEP_MS));
+        yield* cluster.advance(STEP_MS);
+      }
+      yield* cluster.advance(STABLE_MS);
+      const laterAttempts = idsOf.map((ids) => countLaterAttempts(cluster, ids));
+      return { laterAttempts, crashes: cluster.fleet.crashes.length, ...others.outcome };
+    }));
+}
+
+/** Number of attempts of the requests with these ids that the users' rule counts. */
+function countLaterAttempts(cluster: GatewayCluster, ids: ReadonlySet<string>): number {
+  const runs = cluster.fleet.runs.filter(({ requestId }) => ids.has(requestId));
+  const thirdCrashMs = (runs[CRASH_LIMIT - 1]?.atMs ?? Infinity) + CRASH_DELAY_MS;
+  return runs.filter(({ atMs }) => atMs > thirdCrashMs + STABLE_MS).length;
+}
+
 /** Sends requests that share parts with the deadly ones, each of them a different set, without being deadly. */
 class OtherRequests {
   readonly #scenario: IDeadlyScenario;
+  readonly #instances: number;
   readonly #refusedSinceMs = new Map<string, number>();
   #longestRefusalMs = 0;
   #refused = 0;
   #served = 0;
 
-  constructor(scenario: IDeadlyScenario) {
+  constructor(scenario: IDeadlyScenario, instances = INSTANCES) {
     this.#scenario = scenario;
+    this.#instances = instances;
   }
 
   get outcome() {
@@ -165,7 +220,10 @@
       const shared = new Map(kind.map((part) => [part, valueOf(part, index)]));
       const req = requestWith({ route, own: `other-${seed}-${number}`, shared });
       for (let attempt = 0; attempt < 2; attempt++) {
-        const { status, text } = yield* cluster.send(cluster.names[(number + attempt) % INSTANCES], req);
+        const { status, text } = yield* cluster.send(
+          cluster.names[(number + attempt) % this.#instances],
+          req,
+        );
         this.#count(`${kind.join()} ${index}`, { status, text, nowMs: cluster.nowMs });
         if (status === 200) return;
         yield* Effect.sleep(RETRY_DELAY_MS);
--- a/test/proofs/deadly_part_test.ts
+++ b/test/proofs/deadly_part_test.ts
@@ -3,8 +3,8 @@
  * in ever new requests, and requests that share other parts with it are served.
  */
 import test from "ava";
-import type { IDeadlyScenario } from "../harness/deadly_part.ts";
-import { DeadlyPart, EntryMode, playDeadly } from "../harness/deadly_part.ts";
+import type { IDeadlyOutcome, IDeadlyScenario } from "../harness/deadly_part.ts";
+import { DeadlyPart, EntryMode, playDeadly, playDeadlyOutage } from "../harness/deadly_part.ts";
 import { RoutePath } from "../harness/gateway_cluster.ts";
 import { CrashForm } from "../stand_ins/backend_fleet.ts";
 
@@ -24,11 +24,12 @@
 };
 
 function testDeadly(title: string, overrides: Partial<IDeadlyScenario>): void {
+  testOutcome(title, () => playDeadly({ ...BASE, ...overrides }));
+}
+
+function testOutcome(title: string, play: () => Promise<IDeadlyOutcome>): void {
   test(title, async (t) => {
-    const { laterAttempts, longestRefusalMs, crashes, servedOthers, refusedOthers } = await playDeadly({
-      ...BASE,
-      ...overrides,
-    });
+    const { laterAttempts, longestRefusalMs, crashes, servedOthers, refusedOthers } = await play();
     t.log({ laterAttempts, crashes, longestRefusalMs, refusedOthers, servedOthers });
     t.true(crashes >= 3);
     t.true(Math.max(...laterAttempts) <= MAX_LATER_ATTEMPTS, `later attempts: ${laterAttempts.join(", ")}`);
@@ -70,3 +71,12 @@
 for (const entry of [EntryMode.Fixed, EntryMode.Restarted]) {
   testDeadly(`a deadly target that arrives through ${entry} is refused`, { entry });
 }
+
+for (const [count, outageAtMs, intervalMs] of [[1, 3000, 100], [3, 1500, 100], [3, 500, 50]]) {
+  const title = `${count} deadly target${count === 1 ? " is" : "s are"} refused by 12 instances`;
+  const scenario = { ...BASE, count, instances: 12, intervalMs, outageAtMs };
+  testOutcome(
+    `${title} whose servers all end together after ${outageAtMs} ms`,
+    () => playDeadlyOutage(scenario),
+  );
+}
