Hedged requests: settings, policy, race of two attempts

Change: HedgingPolicy decides on the delay and the limit, HedgedDispatcher races two attempts of BackendDispatcher, and each attempt has an AttemptState of its own, which the call adopts from the winner.

--- a/src/call/common/backend_dispatcher.ts
+++ b/src/call/common/backend_dispatcher.ts
@@ -21,7 +21,6 @@
 import { finalRefusal, GatewayStatus, RefusalReason } from "./gateway_refusal.ts";
 import type {
   IRequestCodec,
-  IResponseBody,
   IResponseHead,
   IResponseSink,
   IUpstream,
@@ -31,7 +30,8 @@
 import type { IPermitClient } from "./permit_client.ts";
 import type { RelayedCall } from "./relayed_call.ts";
 import { AttemptOutcome } from "./relayed_call.ts";
-import type { ILimitedReceiver, IResponseLimits, ResponseMemoryPool } from "./response_limits.ts";
+import type { IResponseLimits, ResponseMemoryPool } from "./response_limits.ts";
+import { readInto } from "./response_limits.ts";
 import { serversOfOrigin } from "./stream_origin.ts";
 import type { IStreamOriginRecorder } from "./stream_relay.ts";
 import { StreamRelay } from "./stream_relay.ts";
@@ -91,6 +91,8 @@
   readonly body: Uint8Array;
   /** Runs before the end of a stream is relayed. If it returns false, the response is aborted instead. */
   readonly beforeEnd: Effect.Effect<boolean>;
+  /** See {@link IStreamRelayOptions.claim}. */
+  readonly claim?: (() => boolean) | undefined;
 }
 
 interface IObservedSend extends IAttempt {
@@ -327,7 +329,7 @@
       }
       attempt.observed.isStreaming = true;
       const { streams, responseLimits: limits } = this.#opts;
-      const relay = new StreamRelay(call, { sink, head, streams, limits });
+      const relay = new StreamRelay(call, { sink, head, streams, limits, claim: attempt.claim });
       yield* Effect.ensuring(
         Effect.raceFirst(readInto(relay, body), relay.failWhenIdle()),
         Effect.sync(() => {
@@ -382,14 +384,6 @@
   }
 }
 
-/** Passes a body to its receiver. Closes the connection as soon as the receiver's limits are exceeded. */
-function readInto(receiver: ILimitedReceiver, body: IResponseBody): Effect.Effect<void, UpstreamError> {
-  const read = body.read((chunk) => receiver.push(chunk));
-  // The last chunk may exceed a limit at the moment at which the body ends.
-  const checked = Effect.andThen(read, () => receiver.isExceeded ? receiver.failWhenExceeded() : Effect.void);
-  return Effect.raceFirst(checked, receiver.failWhenExceeded());
-}
-
 function isSuccess({ status }: IResponseHead): boolean {
   return status >= 200 && status < 300;
 }
--- a/src/call/common/gateway_relay.ts
+++ b/src/call/common/gateway_relay.ts
@@ -6,8 +6,10 @@
 import { isRepeatable, RouteKind, selectServiceByWeight } from "../../services/routes/common/route_table.ts";
 import type { ITurnChain, ITurnClient } from "../../turns/common/turn_client.ts";
 import { ChainLookupStatus } from "../../turns/common/turn_client.ts";
-import type { IAttempt, IBackendDispatcherOptions } from "./backend_dispatcher.ts";
+import type { IAttempt } from "./backend_dispatcher.ts";
 import { BackendDispatcher } from "./backend_dispatcher.ts";
+import type { IHedgedDispatcherOptions } from "./hedged_dispatcher.ts";
+import { HedgedDispatcher } from "./hedged_dispatcher.ts";
 import type { IRefusal } from "./gateway_refusal.ts";
 import { finalRefusal, GatewayStatus, RefusalReason, retryableRefusal } from "./gateway_refusal.ts";
 import type { IOpaqueRequest, IRawRequest, IResponseSink } from "./opaque_request.ts";
@@ -36,7 +38,7 @@
 const STARTUP_TIMEOUT_MS = 600;
 const STARTUP_POLL_INTERVAL_MS = 20;
 
-export interface IGatewayRelayOptions extends IBackendDispatcherOptions {
+export interface IGatewayRelayOptions extends IHedgedDispatcherOptions {
   readonly turns: ITurnClient;
   readonly admission: IProgramAdmission;
   readonly streamFinder: IStreamOriginFinder;
@@ -49,10 +51,12 @@
 export class GatewayRelay {
   readonly #opts: IGatewayRelayOptions;
   readonly #dispatcher: BackendDispatcher;
+  readonly #hedged: HedgedDispatcher;
 
   constructor(opts: IGatewayRelayOptions) {
     this.#opts = opts;
     this.#dispatcher = new BackendDispatcher(opts);
+    this.#hedged = new HedgedDispatcher(this.#dispatcher, opts);
   }
 
   /** Serves one request. Interruption means that the caller has disconnected. */
@@ -243,7 +247,7 @@
         const choice = yield* this.#dispatcher.chooseWithPermit(call);
         if (choice === undefined) return this.#noBackendRefusal(call);
         call.choice = choice;
-        const outcome = yield* this.#dispatcher.run(attempt, choice);
+        const outcome = yield* this.#hedged.run(attempt, choice);
         if (outcome === AttemptOutcome.Done) return undefined;
         if (outcome === AttemptOutcome.NotSent) continue;
         if (outcome === AttemptOutcome.Unreachable) return this.#unreachableRefusal(call);
--- /dev/null
+++ b/src/call/common/hedged_dispatcher.ts
@@ -0,0 +1,242 @@
+/** Sends a slow repeatable request to a second server and relays the first sound answer. */
+import { Effect } from "effect";
+import type { IBackendChoice } from "../../routing/common/backend_chooser.ts";
+import type { IHedgingPolicy } from "../../routing/common/hedging_policy.ts";
+import { HedgeDenial } from "../../routing/common/hedging_policy.ts";
+import type { IBackendEntry } from "../../services/backends/common/backend_directory.ts";
+import type { IRoute } from "../../services/routes/common/route_table.ts";
+import { isRepeatable } from "../../services/routes/common/route_table.ts";
+import type { BackendDispatcher, IAttempt, IBackendDispatcherOptions } from "./backend_dispatcher.ts";
+import type { RacingAttempt } from "./hedge_race.ts";
+import { HedgeRace } from "./hedge_race.ts";
+import { UpstreamFault } from "./opaque_request.ts";
+import type { RelayedCall } from "./relayed_call.ts";
+import { AttemptOutcome } from "./relayed_call.ts";
+
+/** A server of another zone is preferred if its cost is at most this multiple of the lowest cost plus the constant below. */
+const MAX_ZONE_COST_FACTOR = 1.5;
+const MAX_ZONE_EXTRA_COST_MS = 2;
+/** Outcomes that say nothing about the server. */
+const LINK_OUTCOMES = new Set([AttemptOutcome.NotSent, AttemptOutcome.Unreachable]);
+
+export interface IHedgingOptions {
+  readonly policy: IHedgingPolicy;
+  /** Unix time in ms. */
+  readonly now: () => number;
+  /**
+   * Acquires the second send of a request from its organisation's allotment; returns false if the allotment does not
+   * cover it. Always granted by default.
+   */
+  readonly acquireExtraSend?: (call: RelayedCall) => Effect.Effect<boolean>;
+}
+
+export interface IHedgedDispatcherOptions extends IBackendDispatcherOptions {
+  /** Undefined if hedging is off. */
+  readonly hedging?: IHedgingOptions | undefined;
+}
+
+interface IRace extends IAttempt {
+  readonly hedging: IHedgingOptions;
+  readonly race: HedgeRace;
+}
+
+export class HedgedDispatcher {
+  readonly #opts: IHedgedDispatcherOptions;
+  readonly #dispatcher: BackendDispatcher;
+
+  constructor(dispatcher: BackendDispatcher, opts: IHedgedDispatcherOptions) {
+    this.#dispatcher = dispatcher;
+    this.#opts = opts;
+  }
+
+  /** Sends a request to the selected server and, if that is slow and hedging permits, to another one. */
+  run(attempt: IAttempt, choice: IBackendChoice): Effect.Effect<AttemptOutcome> {
+    return Effect.suspend(() => {
+      const { hedging } = this.#opts;
+      const mayHedge = hedging !== undefined && this.#mayHedge(attempt.call, hedging.policy);
+      return mayHedge ? this.#race({ ...attempt, hedging }, choice) : this.#dispatcher.run(attempt, choice);
+    });
+  }
+
+  /** Whether a request may run on two servers at the same time. */
+  #mayHedge(call: RelayedCall, policy: IHedgingPolicy): boolean {
+    const { req, route } = call;
+    const isFirstAttempt = call.runs === 0 && call.refusals === 0 && call.excluded.size === 0;
+    return isRepeatable(route) && route.attempts > 1 && isFirstAttempt && req.lastEventId === undefined &&
+      req.program?.budgetTokens === undefined && !this.#isSuspect(call) &&
+      policy.includes(route.host, req.target);
+  }
+
+  #isSuspect({ identity }: RelayedCall): boolean {
+    const { crashes } = this.#opts;
+    return crashes.separationOf(identity) !== undefined || crashes.isQuarantined(identity);
+  }
+
+  #race(
+    attempt: IAttempt & { hedging: IHedgingOptions },
+    choice: IBackendChoice,
+  ): Effect.Effect<AttemptOutcome> {
+    return Effect.suspend(() => {
+      const { call, sink, hedging: { policy, now } } = attempt;
+      const onDidClaim = (winner: RacingAttempt, losers: readonly RacingAttempt[]) =>
+        this.#recordWinner(attempt, { winner, losers });
+      const race = new HedgeRace(call, { sink, onDidClaim });
+      const racing = { ...attempt, race };
+      const first = race.add(call.fork(choice, { now: now(), runs: 0 }));
+      policy.recordSend(call.service);
+      const second = Effect.raceFirst(this.#hedge(racing, choice), race.awaitDecided());
+      const both = Effect.all([this.#runAttempt(racing, first), second], {
+        concurrency: "unbounded",
+        discard: true,
+      });
+      return Effect.map(both, () => this.#outcomeOf(racing));
+    });
+  }
+
+  #runAttempt(racing: IRace, attempt: RacingAttempt): Effect.Effect<void> {
+    const { race, body, beforeEnd, hedging } = racing;
+    const claim = () => race.claim(attempt);
+    const send = { call: attempt.call, sink: attempt, body, beforeEnd, claim };
+    const running = Effect.map(this.#dispatcher.run(send, attempt.call.choice!), (outcome) => {
+      if (attempt.isCancelled) return;
+      race.recordEnd(attempt, outcome);
+      const isTimeout = outcome === AttemptOutcome.Failed && attempt.call.fault === UpstreamFault.TimedOut;
+      if (isTimeout && race.winner !== attempt) this.#recordLatency(hedging, attempt, race.attempts[0]);
+    });
+    return Effect.raceFirst(running, attempt.awaitCancelled());
+  }
+
+  /** Sends the request to a second server after the route's usual latency. */
+  #hedge(racing: IRace, first: IBackendChoice): Effect.Effect<void> {
+    return Effect.gen({ self: this }, function* () {
+      const { call, race, hedging: { policy, now } } = racing;
+      const delayMs = policy.delayMs(routeKey(call.route));
+      if (delayMs === undefined) return this.#deny(HedgeDenial.FewSamples);
+      yield* Effect.sleep(delayMs);
+      const choice = yield* this.#acquireSecond(racing, first);
+      if (!("backend" in choice)) return this.#deny(choice.denial);
+      const second = race.add(call.fork(choice, { now: now(), runs: 1 }));
+      const afterMs = second.sentAtMs - race.attempts[0].sentAtMs;
+      const { id: hedgeBackend } = choice.backend;
+      call.hedge = { afterMs, backendId: hedgeBackend, isWinner: false };
+      this.#opts.metrics.incrementCounter("hedges", { outcome: "sent" });
+      this.#opts.logger.info("request-hedged", {
+        request: call.req.id,
+        backend: first.backend.id,
+        hedgeBackend,
+        hedgedAfterMs: Math.round(afterMs),
+        running: choice.running,
+      });
+      yield* this.#runAttempt(racing, second);
+    });
+  }
+
+  /** Selects the second server and acquires all that a send there needs. */
+  #acquireSecond(
+    { call, hedging }: IRace,
+    first: IBackendChoice,
+  ): Effect.Effect<IBackendChoice | { readonly denial: HedgeDenial }> {
+    return Effect.gen({ self: this }, function* () {
+      const { policy } = hedging;
+      const { directory, loads } = this.#opts;
+      if (this.#isSuspect(call)) return { denial: HedgeDenial.Suspect };
+      const available = directory.listAvailable(call.service);
+      if (!policy.isIdleEnough(available, loads)) return { denial: HedgeDenial.Utilization };
+      const choice = this.#chooseSecond(call, { first: first.backend, available });
+      if (choice === undefined) return { denial: HedgeDenial.NoServer };
+      if (!policy.tryWithdraw(call.service)) return { denial: HedgeDenial.Limit };
+      const refund = Effect.sync(() => policy.refund(call.service));
+      const denial = yield* Effect.onInterrupt(this.#acquirePermits(hedging, { call, choice }), () => refund);
+      if (denial === undefined) return choice;
+      yield* refund;
+      return { denial };
+    });
+  }
+
+  /** The permit comes last: it is valid only for a moment. */
+  #acquirePermits(
+    { acquireExtraSend }: IHedgingOptions,
+    { call, choice }: { call: RelayedCall; choice: IBackendChoice },
+  ): Effect.Effect<HedgeDenial | undefined> {
+    return Effect.gen({ self: this }, function* () {
+      if (acquireExtraSend !== undefined && !(yield* acquireExtraSend(call))) return HedgeDenial.Allotment;
+      const { isGranted } = yield* this.#opts.permits.acquire(choice.backend, 0);
+      return isGranted ? undefined : HedgeDenial.ServerLimit;
+    });
+  }
+
+  /** Selects an idle server, in another zone than the first one where that costs about the same. */
+  #chooseSecond(
+    call: RelayedCall,
+    { first, available }: { first: IBackendEntry; available: readonly IBackendEntry[] },
+  ): IBackendChoice | undefined {
+    const { loads, permits } = this.#opts;
+    const idle = available.filter((backend) =>
+      backend.id !== first.id && !loads.isInBackoff(backend.id) &&
+      loads.running(backend.id) < backend.slots && !permits.isExhausted(backend)
+    );
+    const chooseAmong = (backends: readonly IBackendEntry[]) => {
+      const excluded = available.filter((backend) => !backends.includes(backend)).map(({ id }) => id);
+      return this.#dispatcher.choose(call, new Set(excluded));
+    };
+    const best = chooseAmong(idle);
+    const elsewhere = chooseAmong(idle.filter(({ zone }) => zone !== first.zone));
+    if (best === undefined || elsewhere === undefined) return best;
+    const maxCostMs = best.costMs * MAX_ZONE_COST_FACTOR + MAX_ZONE_EXTRA_COST_MS;
+    return elsewhere.costMs <= maxCostMs ? elsewhere : best;
+  }
+
+  #deny(reason: HedgeDenial): void {
+    this.#opts.metrics.incrementCounter("hedges_denied", { reason });
+  }
+
+  #recordWinner(
+    { call, hedging }: { call: RelayedCall; hedging: IHedgingOptions },
+    { winner, losers }: { winner: RacingAttempt; losers: readonly RacingAttempt[] },
+  ): void {
+    const { hedge } = call;
+    const isSecond = hedge !== undefined && winner.call.choice?.backend.id === hedge.backendId;
+    if (isSecond) hedge.isWinner = true;
+    if (isSecond) this.#opts.metrics.incrementCounter("hedges", { outcome: "won" });
+    else if (losers.length > 0) this.#opts.metrics.incrementCounter("hedges", { outcome: "cancelled" });
+    const first = isSecond ? losers.at(0) : winner;
+    if (first !== undefined) this.#recordLatency(hedging, first, first);
+    for (const loser of losers) this.#recordMinLatency(loser, hedging);
+  }
+
+  /** Records the latency of the first attempt of a request: the delay is counted from its send. */
+  #recordLatency({ policy, now }: IHedgingOptions, attempt: RacingAttempt, first: RacingAttempt): void {
+    if (attempt === first) policy.recordLatency(routeKey(attempt.call.route), now() - attempt.sentAtMs);
+  }
+
+  /** The time of a cancelled attempt is a lower bound; ignoring it would make a slow server look as fast as its fastest answers. */
+  #recordMinLatency({ call, sentAtMs }: RacingAttempt, { now, policy }: IHedgingOptions): void {
+    // The latency of an engine is that of a token, of which nothing is known.
+    if (this.#dispatcher.engineOf(call.service) !== undefined) return;
+    const { id } = call.choice!.backend;
+    const elapsedMs = now() - sentAtMs;
+    const knownMs = this.#opts.loads.unitLatencyMs(id) ?? policy.delayMs(routeKey(call.route)) ?? Infinity;
+    if (elapsedMs > knownMs) this.#opts.loads.recordUnitLatency(id, elapsedMs);
+  }
+
+  /** Returns the outcome of the attempts as that of a single one on the first server, and records the rest in the call. */
+  #outcomeOf({ call, race: { winner, attempts } }: IRace): AttemptOutcome {
+    const [first] = attempts;
+    const hasRelayedError = winner === undefined && attempts.some((attempt) => attempt.relayHeldResponse());
+    if (hasRelayedError) return AttemptOutcome.Done;
+    const decisive = winner ?? attempts.find(({ outcome }) => outcome === AttemptOutcome.Failed) ?? first;
+    call.adopt(decisive.call);
+    for (const attempt of attempts) {
+      const { outcome } = attempt;
+      if (outcome === undefined || outcome === AttemptOutcome.Done || LINK_OUTCOMES.has(outcome)) continue;
+      // Whoever asked for the outcome records that of a single attempt on the first server.
+      if (attempt !== first) call.excluded.add(attempt.call.choice!.backend.id);
+      if (attempt !== decisive && outcome === AttemptOutcome.NotRun) call.refusals += 1;
+    }
+    return decisive.outcome!;
+  }
+}
+
+function routeKey({ host, prefix }: IRoute): string {
+  return `${host}${prefix}`;
+}
--- a/src/call/common/relayed_call.ts
+++ b/src/call/common/relayed_call.ts
@@ -1,6 +1,7 @@
 /** State of one request that the gateway is relaying. */
 import type { IBackendChoice } from "../../routing/common/backend_chooser.ts";
 import type { IRoute } from "../../services/routes/common/route_table.ts";
+import { AttemptState } from "./attempt_state.ts";
 import type { GatewayStatus, IRefusal, RefusalReason } from "./gateway_refusal.ts";
 import type { BodyFraming, IOpaqueRequest, UpstreamFault } from "./opaque_request.ts";
 import type { RequestIdentity } from "./request_identity.ts";
@@ -22,6 +23,14 @@
   Failed = "failed",
 }
 
+/** The second send of a call's request, while the first one was unanswered. */
+export interface IHedgedSend {
+  /** Time since the first send, in ms. */
+  readonly afterMs: number;
+  readonly backendId: string;
+  isWinner: boolean;
+}
+
 export class RelayedCall {
   readonly req: IOpaqueRequest;
   readonly identity: RequestIdentity;
@@ -37,36 +46,20 @@
   runs = 0;
   /** Number of attempts in which the server did not run the request. */
   refusals = 0;
-  /** Id of the last event that the caller has received, in this request or in the one that it resumes. */
-  lastEventId: string | undefined;
-  /** Number of events relayed to the caller. */
-  events = 0;
-  /** Output in the form that the prompts of later turns include, for routes that keep history. */
-  readonly output: string[] = [];
   /** Whether the budget's owner has refused the turn, so that its end need not be reported. */
   isTurnRefused = false;
-  /** How the last attempt failed; undefined if none has failed. */
-  fault: UpstreamFault | undefined;
-  choice: IBackendChoice | undefined;
   /** Servers that had no permit for the request, because of the limits that they state. */
   limitedServers = 0;
   /** Time until the first permit of one of them, in ms; undefined if no server lacked a permit. */
   nextPermitMs: number | undefined;
   /** Time for which the request has waited for permits, in ms. */
   permitWaitMs = 0;
-  /** Software that produced the stream's first event; undefined before that event. */
-  origin: IStreamOrigin | undefined;
   refusal: IRefusal | undefined;
-  status = 0;
-  firstEventAtMs = 0;
-  /** Framing of the last response's body; undefined before its head. */
-  framing: BodyFraming | undefined;
-  /** Code of the error that ended the connection of the last response's body. */
-  connectionError: string | undefined;
-  /** Number of bytes after the last complete event of a stream that has ended. */
-  unfinishedBytes = 0;
   /** Additional log fields if a server may have crashed during the request. */
   crashEvidence: object = {};
+  /** Undefined if the request was not hedged. */
+  hedge: IHedgedSend | undefined;
+  #attempt = new AttemptState();
 
   constructor(
     req: IOpaqueRequest,
@@ -76,6 +69,8 @@
       service: string;
       now: number;
       configurationVersion: number;
+      /** Derived from the caller's and the route's timeout by default. */
+      deadlineAtMs?: number;
     },
   ) {
     this.req = req;
@@ -84,10 +79,113 @@
     this.service = opts.service;
     this.startedAtMs = opts.now;
     this.configurationVersion = opts.configurationVersion;
-    this.deadlineAtMs = opts.now + Math.min(req.timeoutMs ?? Infinity, opts.route.timeoutMs);
+    this.deadlineAtMs = opts.deadlineAtMs ??
+      opts.now + Math.min(req.timeoutMs ?? Infinity, opts.route.timeoutMs);
     this.lastEventId = req.lastEventId;
   }
 
+  /**
+   * Creates a copy of a call without retries, for one of two attempts that run at the same time. `runs` is the number of
+   * other attempts in which a server may have run the request.
+   */
+  fork(choice: IBackendChoice, { now, runs }: { now: number; runs: number }): RelayedCall {
+    const { req, identity, route, service, configurationVersion, deadlineAtMs } = this;
+    const opts = { identity, route, service, now, configurationVersion, deadlineAtMs };
+    const copy = new RelayedCall(req, opts);
+    copy.choice = choice;
+    copy.runs = runs;
+    return copy;
+  }
+
+  /** Takes over the state of an attempt, also what changes in it from now on. */
+  adopt(attempt: RelayedCall): void {
+    this.#attempt = attempt.#attempt;
+  }
+
+  get output(): string[] {
+    return this.#attempt.output;
+  }
+
+  get choice(): IBackendChoice | undefined {
+    return this.#attempt.choice;
+  }
+
+  set choice(value: IBackendChoice | undefined) {
+    this.#attempt.choice = value;
+  }
+
+  get fault(): UpstreamFault | undefined {
+    return this.#attempt.fault;
+  }
+
+  set fault(value: UpstreamFault | undefined) {
+    this.#attempt.fault = value;
+  }
+
+  get lastEventId(): string | undefined {
+    return this.#attempt.lastEventId;
+  }
+
+  set lastEventId(value: string | undefined) {
+    this.#attempt.lastEventId = value;
+  }
+
+  get events(): number {
+    return this.#attempt.events;
+  }
+
+  set events(value: number) {
+    this.#attempt.events = value;
+  }
+
+  get origin(): IStreamOrigin | undefined {
+    return this.#attempt.origin;
+  }
+
+  set origin(value: IStreamOrigin | undefined) {
+    this.#attempt.origin = value;
+  }
+
+  get status(): number {
+    return this.#attempt.status;
+  }
+
+  set status(value: number) {
+    this.#attempt.status = value;
+  }
+
+  get firstEventAtMs(): number {
+    return this.#attempt.firstEventAtMs;
+  }
+
+  set firstEventAtMs(value: number) {
+    this.#attempt.firstEventAtMs = value;
+  }
+
+  get framing(): BodyFraming | undefined {
+    return this.#attempt.framing;
+  }
+
+  set framing(value: BodyFraming | undefined) {
+    this.#attempt.framing = value;
+  }
+
+  get connectionError(): string | undefined {
+    return this.#attempt.connectionError;
+  }
+
+  set connectionError(value: string | undefined) {
+    this.#attempt.connectionError = value;
+  }
+
+  get unfinishedBytes(): number {
+    return this.#attempt.unfinishedBytes;
+  }
+
+  set unfinishedBytes(value: number) {
+    this.#attempt.unfinishedBytes = value;
+  }
+
   /** Returns the fields of the request's log line. */
   logFields(now: number): object {
     const { req, route, choice } = this;
@@ -111,6 +209,9 @@
       costMs: choice === undefined ? undefined : Math.round(choice.costMs),
       runs: this.runs,
       refusals: this.refusals,
+      hedgedAfterMs: this.hedge === undefined ? undefined : Math.round(this.hedge.afterMs),
+      hedgeBackend: this.hedge?.backendId,
+      hedgeWon: this.hedge?.isWinner,
       limitedServers: this.limitedServers === 0 ? undefined : this.limitedServers,
       permitWaitMs: this.permitWaitMs === 0 ? undefined : Math.round(this.permitWaitMs),
       events: this.events,
--- a/src/call/common/response_limits.ts
+++ b/src/call/common/response_limits.ts
@@ -1,6 +1,6 @@
 /** Limits on the responses of backend servers, which may send bytes without end. */
-import type { Effect } from "effect";
-import type { UpstreamError } from "./opaque_request.ts";
+import { Effect } from "effect";
+import type { IResponseBody, UpstreamError } from "./opaque_request.ts";
 
 export interface IResponseLimits {
   /** Maximum size of a response's body. */
@@ -18,6 +18,17 @@
   failWhenExceeded(): Effect.Effect<never, UpstreamError>;
 }
 
+/** Passes a body to its receiver. Closes the connection as soon as the receiver's limits are exceeded. */
+export function readInto(
+  receiver: ILimitedReceiver,
+  body: IResponseBody,
+): Effect.Effect<void, UpstreamError> {
+  const read = body.read((chunk) => receiver.push(chunk));
+  // The last chunk may exceed a limit at the moment at which the body ends.
+  const checked = Effect.andThen(read, () => receiver.isExceeded ? receiver.failWhenExceeded() : Effect.void);
+  return Effect.raceFirst(checked, receiver.failWhenExceeded());
+}
+
 /** Size up to which a response is not charged to the pool, so that ordinary ones are received while it is used up. */
 const UNCHARGED_BYTES = 16 * 1024;
 
--- a/src/call/common/stream_relay.ts
+++ b/src/call/common/stream_relay.ts
@@ -24,6 +24,11 @@
   readonly head: IResponseHead;
   readonly streams: IStreamOriginRecorder;
   readonly limits: IResponseLimits;
+  /**
+   * Present if another attempt may be relayed instead: claims the caller's stream at the first event, and returns false
+   * if the other attempt has claimed it.
+   */
+  readonly claim?: (() => boolean) | undefined;
 }
 
 /** Relays the part of a caller's stream that comes from one server. */
@@ -33,6 +38,7 @@
   readonly #head: IResponseHead;
   readonly #streams: IStreamOriginRecorder;
   readonly #limits: IResponseLimits;
+  readonly #claim: (() => boolean) | undefined;
   readonly #splitter = new EventSplitter();
   readonly #exceeded = Deferred.makeUnsafe<never, UpstreamError>();
   #isExceeded = false;
@@ -43,12 +49,13 @@
   #events = 0;
   #bytes = 0;
 
-  constructor(call: RelayedCall, { sink, head, streams, limits }: IStreamRelayOptions) {
+  constructor(call: RelayedCall, { sink, head, streams, limits, claim }: IStreamRelayOptions) {
     this.#call = call;
     this.#sink = sink;
     this.#head = head;
     this.#streams = streams;
     this.#limits = limits;
+    this.#claim = claim;
   }
 
   /** Mean interval between events, in ms; undefined with fewer than three events. */
@@ -72,11 +79,13 @@
     this.#events += events.length;
     const newEvents = events.filter(({ id }) => !this.#isDuplicate(id));
     // An event without id and data, for example a comment, says nothing about the answer.
-    if (newEvents.some(({ id, data }) => id !== undefined || data !== "")) {
+    const hasAnswer = newEvents.some(({ id, data }) => id !== undefined || data !== "");
+    if (hasAnswer) {
       this.#lastEventAtMs = performance.now();
       if (this.#firstEventAtMs === 0) this.#firstEventAtMs = this.#lastEventAtMs;
     }
-    if (newEvents.length > 0) this.#relay(newEvents);
+    const mayRelay = this.#claim === undefined || this.#sink.hasStarted || (hasAnswer && this.#claim());
+    if (newEvents.length > 0 && mayRelay) this.#relay(newEvents);
     if (this.#isOverLimit()) {
       this.#isExceeded = true;
       Deferred.doneUnsafe(this.#exceeded, Effect.fail(new UpstreamError(UpstreamFault.TooLarge)));
--- a/src/daemon/common/gateway_core.ts
+++ b/src/daemon/common/gateway_core.ts
@@ -26,6 +26,7 @@
 import type { IPeerTransports } from "../../membership/common/peer_client.ts";
 import { PeerRpcClients } from "../../membership/common/peer_client.ts";
 import { BackendLoadTracker } from "../../routing/common/backend_load_tracker.ts";
+import { HedgingPolicy } from "../../routing/common/hedging_policy.ts";
 import { UtilizationAdmission } from "../../routing/common/program_admission.ts";
 import { LimitForwarder } from "../../peer/common/limit_forwarder.ts";
 import { SendRateLimiter } from "../../routing/common/send_rate_limiter.ts";
@@ -288,7 +289,8 @@
   }
 
   #makeRelay(): GatewayRelay {
-    const { codec, logger, random } = this.#dependencies;
+    const { codec, logger, now, random } = this.#dependencies;
+    const { hedging } = this.#settings;
     const { peerAddress, zone, maxResponseBytes, maxEventBytes, responseMemoryBytes } = this.#settings;
     const turns = new TurnClient({
       owned: this.owned,
@@ -315,6 +317,7 @@
       }),
       permits: this.permits,
       upstream: this.upstream,
+      hedging: hedging.maxExtraSends === 0 ? undefined : { policy: new HedgingPolicy(hedging, now), now },
       responseLimits: { maxResponseBytes, maxEventBytes },
       responseMemory: new ResponseMemoryPool(responseMemoryBytes),
       logger,
--- a/src/services/settings/common/gen/gateway_settings.ts
+++ b/src/services/settings/common/gen/gateway_settings.ts
@@ -72,6 +72,31 @@
    * Memory for all responses that are being received, in bytes, beyond the first 16384 of each.
    */
   responseMemoryBytes: number;
+  /**
+   * Hedged requests: a second send of a repeatable request to another server when the first one is slow.
+   */
+  hedging: {
+    /**
+     * Maximum number of hedged requests as a share of the sends of requests that may be hedged; 0 switches hedging off.
+     */
+    maxExtraSends: number;
+    /**
+     * Quantile of the recent latency of the same route after which a hedged request is sent.
+     */
+    quantile: number;
+    /**
+     * Minimum delay of a hedged request, in ms.
+     */
+    minDelayMs: number;
+    /**
+     * Running requests per slot of the service's servers above which no hedged request is sent.
+     */
+    maxUtilization: number;
+    /**
+     * Hosts and path prefixes of the requests that may be hedged, as HOST/PREFIX; empty for all.
+     */
+    routes: string[];
+  };
   /**
    * Minimum severity of log lines.
    */
@@ -192,6 +217,51 @@
       "default": 8388608,
       "description": "Memory for all responses that are being received, in bytes, beyond the first 16384 of each."
     },
+    "hedging": {
+      "type": "object",
+      "additionalProperties": false,
+      "default": {},
+      "description": "Hedged requests: a second send of a repeatable request to another server when the first one is slow.",
+      "properties": {
+        "maxExtraSends": {
+          "type": "number",
+          "minimum": 0,
+          "maximum": 0.2,
+          "default": 0,
+          "description": "Maximum number of hedged requests as a share of the sends of requests that may be hedged; 0 switches hedging off."
+        },
+        "quantile": {
+          "type": "number",
+          "minimum": 0.5,
+          "maximum": 0.999,
+          "default": 0.95,
+          "description": "Quantile of the recent latency of the same route after which a hedged request is sent."
+        },
+        "minDelayMs": {
+          "type": "integer",
+          "minimum": 1,
+          "maximum": 60000,
+          "default": 20,
+          "description": "Minimum delay of a hedged request, in ms."
+        },
+        "maxUtilization": {
+          "type": "number",
+          "minimum": 0,
+          "maximum": 1,
+          "default": 0.6,
+          "description": "Running requests per slot of the service's servers above which no hedged request is sent."
+        },
+        "routes": {
+          "type": "array",
+          "items": {
+            "type": "string",
+            "pattern": "^[^/]+/"
+          },
+          "default": [],
+          "description": "Hosts and path prefixes of the requests that may be hedged, as HOST/PREFIX; empty for all."
+        }
+      }
+    },
     "logLevel": {
       "type": "string",
       "enum": [
