--- a/src/call/common/hedged_dispatcher.ts
+++ b/src/call/common/hedged_dispatcher.ts
@@ -21,8 +21,6 @@
 
 export interface IHedgingOptions {
   readonly policy: IHedgingPolicy;
-  /** Unix time in ms. */
-  readonly now: () => number;
   /**
    * Acquires the second send of a request from its organisation's allotment; returns false if the allotment does not
    * cover it. Always granted by default.
@@ -37,6 +35,8 @@
 
 interface IRace extends IAttempt {
   readonly hedging: IHedgingOptions;
+  /** Unix time in ms. */
+  readonly now: () => number;
   readonly race: HedgeRace;
 }
 
@@ -76,12 +76,13 @@
     attempt: IAttempt & { hedging: IHedgingOptions },
     choice: IBackendChoice,
   ): Effect.Effect<AttemptOutcome> {
-    return Effect.suspend(() => {
-      const { call, sink, hedging: { policy, now } } = attempt;
+    return Effect.clockWith((clock) => {
+      const { call, sink, hedging: { policy } } = attempt;
+      const now = () => clock.currentTimeMillisUnsafe();
       const onDidClaim = (winner: RacingAttempt, losers: readonly RacingAttempt[]) =>
-        this.#recordWinner(attempt, { winner, losers });
+        this.#recordWinner(racing, { winner, losers });
       const race = new HedgeRace(call, { sink, onDidClaim });
-      const racing = { ...attempt, race };
+      const racing = { ...attempt, now, race };
       const first = race.add(call.fork(choice, { now: now(), runs: 0 }));
       policy.recordSend(call.service);
       const second = Effect.raceFirst(this.#hedge(racing, choice), race.awaitDecided());
@@ -94,14 +95,14 @@
   }
 
   #runAttempt(racing: IRace, attempt: RacingAttempt): Effect.Effect<void> {
-    const { race, body, beforeEnd, hedging } = racing;
+    const { race, body, beforeEnd } = racing;
     const claim = () => race.claim(attempt);
     const send = { call: attempt.call, sink: attempt, body, beforeEnd, claim };
     const running = Effect.map(this.#dispatcher.run(send, attempt.call.choice!), (outcome) => {
       if (attempt.isCancelled) return;
       race.recordEnd(attempt, outcome);
       const isTimeout = outcome === AttemptOutcome.Failed && attempt.call.fault === UpstreamFault.TimedOut;
-      if (isTimeout && race.winner !== attempt) this.#recordLatency(hedging, attempt, race.attempts[0]);
+      if (isTimeout && race.winner !== attempt) this.#recordLatency(racing, attempt);
     });
     return Effect.raceFirst(running, attempt.awaitCancelled());
   }
@@ -109,7 +110,7 @@
   /** Sends the request to a second server after the route's usual latency. */
   #hedge(racing: IRace, first: IBackendChoice): Effect.Effect<void> {
     return Effect.gen({ self: this }, function* () {
-      const { call, race, hedging: { policy, now } } = racing;
+      const { call, race, now, hedging: { policy } } = racing;
       const delayMs = policy.delayMs(routeKey(call.route));
       if (delayMs === undefined) return this.#deny(HedgeDenial.FewSamples);
       yield* Effect.sleep(delayMs);
@@ -191,26 +192,26 @@
   }
 
   #recordWinner(
-    { call, hedging }: { call: RelayedCall; hedging: IHedgingOptions },
+    racing: IRace,
     { winner, losers }: { winner: RacingAttempt; losers: readonly RacingAttempt[] },
   ): void {
-    const { hedge } = call;
-    const isSecond = hedge !== undefined && winner.call.choice?.backend.id === hedge.backendId;
-    if (isSecond) hedge.isWinner = true;
+    const { call: { hedge }, race } = racing;
+    const isSecond = winner !== race.attempts[0];
+    if (isSecond && hedge !== undefined) hedge.isWinner = true;
     if (isSecond) this.#opts.metrics.incrementCounter("hedges", { outcome: "won" });
     else if (losers.length > 0) this.#opts.metrics.incrementCounter("hedges", { outcome: "cancelled" });
-    const first = isSecond ? losers.at(0) : winner;
-    if (first !== undefined) this.#recordLatency(hedging, first, first);
-    for (const loser of losers) this.#recordMinLatency(loser, hedging);
+    for (const attempt of [winner, ...losers]) this.#recordLatency(racing, attempt);
+    for (const loser of losers) this.#recordMinLatency(racing, loser);
   }
 
   /** Records the latency of the first attempt of a request: the delay is counted from its send. */
-  #recordLatency({ policy, now }: IHedgingOptions, attempt: RacingAttempt, first: RacingAttempt): void {
-    if (attempt === first) policy.recordLatency(routeKey(attempt.call.route), now() - attempt.sentAtMs);
+  #recordLatency({ race, now, hedging: { policy } }: IRace, attempt: RacingAttempt): void {
+    if (attempt !== race.attempts[0]) return;
+    policy.recordLatency(routeKey(attempt.call.route), now() - attempt.sentAtMs);
   }
 
   /** The time of a cancelled attempt is a lower bound; ignoring it would make a slow server look as fast as its fastest answers. */
-  #recordMinLatency({ call, sentAtMs }: RacingAttempt, { now, policy }: IHedgingOptions): void {
+  #recordMinLatency({ now, hedging: { policy } }: IRace, { call, sentAtMs }: RacingAttempt): void {
     // The latency of an engine is that of a token, of which nothing is known.
     if (this.#dispatcher.engineOf(call.service) !== undefined) return;
     const { id } = call.choice!.backend;
--- a/src/cli/common/request_causes.ts
+++ b/src/cli/common/request_causes.ts
@@ -12,11 +12,15 @@
 
 /** Log lines from which the causes are derived; the names are those of the JSON output of `explain`. */
 export interface IEvidence {
+  /** Failed sends, and sends to a second server while the first one was unanswered. */
   readonly attempts: readonly ILogLine[];
   /** State changes that the instances logged shortly before and during the request. */
   readonly beliefs: readonly ILogLine[];
 }
 
+/** Event of the line that reports the second send of a hedged request. */
+const HEDGE_EVENT = "request-hedged";
+
 type ExplainReason = (end: ILogLine, evidence: IEvidence) => string[];
 
 const EXPLANATIONS: Readonly<Record<RefusalReason, ExplainReason>> = {
@@ -123,7 +127,14 @@
 };
 
 /** Returns the causes of a request's outcome, the likeliest first; empty for a success on time. */
-export function causesOf(end: ILogLine, evidence: IEvidence): string[] {
+export function causesOf(end: ILogLine, { attempts, beliefs }: IEvidence): string[] {
+  const failed = attempts.filter(({ event }) => event !== HEDGE_EVENT);
+  const hedges = attempts.filter(({ event }) => event === HEDGE_EVENT);
+  const causes = outcomeCauses(end, { attempts: failed, beliefs });
+  return [...causes, ...hedges.map((line) => formatHedge(line, end))];
+}
+
+function outcomeCauses(end: ILogLine, evidence: IEvidence): string[] {
   if (end.event === "caller-left") return disconnectCauses(end, evidence);
   const reason = stringField(end, "reason");
   if (reason !== undefined && reason in EXPLANATIONS) {
@@ -136,6 +147,17 @@
   return lateCauses(end, evidence);
 }
 
+/** Both sends of a hedged request, and which of them was relayed. */
+function formatHedge({ fields }: ILogLine, end: ILogLine): string {
+  const { backend, hedgeBackend, hedgedAfterMs } = fields;
+  const sends =
+    `sent to ${backend} and, after ${hedgedAfterMs} ms without an answer, also to ${hedgeBackend}`;
+  const wasRelayed = end.event === "request" && end.fields.reason === undefined;
+  if (!wasRelayed) return `${sends}; neither answer was relayed in full`;
+  const winner = end.fields.hedgeWon === true ? hedgeBackend : backend;
+  return `${sends}; the answer of ${winner} was relayed and the other send cancelled, unless it had failed before`;
+}
+
 function disconnectCauses(end: ILogLine, evidence: IEvidence): string[] {
   const events = numberField(end, "events") ?? 0;
   const disconnect = `the caller disconnected after ${end.fields.tookMs} ms and ${events} events`;
--- a/src/cli/common/request_explanation.ts
+++ b/src/cli/common/request_explanation.ts
@@ -70,8 +70,8 @@
   const from = last.time - (numberField(last, "tookMs") ?? 0) - LOOKBACK_MS;
   const until = last.time + CLOCK_SKEW_MS;
   const nearby = lines.filter(({ time }) => time >= from && time <= until);
-  const backend = stringField(last, "backend");
-  const beliefs = nearby.filter((line) => isRelevant(line, { instance: last.instance, backend })).sort(
+  const backends = backendsOf(last, attempts);
+  const beliefs = nearby.filter((line) => isRelevant(line, { instance: last.instance, backends })).sort(
     byTime,
   );
   const explanation = {
@@ -91,13 +91,23 @@
   return { end: undefined, attempts: [], siblings: [], beliefs: starts, causes: [], gaps: [gap] };
 }
 
-function isRelevant(line: ILogLine, about: { instance: string; backend: string | undefined }): boolean {
+/** The backend server of the outcome, and both servers of a hedged request. */
+function backendsOf(last: ILogLine, attempts: readonly ILogLine[]): ReadonlySet<string | undefined> {
+  const hedged = attempts.filter((line) => stringField(line, "hedgeBackend") !== undefined);
+  const fields = hedged.flatMap((line) => [stringField(line, "backend"), stringField(line, "hedgeBackend")]);
+  return new Set([stringField(last, "backend"), ...fields]);
+}
+
+function isRelevant(
+  line: ILogLine,
+  about: { instance: string; backends: ReadonlySet<string | undefined> },
+): boolean {
   if (isRequestEnd(line)) return false;
   const { event, instance } = line;
   if (instance === about.instance && INSTANCE_EVENTS.has(event)) return true;
   if (OWNER_EVENTS.has(event)) return true;
-  if (about.backend === undefined) return false;
-  return stringField(line, "backend") === about.backend || stringField(line, "id") === about.backend;
+  const ids = [stringField(line, "backend"), stringField(line, "id")];
+  return ids.some((id) => id !== undefined && about.backends.has(id));
 }
 
 function siblingsOf(lines: readonly ILogLine[], { fields, time }: ILogLine): ILogLine[] {
--- a/src/cli/common/request_explanation_test.ts
+++ b/src/cli/common/request_explanation_test.ts
@@ -147,3 +147,29 @@
   const [other] = explainRequest([logLine(1, "i", refusal)], "r").causes;
   t.regex(other, /with this content/);
 });
+
+test("both sends of a hedged request are named, and which of them was relayed", (t) => {
+  const sent = logLine(1, "i", {
+    event: "request-hedged",
+    request: "r",
+    backend: "a",
+    hedgeBackend: "b",
+    hedgedAfterMs: 80,
+  });
+  const causesWith = (fields: object) => {
+    const end = logLine(2, "i", {
+      event: "request",
+      request: "r",
+      status: 200,
+      hedgeBackend: "b",
+      ...fields,
+    });
+    return explainRequest([sent, end], "r").causes;
+  };
+  const sends = "sent to a and, after 80 ms without an answer, also to b; ";
+  const rest = " was relayed and the other send cancelled, unless it had failed before";
+  t.deepEqual(causesWith({ backend: "b", hedgeWon: true }), [`${sends}the answer of b${rest}`]);
+  t.deepEqual(causesWith({ backend: "a", hedgeWon: false }), [`${sends}the answer of a${rest}`]);
+  const unknown = causesWith({ status: 502, reason: RefusalReason.OutcomeUnknown, backend: "b", runs: 2 });
+  t.is(unknown.at(-1), `${sends}neither answer was relayed in full`);
+});
--- a/src/daemon/common/gateway_core.ts
+++ b/src/daemon/common/gateway_core.ts
@@ -317,7 +317,7 @@
       }),
       permits: this.permits,
       upstream: this.upstream,
-      hedging: hedging.maxExtraSends === 0 ? undefined : { policy: new HedgingPolicy(hedging, now), now },
+      hedging: hedging.maxExtraSends === 0 ? undefined : { policy: new HedgingPolicy(hedging, now) },
       responseLimits: { maxResponseBytes, maxEventBytes },
       responseMemory: new ResponseMemoryPool(responseMemoryBytes),
       logger,
--- a/src/routing/common/hedging_policy.ts
+++ b/src/routing/common/hedging_policy.ts
@@ -15,6 +15,8 @@
 /** Hedged requests to a service that an instance can send at once: those that wait for one server that pauses. */
 const MAX_TOKENS = 5;
 const MAX_LATENCY_MS = 60_000;
+/** Latencies are recorded in whole ms. */
+const RESOLUTION_MS = 1;
 const SIGNIFICANT_DIGITS = 2;
 
 /** The gateway's settings of hedged requests. */
@@ -150,7 +152,8 @@
     const recent = makeHistogram();
     recent.add(current);
     recent.add(previous);
-    return Math.max(minDelayMs, recent.getValueAtPercentile(quantile * 100));
+    // Where most latencies are equal, the quantile is the usual latency itself, and half of the requests would reach it.
+    return Math.max(minDelayMs, recent.getValueAtPercentile(quantile * 100) + RESOLUTION_MS);
   }
 
   /** Begins a new period if the current one has ended, and forgets routes without requests. */
--- a/test/harness/gateway_cluster.ts
+++ b/test/harness/gateway_cluster.ts
@@ -116,6 +116,8 @@
   readonly softwareVersions?: readonly string[];
   /** Which requests crash the servers that run them; by default those with a mark in their target. */
   readonly isCrashing?: (req: IUpstreamRequest) => boolean;
+  /** Settings of all instances beside the required ones. */
+  readonly settings?: object;
 }
 
 export class GatewayCluster {
@@ -128,8 +130,12 @@
   #nextId = 0;
   #nextWriter = 0n;
   #seed = 1;
+  readonly #settings: object;
 
-  private constructor({ crashForm, restartForm, isCrashing = hasCrashingMark }: IGatewayClusterOptions) {
+  private constructor(
+    { crashForm, restartForm, isCrashing = hasCrashingMark, settings = {} }: IGatewayClusterOptions,
+  ) {
+    this.#settings = settings;
     this.fleet = new BackendFleet({
       now: () => this.nowMs,
       isAnswerLost: ({ target }) => this.losesAnswers && target.includes(LOST_ANSWER_MARK),
@@ -277,6 +283,7 @@
         metricsPort: 5,
         storeAddress: "store:1",
         seeds: ["g0:3", "g1:3", "g2:3"],
+        ...this.#settings,
       }),
       name,
     );
@@ -438,8 +445,8 @@
 
 function encodeServer(server: IFleetServer | undefined): Uint8Array | undefined {
   if (server === undefined) return undefined;
-  const { service: Service, address: Addr, startedAtMs: born, softwareVersion: Version } = server;
-  return Buffer.from(JSON.stringify({ Service, Addr, Zone: "z", Slots: 16, State: "ready", Version, born }));
+  const { service: Service, address: Addr, startedAtMs: born, softwareVersion: Version, zone: Zone } = server;
+  return Buffer.from(JSON.stringify({ Service, Addr, Zone, Slots: 16, State: "ready", Version, born }));
 }
 
 function routeOf(PathPrefix: RoutePath, overrides: object) {
--- a/test/stand_ins/backend_fleet.ts
+++ b/test/stand_ins/backend_fleet.ts
@@ -73,6 +73,14 @@
   faultyAttempts: number;
   /** Number of requests that the server began to run. */
   runCount: number;
+  /** Availability zone. */
+  zone: string;
+  /** Time until the head of a response, in ms. */
+  headMs: number;
+  /** Ids of the requests whose connections are open. */
+  readonly open: Set<string>;
+  /** Ids of the requests whose connections their senders closed before the end of the response. */
+  readonly cancelled: string[];
   ended: Deferred.Deferred<void>;
 }
 
@@ -135,6 +143,10 @@
         behavior: ServerBehavior.Sound,
         faultyAttempts: 0,
         runCount: 0,
+        zone: "z",
+        headMs: RUN_MS / 2,
+        open: new Set(),
+        cancelled: [],
         ended: Deferred.makeUnsafe<void>(),
       };
       this.servers.push(server);
@@ -143,8 +155,18 @@
   }
 
   send(backend: IBackendEntry, req: IUpstreamRequest): Effect.Effect<IUpstreamResponse, UpstreamError> {
+    const server = this.servers.find(({ address }) => address === `${backend.host}:${backend.port}`)!;
+    return this.#run(server, { backend, req }).pipe(
+      Effect.onError(() => Effect.sync(() => server.open.delete(req.requestId))),
+      Effect.onInterrupt(() => Effect.sync(() => server.cancelled.push(req.requestId))),
+    );
+  }
+
+  #run(
+    server: IFleetServer,
+    { backend, req }: { backend: IBackendEntry; req: IUpstreamRequest },
+  ): Effect.Effect<IUpstreamResponse, UpstreamError> {
     return Effect.gen({ self: this }, function* () {
-      const server = this.servers.find(({ address }) => address === `${backend.host}:${backend.port}`)!;
       const { behavior } = server;
       if (behavior !== ServerBehavior.Sound) server.faultyAttempts += 1;
       if (!server.isUp || behavior === ServerBehavior.Unreachable) return yield* this.#failToConnect();
@@ -157,13 +179,14 @@
         timeoutMs: Number(req.headers[req.headers.indexOf(TIMEOUT_HEADER) + 1]),
       });
       server.runCount += 1;
+      server.open.add(req.requestId);
       const isFaulty = server.runCount % 2 === 1;
       if (behavior === ServerBehavior.Silent) return yield* Effect.never;
       const { ended } = server;
       const isCrashing = this.#opts.isCrashing(req);
       if (isCrashing) yield* Effect.forkDetach(this.#crashSoon(server));
       yield* Effect.raceFirst(
-        Effect.sleep(isCrashing ? this.#crashingHeadMs() : RUN_MS / 2),
+        Effect.sleep(isCrashing ? this.#crashingHeadMs() : server.headMs),
         this.#awaitEnd(ended),
       );
       if (this.#opts.isAnswerLost(req)) return yield* Effect.fail(new UpstreamError(UpstreamFault.Broken));
@@ -172,7 +195,7 @@
       }
       const status = isFaulty && behavior === ServerBehavior.Errors ? 500 : this.status;
       const hasFirstChunk = !isCrashing || this.#hasFirstChunk();
-      const body = this.#makeBody(server, { isCrashing, hasFirstChunk });
+      const body = this.#makeBody(server, { req, isCrashing, hasFirstChunk });
       const { isLeaving, limitPerSecond } = server;
       this.#onDidStateLimit.fire({ backend, limitPerSecond });
       if (isLeaving) this.#onDidAnnounceLeaving.fire(backend);
@@ -255,15 +278,22 @@
   }
 
   #makeBody(
-    { ended, softwareVersion }: IFleetServer,
-    { isCrashing, hasFirstChunk }: { isCrashing: boolean; hasFirstChunk: boolean },
+    { ended, softwareVersion, open, cancelled }: IFleetServer,
+    { req: { requestId }, isCrashing, hasFirstChunk }: {
+      req: IUpstreamRequest;
+      isCrashing: boolean;
+      hasFirstChunk: boolean;
+    },
   ): IResponseBody {
     const read = (onChunk: (chunk: Uint8Array) => void) =>
       Effect.gen({ self: this }, function* () {
         if (hasFirstChunk) onChunk(Buffer.from(`id: 1\ndata: ${softwareVersion}\n\n`));
         yield* Effect.raceFirst(isCrashing ? Effect.never : Effect.sleep(RUN_MS / 2), this.#awaitEnd(ended));
         onChunk(Buffer.from(`id: 2\ndata: ${softwareVersion}\n\n`));
-      });
+      }).pipe(
+        Effect.onInterrupt(() => Effect.sync(() => cancelled.push(requestId))),
+        Effect.ensuring(Effect.sync(() => open.delete(requestId))),
+      );
     return makeResponseBody(read);
   }
 }
