--- a/src/call/node/http_upstream_test.ts
+++ b/src/call/node/http_upstream_test.ts
@@ -4,7 +4,7 @@
 import { createServer } from "node:http";
 import test from "ava";
 import fc from "fast-check";
-import { Effect, Result } from "effect";
+import { Deferred, Effect, Fiber, Result } from "effect";
 import type { IBackendEntry } from "../../services/backends/common/backend_directory.ts";
 import type {
   IRequestCodec,
@@ -68,6 +68,32 @@
   upstream.dispose();
 });
 
+test("interruption closes the connection, so that a server stops a request whose answer is not needed", async (t) => {
+  for (const hasHead of [false, true]) {
+    const arrived = Deferred.makeUnsafe<void>();
+    const closed = Deferred.makeUnsafe<void>();
+    const server = await listen((req, res) => {
+      res.on("close", () => Deferred.doneUnsafe(closed, Effect.void));
+      if (!hasHead) return Deferred.doneUnsafe(arrived, Effect.void);
+      res.writeHead(200, { "x-id": req.headers["x-id"] });
+      res.write("first");
+    });
+    const upstream = new HttpUpstream(CODEC);
+    const sending = Effect.runFork(
+      Effect.flatMap(
+        upstream.send(backendOf(server), requestOf("1")),
+        ({ body }) => body.read(() => Deferred.doneUnsafe(arrived, Effect.void)),
+      ),
+    );
+    await Effect.runPromise(Deferred.await(arrived));
+    await Effect.runPromise(Fiber.interrupt(sending));
+    await Effect.runPromise(Deferred.await(closed));
+    t.pass();
+    server.close();
+    upstream.dispose();
+  }
+});
+
 test("sends the request target unchanged", async (t) => {
   const server = await listen((req, res) => {
     res.writeHead(200, { "x-id": req.headers["x-id"] });
