--- a/test/stand_ins/backend_fleet.ts
+++ b/test/stand_ins/backend_fleet.ts
@@ -119,6 +119,10 @@
   softwareVersions: readonly string[] = ["v1"];
   /** How servers crash from now on. */
   crashForm: CrashForm;
+  /** Work of a server until the head of a response, instead of the server's own time. */
+  work: ((server: IFleetServer) => Effect.Effect<void>) | undefined;
+  /** Time from the head of a response to its end, in ms. */
+  bodyMs = RUN_MS / 2;
   /** Status with which servers respond to requests that do not crash them. */
   status = 200;
   readonly #opts: IBackendFleetOptions;
@@ -186,7 +190,9 @@
       const isCrashing = this.#opts.isCrashing(req);
       if (isCrashing) yield* Effect.forkDetach(this.#crashSoon(server));
       yield* Effect.raceFirst(
-        Effect.sleep(isCrashing ? this.#crashingHeadMs() : server.headMs),
+        isCrashing
+          ? Effect.sleep(this.#crashingHeadMs())
+          : this.work?.(server) ?? Effect.sleep(server.headMs),
         this.#awaitEnd(ended),
       );
       if (this.#opts.isAnswerLost(req)) return yield* Effect.fail(new UpstreamError(UpstreamFault.Broken));
@@ -288,7 +294,7 @@
     const read = (onChunk: (chunk: Uint8Array) => void) =>
       Effect.gen({ self: this }, function* () {
         if (hasFirstChunk) onChunk(Buffer.from(`id: 1\ndata: ${softwareVersion}\n\n`));
-        yield* Effect.raceFirst(isCrashing ? Effect.never : Effect.sleep(RUN_MS / 2), this.#awaitEnd(ended));
+        yield* Effect.raceFirst(isCrashing ? Effect.never : Effect.sleep(this.bodyMs), this.#awaitEnd(ended));
         onChunk(Buffer.from(`id: 2\ndata: ${softwareVersion}\n\n`));
       }).pipe(
         Effect.onInterrupt(() => Effect.sync(() => cancelled.push(requestId))),
