--- a/test/proofs/hedging_test.ts
+++ b/test/proofs/hedging_test.ts
@@ -291,6 +291,21 @@
   });
 }
 
+test("a second server that accepts no connection changes nothing, and counts as no run", async (t) => {
+  await play({ route: RoutePath.Safe }, ({ cluster, first, others, send }) =>
+    Effect.gen(function* () {
+      first.headMs = 300;
+      for (const other of others) other.behavior = ServerBehavior.Unreachable;
+      const sending = yield* send();
+      yield* cluster.advance(600);
+      t.is((yield* Fiber.join(sending)).status, 200);
+      t.deepEqual(runsOf(cluster), [first.id]);
+      t.is(endOf(cluster).runs, 1);
+      t.is(counter(cluster, 'hedges_total{outcome="sent"}'), 1);
+      t.deepEqual(leftovers(cluster), [0]);
+    }));
+});
+
 test("a caller that leaves within the stream of the second server is logged with that server and its events", async (t) => {
   const route = RoutePath.ResumableStream;
   await play({ route }, ({ cluster, first, send }) =>
