--- a/src/call/common/gateway_relay.ts
+++ b/src/call/common/gateway_relay.ts
@@ -10,9 +10,11 @@
 import { BoundedLabel } from "../../services/metrics/common/bounded_label.ts";
 import type { ITurnChain, ITurnClient } from "../../turns/common/turn_client.ts";
 import { ChainLookupStatus } from "../../turns/common/turn_client.ts";
-import type { IAttempt, IBackendDispatcherOptions } from "./backend_dispatcher.ts";
+import type { IAttempt } from "./backend_dispatcher.ts";
 import { BackendDispatcher } from "./backend_dispatcher.ts";
 import { CallAuthorizer } from "./call_authorizer.ts";
+import type { IHedgedDispatcherOptions } from "./hedged_dispatcher.ts";
+import { HedgedDispatcher } from "./hedged_dispatcher.ts";
 import type { IRefusal } from "./gateway_refusal.ts";
 import { finalRefusal, GatewayStatus, RefusalReason, retryableRefusal } from "./gateway_refusal.ts";
 import type { IOpaqueRequest, IRawRequest, IResponseSink } from "./opaque_request.ts";
@@ -44,7 +46,7 @@
 /** Number of organisations with their own series in the metrics; all others share one. */
 const MAX_ORGANISATION_LABELS = 20;
 
-export interface IGatewayRelayOptions extends IBackendDispatcherOptions {
+export interface IGatewayRelayOptions extends IHedgedDispatcherOptions {
   readonly turns: ITurnClient;
   readonly admission: IProgramAdmission;
   readonly streamFinder: IStreamOriginFinder;
@@ -65,11 +67,13 @@
   readonly #dispatcher: BackendDispatcher;
   readonly #authorizer: CallAuthorizer;
   readonly #organisationLabel = new BoundedLabel(MAX_ORGANISATION_LABELS);
+  readonly #hedged: HedgedDispatcher;
 
   constructor(opts: IGatewayRelayOptions) {
     this.#opts = opts;
     this.#authorizer = new CallAuthorizer(opts);
     this.#dispatcher = new BackendDispatcher(opts);
+    this.#hedged = new HedgedDispatcher(this.#dispatcher, opts);
   }
 
   /** Serves one request. Interruption means that the caller has disconnected. */
@@ -307,7 +311,7 @@
         if (choice === undefined) return this.#noBackendRefusal(call);
         call.choice = choice;
         if (!(yield* this.#announceVersionChange(call, choice))) return this.#notRecordedRefusal(call);
-        const outcome = yield* this.#dispatcher.run(attempt, choice);
+        const outcome = yield* this.#hedged.run(attempt, choice);
         if (outcome === AttemptOutcome.Done) return undefined;
         if (outcome === AttemptOutcome.Denied) return this.#deniedRefusal(call);
         if (outcome === AttemptOutcome.NotSent) continue;
