Allotments: the owner of an organisation decides on each of its requests

Cause: the number of requests that servers run for an organisation was not limited.

Change: AllotmentLimiter keeps a token bucket for each organisation at the owner of its name's slice and prefers programs that have begun; AcquireAllotment of TurnService asks it; AllotmentClient asks the owner, then up to two stand-ins with half the rate, and then decides alone with an equal share. The call to an owner with its time limit and back-off is taken out of PermitClient into OwnerCaller, which both use; after the back-off only one question finds out whether an instance responds again. GatewayRelay asks in parallel with BeginTurn and LoadTurn for turns, and before the choice of a server otherwise; it answers 429 with Retry-After.

Ran: relay, log schema and server limit tests.

--- /dev/null
+++ b/src/call/common/allotment_owner.ts
@@ -0,0 +1,158 @@
+/** Decisions on allotments by the instance that owns them, or that stands in for the owner. */
+import { create } from "@bufbuild/protobuf";
+import type {
+  AcquireAllotmentRequest,
+  AcquireAllotmentResponse,
+} from "../../base/common/gen/ragwortcleat/v1/turns_pb.ts";
+import { AllotmentSchema } from "../../base/common/gen/ragwortcleat/v1/turns_pb.ts";
+import type { IAllotmentGrant, IAllotmentQuestion } from "../../routing/common/allotment_limiter.ts";
+import { AllotmentLimiter } from "../../routing/common/allotment_limiter.ts";
+import type { ILogger } from "../../services/logging/common/logger.ts";
+import type { Metrics } from "../../services/metrics/common/metrics.ts";
+import type { IOrganisation } from "../../services/organisations/common/organisation.ts";
+import { fromProgressMessage } from "./allotment_message.ts";
+
+/** Share of the rate that an instance grants in place of an owner that does not respond, but may still grant. */
+const STAND_IN_SHARE = 0.5;
+/** Part of the slack with which an instance begins to stand in. */
+const STAND_IN_SLACK_SHARE = 0.125;
+/** Time after the last question at which an instance no longer stands in: longer than the change of an owner takes. */
+const STAND_IN_TTL_MS = 10_000;
+/** Time for which further refusals of an organisation are not logged. */
+const REFUSAL_LOG_INTERVAL_MS = 10_000;
+/** Number of organisations that have their own metrics; further ones are counted together. */
+const MAX_COUNTED_ORGANISATIONS = 256;
+
+export interface IAllotmentOwnerOptions {
+  /** Time since which this instance owns an organisation's allotment, in ms of the clock; undefined if it does not. */
+  readonly ownedSinceMs: (organisation: string) => number | undefined;
+  /** The organisation as this instance's configuration states it; undefined if it states none of the name. */
+  readonly organisation: (name: string) => IOrganisation | undefined;
+  /** Version of that configuration. */
+  readonly configurationVersion: () => number;
+  /** Number of instances that are known to this one, itself included. */
+  readonly instanceCount: () => number;
+  readonly logger: ILogger;
+  readonly metrics: Metrics;
+  readonly now: () => number;
+  /** Returns a random number in [0, 1). */
+  readonly random: () => number;
+  readonly slackRequests: number;
+  /** Address at which peers reach this instance. */
+  readonly address: string;
+}
+
+/** A question, and whether this instance is asked because the owner does not respond. */
+export interface IOwnerDecisionInput extends Omit<IAllotmentQuestion, "accruesFromMs"> {
+  readonly isStandIn: boolean;
+}
+
+export class AllotmentOwner {
+  readonly #opts: IAllotmentOwnerOptions;
+  readonly #own: AllotmentLimiter;
+  readonly #standIn: AllotmentLimiter;
+  readonly #loggedAtMs = new Map<string, number>();
+  readonly #counted = new Set<string>();
+
+  constructor(opts: IAllotmentOwnerOptions) {
+    this.#opts = opts;
+    const { now, random, slackRequests } = opts;
+    this.#own = new AllotmentLimiter({ now, random, slackRequests, share: 1 });
+    this.#standIn = new AllotmentLimiter({
+      now,
+      random,
+      slackRequests,
+      share: STAND_IN_SHARE,
+      initialTokens: slackRequests * STAND_IN_SLACK_SHARE,
+      retentionMs: STAND_IN_TTL_MS,
+    });
+  }
+
+  /** Answers the question of another instance. */
+  answer(req: AcquireAllotmentRequest): Partial<Omit<AcquireAllotmentResponse, "$typeName">> {
+    const { organisation, allotment, programId, count, returned, isStandIn } = req;
+    if (allotment === undefined) return { isOwner: false };
+    const grant = this.decide({
+      organisation,
+      allotment,
+      version: allotment.version,
+      programId: programId === "" ? undefined : programId,
+      progress: fromProgressMessage(req.progress),
+      count,
+      returned,
+      isStandIn,
+    });
+    if (grant === undefined) return { isOwner: false };
+    const { granted, retryAfterMs, isLow, version } = grant;
+    const { perSecond, burst } = grant.allotment;
+    return {
+      isOwner: true,
+      granted,
+      retryAfterMs,
+      isLow,
+      allotment: create(AllotmentSchema, { perSecond, burst, version }),
+      instances: this.#opts.instanceCount(),
+    };
+  }
+
+  /** Decides on requests of an organisation. Returns undefined if this instance does not own its allotment. */
+  decide({ isStandIn, ...question }: IOwnerDecisionInput): IAllotmentGrant | undefined {
+    const newest = this.#withNewestAllotment(question);
+    const accruesFromMs = this.#opts.ownedSinceMs(question.organisation);
+    // A stand-in that has become the owner meanwhile decides as the owner.
+    const isOwner = accruesFromMs !== undefined;
+    if (!isOwner && !isStandIn) return undefined;
+    const grant = isOwner ? this.#own.acquire({ ...newest, accruesFromMs }) : this.#standIn.acquire(newest);
+    this.#count(question, { grant, isOwner });
+    if (grant.granted === 0) this.#logRefusal(question, { grant, isOwner });
+    return grant;
+  }
+
+  /** Replaces the sender's allotment by the one of this instance's configuration, if that is newer. */
+  #withNewestAllotment<T extends Pick<IAllotmentQuestion, "organisation" | "allotment" | "version">>(
+    question: T,
+  ): T {
+    const version = this.#opts.configurationVersion();
+    if (version <= question.version) return question;
+    const allotment = this.#opts.organisation(question.organisation)?.allotment;
+    return allotment === undefined ? question : { ...question, allotment, version };
+  }
+
+  #count(
+    { organisation, count }: Pick<IAllotmentQuestion, "organisation" | "count">,
+    { grant, isOwner }: { grant: IAllotmentGrant; isOwner: boolean },
+  ): void {
+    if (this.#counted.size < MAX_COUNTED_ORGANISATIONS) this.#counted.add(organisation);
+    const label = this.#counted.has(organisation) ? organisation : "other";
+    const outcome = grant.granted > 0 ? "granted" : "refused";
+    const by = isOwner ? "owner" : "stand-in";
+    this.#opts.metrics.incrementCounter("allotment_requests", { organisation: label, outcome, by }, count);
+  }
+
+  /** Logs the first refusal of an organisation in each period. */
+  #logRefusal(
+    { organisation, programId, progress }: Omit<IAllotmentQuestion, "accruesFromMs">,
+    { grant, isOwner }: { grant: IAllotmentGrant; isOwner: boolean },
+  ): void {
+    const now = this.#opts.now();
+    if ((this.#loggedAtMs.get(organisation) ?? -Infinity) > now - REFUSAL_LOG_INTERVAL_MS) return;
+    for (const [name, atMs] of this.#loggedAtMs) {
+      if (atMs <= now - REFUSAL_LOG_INTERVAL_MS) this.#loggedAtMs.delete(name);
+    }
+    this.#loggedAtMs.set(organisation, now);
+    const { allotment, version, level, activePrograms, retryAfterMs } = grant;
+    this.#opts.logger.info("allotment-exhausted", {
+      organisation,
+      owner: this.#opts.address,
+      isStandIn: !isOwner,
+      perSecond: allotment.perSecond,
+      burst: allotment.burst,
+      version,
+      level: Math.round(level * 100) / 100,
+      activePrograms,
+      program: programId,
+      progress,
+      retryAfterMs: Math.round(retryAfterMs),
+    });
+  }
+}
--- a/src/call/common/gateway_refusal.ts
+++ b/src/call/common/gateway_refusal.ts
@@ -7,6 +7,8 @@
   BudgetExhausted = 402,
   NotFound = 404,
   BodyTooLarge = 413,
+  /** The organisation's allotment does not cover the request, which has not run. */
+  TooManyRequests = 429,
   /** The outcome of the request is unknown. */
   BadGateway = 502,
   /** The request has not run and will not run. */
@@ -28,6 +30,8 @@
   ServersUnreachable = "servers-unreachable",
   /** Admitting another program would delay the running ones beyond their deadlines. */
   Overloaded = "overloaded",
+  /** The organisation has sent more requests than its allotment covers. */
+  AllotmentExhausted = "allotment-exhausted",
   BudgetExhausted = "budget-spent",
   BudgetUnavailable = "budget-unavailable",
   TurnUnknown = "turn-unknown",
@@ -54,6 +58,11 @@
   return { status: GatewayStatus.Unavailable, reason, retryAfterMs };
 }
 
+/** Creates a refusal of a request that an allotment does not cover. It guarantees that the request has not run. */
+export function allotmentRefusal(retryAfterMs: number): IRefusal {
+  return { status: GatewayStatus.TooManyRequests, reason: RefusalReason.AllotmentExhausted, retryAfterMs };
+}
+
 /** Creates a refusal without a retry hint. The request may have run. */
 export function finalRefusal(status: GatewayStatus, reason: RefusalReason): IRefusal {
   return { status, reason, retryAfterMs: undefined };
--- a/src/call/common/gateway_relay.ts
+++ b/src/call/common/gateway_relay.ts
@@ -1,6 +1,7 @@
 /** Relays opaque requests to backend servers and their responses to callers. */
 import { Clock, Effect } from "effect";
 import { TurnVerdict } from "../../base/common/gen/ragwortcleat/v1/turns_pb.ts";
+import { RequestProgress } from "../../routing/common/allotment_limiter.ts";
 import type { IProgramAdmission } from "../../routing/common/program_admission.ts";
 import type { IRoute } from "../../services/routes/common/route_table.ts";
 import { isRepeatable, RouteKind, selectServiceByWeight } from "../../services/routes/common/route_table.ts";
@@ -8,8 +9,15 @@
 import { ChainLookupStatus } from "../../turns/common/turn_client.ts";
 import type { IAttempt, IBackendDispatcherOptions } from "./backend_dispatcher.ts";
 import { BackendDispatcher } from "./backend_dispatcher.ts";
+import type { IAllotmentClient } from "./allotment_client.ts";
 import type { IRefusal } from "./gateway_refusal.ts";
-import { finalRefusal, GatewayStatus, RefusalReason, retryableRefusal } from "./gateway_refusal.ts";
+import {
+  allotmentRefusal,
+  finalRefusal,
+  GatewayStatus,
+  RefusalReason,
+  retryableRefusal,
+} from "./gateway_refusal.ts";
 import type { IOpaqueRequest, IRawRequest, IResponseSink } from "./opaque_request.ts";
 import { AttemptOutcome, RelayedCall } from "./relayed_call.ts";
 import { UpstreamFault } from "./opaque_request.ts";
@@ -39,6 +47,7 @@
 export interface IGatewayRelayOptions extends IBackendDispatcherOptions {
   readonly turns: ITurnClient;
   readonly admission: IProgramAdmission;
+  readonly allotments: IAllotmentClient;
   readonly streamFinder: IStreamOriginFinder;
   /** Returns a random number in [0, 1). */
   readonly random: () => number;
@@ -85,10 +94,9 @@
         configurationVersion: routes.version,
       });
       call.origin = origin;
-      const work = isTurn(call)
-        ? this.#serveTurn(call, sink)
-        : this.#serve({ call, sink, body: req.body, beforeEnd: Effect.succeed(true) });
+      const work = isTurn(call) ? this.#serveTurn(call, sink) : this.#serveOther(call, sink);
       const outcome = yield* Effect.raceFirst(work, this.#awaitDeadline(call)).pipe(
+        Effect.ensuring(Effect.sync(() => this.#giveBackToken(call))),
         Effect.onInterrupt(() => {
           this.#addCrashEvidence(call);
           return this.#log(call, "caller-left");
@@ -166,6 +174,42 @@
     });
   }
 
+  /** Serves a request that is no turn. */
+  #serveOther(call: RelayedCall, sink: IResponseSink): Effect.Effect<IRefusal | undefined> {
+    return Effect.gen({ self: this }, function* () {
+      const refusal = yield* this.#acquireToken(call);
+      if (refusal !== undefined) return refusal;
+      return yield* this.#serve({ call, sink, body: call.req.body, beforeEnd: Effect.succeed(true) });
+    });
+  }
+
+  /** Acquires the token for the next send from the allotment of the request's organisation, if that has one. */
+  #acquireToken(call: RelayedCall): Effect.Effect<IRefusal | undefined> {
+    const { organisation, req, configurationVersion: version } = call;
+    if (organisation?.allotment === undefined) return Effect.succeed(undefined);
+    const token = this.#opts.allotments.acquire({
+      organisation,
+      version,
+      programId: req.program?.programId,
+      progress: progressOf(call),
+    });
+    return Effect.map(token, (decision) => {
+      call.allotment = decision;
+      call.holdsToken = decision?.isGranted === true;
+      if (decision === undefined || decision.isGranted) return undefined;
+      return call.runs > 0
+        ? finalRefusal(GatewayStatus.BadGateway, unknownOutcomeReason(call))
+        : allotmentRefusal(decision.retryAfterMs);
+    });
+  }
+
+  /** Returns a token of the allotment that no server has used. */
+  #giveBackToken(call: RelayedCall): void {
+    if (!call.holdsToken) return;
+    call.holdsToken = false;
+    this.#opts.allotments.giveBack(call.allotment!);
+  }
+
   /** Serves a turn, and reports its end to the budget's owner unless the owner has refused it. */
   #serveTurn(call: RelayedCall, sink: IResponseSink): Effect.Effect<IRefusal | undefined> {
     // Without a response, the owner may have granted the turn, or may grant it later.
@@ -200,7 +244,8 @@
         return begun;
       });
       const loadChain = this.#loadChain(call, timeoutMs);
-      const [begun, chain] = yield* Effect.all([beginTurn, loadChain], { concurrency: "unbounded" });
+      const questions = [beginTurn, loadChain, this.#acquireToken(call)] as const;
+      const [begun, chain, overAllotment] = yield* Effect.all(questions, { concurrency: "unbounded" });
       const verdict = begun?.verdict;
       if (verdict === TurnVerdict.SPENT) {
         return finalRefusal(GatewayStatus.BudgetExhausted, RefusalReason.BudgetExhausted);
@@ -211,6 +256,7 @@
       if (verdict !== TurnVerdict.GRANTED) {
         return retryableRefusal(RefusalReason.BudgetUnavailable, UNAVAILABLE_RETRY_AFTER_MS);
       }
+      if (overAllotment !== undefined) return overAllotment;
       if (begun?.home !== undefined) this.#dispatcher.recordPromptHome(call, begun.home);
       const refusal = begun?.isFresh ? this.#admit(call) : undefined;
       if (refusal !== undefined) return refusal;
@@ -242,9 +288,17 @@
         if (this.#opts.crashes.isQuarantined(call.identity)) return this.#quarantineRefusal(call);
         const choice = yield* this.#dispatcher.chooseWithPermit(call);
         if (choice === undefined) return this.#noBackendRefusal(call);
+        if (call.organisation?.allotment !== undefined && !call.holdsToken) {
+          const refusal = yield* this.#acquireToken(call);
+          if (refusal !== undefined) return refusal;
+        }
         call.choice = choice;
+        const { holdsToken } = call;
+        call.holdsToken = false;
         const outcome = yield* this.#dispatcher.run(attempt, choice);
         if (outcome === AttemptOutcome.Done) return undefined;
+        // A server that did not run the request leaves the token for the next attempt.
+        if (outcome !== AttemptOutcome.Failed) call.holdsToken = holdsToken;
         if (outcome === AttemptOutcome.NotSent) continue;
         if (outcome === AttemptOutcome.Unreachable) return this.#unreachableRefusal(call);
         call.excluded.add(choice.backend.id);
@@ -344,6 +398,12 @@
   return route.kind === RouteKind.Stream && route.retainMs > 0 && req.program?.budgetTokens !== undefined;
 }
 
+/** Returns what is known of the request's program and of earlier sends of the request. */
+function progressOf({ runs, req }: RelayedCall): RequestProgress {
+  if (runs > 0) return RequestProgress.Repeated;
+  return req.program?.previousTurnId === undefined ? RequestProgress.First : RequestProgress.Continued;
+}
+
 /** Returns why the outcome of a request is unknown that a server may have run. */
 function unknownOutcomeReason({ fault }: RelayedCall): RefusalReason {
   return fault === UpstreamFault.TooLarge ? RefusalReason.ResponseTooLarge : RefusalReason.OutcomeUnknown;
--- a/src/call/common/gateway_relay_test.ts
+++ b/src/call/common/gateway_relay_test.ts
@@ -4,6 +4,7 @@
 import { TestClock } from "effect/testing";
 import { RecordingSink } from "../../../test/stand_ins/recording_sink.ts";
 import { UNLIMITED_PERMITS } from "../../../test/stand_ins/unlimited_permits.ts";
+import { UNLIMITED_ALLOTMENTS } from "../../../test/stand_ins/unlimited_allotments.ts";
 import { makeResponseBody } from "../../../test/stand_ins/response_body.ts";
 import { Emitter } from "../../base/common/emitter.ts";
 import type { PromptHome } from "../../base/common/gen/ragwortcleat/v1/turns_pb.ts";
@@ -253,6 +254,7 @@
     streamFinder: { find: (resumed) => Effect.succeed(streams.find(resumed)) },
     admission: setup.admission ?? new UtilizationAdmission(),
     permits: UNLIMITED_PERMITS,
+    allotments: UNLIMITED_ALLOTMENTS,
     upstream,
     responseLimits: { maxResponseBytes: 5000, maxEventBytes: 300 },
     responseMemory: new ResponseMemoryPool(0),
--- a/src/call/common/permit_client.ts
+++ b/src/call/common/permit_client.ts
@@ -1,23 +1,16 @@
 /** Permits to send requests to backend servers that state a limit, which holds for all instances together. */
-import { Clock, Effect } from "effect";
-import type { TurnService } from "../../base/common/gen/ragwortcleat/v1/turns_pb.ts";
+import { Effect } from "effect";
 import { AcquirePermitRequestSchema } from "../../base/common/gen/ragwortcleat/v1/turns_pb.ts";
 import { create } from "@bufbuild/protobuf";
-import type { PeerError } from "../../base/common/errors.ts";
-import type { PeerRpcClients } from "../../membership/common/peer_client.ts";
 import type { IPermit } from "../../routing/common/send_rate_limiter.ts";
 import { SendRateLimiter } from "../../routing/common/send_rate_limiter.ts";
 import type { IBackendEntry } from "../../services/backends/common/backend_directory.ts";
 import type { IServerRun } from "../../services/backends/common/leaving_servers.ts";
 import type { IServerLimit, ServerLimits } from "../../services/backends/common/server_limits.ts";
-import type { ILogger } from "../../services/logging/common/logger.ts";
 import type { Metrics } from "../../services/metrics/common/metrics.ts";
 import { fromLimitMessage, toLimitMessage } from "./limit_message.ts";
+import type { OwnerCaller, TurnServiceClient } from "./owner_caller.ts";
 
-/** Time limit for the owner of a server's limit; a live one responds within a few milliseconds. */
-const OWNER_TIMEOUT_MS = 250;
-/** Time after a failure for which the owner is not asked again. */
-const OWNER_BACKOFF_MS = 1000;
 /** Time for which the refusal of a permit is remembered, at most. */
 const MAX_REFUSAL_TTL_MS = 5000;
 
@@ -54,13 +47,10 @@
   /** Grants the permits of the servers that this instance owns. */
   readonly limiter: SendRateLimiter;
   readonly owners: IPermitOwner;
-  readonly peers: PeerRpcClients<typeof TurnService>;
-  readonly logger: ILogger;
+  readonly caller: OwnerCaller;
   readonly metrics: Metrics;
   /** Name of this instance. */
   readonly instance: string;
-  /** Address at which peers reach this instance. */
-  readonly address: string;
   readonly now: () => number;
   /** Returns a random number in [0, 1). */
   readonly random: () => number;
@@ -87,8 +77,6 @@
   readonly #refused = new Map<string, IRefusedPermit>();
   /** Number of instances that competed for a server, as last reported by its owner. */
   readonly #askers = new Map<string, number>();
-  /** Time until which an owner is not asked after a failure, by peer address. */
-  readonly #lostUntilMs = new Map<string, number>();
 
   constructor(opts: IPermitClientOptions) {
     this.#opts = opts;
@@ -142,54 +130,27 @@
 
   /** Returns undefined if no owner responds. */
   #askOwner(limit: IServerLimit, maxWaitMs: number): Effect.Effect<IPermit | undefined> {
-    return Effect.gen({ self: this }, function* () {
-      const { owners, address, limiter, instance } = this.#opts;
-      const { backendId } = limit.run;
-      const owner = owners.ownerOf(backendId);
-      if (owner === address) {
-        return limiter.acquire({ run: limit.run, perSecond: limit.perSecond!, instance, maxWaitMs });
-      }
-      const now = yield* Clock.currentTimeMillis;
-      if (owner === "" || (this.#lostUntilMs.get(owner) ?? 0) > now) return undefined;
-      const permit = yield* Effect.catchTag(
-        this.#callOwner(owner, { limit, maxWaitMs }),
-        "PeerError",
-        (err) => this.#recordLostOwner(owner, err),
-      );
-      if (permit === undefined) return undefined;
-      if (this.#lostUntilMs.delete(owner)) this.#opts.logger.info("permit-owner-regained", { owner });
-      this.#askers.set(backendId, permit.askers);
-      return permit;
+    const { owners, caller, limiter, instance } = this.#opts;
+    const { run, perSecond } = limit;
+    return caller.askFirst([owners.ownerOf(run.backendId)], {
+      here: () => limiter.acquire({ run, perSecond: perSecond!, instance, maxWaitMs }),
+      there: (client, { signal }) => this.#callOwner(client, { limit, maxWaitMs, signal }),
     });
   }
 
-  /** Returns undefined if the instance at the address does not own the limit any more. */
-  #callOwner(
-    owner: string,
-    { limit, maxWaitMs }: { limit: IServerLimit; maxWaitMs: number },
-  ): Effect.Effect<IPermit | undefined, PeerError> {
-    const { peers, instance, limits } = this.#opts;
+  /** Returns undefined if the called instance does not own the limit any more. */
+  async #callOwner(
+    client: TurnServiceClient,
+    { limit, maxWaitMs, signal }: { limit: IServerLimit; maxWaitMs: number; signal: AbortSignal },
+  ): Promise<IPermit | undefined> {
+    const { instance, limits } = this.#opts;
     const req = create(AcquirePermitRequestSchema, { instance, limit: toLimitMessage(limit), maxWaitMs });
-    const call = peers.call(owner, {
-      timeoutMs: OWNER_TIMEOUT_MS,
-      invoke: (client, signal) => client.acquirePermit(req, { signal }),
-    });
-    return Effect.map(call, (res) => {
-      if (!res.isOwner) return undefined;
-      const newest = fromLimitMessage(res.limit);
-      if (newest !== undefined) limits.merge(newest);
-      return res;
-    });
-  }
-
-  #recordLostOwner(owner: string, err: Error): Effect.Effect<undefined> {
-    return Effect.map(Clock.currentTimeMillis, (now) => {
-      if (!this.#lostUntilMs.has(owner)) {
-        this.#opts.logger.warn("permit-owner-lost", { owner, error: err.message });
-      }
-      this.#lostUntilMs.set(owner, now + OWNER_BACKOFF_MS);
-      return undefined;
-    });
+    const res = await client.acquirePermit(req, { signal });
+    if (!res.isOwner) return undefined;
+    const newest = fromLimitMessage(res.limit);
+    if (newest !== undefined) limits.merge(newest);
+    this.#askers.set(limit.run.backendId, res.askers);
+    return res;
   }
 
   /** Grants a permit from an equal part of the limit, which needs no owner. */
--- a/src/call/common/relayed_call.ts
+++ b/src/call/common/relayed_call.ts
@@ -1,6 +1,8 @@
 /** State of one request that the gateway is relaying. */
 import type { IBackendChoice } from "../../routing/common/backend_chooser.ts";
+import type { IOrganisation } from "../../services/organisations/common/organisation.ts";
 import type { IRoute } from "../../services/routes/common/route_table.ts";
+import type { IAllotmentDecision } from "./allotment_client.ts";
 import type { GatewayStatus, IRefusal, RefusalReason } from "./gateway_refusal.ts";
 import type { BodyFraming, IOpaqueRequest, UpstreamFault } from "./opaque_request.ts";
 import type { RequestIdentity } from "./request_identity.ts";
@@ -31,6 +33,8 @@
   /** Earlier of the caller's deadline and the route's timeout, in ms since the epoch. */
   readonly deadlineAtMs: number;
   readonly configurationVersion: number;
+  /** Undefined for requests without a known API key. */
+  readonly organisation: IOrganisation | undefined;
   /** Servers that refused the request or failed during it. */
   readonly excluded = new Set<string>();
   /** Number of attempts in which the server may have run the request. */
@@ -48,6 +52,10 @@
   /** How the last attempt failed; undefined if none has failed. */
   fault: UpstreamFault | undefined;
   choice: IBackendChoice | undefined;
+  /** Last decision on the allotment; undefined if the organisation has none. */
+  allotment: IAllotmentDecision | undefined;
+  /** Whether a token of the allotment was acquired that no server has used. */
+  holdsToken = false;
   /** Servers that had no permit for the request, because of the limits that they state. */
   limitedServers = 0;
   /** Time until the first permit of one of them, in ms; undefined if no server lacked a permit. */
@@ -76,6 +84,7 @@
       service: string;
       now: number;
       configurationVersion: number;
+      organisation?: IOrganisation | undefined;
     },
   ) {
     this.req = req;
@@ -84,6 +93,7 @@
     this.service = opts.service;
     this.startedAtMs = opts.now;
     this.configurationVersion = opts.configurationVersion;
+    this.organisation = opts.organisation;
     this.deadlineAtMs = opts.now + Math.min(req.timeoutMs ?? Infinity, opts.route.timeoutMs);
     this.lastEventId = req.lastEventId;
   }
@@ -109,6 +119,9 @@
       running: choice?.running,
       cachedTokens: choice?.cachedTokens,
       costMs: choice === undefined ? undefined : Math.round(choice.costMs),
+      allotmentOwner: this.allotment?.decidedBy,
+      allotmentPerS: this.allotment?.perSecond,
+      allotmentVersion: this.allotment?.version,
       runs: this.runs,
       refusals: this.refusals,
       limitedServers: this.limitedServers === 0 ? undefined : this.limitedServers,
--- a/src/cli/common/request_causes.ts
+++ b/src/cli/common/request_causes.ts
@@ -60,6 +60,14 @@
   [RefusalReason.Overloaded]: () => [
     "the engines were too heavily loaded to admit a new program without delaying the running ones",
   ],
+  [RefusalReason.AllotmentExhausted]: ({ fields, instance }, { beliefs }) => [
+    `the allotment of ${fields.allotmentPerS ?? "an unknown number of"} requests per second, as stated by ` +
+    `configuration ${fields.allotmentVersion ?? "(version not logged)"}, did not cover the request; ` +
+    (fields.allotmentOwner === "" || fields.allotmentOwner === undefined
+      ? `no owner of the allotment responded, so ${instance} decided alone`
+      : `${fields.allotmentOwner} decided`),
+    ...ownerCauses(beliefs),
+  ],
   [RefusalReason.BudgetExhausted]: (end, { beliefs }) => [
     `the budget of ${
       end.fields.budget ?? "an unknown number of"
--- a/src/daemon/common/gateway_core.ts
+++ b/src/daemon/common/gateway_core.ts
@@ -15,6 +15,9 @@
 import type { IForwardTransport } from "../../call/common/forwarding.ts";
 import { ForwardingUpstream } from "../../call/common/forwarding_upstream.ts";
 import { ForwardService } from "../../call/common/forward_service.ts";
+import { AllotmentClient } from "../../call/common/allotment_client.ts";
+import { AllotmentOwner } from "../../call/common/allotment_owner.ts";
+import { OwnerCaller } from "../../call/common/owner_caller.ts";
 import { PermitClient } from "../../call/common/permit_client.ts";
 import { StreamOriginFinder } from "../../call/common/stream_origin_finder.ts";
 import { StreamOriginRegistry } from "../../call/common/stream_origin_registry.ts";
@@ -28,6 +31,7 @@
 import { BackendLoadTracker } from "../../routing/common/backend_load_tracker.ts";
 import { UtilizationAdmission } from "../../routing/common/program_admission.ts";
 import { LimitForwarder } from "../../peer/common/limit_forwarder.ts";
+import { AllotmentShare } from "../../routing/common/allotment_share.ts";
 import { SendRateLimiter } from "../../routing/common/send_rate_limiter.ts";
 import { PromptCacheIndex } from "../../routing/common/prompt_cache_index.ts";
 import type { IBackendEntry } from "../../services/backends/common/backend_directory.ts";
@@ -101,6 +105,8 @@
   /** Grants the permits of the limited servers whose slice this instance owns. */
   readonly limiter: SendRateLimiter;
   readonly permits: PermitClient;
+  /** Decides on the allotments of the organisations whose slice this instance owns. */
+  readonly allotments: AllotmentOwner;
   readonly limitForwarder: LimitForwarder;
   readonly links: ServerLinkMonitor;
   /** Other instances from which reports arrive. */
@@ -121,6 +127,7 @@
   readonly #settings: GatewaySettings;
   readonly #dependencies: IGatewayDependencies;
   readonly #peers: TurnClients;
+  readonly #ownerCaller: OwnerCaller;
 
   constructor(settings: GatewaySettings, dependencies: IGatewayDependencies) {
     const { adapter, logger, now } = dependencies;
@@ -167,7 +174,9 @@
     const askPeer = (peer: string) => this.#fetchTable(peer);
     this.group = new SliceGroup({ ...shared, address, partitions, owned: this.owned, askPeer });
     this.limiter = new SendRateLimiter({ now, firstDelay: () => 1 });
+    this.#ownerCaller = new OwnerCaller({ peers: this.#peers, logger, address });
     this.permits = this.#makePermitClient();
+    this.allotments = this.#makeAllotmentOwner();
     this.limitForwarder = new LimitForwarder({
       limits: this.limits,
       isOwner: (backendId) => this.#ownerOfLimit(backendId) === address,
@@ -243,8 +252,7 @@
   }
 
   #makePermitClient(): PermitClient {
-    const { logger, now, random } = this.#dependencies;
-    const { instance, peerAddress: address } = this.#settings;
+    const { now, random } = this.#dependencies;
     const { group } = this;
     return new PermitClient({
       limits: this.limits,
@@ -255,16 +263,65 @@
           return group.peers.length + 1;
         },
       },
-      peers: this.#peers,
+      caller: this.#ownerCaller,
+      metrics: this.metrics,
+      instance: this.#settings.instance,
+      now,
+      random,
+    });
+  }
+
+  #makeAllotmentOwner(): AllotmentOwner {
+    const { logger, now, random } = this.#dependencies;
+    const { peerAddress: address, allotmentSlackRequests: slackRequests } = this.#settings;
+    const { routes, owned, group } = this;
+    return new AllotmentOwner({
+      ownedSinceMs: (organisation) => {
+        const slice = owned.sliceOf(organisation);
+        return group.ownerOf(slice) === address ? owned.ownedSinceMs(slice) : undefined;
+      },
+      organisation: (name) => routes.configuration?.organisations?.find((entry) => entry.name === name),
+      configurationVersion: () => routes.version,
+      instanceCount: () => this.#instanceCount,
       logger,
       metrics: this.metrics,
-      instance,
-      address,
       now,
       random,
+      slackRequests,
+      address,
+    });
+  }
+
+  #makeAllotmentClient(): AllotmentClient {
+    const { now, random } = this.#dependencies;
+    const { instance, peerAddress: address, allotmentSlackRequests: slackRequests } = this.#settings;
+    const { group } = this;
+    const instanceCount = () => this.#instanceCount;
+    return new AllotmentClient({
+      owner: this.allotments,
+      owners: {
+        ownerOf: (organisation) => group.ownerOf(this.owned.sliceOf(organisation)),
+        get addresses() {
+          return group.addresses;
+        },
+        get instanceCount() {
+          return instanceCount();
+        },
+      },
+      share: new AllotmentShare({ now, random, slackRequests }),
+      caller: this.#ownerCaller,
+      metrics: this.metrics,
+      now,
+      instance,
+      address,
     });
   }
 
+  /** Number of instances that are known to this one, itself included. */
+  get #instanceCount(): number {
+    return Math.max(this.group.peers.length, this.instances.list().length) + 1;
+  }
+
   #makeUpstream(): ForwardingUpstream {
     const { upstream: direct, forwardTransport: transport, logger, random } = this.#dependencies;
     const { peerAddress: address } = this.#settings;
@@ -314,6 +371,7 @@
         logger,
       }),
       permits: this.permits,
+      allotments: this.#makeAllotmentClient(),
       upstream: this.upstream,
       responseLimits: { maxResponseBytes, maxEventBytes },
       responseMemory: new ResponseMemoryPool(responseMemoryBytes),
--- a/src/daemon/node/gateway.ts
+++ b/src/daemon/node/gateway.ts
@@ -139,7 +139,7 @@
 
 function turnServiceParts(core: GatewayCore) {
   const { owned, group, configuration, backends, strikes, crashes, streams, leaving } = core;
-  const { limits, limiter, forwarders } = core;
+  const { limits, limiter, allotments, forwarders } = core;
   return {
     owned,
     group,
@@ -151,6 +151,7 @@
     leaving,
     limits,
     limiter,
+    allotments,
     forwarders,
   };
 }
--- a/src/peer/common/turn_service.ts
+++ b/src/peer/common/turn_service.ts
@@ -15,6 +15,7 @@
   ServerRunSchema,
   StrikeChangeSchema,
 } from "../../base/common/gen/ragwortcleat/v1/turns_pb.ts";
+import type { AllotmentOwner } from "../../call/common/allotment_owner.ts";
 import type { CrashMonitor, IStrikeChange } from "../../call/common/crash_monitor.ts";
 import type { StreamOriginRegistry } from "../../call/common/stream_origin_registry.ts";
 import { fromLimitMessage, toLimitMessage } from "../../call/common/limit_message.ts";
@@ -39,6 +40,7 @@
   readonly leaving: LeavingServers;
   readonly limits: ServerLimits;
   readonly limiter: SendRateLimiter;
+  readonly allotments: AllotmentOwner;
   /** Returns peer addresses of instances that reach backend servers. */
   readonly forwarders: () => string[];
   /** Address at which peers reach this instance. */
@@ -76,6 +78,7 @@
     },
     findForwarders: () => ({ addresses: opts.forwarders() }),
     acquirePermit: (req) => acquirePermit(req, opts),
+    acquireAllotment: (req) => opts.allotments.answer(req),
     reassigned: () => {
       group.renewNow();
       return {};
--- a/src/services/settings/common/gen/gateway_settings.ts
+++ b/src/services/settings/common/gen/gateway_settings.ts
@@ -72,6 +72,10 @@
    * Memory for all responses that are being received, in bytes, beyond the first 16384 of each.
    */
   responseMemoryBytes: number;
+  /**
+   * Number of requests by which the requests of an organisation in any 5 s may exceed its allotment, over all instances together. Half of it is added to the burst of each allotment; the rest covers changes of the deciding instance.
+   */
+  allotmentSlackRequests: number;
   /**
    * Minimum severity of log lines.
    */
@@ -192,6 +196,13 @@
       "default": 8388608,
       "description": "Memory for all responses that are being received, in bytes, beyond the first 16384 of each."
     },
+    "allotmentSlackRequests": {
+      "type": "number",
+      "minimum": 0,
+      "maximum": 1000000,
+      "default": 0,
+      "description": "Number of requests by which the requests of an organisation in any 5 s may exceed its allotment, over all instances together. Half of it is added to the burst of each allotment; the rest covers changes of the deciding instance."
+    },
     "logLevel": {
       "type": "string",
       "enum": [
--- a/src/turns/common/owned_slices.ts
+++ b/src/turns/common/owned_slices.ts
@@ -43,6 +43,8 @@
 interface IOwnedSlice {
   readonly journal: SliceJournal;
   readonly scope: Scope.Closeable;
+  /** Time at which the slice was acquired, in ms. */
+  readonly acquiredAtMs: number;
 }
 
 /** Response to a request to begin a turn. */
@@ -87,6 +89,11 @@
     return [...this.#owned.values()].reduce((sum, { journal }) => sum + journal.slice.turns.bytes, 0);
   }
 
+  /** Time since which this instance owns a slice, in ms; undefined if it does not. */
+  ownedSinceMs(slice: number): number | undefined {
+    return this.#owned.get(slice)?.acquiredAtMs;
+  }
+
   /** Slice of a program or turn id. */
   sliceOf(id: string): number {
     return hash32(id) % this.sliceCount;
@@ -209,7 +216,7 @@
       const journal = new SliceJournal({ ...rest, slice, partition, writer: newWriter() });
       const scope = yield* ScopeModule.make();
       yield* ScopeModule.provide(journal.start(), scope);
-      this.#owned.set(slice, { journal, scope });
+      this.#owned.set(slice, { journal, scope, acquiredAtMs: yield* Clock.currentTimeMillis });
     });
   }
 
--- a/src/turns/common/slice_group.ts
+++ b/src/turns/common/slice_group.ts
@@ -67,6 +67,11 @@
     return this.#table;
   }
 
+  /** Peer addresses of all instances that own slices. */
+  get addresses(): string[] {
+    return [...new Set(this.#table.addresses)].filter((address) => address !== "");
+  }
+
   /** Peer addresses of the other instances that own slices. */
   get peers(): string[] {
     const others = this.#table.addresses.filter((address) =>
--- a/test/harness/gateway_cluster.ts
+++ b/test/harness/gateway_cluster.ts
@@ -200,6 +200,7 @@
         leaving: core.leaving,
         limits: core.limits,
         limiter: core.limiter,
+        allotments: core.allotments,
         forwarders: core.forwarders,
         address: `${name}:3`,
         context: yield* Effect.context<never>(),
