Allotments: programs begin only if the allotment covers them to their ends

Cause: an organisation that sends several times its allotment must complete as many programs as that covers.

Change: ProgramActivity estimates the requests per second, the pauses and the duration of an organisation's programs; a new one begins if the bucket covers twice what it and the active ones use beyond the rate until they end. An owner that no longer hears a part of the instances grants a smaller part of the rate, as another instance may stand in for it.

--- a/src/call/common/allotment_client.ts
+++ b/src/call/common/allotment_client.ts
@@ -77,8 +77,6 @@
   readonly caller: OwnerCaller;
   readonly metrics: Metrics;
   readonly now: () => number;
-  /** Name of this instance. */
-  readonly instance: string;
   /** Address at which peers reach this instance. */
   readonly address: string;
 }
@@ -110,7 +108,7 @@
     return Effect.gen({ self: this }, function* () {
       const { organisation: { name, allotment }, version, programId } = req;
       if (allotment === undefined) return undefined;
-      const question: Omit<IOwnerDecisionInput, "returned" | "isStandIn"> = {
+      const question: Omit<IOwnerDecisionInput, "returned" | "isStandIn" | "asker"> = {
         organisation: name,
         allotment,
         version,
@@ -160,13 +158,13 @@
   }
 
   #decideHere(
-    question: Omit<IOwnerDecisionInput, "returned" | "isStandIn">,
+    question: Omit<IOwnerDecisionInput, "returned" | "isStandIn" | "asker">,
     position: number,
   ): IAllotmentDecision | undefined {
     const { owner, address } = this.#opts;
     const { organisation } = question;
     const returned = this.#takeReturned(organisation, address);
-    const grant = owner.decide({ ...question, returned, isStandIn: position > 0 });
+    const grant = owner.decide({ ...question, returned, isStandIn: position > 0, asker: address });
     if (grant === undefined) return undefined;
     this.#recordLevel(organisation, grant.isLow);
     return {
@@ -183,7 +181,7 @@
   async #askOther(
     client: TurnServiceClient,
     { question, position, signal, address }: {
-      question: Omit<IOwnerDecisionInput, "returned" | "isStandIn">;
+      question: Omit<IOwnerDecisionInput, "returned" | "isStandIn" | "asker">;
       position: number;
       signal: AbortSignal;
       address: string;
@@ -192,7 +190,7 @@
     const { organisation, allotment, version, programId, progress, count } = question;
     const { perSecond, burst } = allotment;
     const req = create(AcquireAllotmentRequestSchema, {
-      instance: this.#opts.instance,
+      instance: this.#opts.address,
       organisation,
       allotment: create(AllotmentSchema, { perSecond, burst, version }),
       programId: programId ?? "",
--- a/src/call/common/allotment_owner.ts
+++ b/src/call/common/allotment_owner.ts
@@ -7,6 +7,7 @@
 import { AllotmentSchema } from "../../base/common/gen/ragwortcleat/v1/turns_pb.ts";
 import type { IAllotmentGrant, IAllotmentQuestion } from "../../routing/common/allotment_limiter.ts";
 import { AllotmentLimiter } from "../../routing/common/allotment_limiter.ts";
+import { AskerActivity } from "../../routing/common/asker_activity.ts";
 import type { ILogger } from "../../services/logging/common/logger.ts";
 import type { Metrics } from "../../services/metrics/common/metrics.ts";
 import type { IOrganisation } from "../../services/organisations/common/organisation.ts";
@@ -43,20 +44,24 @@
 }
 
 /** A question, and whether this instance is asked because the owner does not respond. */
-export interface IOwnerDecisionInput extends Omit<IAllotmentQuestion, "accruesFromMs"> {
+export interface IOwnerDecisionInput extends Omit<IAllotmentQuestion, "accruesFromMs" | "rateShare"> {
   readonly isStandIn: boolean;
+  /** Peer address of the instance that asks. */
+  readonly asker: string;
 }
 
 export class AllotmentOwner {
   readonly #opts: IAllotmentOwnerOptions;
   readonly #own: AllotmentLimiter;
   readonly #standIn: AllotmentLimiter;
+  readonly #askers: AskerActivity;
   readonly #loggedAtMs = new Map<string, number>();
   readonly #counted = new Set<string>();
 
   constructor(opts: IAllotmentOwnerOptions) {
     this.#opts = opts;
     const { now, random, slackRequests } = opts;
+    this.#askers = new AskerActivity(opts.address);
     this.#own = new AllotmentLimiter({ now, random, slackRequests, share: 1 });
     this.#standIn = new AllotmentLimiter({
       now,
@@ -81,6 +86,7 @@
       count,
       returned,
       isStandIn,
+      asker: req.instance,
     });
     if (grant === undefined) return { isOwner: false };
     const { granted, retryAfterMs, isLow, version } = grant;
@@ -96,18 +102,27 @@
   }
 
   /** Decides on requests of an organisation. Returns undefined if this instance does not own its allotment. */
-  decide({ isStandIn, ...question }: IOwnerDecisionInput): IAllotmentGrant | undefined {
+  decide({ isStandIn, asker, ...question }: IOwnerDecisionInput): IAllotmentGrant | undefined {
     const newest = this.#withNewestAllotment(question);
     const accruesFromMs = this.#opts.ownedSinceMs(question.organisation);
     // A stand-in that has become the owner meanwhile decides as the owner.
     const isOwner = accruesFromMs !== undefined;
     if (!isOwner && !isStandIn) return undefined;
-    const grant = isOwner ? this.#own.acquire({ ...newest, accruesFromMs }) : this.#standIn.acquire(newest);
+    const now = this.#opts.now();
+    this.#askers.record(asker, now);
+    const grant = isOwner
+      ? this.#own.acquire({ ...newest, accruesFromMs, rateShare: this.#rateShare(now) })
+      : this.#standIn.acquire(newest);
     this.#count(question, { grant, isOwner });
     if (grant.granted === 0) this.#logRefusal(question, { grant, isOwner });
     return grant;
   }
 
+  /** Part of the rate that the owner grants: less if another instance may stand in for it for some instances. */
+  #rateShare(now: number): number {
+    return Math.max(1 - STAND_IN_SHARE, this.#askers.heardShare(now));
+  }
+
   /** Replaces the sender's allotment by the one of this instance's configuration, if that is newer. */
   #withNewestAllotment<T extends Pick<IAllotmentQuestion, "organisation" | "allotment" | "version">>(
     question: T,
--- a/src/daemon/common/gateway_core.ts
+++ b/src/daemon/common/gateway_core.ts
@@ -295,7 +295,7 @@
 
   #makeAllotmentClient(): AllotmentClient {
     const { now, random } = this.#dependencies;
-    const { instance, peerAddress: address, allotmentSlackRequests: slackRequests } = this.#settings;
+    const { peerAddress: address, allotmentSlackRequests: slackRequests } = this.#settings;
     const { group } = this;
     const instanceCount = () => this.#instanceCount;
     return new AllotmentClient({
@@ -313,7 +313,6 @@
       caller: this.#ownerCaller,
       metrics: this.metrics,
       now,
-      instance,
       address,
     });
   }
--- a/src/routing/common/allotment_limiter.ts
+++ b/src/routing/common/allotment_limiter.ts
@@ -10,10 +10,8 @@
 /** Share of the burst, and of the slack, by which repeated requests may overdraw the bucket. */
 const OVERDRAFT_BURST_SHARE = 0.05;
 const OVERDRAFT_SLACK_SHARE = 0.125;
-/** Share of the capacity from which the bucket counts as well filled. */
-const WELL_FILLED_SHARE = 0.5;
-/** Time within which new programs may use what a well-filled bucket has beyond that, in s: the duration of short programs. */
-const SURPLUS_S = 2;
+/** Many programs last longer than the mean; a multiple of it covers most. */
+const DURATION_MARGIN = 2;
 /** Part of the bucket that is kept for programs that have begun: their requests in this time, and at most this share. */
 const RESERVE_S = 0.4;
 const MAX_RESERVE_SHARE = 0.4;
@@ -48,6 +46,8 @@
   readonly returned: number;
   /** Time since which tokens accrue, in ms of the clock; by default the time of the first question. */
   readonly accruesFromMs?: number | undefined;
+  /** Share of the rate that this limiter grants for now; 1 by default. */
+  readonly rateShare?: number;
 }
 
 export interface IAllotmentGrant {
@@ -83,6 +83,7 @@
   allotment: IAllotment;
   version: number;
   level: number;
+  rateShare: number;
   updatedAtMs: number;
   askedAtMs: number;
   readonly accruesFromMs: number;
@@ -110,6 +111,7 @@
     const now = this.#opts.now();
     const bucket = this.#bucketOf(question, now);
     this.#refill(bucket, now);
+    bucket.rateShare = question.rateShare ?? 1;
     bucket.level = Math.min(this.#capacityOf(bucket), bucket.level + question.returned);
     const { programId, count } = question;
     const required = count + this.#keptLevel(bucket, { question, now });
@@ -117,7 +119,9 @@
     if (isGranted) bucket.level -= count;
     const hasBegun = programId !== undefined &&
       (bucket.programs.hasBegun(programId, now) || question.progress !== RequestProgress.First);
-    if (programId !== undefined && (isGranted || hasBegun)) bucket.programs.record(programId, now);
+    if (programId !== undefined && (isGranted || hasBegun)) {
+      bucket.programs.record(programId, { isGranted, now });
+    }
     const { allotment, version, level } = bucket;
     return {
       granted: isGranted ? count : 0,
@@ -142,6 +146,7 @@
       allotment,
       version,
       level: this.#opts.initialTokens ?? 0,
+      rateShare: 1,
       updatedAtMs: accruesFromMs ?? now,
       askedAtMs: now,
       accruesFromMs: accruesFromMs ?? now,
@@ -171,8 +176,8 @@
     bucket.updatedAtMs = now;
   }
 
-  #rateOf({ allotment }: IBucket): number {
-    return allotment.perSecond * this.#opts.share;
+  #rateOf({ allotment, rateShare }: IBucket): number {
+    return allotment.perSecond * this.#opts.share * rateShare;
   }
 
   #capacityOf({ allotment }: IBucket): number {
@@ -192,15 +197,14 @@
     if (progress === RequestProgress.Continued) return 0;
     if (programId !== undefined && programs.hasBegun(programId, now)) return 0;
     const active = programs.activeCount(now);
-    if (active === 0) return 0;
     const perProgram = programs.requestsPerSecond(now);
     const capacity = this.#capacityOf(bucket);
     const reserve = Math.min(capacity * MAX_RESERVE_SHARE, active * perProgram * RESERVE_S);
     if (programId === undefined) return reserve;
-    // The rate that the active programs and the new one exceed must be covered by a well-filled bucket.
-    const missing = (active + 1) * perProgram - this.#rateOf(bucket);
-    const surplus = missing <= 0 ? 0 : capacity * WELL_FILLED_SHARE + missing * SURPLUS_S;
-    return Math.max(reserve, surplus - count);
+    // The bucket must cover what the active programs and the new one use beyond the rate until they end.
+    const missing = Math.max(0, (active + 1) * perProgram - this.#rateOf(bucket)) * programs.durationS *
+      DURATION_MARGIN;
+    return Math.max(reserve, Math.min(missing, capacity) - count);
   }
 
   /** Time after which a refused request may come back. The times of several are spread by the rate. */
--- a/src/routing/common/program_activity.ts
+++ b/src/routing/common/program_activity.ts
@@ -1,7 +1,16 @@
 /** Tracks which programs of an organisation are active, and how many requests a second an active program makes. */
 
-/** Time after its last request at which a program no longer counts as active; longer than most pauses in a program. */
-const ACTIVE_MS = 2000;
+/**
+ * A program counts as active for a multiple of the mean pause between two requests of a program after its last
+ * request, within these bounds: most have gone on or ended by then.
+ */
+const ACTIVE_PAUSES = 4;
+const MIN_ACTIVE_MS = 250;
+const MAX_ACTIVE_MS = 4000;
+/** Means that are assumed until some programs have been observed, and the share of each new value in a mean. */
+const INITIAL_PAUSE_MS = 500;
+const INITIAL_DURATION_MS = 2000;
+const MEAN_WEIGHT = 0.05;
 /** Time after its last request at which a program is forgotten, so that its next request counts as a new program's. */
 const BEGUN_TTL_MS = 60_000;
 /** Time constant of the averages. */
@@ -11,14 +20,23 @@
 const INITIAL_WEIGHT_S = 0.3;
 const MS_PER_SECOND = 1000;
 
+interface IProgram {
+  /** Times of the first request and of the last one, in ms of the clock. */
+  readonly beganAtMs: number;
+  lastAtMs: number;
+  hasRefusal: boolean;
+}
+
 export class ProgramActivity {
-  /** Time of the last request of each program that has begun, least recent first. */
-  readonly #begun = new Map<string, number>();
-  /** The same for active programs only. */
-  readonly #active = new Map<string, number>();
+  /** Programs that have begun, least recent first. */
+  readonly #begun = new Map<string, IProgram>();
+  /** Those of them that are active. */
+  readonly #active = new Map<string, IProgram>();
   /** Number of requests of begun programs, and time that programs were active in s; older ones count less. */
   #requests = 0;
   #activeS = 0;
+  #meanPauseMs = INITIAL_PAUSE_MS;
+  #meanDurationMs = INITIAL_DURATION_MS;
   #updatedAtMs: number;
 
   constructor(now: number) {
@@ -27,7 +45,7 @@
 
   /** Whether a request of the program has been granted within the retention period. */
   hasBegun(program: string, now: number): boolean {
-    return (this.#begun.get(program) ?? -Infinity) >= now - BEGUN_TTL_MS;
+    return (this.#begun.get(program)?.lastAtMs ?? -Infinity) >= now - BEGUN_TTL_MS;
   }
 
   /** Number of active programs. */
@@ -42,20 +60,35 @@
     return (this.#requests + INITIAL_PER_SECOND * INITIAL_WEIGHT_S) / (this.#activeS + INITIAL_WEIGHT_S);
   }
 
+  /** Mean time from the first to the last request of a program of which none was refused, in s. */
+  get durationS(): number {
+    return this.#meanDurationMs / MS_PER_SECOND;
+  }
+
   /** Records a request of a program that has begun or begins with it. */
-  record(program: string, now: number): void {
+  record(name: string, { isGranted, now }: { isGranted: boolean; now: number }): void {
     this.#update(now);
     this.#requests += 1;
+    const program = this.#active.get(name) ?? { beganAtMs: now, lastAtMs: now, hasRefusal: false };
+    const pauseMs = now - (this.#begun.get(name)?.lastAtMs ?? now);
+    if (pauseMs > 0) this.#meanPauseMs = blend(this.#meanPauseMs, Math.min(pauseMs, MAX_ACTIVE_MS));
+    program.lastAtMs = now;
+    if (!isGranted) program.hasRefusal = true;
     for (const programs of [this.#begun, this.#active]) {
-      programs.delete(program);
-      programs.set(program, now);
+      programs.delete(name);
+      programs.set(name, program);
     }
   }
 
   #update(now: number): void {
     const elapsedMs = now - this.#updatedAtMs;
-    evictBefore(this.#begun, now - BEGUN_TTL_MS);
-    evictBefore(this.#active, now - ACTIVE_MS);
+    takeBefore(this.#begun, now - BEGUN_TTL_MS);
+    const activeMs = Math.max(MIN_ACTIVE_MS, Math.min(MAX_ACTIVE_MS, ACTIVE_PAUSES * this.#meanPauseMs));
+    for (const { beganAtMs, lastAtMs, hasRefusal } of takeBefore(this.#active, now - activeMs)) {
+      if (!hasRefusal && lastAtMs > beganAtMs) {
+        this.#meanDurationMs = blend(this.#meanDurationMs, lastAtMs - beganAtMs);
+      }
+    }
     if (elapsedMs <= 0) return;
     const decay = Math.exp(-elapsedMs / AVERAGING_MS);
     this.#requests *= decay;
@@ -64,10 +97,17 @@
   }
 }
 
-/** Removes the entries that are older than a time, from a map in the order of its times. */
-function evictBefore(times: Map<string, number>, oldestMs: number): void {
-  for (const [key, atMs] of times) {
-    if (atMs >= oldestMs) return;
-    times.delete(key);
+/** Removes the programs whose last request is older than a time, from a map in the order of these times. */
+function takeBefore(programs: Map<string, IProgram>, oldestMs: number): IProgram[] {
+  const taken: IProgram[] = [];
+  for (const [name, program] of programs) {
+    if (program.lastAtMs >= oldestMs) break;
+    programs.delete(name);
+    taken.push(program);
   }
+  return taken;
+}
+
+function blend(mean: number, value: number): number {
+  return mean + (value - mean) * MEAN_WEIGHT;
 }
--- a/test/harness/gateway_cluster.ts
+++ b/test/harness/gateway_cluster.ts
@@ -129,6 +129,8 @@
 
 export interface IGatewayClusterOptions extends IClusterConfiguration {
   readonly instances: number;
+  /** Number of requests by which organisations may exceed their allotments; 0 by default. */
+  readonly allotmentSlackRequests?: number;
   readonly crashForm: CrashForm;
   readonly restartForm: RestartForm;
   /** Number of backend servers of each service. */
@@ -150,8 +152,13 @@
   #nextWriter = 0n;
   #seed = 1;
   #configurationVersion = 0;
+  readonly #allotmentSlackRequests: number;
 
-  private constructor({ crashForm, restartForm, isCrashing = hasCrashingMark }: IGatewayClusterOptions) {
+  private constructor(
+    { crashForm, restartForm, isCrashing = hasCrashingMark, allotmentSlackRequests = 0 }:
+      IGatewayClusterOptions,
+  ) {
+    this.#allotmentSlackRequests = allotmentSlackRequests;
     this.fleet = new BackendFleet({
       now: () => this.nowMs,
       isAnswerLost: ({ target }) => this.losesAnswers && target.includes(LOST_ANSWER_MARK),
@@ -310,6 +317,7 @@
         metricsPort: 5,
         storeAddress: "store:1",
         seeds: ["g0:3", "g1:3", "g2:3"],
+        allotmentSlackRequests: this.#allotmentSlackRequests,
       }),
       name,
     );
