--- a/src/call/common/allotment_owner.ts
+++ b/src/call/common/allotment_owner.ts
@@ -110,9 +110,11 @@
     if (!isOwner && !isStandIn) return undefined;
     const now = this.#opts.now();
     this.#askers.record(asker, now);
+    const standInShare = this.#standInShare(now);
+    if (!isOwner && standInShare === 0) return undefined;
     const grant = isOwner
       ? this.#own.acquire({ ...newest, accruesFromMs, rateShare: this.#rateShare(now) })
-      : this.#standIn.acquire(newest);
+      : this.#standIn.acquire({ ...newest, rateShare: standInShare });
     this.#count(question, { grant, isOwner });
     if (grant.granted === 0) this.#logRefusal(question, { grant, isOwner });
     return grant;
@@ -123,6 +125,15 @@
     return Math.max(1 - STAND_IN_SHARE, this.#askers.heardShare(now));
   }
 
+  /**
+   * Part of its rate that a stand-in grants: less if it hears only a few instances, as others may stand in elsewhere, and
+   * none if it hears no other instance.
+   */
+  #standInShare(now: number): number {
+    const heard = this.#askers.heardCount(now);
+    return heard === 1 ? 0 : Math.min(1, heard / this.#opts.instanceCount() / STAND_IN_SHARE);
+  }
+
   /** Replaces the sender's allotment by the one of this instance's configuration, if that is newer. */
   #withNewestAllotment<T extends Pick<IAllotmentQuestion, "organisation" | "allotment" | "version">>(
     question: T,
--- a/src/routing/common/asker_activity.ts
+++ b/src/routing/common/asker_activity.ts
@@ -54,6 +54,14 @@
     return heard + silent === 0 ? 1 : heard / (heard + silent);
   }
 
+  /** Number of instances that are not silent, this one included. */
+  heardCount(now: number): number {
+    const others = [...this.#askers].filter(([name, asker]) =>
+      name !== this.#self && now - asker.lastAtMs <= silenceMsOf(asker)
+    );
+    return others.length + 1;
+  }
+
   #evict(now: number): void {
     for (const [name, { lastAtMs }] of this.#askers) {
       if (lastAtMs < now - RETENTION_MS) this.#askers.delete(name);
