Limits of servers: one bounded wait for each request; a lowered limit voids permits that are not valid yet

Cause: a request that a server declined, or whose permit had become void, waited anew for up to a second for each further server, and was refused shortly before its deadline. Permits are granted up to a second ahead, and were used when the server had lowered its limit meanwhile.

Ruled out: with sound servers that all state 5 to 10 a second, no request is refused after more than 300 ms in virtual time, before the change either (1 to 4 servers, three kinds of routes, answers in 5 and 120 ms).

Change: a request waits for permits until one point in time, however many servers decline. PermitClient.awaitValid ends the wait when the limit falls, and the limiter takes back the permits that are not valid yet, so that they are granted anew.

--- a/src/call/common/backend_dispatcher.ts
+++ b/src/call/common/backend_dispatcher.ts
@@ -29,7 +29,7 @@
   IUpstreamResponse,
 } from "./opaque_request.ts";
 import { UpstreamError, UpstreamFault } from "./opaque_request.ts";
-import type { IPermitClient } from "./permit_client.ts";
+import type { IPermitClient, IPermitDecision } from "./permit_client.ts";
 import type { RelayedCall } from "./relayed_call.ts";
 import { AttemptOutcome } from "./relayed_call.ts";
 import type { ILimitedReceiver, IResponseLimits, ResponseMemoryPool } from "./response_limits.ts";
@@ -64,8 +64,6 @@
 /** Upper bound of the wait for a permit, and share of the remaining time that a request may spend on it. */
 const MAX_PERMIT_WAIT_MS = 1000;
 const MAX_PERMIT_WAIT_SHARE = 0.33;
-/** Time after which a permit that was not used, because the instance stood still, is void. */
-const PERMIT_TTL_MS = 300;
 
 export interface IBackendDispatcherOptions {
   readonly codec: IRequestCodec;
@@ -132,7 +130,10 @@
     });
   }
 
-  /** Waits for a permit of one of the servers. Returns undefined at once if none becomes available in time. */
+  /**
+   * Waits for a permit of one of the servers. Returns undefined at once if none becomes available in time. A request may
+   * wait for a limited time in all, also if servers decline it or permits become void.
+   */
   #awaitPermit(
     call: RelayedCall,
     exhausted: ReadonlyMap<IBackendEntry, number>,
@@ -140,17 +141,39 @@
     return Effect.gen({ self: this }, function* () {
       const startedAtMs = yield* Clock.currentTimeMillis;
       const remainingMs = call.deadlineAtMs - startedAtMs;
-      const maxWaitMs = Math.floor(Math.min(MAX_PERMIT_WAIT_MS, remainingMs * MAX_PERMIT_WAIT_SHARE));
-      call.nextPermitMs = Math.min(...exhausted.values());
-      for (const [backend] of [...exhausted].sort(([, a], [, b]) => a - b)) {
-        const { isGranted, waitMs } = yield* this.#opts.permits.acquire(backend, maxWaitMs);
-        if (!isGranted) continue;
-        const validAtMs = (yield* Clock.currentTimeMillis) + waitMs;
-        yield* Effect.sleep(waitMs);
-        const now = yield* Clock.currentTimeMillis;
+      call.permitDeadlineMs ??= startedAtMs +
+        Math.min(MAX_PERMIT_WAIT_MS, remainingMs * MAX_PERMIT_WAIT_SHARE);
+      const waits = new Map(exhausted);
+      const countWait = Effect.map(Clock.currentTimeMillis, (now) => {
         call.permitWaitMs += now - startedAtMs;
-        if (now > validAtMs + PERMIT_TTL_MS) continue;
-        return { backend, costMs: waitMs, running: this.#opts.loads.running(backend.id), cachedTokens: 0 };
+      });
+      while (true) {
+        call.nextPermitMs = Math.min(...waits.values());
+        const permit = yield* this.#acquireFirst(waits, call.permitDeadlineMs);
+        if (permit === undefined) break;
+        const { backend, decision } = permit;
+        if (yield* this.#opts.permits.awaitValid(backend, decision)) {
+          yield* countWait;
+          const running = this.#opts.loads.running(backend.id);
+          return { backend, costMs: decision.waitMs, running, cachedTokens: 0 };
+        }
+      }
+      yield* countWait;
+      return undefined;
+    });
+  }
+
+  /** Acquires the permit of the first server that has one in time, and records the waits of those that have none. */
+  #acquireFirst(
+    waits: Map<IBackendEntry, number>,
+    deadlineMs: number,
+  ): Effect.Effect<{ backend: IBackendEntry; decision: IPermitDecision } | undefined> {
+    return Effect.gen({ self: this }, function* () {
+      for (const [backend] of [...waits].sort(([, a], [, b]) => a - b)) {
+        const maxWaitMs = Math.max(0, Math.floor(deadlineMs - (yield* Clock.currentTimeMillis)));
+        const decision = yield* this.#opts.permits.acquire(backend, maxWaitMs);
+        if (decision.isGranted) return { backend, decision };
+        waits.set(backend, decision.waitMs);
       }
       return undefined;
     });
--- a/src/call/common/permit_client.ts
+++ b/src/call/common/permit_client.ts
@@ -1,5 +1,6 @@
 /** Permits to send requests to backend servers that state a limit, which holds for all instances together. */
-import { Effect } from "effect";
+import { Clock, Effect } from "effect";
+import { Signal } from "../../base/common/signal.ts";
 import { AcquirePermitRequestSchema } from "../../base/common/gen/ragwortcleat/v1/turns_pb.ts";
 import { create } from "@bufbuild/protobuf";
 import type { IPermit } from "../../routing/common/send_rate_limiter.ts";
@@ -11,6 +12,8 @@
 import { fromLimitMessage, toLimitMessage } from "./limit_message.ts";
 import type { OwnerCaller, TurnServiceClient } from "./owner_caller.ts";
 
+/** Time after which a permit that was not used, because the instance stood still, is void. */
+const PERMIT_TTL_MS = 300;
 /** Time for which the refusal of a permit is remembered, at most. */
 const MAX_REFUSAL_TTL_MS = 5000;
 
@@ -33,11 +36,18 @@
   readonly isGranted: boolean;
   /** Time until the permit is valid, or until the next one may be available if none was granted, in ms. */
   readonly waitMs: number;
+  /** Limit by which the permit was granted, in requests per second; undefined without a limit. */
+  readonly perSecond?: number | undefined;
 }
 
 export interface IPermitClient {
   /** Acquires the permit to send one request. Servers without a limit always grant it at once. */
   acquire(backend: IBackendEntry, maxWaitMs: number): Effect.Effect<IPermitDecision>;
+  /**
+   * Waits until a permit of a server is valid. Returns false if it is void, because the server has lowered its limit
+   * meanwhile or this instance stood still, so that another permit must be acquired.
+   */
+  awaitValid(backend: IBackendEntry, permit: IPermitDecision): Effect.Effect<boolean>;
   /** Whether a server is known to have no permit now. */
   isExhausted(backend: IBackendEntry): boolean;
 }
@@ -78,8 +88,12 @@
   /** Number of instances that competed for a server, as last reported by its owner. */
   readonly #askers = new Map<string, number>();
 
+  /** Notified when the limit of any server changes. */
+  readonly #changed = new Signal();
+
   constructor(opts: IPermitClientOptions) {
     this.#opts = opts;
+    opts.limits.onDidChange(() => this.#changed.notify());
     this.#ownShare = new SendRateLimiter({ now: opts.now, firstDelay: opts.random });
   }
 
@@ -102,7 +116,24 @@
       this.#opts.metrics.incrementCounter("send_permits", { outcome });
       if (permit.isGranted) this.#refused.delete(backendId);
       else this.#remember(run, permit);
-      return permit;
+      return { isGranted: permit.isGranted, waitMs: permit.waitMs, perSecond: limit.perSecond };
+    });
+  }
+
+  awaitValid(
+    { id: backendId, startedAtMs }: IBackendEntry,
+    { waitMs, perSecond: grantedPerSecond = Infinity }: IPermitDecision,
+  ): Effect.Effect<boolean> {
+    return Effect.gen({ self: this }, function* () {
+      const { limits } = this.#opts;
+      const isVoid = () => (limits.perSecond({ backendId, startedAtMs }) ?? Infinity) < grantedPerSecond;
+      const validAtMs = (yield* Clock.currentTimeMillis) + waitMs;
+      while (!isVoid()) {
+        const now = yield* Clock.currentTimeMillis;
+        if (now >= validAtMs) return now <= validAtMs + PERMIT_TTL_MS;
+        yield* Effect.raceFirst(Effect.sleep(Math.ceil(validAtMs - now)), this.#changed.wait());
+      }
+      return false;
     });
   }
 
--- a/src/call/common/relayed_call.ts
+++ b/src/call/common/relayed_call.ts
@@ -65,6 +65,8 @@
   limitedServers = 0;
   /** Time until the first permit of one of them, in ms; undefined if no server lacked a permit. */
   nextPermitMs: number | undefined;
+  /** Time until which the request may wait for permits, in ms; undefined if it has not waited yet. */
+  permitDeadlineMs: number | undefined;
   /** Time for which the request has waited for permits, in ms. */
   permitWaitMs = 0;
   /** Software that produced the stream's first event; undefined before that event. */
--- a/src/routing/common/send_rate_limiter.ts
+++ b/src/routing/common/send_rate_limiter.ts
@@ -43,6 +43,8 @@
   readonly startedAtMs: number;
   /** Time from which the last permit is valid, in ms of the clock. The rate may have changed since. */
   lastValidAtMs: number;
+  /** Rate of the last permit, in requests per second. */
+  perSecond: number;
   /** Time of the last request of each instance. */
   readonly askedAtMs: Map<string, number>;
   usedAtMs: number;
@@ -71,8 +73,11 @@
   acquire({ run, perSecond, instance, parts = 1, maxWaitMs }: IPermitRequest): IPermit {
     const now = this.#opts.now();
     const intervalMs = MS_PER_SECOND * parts / Math.max(MIN_PER_SECOND, perSecond);
-    const state = this.#stateOf(run, { now, intervalMs });
+    const state = this.#stateOf(run, { now, intervalMs, perSecond });
     state.usedAtMs = now;
+    // Permits of a higher rate that are not valid yet are void: their holders ask again.
+    if (perSecond < state.perSecond) state.lastValidAtMs = Math.min(state.lastValidAtMs, now);
+    state.perSecond = perSecond;
     const askers = countAskers(state, { instance, now });
     const validAtMs = Math.max(state.lastValidAtMs + intervalMs, now - BURST_MS);
     const waitMs = Math.max(0, validAtMs - now);
@@ -90,13 +95,14 @@
 
   #stateOf(
     { backendId, startedAtMs }: IServerRun,
-    { now, intervalMs }: { now: number; intervalMs: number },
+    { now, intervalMs, perSecond }: { now: number; intervalMs: number; perSecond: number },
   ): IServerState {
     const known = this.#servers.get(backendId);
     if (known?.startedAtMs === startedAtMs) return known;
     this.#evict(now);
     const lastValidAtMs = now + intervalMs * (this.#opts.firstDelay() - 1);
-    const state = { startedAtMs, lastValidAtMs, askedAtMs: new Map<string, number>(), usedAtMs: now };
+    const askedAtMs = new Map<string, number>();
+    const state = { startedAtMs, lastValidAtMs, perSecond, askedAtMs, usedAtMs: now };
     this.#servers.set(backendId, state);
     return state;
   }
--- a/src/routing/common/send_rate_limiter_test.ts
+++ b/src/routing/common/send_rate_limiter_test.ts
@@ -68,3 +68,12 @@
   t.false(acquire().isGranted);
   t.true(acquire({ run: { ...RUN, startedAtMs: 2 } }).isGranted);
 });
+
+test("a rate that falls voids the permits that are not valid yet", (t) => {
+  const { clock, acquire } = makeLimiter();
+  const waits = [0, 1, 2, 3].map(() => acquire({ perSecond: 20, maxWaitMs: 1000 }).waitMs);
+  t.deepEqual(waits, [0, 50, 100, 150]);
+  clock.nowMs = 10;
+  t.is(acquire({ perSecond: 4, maxWaitMs: 1000 }).waitMs, 250);
+  t.is(acquire({ perSecond: 4, maxWaitMs: 1000 }).waitMs, 500);
+});
--- a/test/stand_ins/backend_fleet.ts
+++ b/test/stand_ins/backend_fleet.ts
@@ -45,10 +45,12 @@
   Unreachable = "unreachable",
   /** Accepts requests and never answers. */
   Silent = "silent",
+  /** States with its limit that it has not run the request. */
+  Declines = "declines every request",
 }
 
 const TIMEOUT_HEADER = "Ragwortcleat-Deadline-Ms";
-const RUN_MS = 80;
+const DEFAULT_RUN_MS = 80;
 const CRASH_AFTER_MS = 30;
 const RESTART_AFTER_MS = 2500;
 /** Time after which the platform removes the entry of a server that sends no heartbeats. */
@@ -113,6 +115,8 @@
   crashForm: CrashForm;
   /** Status with which servers respond to requests that do not crash them. */
   status = 200;
+  /** Time that a server takes for a request, in ms. */
+  runMs = DEFAULT_RUN_MS;
   readonly #opts: IBackendFleetOptions;
 
   constructor(opts: IBackendFleetOptions) {
@@ -149,6 +153,10 @@
       if (behavior !== ServerBehavior.Sound) server.faultyAttempts += 1;
       if (!server.isUp || behavior === ServerBehavior.Unreachable) return yield* this.#failToConnect();
       if (server.id !== backend.id) return { head: headOf(req, { status: 421 }), body: bodyOf([]) };
+      if (behavior === ServerBehavior.Declines) {
+        this.#onDidStateLimit.fire({ backend, limitPerSecond: server.limitPerSecond });
+        return { head: { ...headOf(req, { status: 503 }), isNotRun: true }, body: bodyOf([]) };
+      }
       this.runs.push({
         requestId: req.requestId,
         target: req.target,
@@ -163,7 +171,7 @@
       const isCrashing = this.#opts.isCrashing(req);
       if (isCrashing) yield* Effect.forkDetach(this.#crashSoon(server));
       yield* Effect.raceFirst(
-        Effect.sleep(isCrashing ? this.#crashingHeadMs() : RUN_MS / 2),
+        Effect.sleep(isCrashing ? this.#crashingHeadMs() : this.runMs / 2),
         this.#awaitEnd(ended),
       );
       if (this.#opts.isAnswerLost(req)) return yield* Effect.fail(new UpstreamError(UpstreamFault.Broken));
@@ -237,7 +245,7 @@
 
   #crashingHeadMs(): number {
     const isHeadSent = this.#hasFirstChunk() || this.crashForm === CrashForm.AfterHead;
-    return isHeadSent ? CRASH_AFTER_MS / 2 : RUN_MS / 2;
+    return isHeadSent ? CRASH_AFTER_MS / 2 : this.runMs / 2;
   }
 
   #failToConnect(): Effect.Effect<never, UpstreamError> {
@@ -261,7 +269,10 @@
     const read = (onChunk: (chunk: Uint8Array) => void) =>
       Effect.gen({ self: this }, function* () {
         if (hasFirstChunk) onChunk(Buffer.from(`id: 1\ndata: ${softwareVersion}\n\n`));
-        yield* Effect.raceFirst(isCrashing ? Effect.never : Effect.sleep(RUN_MS / 2), this.#awaitEnd(ended));
+        yield* Effect.raceFirst(
+          isCrashing ? Effect.never : Effect.sleep(this.runMs / 2),
+          this.#awaitEnd(ended),
+        );
         onChunk(Buffer.from(`id: 2\ndata: ${softwareVersion}\n\n`));
       });
     return makeResponseBody(read);
