--- a/src/call/common/allotment_client.ts
+++ b/src/call/common/allotment_client.ts
@@ -14,8 +14,8 @@
 import { toProgressMessage } from "./allotment_message.ts";
 import type { OwnerCaller, TurnServiceClient } from "./owner_caller.ts";
 
-/** Number of instances that are asked to stand in for an owner that does not respond. */
-const MAX_STAND_INS = 2;
+/** Number of instances that are asked one after the other if the owner does not respond. */
+const MAX_FALLBACKS = 2;
 /** Time after its last request at which a program is forgotten. */
 const PROGRAM_TTL_MS = 60_000;
 /** Number of programs that are remembered. */
@@ -108,7 +108,7 @@
     return Effect.gen({ self: this }, function* () {
       const { organisation: { name, allotment }, version, programId } = req;
       if (allotment === undefined) return undefined;
-      const question: Omit<IOwnerDecisionInput, "returned" | "isStandIn" | "asker"> = {
+      const question: Omit<IOwnerDecisionInput, "returned" | "isFallback" | "asker"> = {
         organisation: name,
         allotment,
         version,
@@ -140,14 +140,14 @@
     return allotment !== undefined && (this.#lowUntilMs.get(name) ?? -Infinity) > this.#opts.now();
   }
 
-  /** Addresses of the owner and of the instances that stand in for it, in the order in which they are asked. */
+  /** Addresses of the owner and of the fallback instances, in the order in which they are asked. */
   #decidersOf(organisation: string): string[] {
     const { owners } = this.#opts;
     const owner = owners.ownerOf(organisation);
     const others = owners.addresses.filter((address) => address !== owner)
       .map((address) => ({ address, rank: hash64(keyOf(organisation, address)) }))
       .sort((a, b) => a.rank < b.rank ? 1 : -1);
-    return [owner, ...others.slice(0, MAX_STAND_INS).map(({ address }) => address)];
+    return [owner, ...others.slice(0, MAX_FALLBACKS).map(({ address }) => address)];
   }
 
   /** A program that this instance has granted requests of has begun, also for an owner that is new. */
@@ -158,13 +158,13 @@
   }
 
   #decideHere(
-    question: Omit<IOwnerDecisionInput, "returned" | "isStandIn" | "asker">,
+    question: Omit<IOwnerDecisionInput, "returned" | "isFallback" | "asker">,
     position: number,
   ): IAllotmentDecision | undefined {
     const { owner, address } = this.#opts;
     const { organisation } = question;
     const returned = this.#takeReturned(organisation, address);
-    const grant = owner.decide({ ...question, returned, isStandIn: position > 0, asker: address });
+    const grant = owner.decide({ ...question, returned, isFallback: position > 0, asker: address });
     if (grant === undefined) return undefined;
     this.#recordLevel(organisation, grant.isLow);
     return {
@@ -181,7 +181,7 @@
   async #askOther(
     client: TurnServiceClient,
     { question, position, signal, address }: {
-      question: Omit<IOwnerDecisionInput, "returned" | "isStandIn" | "asker">;
+      question: Omit<IOwnerDecisionInput, "returned" | "isFallback" | "asker">;
       position: number;
       signal: AbortSignal;
       address: string;
@@ -197,7 +197,7 @@
       progress: toProgressMessage(progress),
       count,
       returned: this.#takeReturned(organisation, address),
-      isStandIn: position > 0,
+      isFallback: position > 0,
     });
     const res = await client.acquireAllotment(req, { signal });
     if (!res.isOwner) return undefined;
--- a/src/call/common/allotment_owner.ts
+++ b/src/call/common/allotment_owner.ts
@@ -1,4 +1,4 @@
-/** Decisions on allotments by the instance that owns them, or that stands in for the owner. */
+/** Decisions on allotments by the instance that owns them, or that decides in place of the owner. */
 import { create } from "@bufbuild/protobuf";
 import type {
   AcquireAllotmentRequest,
@@ -9,16 +9,17 @@
 import { AllotmentLimiter } from "../../routing/common/allotment_limiter.ts";
 import { AskerActivity } from "../../routing/common/asker_activity.ts";
 import type { ILogger } from "../../services/logging/common/logger.ts";
+import { BoundedLabel } from "../../services/metrics/common/bounded_label.ts";
 import type { Metrics } from "../../services/metrics/common/metrics.ts";
 import type { IOrganisation } from "../../services/organisations/common/organisation.ts";
 import { fromProgressMessage } from "./allotment_message.ts";
 
 /** Share of the rate that an instance grants in place of an owner that does not respond, but may still grant. */
-const STAND_IN_SHARE = 0.5;
-/** Part of the slack with which an instance begins to stand in. */
-const STAND_IN_SLACK_SHARE = 0.125;
-/** Time after the last question at which an instance no longer stands in: longer than the change of an owner takes. */
-const STAND_IN_TTL_MS = 10_000;
+const FALLBACK_SHARE = 0.5;
+/** Part of the slack that a fallback instance may grant at once. */
+const FALLBACK_SLACK_SHARE = 0.125;
+/** Time after the last question at which a fallback instance forgets an organisation: longer than the change of an owner takes. */
+const FALLBACK_TTL_MS = 10_000;
 /** Time for which further refusals of an organisation are not logged. */
 const REFUSAL_LOG_INTERVAL_MS = 10_000;
 /** Number of organisations that have their own metrics; further ones are counted together. */
@@ -45,7 +46,7 @@
 
 /** A question, and whether this instance is asked because the owner does not respond. */
 export interface IOwnerDecisionInput extends Omit<IAllotmentQuestion, "accruesFromMs" | "rateShare"> {
-  readonly isStandIn: boolean;
+  readonly isFallback: boolean;
   /** Peer address of the instance that asks. */
   readonly asker: string;
 }
@@ -53,29 +54,29 @@
 export class AllotmentOwner {
   readonly #opts: IAllotmentOwnerOptions;
   readonly #own: AllotmentLimiter;
-  readonly #standIn: AllotmentLimiter;
+  readonly #fallback: AllotmentLimiter;
   readonly #askers: AskerActivity;
   readonly #loggedAtMs = new Map<string, number>();
-  readonly #counted = new Set<string>();
+  readonly #label = new BoundedLabel(MAX_COUNTED_ORGANISATIONS);
 
   constructor(opts: IAllotmentOwnerOptions) {
     this.#opts = opts;
     const { now, random, slackRequests } = opts;
     this.#askers = new AskerActivity(opts.address);
     this.#own = new AllotmentLimiter({ now, random, slackRequests, share: 1 });
-    this.#standIn = new AllotmentLimiter({
+    this.#fallback = new AllotmentLimiter({
       now,
       random,
       slackRequests,
-      share: STAND_IN_SHARE,
-      initialTokens: slackRequests * STAND_IN_SLACK_SHARE,
-      retentionMs: STAND_IN_TTL_MS,
+      share: FALLBACK_SHARE,
+      initialTokens: slackRequests * FALLBACK_SLACK_SHARE,
+      retentionMs: FALLBACK_TTL_MS,
     });
   }
 
   /** Answers the question of another instance. */
   answer(req: AcquireAllotmentRequest): Partial<Omit<AcquireAllotmentResponse, "$typeName">> {
-    const { organisation, allotment, programId, count, returned, isStandIn } = req;
+    const { organisation, allotment, programId, count, returned, isFallback } = req;
     if (allotment === undefined) return { isOwner: false };
     const grant = this.decide({
       organisation,
@@ -85,7 +86,7 @@
       progress: fromProgressMessage(req.progress),
       count,
       returned,
-      isStandIn,
+      isFallback,
       asker: req.instance,
     });
     if (grant === undefined) return { isOwner: false };
@@ -102,36 +103,36 @@
   }
 
   /** Decides on requests of an organisation. Returns undefined if this instance does not own its allotment. */
-  decide({ isStandIn, asker, ...question }: IOwnerDecisionInput): IAllotmentGrant | undefined {
+  decide({ isFallback, asker, ...question }: IOwnerDecisionInput): IAllotmentGrant | undefined {
     const newest = this.#withNewestAllotment(question);
     const accruesFromMs = this.#opts.ownedSinceMs(question.organisation);
-    // A stand-in that has become the owner meanwhile decides as the owner.
+    // A fallback instance that has become the owner meanwhile decides as the owner.
     const isOwner = accruesFromMs !== undefined;
-    if (!isOwner && !isStandIn) return undefined;
+    if (!isOwner && !isFallback) return undefined;
     const now = this.#opts.now();
     this.#askers.record(asker, now);
-    const standInShare = this.#standInShare(now);
-    if (!isOwner && standInShare === 0) return undefined;
+    const fallbackShare = this.#fallbackShare(now);
+    if (!isOwner && fallbackShare === 0) return undefined;
     const grant = isOwner
       ? this.#own.acquire({ ...newest, accruesFromMs, rateShare: this.#rateShare(now) })
-      : this.#standIn.acquire({ ...newest, rateShare: standInShare });
+      : this.#fallback.acquire({ ...newest, rateShare: fallbackShare });
     this.#count(question, { grant, isOwner });
     if (grant.granted === 0) this.#logRefusal(question, { grant, isOwner });
     return grant;
   }
 
-  /** Part of the rate that the owner grants: less if another instance may stand in for it for some instances. */
+  /** Part of the rate that the owner grants: less if a fallback instance may decide for some senders. */
   #rateShare(now: number): number {
-    return Math.max(1 - STAND_IN_SHARE, this.#askers.heardShare(now));
+    return Math.max(1 - FALLBACK_SHARE, this.#askers.heardShare(now));
   }
 
   /**
-   * Part of its rate that a stand-in grants: less if it hears only a few instances, as others may stand in elsewhere, and
+   * Part of its rate that a fallback instance grants: less if it hears only a few instances, as there may be others, and
    * none if it hears no other instance.
    */
-  #standInShare(now: number): number {
+  #fallbackShare(now: number): number {
     const heard = this.#askers.heardCount(now);
-    return heard === 1 ? 0 : Math.min(1, heard / this.#opts.instanceCount() / STAND_IN_SHARE);
+    return heard === 1 ? 0 : Math.min(1, heard / this.#opts.instanceCount() / FALLBACK_SHARE);
   }
 
   /** Replaces the sender's allotment by the one of this instance's configuration, if that is newer. */
@@ -148,10 +149,9 @@
     { organisation, count }: Pick<IAllotmentQuestion, "organisation" | "count">,
     { grant, isOwner }: { grant: IAllotmentGrant; isOwner: boolean },
   ): void {
-    if (this.#counted.size < MAX_COUNTED_ORGANISATIONS) this.#counted.add(organisation);
-    const label = this.#counted.has(organisation) ? organisation : "other";
+    const label = this.#label.labelOf(organisation);
     const outcome = grant.granted > 0 ? "granted" : "refused";
-    const by = isOwner ? "owner" : "stand-in";
+    const by = isOwner ? "owner" : "fallback";
     this.#opts.metrics.incrementCounter("allotment_requests", { organisation: label, outcome, by }, count);
   }
 
@@ -170,7 +170,7 @@
     this.#opts.logger.info("allotment-exhausted", {
       organisation,
       owner: this.#opts.address,
-      isStandIn: !isOwner,
+      isFallback: !isOwner,
       perSecond: allotment.perSecond,
       burst: allotment.burst,
       version,
--- a/src/call/common/gateway_relay_test.ts
+++ b/src/call/common/gateway_relay_test.ts
@@ -18,10 +18,13 @@
 import { BackendDirectory } from "../../services/backends/common/backend_directory.ts";
 import { NullLogger } from "../../services/logging/common/logger.ts";
 import { Metrics } from "../../services/metrics/common/metrics.ts";
+import type { IOrganisation } from "../../services/organisations/common/organisation.ts";
 import type { IRoute } from "../../services/routes/common/route_table.ts";
 import { RouteKind, RouteTable } from "../../services/routes/common/route_table.ts";
 import type { ICompletedTurn, IEndedTurn, ITurnClient } from "../../turns/common/turn_client.ts";
 import { ChainLookupStatus } from "../../turns/common/turn_client.ts";
+import { RequestProgress } from "../../routing/common/allotment_limiter.ts";
+import type { IAllotmentClient, IAllotmentRequest } from "./allotment_client.ts";
 import { CrashMonitor } from "./crash_monitor.ts";
 import { GatewayRelay } from "./gateway_relay.ts";
 import { ResponseMemoryPool } from "./response_limits.ts";
@@ -141,6 +144,7 @@
     timeoutMs: 3000,
     lastEventId: undefined,
     ...resumeOf(headers),
+    apiKeyDigest: headers.includes("key") ? "digest" : undefined,
     affinityKey: undefined,
     prompt: { model: "m", promptTokens: 900, maxTokens: 50, parts: PARTS },
     program: {
@@ -179,9 +183,45 @@
   keepsHistory: false,
   retainMs: 0,
 };
+const ORGANISATION = {
+  name: "o",
+  keyDigests: ["digest"],
+  priority: undefined,
+  allotment: { perSecond: 1, burst: 1 },
+};
 const STREAM: Partial<IRoute> = { kind: RouteKind.Stream, retainMs: 60_000 };
 
+/** Grants a number of requests. */
+class FakeAllotments implements IAllotmentClient {
+  readonly asked: RequestProgress[] = [];
+  returned = 0;
+  #left: number;
+
+  constructor(left: number) {
+    this.#left = left;
+  }
+
+  acquire({ progress }: IAllotmentRequest) {
+    return Effect.sync(() => {
+      this.asked.push(progress);
+      const isGranted = this.#left-- > 0;
+      const retryAfterMs = isGranted ? 0 : 250;
+      return { isGranted, retryAfterMs, organisation: "o", decidedBy: "a:1", perSecond: 1, version: 1 };
+    });
+  }
+
+  giveBack() {
+    this.returned += 1;
+  }
+
+  isLow() {
+    return false;
+  }
+}
+
 interface ISetup {
+  /** Decides on the requests of an organisation with an allotment; undefined without organisations. */
+  readonly allotments?: FakeAllotments;
   readonly route?: Partial<IRoute>;
   readonly script?: readonly IServerBehavior[];
   readonly turns?: FakeTurns;
@@ -189,6 +229,7 @@
   readonly backends?: number;
   readonly admission?: IProgramAdmission;
   readonly isStale?: boolean;
+  readonly organisations?: readonly IOrganisation[];
   readonly target?: string;
   readonly crashes?: CrashMonitor;
   /** Software versions of the servers; "v1" by default. */
@@ -217,6 +258,7 @@
     routes: [{ ...ROUTE, ...route, prefix: "/x" }],
     services: new Map([["s", { name: "s", maxConnections: 10, engine }]]),
     limits: { maxHeaderBytes: 1, maxBodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 },
+    organisations: setup.organisations ?? (setup.allotments === undefined ? undefined : [ORGANISATION]),
   });
   const directory = new BackendDirectory(logger, {
     now: () => 0,
@@ -254,7 +296,7 @@
     streamFinder: { find: (resumed) => Effect.succeed(streams.find(resumed)) },
     admission: setup.admission ?? new UtilizationAdmission(),
     permits: UNLIMITED_PERMITS,
-    allotments: UNLIMITED_ALLOTMENTS,
+    allotments: setup.allotments ?? UNLIMITED_ALLOTMENTS,
     upstream,
     responseLimits: { maxResponseBytes: 5000, maxEventBytes: 300 },
     responseMemory: new ResponseMemoryPool(0),
@@ -505,6 +547,42 @@
   t.is(fresh.sent.length, 0);
 });
 
+test("new programs are admitted by the organisation's priority first, then by the route's", async (t) => {
+  const turns = new FakeTurns();
+  turns.isFresh = true;
+  const priorities: number[] = [];
+  const admission: IProgramAdmission = {
+    decide: ({ priority }) => {
+      priorities.push(priority);
+      return { isAdmitted: true };
+    },
+  };
+  for (const [priority, routePriority] of [[undefined, 3], [0, 3], [0, 9], [1, 0]] as const) {
+    const organisations = [{ name: "a", keyDigests: ["digest"], priority, allotment: undefined }];
+    const route = { ...STREAM, priority: routePriority };
+    await relay({
+      route,
+      turns,
+      admission,
+      organisations,
+      headers: ["key"],
+      script: [{ chunks: [event(1)] }],
+    });
+  }
+  t.deepEqual(priorities, [3, 0.75, 0.9, 1]);
+});
+
+test("without a known key the answer is 401 before that for an unknown route, but 503 while the configuration may be stale", async (t) => {
+  const organisations: IOrganisation[] = [];
+  for (const target of ["/x", "/other"]) {
+    for (const headers of [[], ["key"]]) {
+      const refused = await relay({ target, headers, organisations });
+      t.deepEqual([refused.sink.status, refused.sent.length], [401, 0]);
+      t.is((await relay({ target, headers, organisations, isStale: true })).sink.status, 503);
+    }
+  }
+});
+
 test("responds with 404 for an unknown route, but 503 while the configuration may be stale", async (t) => {
   t.is((await relay({ target: "/other" })).sink.status, 404);
   t.is((await relay({ target: "/other", isStale: true })).sink.status, 503);
@@ -600,3 +678,44 @@
   t.is(refused.sink.status, 503);
   t.is(refused.sent.length, 5);
 });
+
+test("a request that the allotment does not cover gets 429 and is not sent", async (t) => {
+  for (const route of [{ kind: RouteKind.Safe }, STREAM]) {
+    const { sink, sent, turns } = await relay({ route, headers: ["key"], allotments: new FakeAllotments(0) });
+    t.is(sink.status, 429);
+    t.is(sink.headers[sink.headers.indexOf("retry-after") + 1], "0.25");
+    t.is(sent.length, 0);
+    // The budget's owner has granted the turn, and is told that it delivered nothing.
+    t.deepEqual(turns.ended.map(({ tokens }) => tokens), route === STREAM ? [0] : []);
+  }
+});
+
+test("a token that no server has used is returned", async (t) => {
+  const turns = new FakeTurns();
+  turns.verdict = TurnVerdict.SPENT;
+  const refused = new FakeAllotments(1);
+  await relay({ route: STREAM, turns, headers: ["key"], allotments: refused });
+  t.deepEqual([refused.asked.length, refused.returned], [1, 1]);
+  const declined = new FakeAllotments(1);
+  await relay({
+    headers: ["key"],
+    allotments: declined,
+    backends: 2,
+    script: [{ isNotRun: true }, { isNotRun: true }],
+  });
+  t.deepEqual([declined.asked.length, declined.returned], [1, 1]);
+  const served = new FakeAllotments(1);
+  const { sink } = await relay({ headers: ["key"], allotments: served, script: [{ isNotRun: true }, {}] });
+  t.deepEqual([sink.status, served.asked.length, served.returned], [200, 1, 0]);
+});
+
+test("each send after one that may have run takes another token, and none is sent without", async (t) => {
+  const route = { kind: RouteKind.Safe, attempts: 3 };
+  const script = [{ fault: UpstreamFault.Broken }, { fault: UpstreamFault.Broken }, {}];
+  const enough = new FakeAllotments(3);
+  const served = await relay({ route, script, headers: ["key"], allotments: enough });
+  t.deepEqual([served.sink.status, served.sent.length, enough.returned], [200, 3, 0]);
+  t.deepEqual(enough.asked, [RequestProgress.First, RequestProgress.Repeated, RequestProgress.Repeated]);
+  const failed = await relay({ route, script, headers: ["key"], allotments: new FakeAllotments(1) });
+  t.deepEqual([failed.sink.status, failed.sent.length], [502, 1]);
+});
--- a/src/routing/common/asker_activity.ts
+++ b/src/routing/common/asker_activity.ts
@@ -19,7 +19,7 @@
 
 /**
  * Estimates the share of all questions that can still reach this instance. An owner that is cut off from a part of the
- * instances keeps granting, while another instance stands in for it on the other side; each must then keep to its
+ * instances keeps granting, while a fallback instance decides on the other side; each must then keep to its
  * part. Designed for dozens to hundreds of instances that each send a similar share of the requests.
  */
 export class AskerActivity {
@@ -40,17 +40,15 @@
 
   /** Share of the recent questions that came from instances which are not silent; 1 if none is. */
   heardShare(now: number): number {
+    // While no other instance is heard, this one may be cut off from all of them, however long that takes.
+    if (this.heardCount(now) > 1) this.#evict(now);
     let heard = 0;
     let silent = 0;
-    let isOtherHeard = false;
     for (const [name, asker] of this.#askers) {
       const isSilent = name !== this.#self && now - asker.lastAtMs > silenceMsOf(asker);
       if (isSilent && asker.questions >= MIN_QUESTIONS) silent += asker.questions;
       else heard += asker.questions;
-      if (!isSilent && name !== this.#self) isOtherHeard = true;
     }
-    // While no other instance is heard, this one may be cut off from all of them, however long that takes.
-    if (isOtherHeard) this.#evict(now);
     return heard + silent === 0 ? 1 : heard / (heard + silent);
   }
 
--- a/src/routing/common/asker_activity_test.ts
+++ b/src/routing/common/asker_activity_test.ts
@@ -1,7 +1,10 @@
 import test from "ava";
 import { AskerActivity } from "./asker_activity.ts";
 
-function play(askers: readonly string[], { activity, fromMs, untilMs }: { activity: AskerActivity; fromMs: number; untilMs: number }): void {
+function play(
+  askers: readonly string[],
+  { activity, fromMs, untilMs }: { activity: AskerActivity; fromMs: number; untilMs: number },
+): void {
   for (let now = fromMs; now < untilMs; now += 20) for (const name of askers) activity.record(name, now);
 }
 
