--- a/src/call/common/allotment_client.ts
+++ b/src/call/common/allotment_client.ts
@@ -141,13 +141,15 @@
   }
 
   /** Addresses of the owner and of the fallback instances, in the order in which they are asked. */
-  #decidersOf(organisation: string): string[] {
+  *#decidersOf(organisation: string): Generator<string> {
     const { owners } = this.#opts;
     const owner = owners.ownerOf(organisation);
+    yield owner;
+    // Computed only if the owner does not respond.
     const others = owners.addresses.filter((address) => address !== owner)
       .map((address) => ({ address, rank: hash64(keyOf(organisation, address)) }))
       .sort((a, b) => a.rank < b.rank ? 1 : -1);
-    return [owner, ...others.slice(0, MAX_FALLBACKS).map(({ address }) => address)];
+    for (const { address } of others.slice(0, MAX_FALLBACKS)) yield address;
   }
 
   /** A program that this instance has granted requests of has begun, also for an owner that is new. */
--- a/src/call/common/allotment_owner.ts
+++ b/src/call/common/allotment_owner.ts
@@ -20,6 +20,8 @@
 const FALLBACK_SLACK_SHARE = 0.125;
 /** Time after the last question at which a fallback instance forgets an organisation: longer than the change of an owner takes. */
 const FALLBACK_TTL_MS = 10_000;
+/** Interval at which the parts of the rate are computed, whose cost grows with the number of instances. */
+const SHARES_INTERVAL_MS = 50;
 /** Time for which further refusals of an organisation are not logged. */
 const REFUSAL_LOG_INTERVAL_MS = 10_000;
 /** Number of organisations that have their own metrics; further ones are counted together. */
@@ -56,6 +58,9 @@
   readonly #own: AllotmentLimiter;
   readonly #fallback: AllotmentLimiter;
   readonly #askers: AskerActivity;
+  #sharesAtMs = -Infinity;
+  #ownShare = 1;
+  #fallbackShare = 0;
   readonly #loggedAtMs = new Map<string, number>();
   readonly #label = new BoundedLabel(MAX_COUNTED_ORGANISATIONS);
 
@@ -111,28 +116,28 @@
     if (!isOwner && !isFallback) return undefined;
     const now = this.#opts.now();
     this.#askers.record(asker, now);
-    const fallbackShare = this.#fallbackShare(now);
-    if (!isOwner && fallbackShare === 0) return undefined;
+    this.#updateShares(now);
+    if (!isOwner && this.#fallbackShare === 0) return undefined;
     const grant = isOwner
-      ? this.#own.acquire({ ...newest, accruesFromMs, rateShare: this.#rateShare(now) })
-      : this.#fallback.acquire({ ...newest, rateShare: fallbackShare });
+      ? this.#own.acquire({ ...newest, accruesFromMs, rateShare: this.#ownShare })
+      : this.#fallback.acquire({ ...newest, rateShare: this.#fallbackShare });
     this.#count(question, { grant, isOwner });
     if (grant.granted === 0) this.#logRefusal(question, { grant, isOwner });
     return grant;
   }
 
-  /** Part of the rate that the owner grants: less if a fallback instance may decide for some senders. */
-  #rateShare(now: number): number {
-    return Math.max(1 - FALLBACK_SHARE, this.#askers.heardShare(now));
-  }
-
   /**
-   * Part of its rate that a fallback instance grants: less if it hears only a few instances, as there may be others, and
-   * none if it hears no other instance.
+   * Updates the parts of the rate that this instance grants. As the owner it grants less if it no longer hears some of the
+   * senders, for which a fallback instance may decide. As a fallback instance it grants less if it hears only a few
+   * instances, as there may be others like it, and nothing if it hears no other instance.
    */
-  #fallbackShare(now: number): number {
+  #updateShares(now: number): void {
+    if (now < this.#sharesAtMs + SHARES_INTERVAL_MS) return;
+    this.#sharesAtMs = now;
+    this.#ownShare = Math.max(1 - FALLBACK_SHARE, this.#askers.heardShare(now));
     const heard = this.#askers.heardCount(now);
-    return heard === 1 ? 0 : Math.min(1, heard / this.#opts.instanceCount() / FALLBACK_SHARE);
+    const heardShare = heard / this.#opts.instanceCount();
+    this.#fallbackShare = heard === 1 ? 0 : Math.min(1, heardShare / FALLBACK_SHARE);
   }
 
   /** Replaces the sender's allotment by the one of this instance's configuration, if that is newer. */
--- a/src/call/common/owner_caller.ts
+++ b/src/call/common/owner_caller.ts
@@ -46,9 +46,11 @@
   }
 
   /** Returns the first decision; undefined if none of the instances decides. Empty addresses are skipped. */
-  askFirst<T>(addresses: readonly string[], question: IOwnerQuestion<T>): Effect.Effect<T | undefined> {
+  askFirst<T>(addresses: Iterable<string>, question: IOwnerQuestion<T>): Effect.Effect<T | undefined> {
     return Effect.gen({ self: this }, function* () {
-      for (const [position, address] of addresses.entries()) {
+      let position = -1;
+      for (const address of addresses) {
+        position += 1;
         const decision = address === this.#opts.address
           ? question.here(position)
           : yield* this.#ask(address, { question, position });
