--- a/src/call/common/gateway_relay_test.ts
+++ b/src/call/common/gateway_relay_test.ts
@@ -4,6 +4,7 @@
 import { TestClock } from "effect/testing";
 import { RecordingSink } from "../../../test/stand_ins/recording_sink.ts";
 import { UNLIMITED_PERMITS } from "../../../test/stand_ins/unlimited_permits.ts";
+import { UNLIMITED_ALLOTMENTS } from "../../../test/stand_ins/unlimited_allotments.ts";
 import { makeResponseBody } from "../../../test/stand_ins/response_body.ts";
 import { Emitter } from "../../base/common/emitter.ts";
 import type { PromptHome } from "../../base/common/gen/ragwortcleat/v1/turns_pb.ts";
@@ -22,6 +23,8 @@
 import { RouteKind, RouteTable } from "../../services/routes/common/route_table.ts";
 import type { ICompletedTurn, IEndedTurn, ITurnClient } from "../../turns/common/turn_client.ts";
 import { ChainLookupStatus } from "../../turns/common/turn_client.ts";
+import { RequestProgress } from "../../routing/common/allotment_limiter.ts";
+import type { IAllotmentClient, IAllotmentRequest } from "./allotment_client.ts";
 import { CrashMonitor } from "./crash_monitor.ts";
 import { GatewayRelay } from "./gateway_relay.ts";
 import { ResponseMemoryPool } from "./response_limits.ts";
@@ -180,9 +183,45 @@
   keepsHistory: false,
   retainMs: 0,
 };
+const ORGANISATION = {
+  name: "o",
+  keyDigests: ["digest"],
+  priority: undefined,
+  allotment: { perSecond: 1, burst: 1 },
+};
 const STREAM: Partial<IRoute> = { kind: RouteKind.Stream, retainMs: 60_000 };
 
+/** Grants a number of requests. */
+class FakeAllotments implements IAllotmentClient {
+  readonly asked: RequestProgress[] = [];
+  returned = 0;
+  #left: number;
+
+  constructor(left: number) {
+    this.#left = left;
+  }
+
+  acquire({ progress }: IAllotmentRequest) {
+    return Effect.sync(() => {
+      this.asked.push(progress);
+      const isGranted = this.#left-- > 0;
+      const retryAfterMs = isGranted ? 0 : 250;
+      return { isGranted, retryAfterMs, organisation: "o", decidedBy: "a:1", perSecond: 1, version: 1 };
+    });
+  }
+
+  giveBack() {
+    this.returned += 1;
+  }
+
+  isLow() {
+    return false;
+  }
+}
+
 interface ISetup {
+  /** Decides on the requests of an organisation with an allotment; undefined without organisations. */
+  readonly allotments?: FakeAllotments;
   readonly route?: Partial<IRoute>;
   readonly script?: readonly IServerBehavior[];
   readonly turns?: FakeTurns;
@@ -219,7 +258,7 @@
     routes: [{ ...ROUTE, ...route, prefix: "/x" }],
     services: new Map([["s", { name: "s", maxConnections: 10, engine }]]),
     limits: { maxHeaderBytes: 1, maxBodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 },
-    organisations: setup.organisations,
+    organisations: setup.organisations ?? (setup.allotments === undefined ? undefined : [ORGANISATION]),
   });
   const directory = new BackendDirectory(logger, {
     now: () => 0,
@@ -258,6 +297,7 @@
     streamFinder: { findEarlier: () => undefined, find: (resumed) => Effect.succeed(streams.find(resumed)) },
     admission: setup.admission ?? new UtilizationAdmission(),
     permits: UNLIMITED_PERMITS,
+    allotments: setup.allotments ?? UNLIMITED_ALLOTMENTS,
     upstream,
     responseLimits: { maxResponseBytes: 5000, maxEventBytes: 300 },
     responseMemory: new ResponseMemoryPool(0),
@@ -639,3 +679,44 @@
   t.is(refused.sink.status, 503);
   t.is(refused.sent.length, 5);
 });
+
+test("a request that the allotment does not cover gets 429 and is not sent", async (t) => {
+  for (const route of [{ kind: RouteKind.Safe }, STREAM]) {
+    const { sink, sent, turns } = await relay({ route, headers: ["key"], allotments: new FakeAllotments(0) });
+    t.is(sink.status, 429);
+    t.is(sink.headers[sink.headers.indexOf("retry-after") + 1], "0.25");
+    t.is(sent.length, 0);
+    // The budget's owner has granted the turn, and is told that it delivered nothing.
+    t.deepEqual(turns.ended.map(({ tokens }) => tokens), route === STREAM ? [0] : []);
+  }
+});
+
+test("a token that no server has used is returned", async (t) => {
+  const turns = new FakeTurns();
+  turns.verdict = TurnVerdict.SPENT;
+  const refused = new FakeAllotments(1);
+  await relay({ route: STREAM, turns, headers: ["key"], allotments: refused });
+  t.deepEqual([refused.asked.length, refused.returned], [1, 1]);
+  const declined = new FakeAllotments(1);
+  await relay({
+    headers: ["key"],
+    allotments: declined,
+    backends: 2,
+    script: [{ isNotRun: true }, { isNotRun: true }],
+  });
+  t.deepEqual([declined.asked.length, declined.returned], [1, 1]);
+  const served = new FakeAllotments(1);
+  const { sink } = await relay({ headers: ["key"], allotments: served, script: [{ isNotRun: true }, {}] });
+  t.deepEqual([sink.status, served.asked.length, served.returned], [200, 1, 0]);
+});
+
+test("each send after one that may have run takes another token, and none is sent without", async (t) => {
+  const route = { kind: RouteKind.Safe, attempts: 3 };
+  const script = [{ fault: UpstreamFault.Broken }, { fault: UpstreamFault.Broken }, {}];
+  const enough = new FakeAllotments(3);
+  const served = await relay({ route, script, headers: ["key"], allotments: enough });
+  t.deepEqual([served.sink.status, served.sent.length, enough.returned], [200, 3, 0]);
+  t.deepEqual(enough.asked, [RequestProgress.First, RequestProgress.Repeated, RequestProgress.Repeated]);
+  const failed = await relay({ route, script, headers: ["key"], allotments: new FakeAllotments(1) });
+  t.deepEqual([failed.sink.status, failed.sent.length], [502, 1]);
+});
--- a/src/call/common/permit_client.ts
+++ b/src/call/common/permit_client.ts
@@ -1,23 +1,19 @@
 /** Permits to send requests to backend servers that state a limit, which holds for all instances together. */
 import { Clock, Effect } from "effect";
-import type { TurnService } from "../../base/common/gen/ragwortcleat/v1/turns_pb.ts";
+import { Signal } from "../../base/common/signal.ts";
 import { AcquirePermitRequestSchema } from "../../base/common/gen/ragwortcleat/v1/turns_pb.ts";
 import { create } from "@bufbuild/protobuf";
-import type { PeerError } from "../../base/common/errors.ts";
-import type { PeerRpcClients } from "../../membership/common/peer_client.ts";
 import type { IPermit } from "../../routing/common/send_rate_limiter.ts";
 import { SendRateLimiter } from "../../routing/common/send_rate_limiter.ts";
 import type { IBackendEntry } from "../../services/backends/common/backend_directory.ts";
 import type { IServerRun } from "../../services/backends/common/leaving_servers.ts";
 import type { IServerLimit, ServerLimits } from "../../services/backends/common/server_limits.ts";
-import type { ILogger } from "../../services/logging/common/logger.ts";
 import type { Metrics } from "../../services/metrics/common/metrics.ts";
 import { fromLimitMessage, toLimitMessage } from "./limit_message.ts";
+import type { OwnerCaller, TurnServiceClient } from "./owner_caller.ts";
 
-/** Time limit for the owner of a server's limit; a live one responds within a few milliseconds. */
-const OWNER_TIMEOUT_MS = 250;
-/** Time after a failure for which the owner is not asked again. */
-const OWNER_BACKOFF_MS = 1000;
+/** Time after which a permit that was not used, because the instance stood still, is void. */
+const PERMIT_TTL_MS = 300;
 /** Time for which the refusal of a permit is remembered, at most. */
 const MAX_REFUSAL_TTL_MS = 5000;
 
@@ -40,11 +36,18 @@
   readonly isGranted: boolean;
   /** Time until the permit is valid, or until the next one may be available if none was granted, in ms. */
   readonly waitMs: number;
+  /** Limit by which the permit was granted, in requests per second; undefined without a limit. */
+  readonly perSecond?: number | undefined;
 }
 
 export interface IPermitClient {
   /** Acquires the permit to send one request. Servers without a limit always grant it at once. */
   acquire(backend: IBackendEntry, maxWaitMs: number): Effect.Effect<IPermitDecision>;
+  /**
+   * Waits until a permit of a server is valid. Returns false if it is void, because the server has lowered its limit
+   * meanwhile or this instance stood still, so that another permit must be acquired.
+   */
+  awaitValid(backend: IBackendEntry, permit: IPermitDecision): Effect.Effect<boolean>;
   /** Whether a server is known to have no permit now. */
   isExhausted(backend: IBackendEntry): boolean;
 }
@@ -54,13 +57,10 @@
   /** Grants the permits of the servers that this instance owns. */
   readonly limiter: SendRateLimiter;
   readonly owners: IPermitOwner;
-  readonly peers: PeerRpcClients<typeof TurnService>;
-  readonly logger: ILogger;
+  readonly caller: OwnerCaller;
   readonly metrics: Metrics;
   /** Name of this instance. */
   readonly instance: string;
-  /** Address at which peers reach this instance. */
-  readonly address: string;
   readonly now: () => number;
   /** Returns a random number in [0, 1). */
   readonly random: () => number;
@@ -87,11 +87,13 @@
   readonly #refused = new Map<string, IRefusedPermit>();
   /** Number of instances that competed for a server, as last reported by its owner. */
   readonly #askers = new Map<string, number>();
-  /** Time until which an owner is not asked after a failure, by peer address. */
-  readonly #lostUntilMs = new Map<string, number>();
+
+  /** Notified when the limit of any server changes. */
+  readonly #changed = new Signal();
 
   constructor(opts: IPermitClientOptions) {
     this.#opts = opts;
+    opts.limits.onDidChange(() => this.#changed.notify());
     this.#ownShare = new SendRateLimiter({ now: opts.now, firstDelay: opts.random });
   }
 
@@ -114,7 +116,24 @@
       this.#opts.metrics.incrementCounter("send_permits", { outcome });
       if (permit.isGranted) this.#refused.delete(backendId);
       else this.#remember(run, permit);
-      return permit;
+      return { isGranted: permit.isGranted, waitMs: permit.waitMs, perSecond: limit.perSecond };
+    });
+  }
+
+  awaitValid(
+    { id: backendId, startedAtMs }: IBackendEntry,
+    { waitMs, perSecond: grantedPerSecond = Infinity }: IPermitDecision,
+  ): Effect.Effect<boolean> {
+    return Effect.gen({ self: this }, function* () {
+      const { limits } = this.#opts;
+      const isVoid = () => (limits.perSecond({ backendId, startedAtMs }) ?? Infinity) < grantedPerSecond;
+      const validAtMs = (yield* Clock.currentTimeMillis) + waitMs;
+      while (!isVoid()) {
+        const now = yield* Clock.currentTimeMillis;
+        if (now >= validAtMs) return now <= validAtMs + PERMIT_TTL_MS;
+        yield* Effect.raceFirst(Effect.sleep(Math.ceil(validAtMs - now)), this.#changed.wait());
+      }
+      return false;
     });
   }
 
@@ -142,54 +161,27 @@
 
   /** Returns undefined if no owner responds. */
   #askOwner(limit: IServerLimit, maxWaitMs: number): Effect.Effect<IPermit | undefined> {
-    return Effect.gen({ self: this }, function* () {
-      const { owners, address, limiter, instance } = this.#opts;
-      const { backendId } = limit.run;
-      const owner = owners.ownerOf(backendId);
-      if (owner === address) {
-        return limiter.acquire({ run: limit.run, perSecond: limit.perSecond!, instance, maxWaitMs });
-      }
-      const now = yield* Clock.currentTimeMillis;
-      if (owner === "" || (this.#lostUntilMs.get(owner) ?? 0) > now) return undefined;
-      const permit = yield* Effect.catchTag(
-        this.#callOwner(owner, { limit, maxWaitMs }),
-        "PeerError",
-        (err) => this.#recordLostOwner(owner, err),
-      );
-      if (permit === undefined) return undefined;
-      if (this.#lostUntilMs.delete(owner)) this.#opts.logger.info("permit-owner-regained", { owner });
-      this.#askers.set(backendId, permit.askers);
-      return permit;
+    const { owners, caller, limiter, instance } = this.#opts;
+    const { run, perSecond } = limit;
+    return caller.askFirst([owners.ownerOf(run.backendId)], {
+      here: () => limiter.acquire({ run, perSecond: perSecond!, instance, maxWaitMs }),
+      there: (client, { signal }) => this.#callOwner(client, { limit, maxWaitMs, signal }),
     });
   }
 
-  /** Returns undefined if the instance at the address does not own the limit any more. */
-  #callOwner(
-    owner: string,
-    { limit, maxWaitMs }: { limit: IServerLimit; maxWaitMs: number },
-  ): Effect.Effect<IPermit | undefined, PeerError> {
-    const { peers, instance, limits } = this.#opts;
+  /** Returns undefined if the called instance does not own the limit any more. */
+  async #callOwner(
+    client: TurnServiceClient,
+    { limit, maxWaitMs, signal }: { limit: IServerLimit; maxWaitMs: number; signal: AbortSignal },
+  ): Promise<IPermit | undefined> {
+    const { instance, limits } = this.#opts;
     const req = create(AcquirePermitRequestSchema, { instance, limit: toLimitMessage(limit), maxWaitMs });
-    const call = peers.call(owner, {
-      timeoutMs: OWNER_TIMEOUT_MS,
-      invoke: (client, signal) => client.acquirePermit(req, { signal }),
-    });
-    return Effect.map(call, (res) => {
-      if (!res.isOwner) return undefined;
-      const newest = fromLimitMessage(res.limit);
-      if (newest !== undefined) limits.merge(newest);
-      return res;
-    });
-  }
-
-  #recordLostOwner(owner: string, err: Error): Effect.Effect<undefined> {
-    return Effect.map(Clock.currentTimeMillis, (now) => {
-      if (!this.#lostUntilMs.has(owner)) {
-        this.#opts.logger.warn("permit-owner-lost", { owner, error: err.message });
-      }
-      this.#lostUntilMs.set(owner, now + OWNER_BACKOFF_MS);
-      return undefined;
-    });
+    const res = await client.acquirePermit(req, { signal });
+    if (!res.isOwner) return undefined;
+    const newest = fromLimitMessage(res.limit);
+    if (newest !== undefined) limits.merge(newest);
+    this.#askers.set(limit.run.backendId, res.askers);
+    return res;
   }
 
   /** Grants a permit from an equal part of the limit, which needs no owner. */
--- a/src/call/common/relayed_call.ts
+++ b/src/call/common/relayed_call.ts
@@ -5,6 +5,7 @@
 import { digestPrefixOf } from "../../services/organisations/common/organisation_table.ts";
 import type { IRoute } from "../../services/routes/common/route_table.ts";
 import { AttemptState } from "./attempt_state.ts";
+import type { IAllotmentDecision } from "./allotment_client.ts";
 import type { GatewayStatus, IRefusal, RefusalReason } from "./gateway_refusal.ts";
 import type { BodyFraming, IOpaqueRequest, UpstreamFault } from "./opaque_request.ts";
 import type { RequestIdentity } from "./request_identity.ts";
@@ -61,10 +62,16 @@
   refusals = 0;
   /** Whether the budget's owner has refused the turn, so that its end need not be reported. */
   isTurnRefused = false;
+  /** Last decision on the allotment; undefined if the organisation has none. */
+  allotment: IAllotmentDecision | undefined;
+  /** Whether a token of the allotment was acquired that no server has used. */
+  holdsToken = false;
   /** Servers that had no permit for the request, because of the limits that they state. */
   limitedServers = 0;
   /** Time until the first permit of one of them, in ms; undefined if no server lacked a permit. */
   nextPermitMs: number | undefined;
+  /** Time until which the request may wait for permits, in ms; undefined if it has not waited yet. */
+  permitDeadlineMs: number | undefined;
   /** Time for which the request has waited for permits, in ms. */
   permitWaitMs = 0;
   /** Software that produced an earlier try of the stream, whose servers are preferred; undefined if none is known. */
@@ -238,6 +245,9 @@
       running: choice?.running,
       cachedTokens: choice?.cachedTokens,
       costMs: choice === undefined ? undefined : Math.round(choice.costMs),
+      allotmentOwner: this.allotment?.decidedBy,
+      allotmentPerS: this.allotment?.perSecond,
+      allotmentVersion: this.allotment?.version,
       runs: this.runs,
       refusals: this.refusals,
       hedgedAfterMs: this.hedge === undefined ? undefined : Math.round(this.hedge.afterMs),
--- a/src/cli/common/request_explanation_test.ts
+++ b/src/cli/common/request_explanation_test.ts
@@ -216,3 +216,15 @@
   const unknown = causesWith({ status: 502, reason: RefusalReason.OutcomeUnknown, backend: "b", runs: 2 });
   t.is(unknown.at(-1), `${sends}neither answer was relayed in full`);
 });
+
+test("a refusal by an allotment names the deciding instance, the allotment and the configuration", (t) => {
+  const refusal = { event: "request", request: "r", status: 429, reason: RefusalReason.AllotmentExhausted };
+  const allotment = { allotmentOwner: "i7:3", allotmentPerS: 12.5, allotmentVersion: 42 };
+  const [cause] = explainRequest([logLine(1, "i", { ...refusal, ...allotment })], "r").causes;
+  for (const part of ["i7:3", "12.5 requests per second", "configuration 42"]) {
+    t.true(cause.includes(part), cause);
+  }
+  const [alone] =
+    explainRequest([logLine(1, "i", { ...refusal, ...allotment, allotmentOwner: "" })], "r").causes;
+  t.true(alone.includes("i decided alone"), alone);
+});
--- a/src/daemon/common/gateway_core.ts
+++ b/src/daemon/common/gateway_core.ts
@@ -16,6 +16,9 @@
 import type { IForwardTransport } from "../../call/common/forwarding.ts";
 import { ForwardingUpstream } from "../../call/common/forwarding_upstream.ts";
 import { ForwardService } from "../../call/common/forward_service.ts";
+import { AllotmentClient } from "../../call/common/allotment_client.ts";
+import { AllotmentOwner } from "../../call/common/allotment_owner.ts";
+import { OwnerCaller } from "../../call/common/owner_caller.ts";
 import { PermitClient } from "../../call/common/permit_client.ts";
 import { StreamOriginFinder } from "../../call/common/stream_origin_finder.ts";
 import { StreamOriginRegistry } from "../../call/common/stream_origin_registry.ts";
@@ -23,13 +26,16 @@
 import { ResponseMemoryPool } from "../../call/common/response_limits.ts";
 import { StrikeReplicator } from "../../call/common/strike_replicator.ts";
 import { GatewayRelay } from "../../call/common/gateway_relay.ts";
+import type { RelayedCall } from "../../call/common/relayed_call.ts";
 import type { IRequestCodec, IUpstream } from "../../call/common/opaque_request.ts";
 import type { IPeerTransports } from "../../membership/common/peer_client.ts";
 import { PeerRpcClients } from "../../membership/common/peer_client.ts";
 import { BackendLoadTracker } from "../../routing/common/backend_load_tracker.ts";
+import { RequestProgress } from "../../routing/common/allotment_limiter.ts";
 import { HedgingPolicy } from "../../routing/common/hedging_policy.ts";
 import { UtilizationAdmission } from "../../routing/common/program_admission.ts";
 import { LimitForwarder } from "../../peer/common/limit_forwarder.ts";
+import { AllotmentShare } from "../../routing/common/allotment_share.ts";
 import { SendRateLimiter } from "../../routing/common/send_rate_limiter.ts";
 import { PromptCacheIndex } from "../../routing/common/prompt_cache_index.ts";
 import type { IBackendEntry } from "../../services/backends/common/backend_directory.ts";
@@ -108,6 +114,9 @@
   /** Grants the permits of the limited servers whose slice this instance owns. */
   readonly limiter: SendRateLimiter;
   readonly permits: PermitClient;
+  /** Decides on the allotments of the organisations whose slice this instance owns. */
+  readonly allotments: AllotmentOwner;
+  readonly #allotmentClient: AllotmentClient;
   readonly limitForwarder: LimitForwarder;
   readonly links: ServerLinkMonitor;
   /** Other instances from which reports arrive. */
@@ -129,6 +138,7 @@
   readonly #settings: GatewaySettings;
   readonly #dependencies: IGatewayDependencies;
   readonly #peers: TurnClients;
+  readonly #ownerCaller: OwnerCaller;
 
   constructor(settings: GatewaySettings, dependencies: IGatewayDependencies) {
     const { adapter, logger, now } = dependencies;
@@ -177,7 +187,10 @@
     const askPeer = (peer: string) => this.#fetchTable(peer);
     this.group = new SliceGroup({ ...shared, address, partitions, owned: this.owned, askPeer });
     this.limiter = new SendRateLimiter({ now, firstDelay: () => 1 });
+    this.#ownerCaller = new OwnerCaller({ peers: this.#peers, logger, address });
     this.permits = this.#makePermitClient();
+    this.allotments = this.#makeAllotmentOwner();
+    this.#allotmentClient = this.#makeAllotmentClient();
     this.limitForwarder = new LimitForwarder({
       limits: this.limits,
       isOwner: (backendId) => this.#ownerOfLimit(backendId) === address,
@@ -261,8 +274,7 @@
   }
 
   #makePermitClient(): PermitClient {
-    const { logger, now, random } = this.#dependencies;
-    const { instance, peerAddress: address } = this.#settings;
+    const { now, random } = this.#dependencies;
     const { group } = this;
     return new PermitClient({
       limits: this.limits,
@@ -273,16 +285,64 @@
           return group.peers.length + 1;
         },
       },
-      peers: this.#peers,
+      caller: this.#ownerCaller,
+      metrics: this.metrics,
+      instance: this.#settings.instance,
+      now,
+      random,
+    });
+  }
+
+  #makeAllotmentOwner(): AllotmentOwner {
+    const { logger, now, random } = this.#dependencies;
+    const { peerAddress: address, allotmentSlackRequests: slackRequests } = this.#settings;
+    const { routes, owned, group } = this;
+    return new AllotmentOwner({
+      ownedSinceMs: (organisation) => {
+        const slice = owned.sliceOf(organisation);
+        return group.ownerOf(slice) === address ? owned.ownedSinceMs(slice) : undefined;
+      },
+      organisation: (name) => routes.configuration?.organisations?.find((entry) => entry.name === name),
+      configurationVersion: () => routes.version,
+      instanceCount: () => this.#instanceCount,
       logger,
       metrics: this.metrics,
-      instance,
-      address,
       now,
       random,
+      slackRequests,
+      address,
+    });
+  }
+
+  #makeAllotmentClient(): AllotmentClient {
+    const { now, random } = this.#dependencies;
+    const { peerAddress: address, allotmentSlackRequests: slackRequests } = this.#settings;
+    const { group } = this;
+    const instanceCount = () => this.#instanceCount;
+    return new AllotmentClient({
+      owner: this.allotments,
+      owners: {
+        ownerOf: (organisation) => group.ownerOf(this.owned.sliceOf(organisation)),
+        get addresses() {
+          return group.addresses;
+        },
+        get instanceCount() {
+          return instanceCount();
+        },
+      },
+      share: new AllotmentShare({ now, random, slackRequests }),
+      caller: this.#ownerCaller,
+      metrics: this.metrics,
+      now,
+      address,
     });
   }
 
+  /** Number of instances that are known to this one, itself included. */
+  get #instanceCount(): number {
+    return Math.max(this.group.peers.length, this.instances.list().length) + 1;
+  }
+
   #makeUpstream(): ForwardingUpstream {
     const { upstream: direct, forwardTransport: transport, logger, random } = this.#dependencies;
     const { peerAddress: address } = this.#settings;
@@ -305,6 +365,19 @@
     });
   }
 
+  /** Acquires the token for the second send of a request, unless its organisation is near its allotment. */
+  #acquireExtraSend({ organisation, configurationVersion, req }: RelayedCall): Effect.Effect<boolean> {
+    if (organisation?.allotment === undefined) return Effect.succeed(true);
+    if (this.#allotmentClient.isLow(organisation)) return Effect.succeed(false);
+    const token = this.#allotmentClient.acquire({
+      organisation,
+      version: configurationVersion,
+      programId: req.program?.programId,
+      progress: RequestProgress.Continued,
+    });
+    return Effect.map(token, (decision) => decision?.isGranted !== false);
+  }
+
   #makeRelay(): GatewayRelay {
     const { codec, logger, now, random } = this.#dependencies;
     const { hedging } = this.#settings;
@@ -334,8 +407,12 @@
       }),
       streamAnnouncer: this.#streamReplicator,
       permits: this.permits,
+      allotments: this.#allotmentClient,
       upstream: this.upstream,
-      hedging: hedging.maxExtraSends === 0 ? undefined : { policy: new HedgingPolicy(hedging, now) },
+      hedging: hedging.maxExtraSends === 0 ? undefined : {
+        policy: new HedgingPolicy(hedging, now),
+        acquireExtraSend: (call) => this.#acquireExtraSend(call),
+      },
       responseLimits: { maxResponseBytes, maxEventBytes },
       responseMemory: new ResponseMemoryPool(responseMemoryBytes),
       logger,
--- a/src/services/settings/common/gen/gateway_settings.ts
+++ b/src/services/settings/common/gen/gateway_settings.ts
@@ -97,6 +97,10 @@
      */
     routes: string[];
   };
+  /**
+   * Number of requests by which the requests of an organisation in any 5 s may exceed its allotment, over all instances together. Half of it is added to the burst of each allotment; the rest covers changes of the deciding instance.
+   */
+  allotmentSlackRequests: number;
   /**
    * Minimum severity of log lines.
    */
@@ -262,6 +266,13 @@
         }
       }
     },
+    "allotmentSlackRequests": {
+      "type": "number",
+      "minimum": 0,
+      "maximum": 1000000,
+      "default": 0,
+      "description": "Number of requests by which the requests of an organisation in any 5 s may exceed its allotment, over all instances together. Half of it is added to the burst of each allotment; the rest covers changes of the deciding instance."
+    },
     "logLevel": {
       "type": "string",
       "enum": [
--- a/test/stand_ins/backend_fleet.ts
+++ b/test/stand_ins/backend_fleet.ts
@@ -45,6 +45,8 @@
   Unreachable = "unreachable",
   /** Accepts requests and never answers. */
   Silent = "silent",
+  /** States with its limit that it has not run the request. */
+  Declines = "declines every request",
 }
 
 const TIMEOUT_HEADER = "Ragwortcleat-Deadline-Ms";
@@ -178,6 +180,10 @@
       if (behavior !== ServerBehavior.Sound) server.faultyAttempts += 1;
       if (!server.isUp || behavior === ServerBehavior.Unreachable) return yield* this.#failToConnect();
       if (server.id !== backend.id) return { head: headOf(req, { status: 421 }), body: bodyOf([]) };
+      if (behavior === ServerBehavior.Declines) {
+        this.#onDidStateLimit.fire({ backend, limitPerSecond: server.limitPerSecond });
+        return { head: { ...headOf(req, { status: 503 }), isNotRun: true }, body: bodyOf([]) };
+      }
       this.runs.push({
         requestId: req.requestId,
         target: req.target,
