--- a/test/proofs/faulty_server_test.ts
+++ b/test/proofs/faulty_server_test.ts
@@ -116,3 +116,26 @@
     t.true(lateFaultyRuns <= lateRuns / SERVERS, `${lateFaultyRuns} of ${lateRuns}`);
   });
 }
+
+test("once-only requests that a server does not answer in time count as its failures", async (t) => {
+  const opts = {
+    instances: 1,
+    serversPerService: SERVERS,
+    crashForm: CrashForm.BeforeHead,
+    restartForm: RestartForm.SameId,
+  };
+  await GatewayCluster.run(opts, (cluster) =>
+    Effect.gen(function* () {
+      const { core } = cluster.gateways.get("g0")!;
+      let silent: IFleetServer | undefined;
+      for (let round = 0; round < 100; round++) {
+        if (round === WARM_UP_ROUNDS) silent = busiestServer(cluster, "plain");
+        if (silent !== undefined) silent.behavior = ServerBehavior.Silent;
+        const req = { route: RoutePath.Unsafe, caller: CallerKind.None, name: `n-${round}` };
+        for (let copy = 0; copy < 12; copy++) yield* Effect.forkDetach(cluster.send("g0", req));
+        yield* cluster.advance(ROUND_MS);
+      }
+      const failing = core.loads.failureRates.failingAmong(core.directory.listAvailable("plain"));
+      t.deepEqual([...failing.keys()], [silent?.id]);
+    }));
+});
