Callers' connections: no reset of requests that are unread

Cause, shown on real sockets by connection_reuse_test: Node.js closes an idle connection as soon as its timer runs, and after a stall of the event loop timers run before waiting bytes are read, so that a request sent within the announced Keep-Alive time was reset. GatewayServer.stopAccepting() closed connections that looked idle because their next request was not read (HttpServer had this fault mended before). A stopping server sent Connection: close with a response although it had received a pipelined request after it, which ran and was never answered. A refusal of a body that is too large closed the connection with the rest unread, which resets it. Ruled out: an idle timeout as short as announced; Node.js 20.20 adds a second (closed after 1998 ms with 1000 ms announced).

Change: closeIdleConnections() waits 2 s longer than that, and closes only after a turn of the event loop without new bytes. Connection: close is sent with the response to the request received last. The rest of a body that is too large is read for up to 2 s.

--- a/src/entry/node/gateway_server.ts
+++ b/src/entry/node/gateway_server.ts
@@ -1,7 +1,8 @@
 /** HTTP server of the gateway for callers' requests, and the server for its readiness probe and metrics. */
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
-import type { AddressInfo } from "node:net";
+import type { AddressInfo, Socket } from "node:net";
 import { createServer } from "node:http";
+import { Server as NetServer } from "node:net";
 import type { Context } from "effect";
 import { Effect, Fiber } from "effect";
 import { toError } from "../../base/common/errors.ts";
@@ -14,9 +15,13 @@
 import type { ILogger } from "../../services/logging/common/logger.ts";
 import type { ICallerLimits } from "../../services/routes/common/route_table.ts";
 import { abortResponse } from "./abort_response.ts";
+import { closeIdleConnections } from "./idle_connections.ts";
 
 /** Fixed when the server is created, before the configured limits are known. */
 const MAX_HEADER_BYTES = 32 * 1024;
+/** Time limit for reading the rest of a body that is too large; a caller that still sends then is reset. */
+const DISCARD_TIMEOUT_MS = 2000;
+
 export interface IGatewayServerOptions {
   readonly relay: GatewayRelay;
   readonly logger: ILogger;
@@ -26,6 +31,8 @@
 export class GatewayServer {
   readonly #opts: IGatewayServerOptions;
   readonly #server: Server;
+  /** Response to the request received last on each connection. */
+  readonly #latest = new WeakMap<Socket, ServerResponse>();
   #maxBodyBytes = Infinity;
   #isStopping = false;
   #active = 0;
@@ -37,6 +44,7 @@
       (req, res) => this.#serve(req, res),
     );
     this.#server.on("clientError", (_err, socket) => socket.destroy());
+    closeIdleConnections(this.#server);
   }
 
   /** Number of requests in progress. */
@@ -60,16 +68,16 @@
     this.#server.keepAliveTimeout = idleTimeoutMs;
   }
 
-  /** Closes each caller's connection after its next response. */
+  /** Closes each caller's connection after the response to the request received last on it. */
   disableKeepAlive(): void {
     this.#isStopping = true;
   }
 
-  /** Stops accepting connections; requests in progress continue. */
+  /** Stops accepting connections; open ones, including idle ones, stay open. */
   stopAccepting(): void {
     this.disableKeepAlive();
-    this.#server.close();
-    this.#server.closeIdleConnections();
+    // http.Server.close() also closes connections that appear idle because their next request is not read yet.
+    NetServer.prototype.close.call(this.#server);
   }
 
   dispose(): void {
@@ -79,7 +87,10 @@
 
   #serve(req: IncomingMessage, res: ServerResponse): void {
     this.#active += 1;
-    const sink = new ResponseSink(res, () => this.#isStopping);
+    const { socket } = req;
+    this.#latest.set(socket, res);
+    // A response that closes the connection would discard requests received after its own.
+    const sink = new ResponseSink(res, () => this.#isStopping && this.#latest.get(socket) === res);
     const handling = this.#relay(req, sink).pipe(
       Effect.catchDefect((defect) =>
         Effect.sync(() => {
@@ -98,7 +109,7 @@
   #relay(req: IncomingMessage, sink: ResponseSink): Effect.Effect<void> {
     return Effect.flatMap(readBody(req, this.#maxBodyBytes), (body) => {
       if (body === BodyError.Truncated) return Effect.sync(() => sink.abort());
-      if (body === BodyError.TooLarge) return Effect.sync(() => sink.rejectBody());
+      if (body === BodyError.TooLarge) return Effect.sync(() => sink.rejectBody(req));
       const { method = "", url = "", rawHeaders } = req;
       return this.#opts.relay.handle(
         { method, target: url, headers: endToEndHeaders(rawHeaders), body },
@@ -130,11 +141,11 @@
 /** Writes a response to a caller through a Node.js server response. */
 class ResponseSink implements IResponseSink {
   readonly #res: ServerResponse;
-  readonly #isStopping: () => boolean;
+  readonly #isLast: () => boolean;
 
-  constructor(res: ServerResponse, isStopping: () => boolean) {
+  constructor(res: ServerResponse, isLast: () => boolean) {
     this.#res = res;
-    this.#isStopping = isStopping;
+    this.#isLast = isLast;
     // A caller may disconnect between two writes. That interrupts the request's fiber, so the error needs no
     // handling.
     res.on("error", () => {});
@@ -165,8 +176,11 @@
     abortResponse(this.#res);
   }
 
-  /** Rejects a body that is too large. Closes the connection, since the unread rest would be parsed as a request. */
-  rejectBody(): void {
+  /**
+   * Rejects a body that is too large. Closes the connection, since the unread rest would be parsed as a request, but reads
+   * the rest before: closing a connection with unread bytes resets it, and the caller may lose the response.
+   */
+  rejectBody(req: IncomingMessage): void {
     const body = Buffer.from(
       JSON.stringify({ status: GatewayStatus.BodyTooLarge, title: RefusalReason.BodyTooLarge }),
     );
@@ -175,11 +189,14 @@
       "content-length": body.length,
       connection: "close",
     });
-    this.#res.end(body);
+    this.#res.write(body);
+    const timer = setTimeout(() => this.#res.end(), DISCARD_TIMEOUT_MS);
+    this.#res.on("close", () => clearTimeout(timer));
+    req.on("end", () => this.#res.end());
   }
 
   #writeHead(status: number, headers: string[]): void {
-    if (this.#isStopping()) headers.push("Connection", "close");
+    if (this.#isLast()) headers.push("Connection", "close");
     this.#res.writeHead(status, headers);
   }
 }
--- a/src/entry/node/http_server.ts
+++ b/src/entry/node/http_server.ts
@@ -1,7 +1,7 @@
 /** HTTP server for callers and operators: reads requests, dispatches them by route, and writes responses. */
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
 import { createServer } from "node:http";
-import type { AddressInfo } from "node:net";
+import type { AddressInfo, Socket } from "node:net";
 import { Server as NetServer } from "node:net";
 import type { Context } from "effect";
 import { Effect, Fiber } from "effect";
@@ -12,6 +12,7 @@
 import type { ILogger } from "../../services/logging/common/logger.ts";
 import { problemHeaders, toProblemDetails } from "../common/problem.ts";
 import { abortResponse } from "./abort_response.ts";
+import { closeIdleConnections } from "./idle_connections.ts";
 
 const MAX_BODY_BYTES = 8 * 1024 * 1024;
 const MAX_HEADER_BYTES = 16 * 1024;
@@ -58,6 +59,8 @@
   readonly #opts: IHttpServerOptions;
   readonly #server: Server;
   readonly #routes: readonly (IHttpRoute & { readonly regex: RegExp })[];
+  /** Response to the request received last on each connection. */
+  readonly #latest = new WeakMap<Socket, ServerResponse>();
   #isStopping = false;
   #active = 0;
 
@@ -66,6 +69,7 @@
     this.#routes = opts.routes.map((route) => ({ ...route, regex: compilePattern(route.pattern) }));
     const server = { maxHeaderSize: MAX_HEADER_BYTES, noDelay: true, keepAlive: true };
     this.#server = createServer(server, (req, res) => this.#serve(req, res));
+    closeIdleConnections(this.#server);
   }
 
   /** Number of requests in progress. */
@@ -101,6 +105,10 @@
 
   #serve(req: IncomingMessage, res: ServerResponse): void {
     this.#active += 1;
+    const former = this.#latest.get(req.socket);
+    // A response that closes the connection would discard requests received after its own.
+    if (former?.headersSent === false) former.removeHeader("connection");
+    this.#latest.set(req.socket, res);
     const handling = this.#handle(req, res).pipe(
       Effect.catch((err: CallError) => Effect.sync(() => writeProblem(res, err))),
       Effect.catchDefect((defect) => Effect.sync(() => this.#writeDefect(res, defect))),
