Gateway's stop: requests that have arrived are read before it ends

Cause: the drain ended as soon as no request was active, also if one had arrived and was not read yet; closing its connection resets it. Not covered: a request that is still on its way when the instance exits.

--- a/src/daemon/node/gateway.ts
+++ b/src/daemon/node/gateway.ts
@@ -172,8 +172,11 @@
     server.stopAccepting();
     core.forwardService.stopAccepting();
     const deadline = startedAt + settings.stopGraceS * MS_PER_SECOND - EXIT_MARGIN_MS;
+    // Closing a connection with an unread request would reset it.
+    yield* Effect.promise(() => server.readArrived());
     while (activeCount() > 0 && (yield* Clock.currentTimeMillis) < deadline) {
       yield* Effect.sleep(DRAIN_POLL_MS);
+      yield* Effect.promise(() => server.readArrived());
     }
     logger.info("stopped", {
       tookMs: (yield* Clock.currentTimeMillis) - startedAt,
--- a/src/entry/node/connection_reuse_test.ts
+++ b/src/entry/node/connection_reuse_test.ts
@@ -170,6 +170,22 @@
   });
 }
 
+// Guards against an instance that exits as idle while a request is unread.
+test.serial("a request that has arrived counts as active before the connections are closed", async (t) => {
+  const server = await startGateway((raw, sink) => raw.target === "/1" ? respond(raw, sink) : Effect.never);
+  const caller = new CallerConnection(portOf(server));
+  t.teardown(() => {
+    caller.destroy();
+    server.dispose();
+  });
+  await caller.write(requestFor("/1"));
+  await caller.receive(1);
+  await caller.write(requestFor("/2"));
+  server.stopAccepting();
+  await server.readArrived();
+  t.is(server.activeCount, 1);
+});
+
 // Guards against a response with Connection: close that discards the requests already received behind it.
 test.serial("a stopping gateway answers pipelined requests before it closes the connection", async (t) => {
   const isReleased = Deferred.makeUnsafe<void>();
--- a/src/entry/node/gateway_server.ts
+++ b/src/entry/node/gateway_server.ts
@@ -80,6 +80,12 @@
     NetServer.prototype.close.call(this.#server);
   }
 
+  /** Waits until the bytes that have arrived are read, so that their requests count as active. */
+  async readArrived(): Promise<void> {
+    // The first callback may run before the event loop has polled its connections.
+    for (let turn = 0; turn < 2; turn++) await new Promise((resolve) => setImmediate(resolve));
+  }
+
   dispose(): void {
     this.#server.close();
     this.#server.closeAllConnections();
