--- a/src/call/common/gateway_relay.ts
+++ b/src/call/common/gateway_relay.ts
@@ -278,8 +278,8 @@
 
   /** Reports to the budget's owner how many tokens a turn has delivered. */
   #endTurn(call: RelayedCall): Effect.Effect<void> {
-    const { req, service, events } = call;
-    const tokens = events * (this.#dispatcher.engineOf(service)?.tokensPerEvent ?? 0);
+    const { req } = call;
+    const tokens = this.#deliveredTokens(call);
     const home = this.#dispatcher.promptHomeOf(call, tokens);
     return this.#opts.turns.end({
       programId: call.scoped(req.program!.programId),
@@ -289,6 +289,10 @@
     });
   }
 
+  #deliveredTokens({ events, service }: RelayedCall): number {
+    return events * (this.#dispatcher.engineOf(service)?.tokensPerEvent ?? 0);
+  }
+
   /** Obtains the budget and the history of a turn and serves it. */
   #beginTurn(call: RelayedCall, sink: IResponseSink): Effect.Effect<IRefusal | undefined> {
     return Effect.gen({ self: this }, function* () {
@@ -303,16 +307,22 @@
         retainMs: route.retainMs,
         partIds: (req.prompt?.parts ?? []).map(({ id }) => call.scoped(id)),
       };
-      const beginTurn = Effect.map(this.#opts.turns.begin(grant, timeoutMs), (begun) => {
-        call.isTurnRefused = begun !== undefined && begun.verdict !== TurnVerdict.GRANTED;
-        return begun;
-      });
+      const beginTurn = Effect.map(
+        Effect.suspend(() => this.#opts.turns.begin(grant, timeoutMs)),
+        (begun) => {
+          call.isTurnRefused = begun !== undefined && begun.verdict !== TurnVerdict.GRANTED;
+          return begun;
+        },
+      );
       const loadChain = this.#loadChain(call, timeoutMs);
       const questions = [beginTurn, loadChain, this.#acquireToken(call)] as const;
-      const [begun, chain, overAllotment] = yield* Effect.all(questions, { concurrency: "unbounded" });
+      const [first, chain, overAllotment] = yield* Effect.all(questions, { concurrency: "unbounded" });
       if (chain === ChainLookupStatus.NotOwned) {
         return finalRefusal(GatewayStatus.NotFound, RefusalReason.TurnNotOwned);
       }
+      const isSettled = first?.verdict === TurnVerdict.SPENT &&
+        (yield* this.#reportStoredEnds(call, { chain, timeoutMs }));
+      const begun = isSettled ? yield* beginTurn : first;
       const verdict = begun?.verdict;
       if (verdict === TurnVerdict.SPENT) {
         return finalRefusal(GatewayStatus.BudgetExhausted, RefusalReason.BudgetExhausted);
@@ -338,9 +348,27 @@
     });
   }
 
+  /**
+   * Reports the ends of the program's own stored turns, which the budget's owner may still count as running at their limit:
+   * the reports are lost with the instances. Returns false if there is no such turn.
+   */
+  #reportStoredEnds(
+    call: RelayedCall,
+    { chain, timeoutMs }: { chain: ITurnChain | ChainLookupStatus; timeoutMs: number },
+  ): Effect.Effect<boolean> {
+    const stored = chain instanceof Object ? chain.ended : [];
+    const ownProgramId = call.scoped(call.req.program!.programId);
+    const ended = stored.filter(({ programId }) => programId === ownProgramId);
+    const reports = Effect.forEach(ended, (turn) => this.#opts.turns.end(turn), {
+      concurrency: "unbounded",
+      discard: true,
+    });
+    return Effect.as(Effect.timeoutOption(reports, timeoutMs), ended.length > 0);
+  }
+
   #loadChain(call: RelayedCall, timeoutMs: number): Effect.Effect<ITurnChain | ChainLookupStatus> {
     const previous = call.req.program?.previousTurnId;
-    if (!call.route.keepsHistory || previous === undefined) return Effect.succeed({ contents: [], refs: [] });
+    if (!call.route.keepsHistory || previous === undefined) return Effect.succeed(EMPTY_CHAIN);
     return Effect.map(
       this.#opts.turns.load(previous, { timeoutMs, organisation: call.ownerName }),
       (result) => result.state === ChainLookupStatus.Found ? result.chain : result.state,
@@ -475,8 +503,15 @@
       if (!route.keepsHistory) return true;
       const now = yield* Clock.currentTimeMillis;
       const content = Buffer.concat([req.body, Buffer.from(call.output.join(""), "latin1")]);
-      const { retainMs } = route;
-      const completed = { turnId: req.id, chain, content, retainMs, organisation: call.ownerName };
+      const completed = {
+        programId: call.scoped(req.program!.programId),
+        turnId: req.id,
+        tokens: this.#deliveredTokens(call),
+        chain,
+        content,
+        retainMs: route.retainMs,
+        organisation: call.ownerName,
+      };
       return yield* this.#opts.turns.store(completed, call.deadlineAtMs - now);
     });
   }
@@ -503,6 +538,8 @@
   }
 }
 
+const EMPTY_CHAIN: ITurnChain = { contents: [], refs: [], ended: [] };
+
 function isTurn({ req, route }: RelayedCall): boolean {
   return route.kind === RouteKind.Stream && route.retainMs > 0 && req.program?.budgetTokens !== undefined;
 }
--- a/src/turns/common/turn_client.ts
+++ b/src/turns/common/turn_client.ts
@@ -55,6 +55,8 @@
   /** Contents of the preceding turns, oldest first. */
   readonly contents: readonly Uint8Array[];
   readonly refs: readonly TurnRef[];
+  /** The turns whose program and tokens are stored: they have ended, whatever the budgets' records say. */
+  readonly ended: readonly IEndedTurn[];
 }
 
 /** Outcome of a chain lookup. */
@@ -77,7 +79,10 @@
 
 /** A turn whose response is complete. */
 export interface ICompletedTurn {
+  readonly programId: string;
   readonly turnId: string;
+  /** Tokens delivered to the caller. */
+  readonly tokens: number;
   readonly chain: ITurnChain;
   /** Input and output of the turn itself. */
   readonly content: Uint8Array;
@@ -162,7 +167,10 @@
       const refs = turns.map((turn) =>
         create(TurnRefSchema, { turnId: turn.turnId, storedAtMs: turn.storedAtMs })
       );
-      return { state: ChainLookupStatus.Found, chain: { contents, refs } };
+      const ended = turns.filter(({ programId }) => programId !== "").map((turn) => {
+        return { programId: turn.programId, turnId: turn.turnId, tokens: turn.tokens, home: undefined };
+      });
+      return { state: ChainLookupStatus.Found, chain: { contents, refs, ended } };
     });
   }
 
@@ -268,7 +276,7 @@
  * if that is long or contains a turn that may be evicted before this one.
  */
 function toKeptTurn(
-  { turnId, chain, content, retainMs, organisation }: ICompletedTurn,
+  { programId, turnId, tokens, chain, content, retainMs, organisation }: ICompletedTurn,
   now: number,
 ): KeptTurn {
   const { contents, refs } = chain;
@@ -281,5 +289,7 @@
     storedAtMs: now,
     retainMs,
     organisation,
+    programId,
+    tokens,
   });
 }
