check: warns of attempts that take longer than the time limit

Change: a repeatable route that states its attempts and its target latency gets a warning if their product exceeds the time limit. Ran: platform/check_test.ts, 12 tests passed; test/processes/deployment_test.ts, 7 passed (it runs the command line of src/cli).

--- a/src/cli/common/configuration_finding.ts
+++ b/src/cli/common/configuration_finding.ts
@@ -29,6 +29,7 @@
   NoWeight = "no-weight",
   UnusedService = "unused-service",
   TimeLimitBelowTarget = "time-limit-below-target",
+  TimeLimitBelowAttempts = "time-limit-below-attempts",
   AttemptsOfOnceOnly = "attempts-of-once-only",
   BurstBelowOne = "burst-below-one",
   BurstWithoutRate = "burst-without-rate",
--- a/src/cli/common/configuration_rules.ts
+++ b/src/cli/common/configuration_rules.ts
@@ -5,7 +5,7 @@
 import { digestPrefixOf } from "../../services/organisations/common/organisation_table.ts";
 import type { IRoute, IRoutingConfiguration } from "../../services/routes/common/route_table.ts";
 import { isRepeatable } from "../../services/routes/common/route_table.ts";
-import type { IConfigurationText, IEntryPart, IFinding } from "./configuration_finding.ts";
+import type { EntryField, IConfigurationText, IEntryPart, IFinding } from "./configuration_finding.ts";
 import { EntryKind, firstPosition, hasErrors, Rule, Severity } from "./configuration_finding.ts";
 import { findDifferences } from "./configuration_differences.ts";
 
@@ -179,10 +179,15 @@
         `The time limit of ${timeoutMs} ms is shorter than the target latency of ${targetMs} ms.`;
       this.#add({ kind, index, field: "timeoutMs", rule: Rule.TimeLimitBelowTarget, message });
     }
-    const isStated = this.#text.positionOf({ kind, index, field: "attempts" }) !== undefined;
-    if (isStated && attempts > 1 && !isRepeatable(route)) {
+    const isStated = (field: EntryField) => this.#text.positionOf({ kind, index, field }) !== undefined;
+    if (!isStated("attempts") || attempts <= 1) return;
+    if (!isRepeatable(route)) {
       const message = `${attempts} attempts have no effect, because requests of the route run at most once.`;
       this.#add({ kind, index, field: "attempts", rule: Rule.AttemptsOfOnceOnly, message });
+    } else if (isStated("targetMs") && targetMs <= timeoutMs && attempts * targetMs > timeoutMs) {
+      const message =
+        `${attempts} attempts at the target latency of ${targetMs} ms take longer than the time limit of ${timeoutMs} ms.`;
+      this.#add({ kind, index, field: "attempts", rule: Rule.TimeLimitBelowAttempts, message });
     }
   }
 
