Keep the continuation of streams in a class of its own

Change: the search for the origins of streams and the announcement of a change of their version are in StreamContinuation; no behaviour changes.

--- a/src/call/common/gateway_relay.ts
+++ b/src/call/common/gateway_relay.ts
@@ -1,12 +1,9 @@
 /** Relays opaque requests to backend servers and their responses to callers. */
 import { Clock, Effect } from "effect";
 import { TurnVerdict } from "../../base/common/gen/ragwortcleat/v1/turns_pb.ts";
-import type { IBackendChoice } from "../../routing/common/backend_chooser.ts";
 import { RequestProgress } from "../../routing/common/allotment_limiter.ts";
 import type { IProgramAdmission } from "../../routing/common/program_admission.ts";
-import type { IOrganisation } from "../../services/organisations/common/organisation.ts";
-import { combinedPriority, scopedId } from "../../services/organisations/common/organisation_scope.ts";
-import type { IRoute } from "../../services/routes/common/route_table.ts";
+import { combinedPriority } from "../../services/organisations/common/organisation_scope.ts";
 import { isRepeatable, RouteKind, selectServiceByWeight } from "../../services/routes/common/route_table.ts";
 import { BoundedLabel } from "../../services/metrics/common/bounded_label.ts";
 import type { ITurnChain, ITurnClient } from "../../turns/common/turn_client.ts";
@@ -29,10 +26,8 @@
 import { AttemptOutcome, RelayedCall } from "./relayed_call.ts";
 import { UpstreamFault } from "./opaque_request.ts";
 import { RequestIdentity } from "./request_identity.ts";
-import type { IStreamOrigin } from "./stream_origin.ts";
-import { contentKeyOf } from "./stream_origin.ts";
-import type { IStreamOriginFinder } from "./stream_origin_finder.ts";
-import type { IStreamOriginAnnouncer } from "./stream_origin_replicator.ts";
+import type { IStreamContinuationOptions } from "./stream_continuation.ts";
+import { StreamContinuation } from "./stream_continuation.ts";
 
 /** Number of servers that may decline a request, for example because they are full, before it is refused. */
 const MAX_REFUSALS = 4;
@@ -54,35 +49,28 @@
 /** Number of organisations with their own series in the metrics; all others share one. */
 const MAX_ORGANISATION_LABELS = 20;
 
-export interface IGatewayRelayOptions extends IHedgedDispatcherOptions {
+export interface IGatewayRelayOptions extends IHedgedDispatcherOptions, IStreamContinuationOptions {
   readonly turns: ITurnClient;
   readonly admission: IProgramAdmission;
   readonly allotments: IAllotmentClient;
-  readonly streamFinder: IStreamOriginFinder;
-  readonly streamAnnouncer: IStreamOriginAnnouncer;
   /** Returns a random number in [0, 1). */
   readonly random: () => number;
 }
 
-/** What identifies the stream that a request begins or resumes, beside the request itself. */
-interface IStreamContext {
-  readonly identity: RequestIdentity;
-  readonly route: IRoute;
-  readonly organisation: IOrganisation | undefined;
-}
-
 export class GatewayRelay {
   readonly #opts: IGatewayRelayOptions;
   readonly #dispatcher: BackendDispatcher;
   readonly #authorizer: CallAuthorizer;
   readonly #organisationLabel = new BoundedLabel(MAX_ORGANISATION_LABELS);
   readonly #hedged: HedgedDispatcher;
+  readonly #streams: StreamContinuation;
 
   constructor(opts: IGatewayRelayOptions) {
     this.#opts = opts;
     this.#authorizer = new CallAuthorizer(opts);
     this.#dispatcher = new BackendDispatcher(opts);
     this.#hedged = new HedgedDispatcher(this.#dispatcher, opts);
+    this.#streams = new StreamContinuation(opts);
   }
 
   /** Serves one request. Interruption means that the caller has disconnected. */
@@ -109,15 +97,14 @@
         return this.#refuseEarly(sink, this.#crashingRefusal(identity), req);
       }
       const now = yield* Clock.currentTimeMillis;
+      const context = { identity, route, organisation };
       const isResumed = route.kind === RouteKind.Stream && req.lastEventId !== undefined;
-      const origin = isResumed ? yield* this.#findOrigin(req, { identity, route, organisation }) : undefined;
+      const origin = isResumed ? yield* this.#streams.findOrigin(req, context) : undefined;
       if (isResumed && origin === undefined) {
         const refusal = retryableRefusal(RefusalReason.StreamUnknown, STREAM_RETRY_AFTER_MS);
         return this.#refuseEarly(sink, refusal, req);
       }
-      const earlierOrigin = isResumed
-        ? undefined
-        : this.#findEarlierOrigin(req, { identity, route, organisation });
+      const earlierOrigin = isResumed ? undefined : this.#streams.findEarlierOrigin(req, context);
       const call = new RelayedCall(req, {
         identity,
         route,
@@ -144,35 +131,6 @@
     });
   }
 
-  /** Returns the origin of a stream that a caller resumes; undefined if it may not go on here. */
-  #findOrigin(
-    req: IOpaqueRequest,
-    { identity, route, organisation }: IStreamContext,
-  ): Effect.Effect<IStreamOrigin | undefined> {
-    const { resumes, program } = req;
-    const name = organisation?.name;
-    const attemptId = resumes === undefined ? undefined : scopedId(resumes, name);
-    return Effect.map(
-      this.#opts.streamFinder.find({
-        attemptId,
-        contentKey: contentKeyOf(identity, { program, organisation: name }),
-      }),
-      (origin) => route.services.some(({ service }) => service === origin?.service) ? origin : undefined,
-    );
-  }
-
-  /** Returns the origin of earlier tries of a stream that its caller begins anew; undefined if none may be continued. */
-  #findEarlierOrigin(
-    req: IOpaqueRequest,
-    { identity, route, organisation }: IStreamContext,
-  ): IStreamOrigin | undefined {
-    if (route.kind !== RouteKind.Stream || !route.isResumable) return undefined;
-    const { program } = req;
-    const contentKey = contentKeyOf(identity, { program, organisation: organisation?.name });
-    const origin = this.#opts.streamFinder.findEarlier(contentKey);
-    return route.services.some(({ service }) => service === origin?.service) ? origin : undefined;
-  }
-
   /** Waits up to the startup timeout for the first configuration and server list. */
   #awaitConfiguration(): Effect.Effect<void> {
     return Effect.gen({ self: this }, function* () {
@@ -388,7 +346,9 @@
           if (refusal !== undefined) return refusal;
         }
         call.choice = choice;
-        if (!(yield* this.#announceVersionChange(call, choice))) return this.#notRecordedRefusal(call);
+        if (!(yield* this.#streams.announceVersionChange(call, choice))) {
+          return this.#notRecordedRefusal(call);
+        }
         const { holdsToken } = call;
         call.holdsToken = false;
         const outcome = yield* this.#hedged.run(attempt, choice);
@@ -445,24 +405,6 @@
     return retryableRefusal(RefusalReason.CrashingRequest, retryAfterMs);
   }
 
-  /**
-   * Records the origin of a stream before it begins at another software version than its earlier tries: if only they
-   * were known after a loss of instances, the stream would go on at their version. Returns whether the stream may begin.
-   */
-  #announceVersionChange(call: RelayedCall, { backend }: IBackendChoice): Effect.Effect<boolean> {
-    return Effect.suspend(() => {
-      const { earlierOrigin } = call;
-      const { service, softwareVersion } = backend;
-      if (call.origin !== undefined || earlierOrigin === undefined) return Effect.succeed(true);
-      if (earlierOrigin.softwareVersion === softwareVersion) return Effect.succeed(true);
-      const origin = { service, softwareVersion };
-      return Effect.map(this.#opts.streamAnnouncer.announce(call.streamKey, origin), (isRecorded) => {
-        if (isRecorded) call.origin = origin;
-        return isRecorded;
-      });
-    });
-  }
-
   #notRecordedRefusal(call: RelayedCall): IRefusal {
     return call.runs > 0
       ? finalRefusal(GatewayStatus.BadGateway, unknownOutcomeReason(call))
