--- a/src/call/node/http_upstream.ts
+++ b/src/call/node/http_upstream.ts
@@ -235,11 +235,18 @@
         }
         onChunk(piece);
       };
-      // Only the first call of `resume` takes effect, so the "close" event after "end" is ignored.
+      let hasEnded = false;
       res.on("data", receive);
-      res.on("end", () => res.complete ? resume(Effect.void) : fail());
+      res.on("end", () => {
+        hasEnded = true;
+        if (res.complete) resume(Effect.void);
+        else fail();
+      });
       res.on("error", fail);
-      res.on("close", () => fail());
+      // Creating an error costs as much as several other steps of a request.
+      res.on("close", () => {
+        if (!hasEnded) fail();
+      });
       // The connection may have been lost before the listeners were added.
       if (res.destroyed && !res.readableEnded) fail();
       return Effect.sync(() => res.destroy());
