Bench of gateways: bundles run at the same time, and each round prints the medians so far

Cause: bundles that ran in turn were under different load of the machine, and runs that were ended early printed nothing. Change: all bundles run at the same time, each in its own subnet, with the node options of the platform.

--- a/bench/gateway_cpu.ts
+++ b/bench/gateway_cpu.ts
@@ -19,11 +19,15 @@
 const SERVERS_PER_SERVICE = 24;
 const HEARTBEAT_MS = 1200;
 const COLD_REQUESTS = 50;
-const IDLE_MS = 4000;
-/** Node options of the gateways, such as those for a profile, which is written at an orderly stop. */
+const IDLE_MS = 6000;
+/** Node options of the gateways on the platform. */
+const NODE_FLAGS = ["--max-old-space-size=120", "--max-semi-space-size=8"];
+/** Further ones, such as those for a profile, which is written at an orderly stop. */
 const GATEWAY_FLAGS = (process.env.GATEWAY_FLAGS ?? "").split(" ").filter((flag) => flag !== "");
 /** Time after which the group's assignment no longer changes. */
 const SETTLING_MS = 2500;
+/** Each probe costs the gateway processor time as well. */
+const READY_POLL_MS = 100;
 const CALLER_PORT = 7541;
 const KINDS = ["safe", "unsafe", "stream", "turn"] as const;
 type Kind = typeof KINDS[number];
@@ -57,6 +61,14 @@
   readonly kinds: string;
 }
 
+interface IMeasurement {
+  readonly count: number;
+  readonly requests: number;
+  readonly kinds: readonly Kind[];
+  /** First three numbers of the addresses of the gateways. */
+  readonly subnet: string;
+}
+
 interface IGateway {
   readonly host: string;
   readonly child: ChildProcess;
@@ -128,12 +140,12 @@
 /** Starts gateways one after the other; returns them and the mean processor time until they are ready. */
 async function startGateways(
   bundle: string,
-  { count, store, dir }: { count: number; store: string; dir: string },
+  { count, store, dir, subnet }: { count: number; store: string; dir: string; subnet: string },
 ): Promise<{ gateways: IGateway[]; startMs: number }> {
   const gateways: IGateway[] = [];
   let startMs = 0;
   for (let index = 0; index < count; index++) {
-    const host = `127.0.1.${index + 1}`;
+    const host = `${subnet}.${index + 1}`;
     const path = join(dir, `${index}.json`);
     const settings = {
       instance: `g${index}`,
@@ -144,18 +156,18 @@
       datagramPort: 7544,
       metricsPort: 7545,
       storeAddress: store,
-      seeds: ["127.0.1.1:7543"],
+      seeds: [`${subnet}.1:7543`],
     };
     writeFileSync(path, JSON.stringify(settings));
     const log = openSync(join(dir, "log"), "a");
-    const child = spawn(process.execPath, [...GATEWAY_FLAGS, bundle], {
+    const child = spawn(process.execPath, [...NODE_FLAGS, ...GATEWAY_FLAGS, bundle], {
       env: { ...process.env, RAGWORTCLEAT_CONFIG: path },
       stdio: ["ignore", log, log],
     });
     gateways.push({ host, child });
     while ((await fetch(`http://${host}:7542/`).catch(() => undefined))?.status !== 200) {
       if (child.exitCode !== null) throw new Error(readFileSync(join(dir, "log"), "utf8"));
-      await delay(10);
+      await delay(READY_POLL_MS);
     }
     startMs += cpuMs(child.pid!);
   }
@@ -164,7 +176,7 @@
 
 async function measure(
   bundle: string,
-  { count, requests, kinds }: { count: number; requests: number; kinds: readonly Kind[] },
+  { count, requests, kinds, subnet }: IMeasurement,
 ): Promise<Map<string, number>> {
   const dir = mkdtempSync(join(tmpdir(), "gateway-cpu-"));
   const store = new StoreFake();
@@ -177,7 +189,7 @@
   heartbeat();
   const heartbeats = setInterval(heartbeat, HEARTBEAT_MS);
   const results = new Map<string, number>();
-  const { gateways, startMs } = await startGateways(bundle, { count, store: address, dir });
+  const { gateways, startMs } = await startGateways(bundle, { count, store: address, dir, subnet });
   const total = () => gateways.reduce((sum, { child }) => sum + cpuMs(child.pid!), 0);
   results.set("start [ms]", startMs);
   await delay(SETTLING_MS);
@@ -237,25 +249,40 @@
   for (const count of String(instances).split(",").map(Number)) {
     const sums = paths.map(() => new Map<string, number[]>());
     for (let round = 0; round < rounds; round++) {
-      for (const [index, bundle] of paths.entries()) {
-        for (
-          const [name, value] of await measure(bundle, { count, requests, kinds: kinds.split(",") as Kind[] })
-        ) {
+      // All bundles run at the same time, so that they are under the same load of the machine.
+      const results = await Promise.all(
+        paths.map((bundle, index) =>
+          measure(bundle, { count, requests, kinds: kinds.split(",") as Kind[], subnet: subnetOf(index) })
+        ),
+      );
+      results.forEach((figures, index) => {
+        for (const [name, value] of figures) {
           sums[index].set(name, [...sums[index].get(name) ?? [], value]);
         }
-      }
+      });
+      // Each round prints the medians so far, so that a run that is ended early has a result.
+      const rows = [...sums[0].keys()].map((name) => {
+        const values = sums.map((sum) => median(sum.get(name)!));
+        const columns = values.map((value, index) => [`bundle ${index + 1}`, value.toFixed(3)]);
+        const ratio = values.length < 2 ? [] : [["ratio", (values[1] / values[0]).toFixed(3)]];
+        return {
+          instances: String(count),
+          rounds: String(round + 1),
+          figure: name,
+          ...Object.fromEntries([...columns, ...ratio]),
+        };
+      });
+      console.log(renderTable(rows));
     }
-    const rows = [...sums[0].keys()].map((name) => {
-      const values = sums.map((sum) => median(sum.get(name)!));
-      const columns = values.map((value, index) => [`bundle ${index + 1}`, value.toFixed(3)]);
-      const ratio = values.length < 2 ? [] : [["ratio", (values[1] / values[0]).toFixed(3)]];
-      return { instances: String(count), figure: name, ...Object.fromEntries([...columns, ...ratio]) };
-    });
-    console.log(renderTable(rows));
   }
   process.exit(0);
 }
 
+/** Several runs of this program can go on at the same time. */
+function subnetOf(index: number): string {
+  return `127.${1 + process.pid % 250}.${index}`;
+}
+
 function median(values: readonly number[]): number {
   const sorted = [...values].sort((a, b) => a - b);
   return sorted[Math.floor(sorted.length / 2)];
