HTTP client: bodies are read by events instead of an async iterator

Cause: each response of the store was read by an async iterator, which takes an end-of-stream watcher, an abort signal and several promises; a gateway makes about eight such calls a second when idle, and more for each turn. Change: readBody listens to the response's events. Errors, the size limit and the end on interruption are as before. Tests: 26 of base/node, store_client, cli/node and routing/node passed.

--- a/src/base/node/http_client.ts
+++ b/src/base/node/http_client.ts
@@ -4,7 +4,6 @@
 import { Effect } from "effect";
 import VError from "verror";
 import { ByteBuffer } from "../common/byte_buffer.ts";
-import { toError } from "../common/errors.ts";
 import { StrictAgent } from "./strict_agent.ts";
 
 const KEEP_ALIVE_PROBE_MS = 1000;
@@ -112,17 +111,34 @@
 
 /** Reads the body of a response. */
 export function readBody(res: IncomingMessage): Effect.Effect<IHttpResponse, HttpError> {
-  return Effect.tryPromise({
-    try: async (signal) => {
-      signal.addEventListener("abort", () => res.destroy());
-      const body = new ByteBuffer();
-      for await (const chunk of res) {
-        body.append(chunk);
-        // Leaving the loop destroys the response.
-        if (body.length > MAX_BODY_BYTES) throw new Error(`response body exceeds ${MAX_BODY_BYTES} bytes`);
-      }
-      return { status: res.statusCode ?? 0, headers: res.headers, body: body.take() };
-    },
-    catch: (err) => new HttpError(SendProgress.Sent, toError(err)),
+  return Effect.callback<IHttpResponse, HttpError>((resume) => {
+    const body = new ByteBuffer();
+    let isSettled = false;
+    const settle = (result: Effect.Effect<IHttpResponse, HttpError>) => {
+      isSettled = true;
+      resume(result);
+    };
+    const fail = (err: Error) => {
+      if (!isSettled) settle(Effect.fail(new HttpError(SendProgress.Sent, err)));
+    };
+    res.on("data", (chunk: Uint8Array) => {
+      if (isSettled) return;
+      body.append(chunk);
+      if (body.length <= MAX_BODY_BYTES) return;
+      fail(new Error(`response body exceeds ${MAX_BODY_BYTES} bytes`));
+      res.destroy();
+    });
+    res.on("end", () => {
+      if (isSettled) return;
+      settle(Effect.succeed({ status: res.statusCode ?? 0, headers: res.headers, body: body.take() }));
+    });
+    res.on("error", fail);
+    res.on("close", () => {
+      if (!isSettled) fail(new Error("Premature close"));
+    });
+    // The connection may have been lost before the listeners were added.
+    if (res.errored !== null) fail(res.errored);
+    else if (res.destroyed) fail(new Error("Premature close"));
+    return Effect.sync(() => res.destroy());
   });
 }
