Bench of gateways: a run that is ended early leaves no gateways behind

Cause: gateways outlived a bench that was ended by a signal to it alone. Change: they are killed when the bench exits, also on SIGINT and SIGTERM.

--- a/bench/gateway_cpu.ts
+++ b/bench/gateway_cpu.ts
@@ -164,6 +164,7 @@
       env: { ...process.env, RAGWORTCLEAT_CONFIG: path },
       stdio: ["ignore", log, log],
     });
+    process.on("exit", () => child.kill("SIGKILL"));
     gateways.push({ host, child });
     while ((await fetch(`http://${host}:7542/`).catch(() => undefined))?.status !== 200) {
       if (child.exitCode !== null) throw new Error(readFileSync(join(dir, "log"), "utf8"));
@@ -228,8 +229,13 @@
   return results;
 }
 
+process.setMaxListeners(0);
+
 const servers: { id: string; entry: Buffer }[] = [];
 
+// A run that is ended early leaves no gateways behind.
+for (const signal of ["SIGINT", "SIGTERM"]) process.once(signal, () => process.exit(1));
+
 async function main({ bundles, instances, requests, rounds, kinds }: IOptions): Promise<void> {
   for (const service of ["plain", "engines"]) {
     for (let index = 0; index < SERVERS_PER_SERVICE; index++) {
