Connect to other servers only after a silent one has not accepted

Cause: while the list cannot be read, each check of silent servers also connected to three other servers of each zone, although nearly all silent servers accept. Change: other servers are tried only if a silent one has not accepted.

--- a/src/call/common/server_end_detector.ts
+++ b/src/call/common/server_end_detector.ts
@@ -17,7 +17,7 @@
 const MIN_FAILED_PROBES = 2;
 /** Maximum number of silent servers that are tried at a time. */
 const MAX_PROBED_SERVERS = 4;
-/** Number of other servers of the same zone that are tried at the same time, of which one has to accept. */
+/** Number of other servers of the same zone that are tried right after a failure, of which one has to accept. */
 const CONTROL_SERVERS = 3;
 /** Delay beyond the time limit from which a try proves nothing: this instance stood still. */
 const MAX_PROBE_DELAY_MS = 200;
@@ -33,6 +33,11 @@
   readonly random: () => number;
 }
 
+interface IConnectResults {
+  readonly accepted: readonly IBackendEntry[];
+  readonly failed: readonly IBackendEntry[];
+}
+
 interface IProbeState {
   failures: number;
   /** Unix time at which the last try that succeeded was begun, in ms. */
@@ -75,20 +80,31 @@
       const due = silent.filter((server) => this.#stateOf(server).nextProbeAtMs <= startedAtMs)
         .slice(0, MAX_PROBED_SERVERS);
       if (due.length === 0) return;
-      const zones = [...new Set(due.map(({ zone }) => zone))];
-      const controls = zones.flatMap((zone) => this.#selectControls(zone, due));
+      const tried = yield* this.#connectAll(due);
+      for (const server of tried?.accepted ?? []) this.#recordAccepted(server, startedAtMs);
+      const failed = tried?.failed ?? [];
+      const zones = [...new Set(failed.map(({ zone }) => zone))];
+      // Most silent servers accept; connections to others are needed only to judge those that do not.
+      const controls = yield* this.#connectAll(zones.flatMap((zone) => this.#selectControls(zone, due)));
+      const reachedZones = new Set(controls?.accepted.map(({ zone }) => zone));
+      for (const server of failed) if (reachedZones.has(server.zone)) this.#recordFailure(server);
+    });
+  }
+
+  /** Tries to connect to servers at the same time. Returns undefined if this instance stood still meanwhile. */
+  #connectAll(servers: readonly IBackendEntry[]): Effect.Effect<IConnectResults | undefined> {
+    return Effect.gen({ self: this }, function* () {
+      const startedAtMs = yield* Clock.currentTimeMillis;
+      const accepted: IBackendEntry[] = [];
+      const failed: IBackendEntry[] = [];
       const connect = (server: IBackendEntry) =>
-        Effect.map(this.#opts.probe.connect(server), (isAccepted) => ({ server, isAccepted }));
-      const results = yield* Effect.forEach([...due, ...controls], connect, { concurrency: "unbounded" });
-      const now = yield* Clock.currentTimeMillis;
-      if (now - startedAtMs > PROBE_TIMEOUT_MS + MAX_PROBE_DELAY_MS) return;
-      for (const { server, isAccepted } of results.slice(0, due.length)) {
-        const isZoneReachable = results.some((other) =>
-          other.isAccepted && other.server.zone === server.zone
+        Effect.map(
+          this.#opts.probe.connect(server),
+          (isAccepted) => (isAccepted ? accepted : failed).push(server),
         );
-        if (isAccepted) this.#recordAccepted(server, startedAtMs);
-        else if (isZoneReachable) this.#recordFailure(server);
-      }
+      yield* Effect.forEach(servers, connect, { concurrency: "unbounded", discard: true });
+      const tookMs = (yield* Clock.currentTimeMillis) - startedAtMs;
+      return tookMs > PROBE_TIMEOUT_MS + MAX_PROBE_DELAY_MS ? undefined : { accepted, failed };
     });
   }
 
