Hedging: samples shared and one limit for all instances

On deployments of many instances each one sees less than one hedgeable request of a route per second, so it never has the 50 samples that the delay needs, and its own token bucket never holds a whole token.

Instances now report the latencies that they recorded to each other in the load digest, and the owner of the slice of a service's name keeps the one token bucket of that service. With hedging off nothing is added to digests and no digest field is read.

--- a/src/call/common/hedged_dispatcher.ts
+++ b/src/call/common/hedged_dispatcher.ts
@@ -7,6 +7,7 @@
 import type { IRoute } from "../../services/routes/common/route_table.ts";
 import { isRepeatable } from "../../services/routes/common/route_table.ts";
 import type { BackendDispatcher, IAttempt, IBackendDispatcherOptions } from "./backend_dispatcher.ts";
+import type { IHedgeLimitClient } from "./hedge_limit_client.ts";
 import type { RacingAttempt } from "./hedge_race.ts";
 import { HedgeRace } from "./hedge_race.ts";
 import { UpstreamFault } from "./opaque_request.ts";
@@ -22,6 +23,8 @@
 
 export interface IHedgingOptions {
   readonly policy: IHedgingPolicy;
+  /** Limits the hedged requests of all instances together. */
+  readonly limit: IHedgeLimitClient;
   /**
    * Acquires the second send of a request from its organisation's allotment; returns false if the allotment does not
    * cover it. Always granted by default.
@@ -78,14 +81,14 @@
     choice: IBackendChoice,
   ): Effect.Effect<AttemptOutcome> {
     return Effect.clockWith((clock) => {
-      const { call, sink, hedging: { policy } } = attempt;
+      const { call, sink, hedging: { limit } } = attempt;
       const now = () => clock.currentTimeMillisUnsafe();
       const onDidClaim = (winner: RacingAttempt, losers: readonly RacingAttempt[]) =>
         this.#recordWinner(racing, { winner, losers });
       const race = new HedgeRace(call, { sink, onDidClaim });
       const racing = { ...attempt, now, race };
       const first = race.add(call.fork(choice, { now: now(), runs: 0 }));
-      policy.recordSend(call.service);
+      limit.recordSend(call.service);
       const second = Effect.raceFirst(this.#hedge(racing, choice), race.awaitDecided());
       const both = Effect.all([this.#runAttempt(racing, first), second], {
         concurrency: "unbounded",
@@ -139,15 +142,16 @@
     first: IBackendChoice,
   ): Effect.Effect<IBackendChoice | { readonly denial: HedgeDenial }> {
     return Effect.gen({ self: this }, function* () {
-      const { policy } = hedging;
+      const { policy, limit } = hedging;
       const { directory, loads } = this.#opts;
       if (this.#isSuspect(call)) return { denial: HedgeDenial.Suspect };
       const available = directory.listAvailable(call.service);
       if (!policy.isIdleEnough(available, loads)) return { denial: HedgeDenial.Utilization };
       const choice = this.#chooseSecond(call, { first: first.backend, available });
       if (choice === undefined) return { denial: HedgeDenial.NoServer };
-      if (!policy.tryWithdraw(call.service)) return { denial: HedgeDenial.Limit };
-      const refund = Effect.sync(() => policy.refund(call.service));
+      const token = yield* limit.acquire(call.service);
+      if (typeof token === "string") return { denial: token };
+      const refund = Effect.sync(() => limit.refund(token));
       const denial = yield* Effect.onInterrupt(this.#acquirePermits(hedging, { call, choice }), () => refund);
       if (denial === undefined) return choice;
       yield* refund;
--- a/src/daemon/common/gateway_core.ts
+++ b/src/daemon/common/gateway_core.ts
@@ -18,6 +18,7 @@
 import { ForwardService } from "../../call/common/forward_service.ts";
 import { AllotmentClient } from "../../call/common/allotment_client.ts";
 import { AllotmentOwner } from "../../call/common/allotment_owner.ts";
+import { HedgeLimitClient, HedgeLimitOwner } from "../../call/common/hedge_limit_client.ts";
 import { OwnerCaller } from "../../call/common/owner_caller.ts";
 import { PermitClient } from "../../call/common/permit_client.ts";
 import { StreamOriginFinder } from "../../call/common/stream_origin_finder.ts";
@@ -32,6 +33,7 @@
 import { PeerRpcClients } from "../../membership/common/peer_client.ts";
 import { BackendLoadTracker } from "../../routing/common/backend_load_tracker.ts";
 import { RequestProgress } from "../../routing/common/allotment_limiter.ts";
+import { HedgeLimiter } from "../../routing/common/hedge_limiter.ts";
 import { HedgingPolicy } from "../../routing/common/hedging_policy.ts";
 import { UtilizationAdmission } from "../../routing/common/program_admission.ts";
 import { LimitForwarder } from "../../peer/common/limit_forwarder.ts";
@@ -117,6 +119,10 @@
   /** Decides on the allotments of the organisations whose slice this instance owns. */
   readonly allotments: AllotmentOwner;
   readonly #allotmentClient: AllotmentClient;
+  /** Undefined if hedging is off. */
+  readonly hedging: HedgingPolicy | undefined;
+  /** Decides on the hedged requests to the services whose slice this instance owns; undefined if hedging is off. */
+  readonly hedgeLimit: HedgeLimitOwner | undefined;
   readonly limitForwarder: LimitForwarder;
   readonly links: ServerLinkMonitor;
   /** Other instances from which reports arrive. */
@@ -191,6 +197,10 @@
     this.permits = this.#makePermitClient();
     this.allotments = this.#makeAllotmentOwner();
     this.#allotmentClient = this.#makeAllotmentClient();
+    if (settings.hedging.maxExtraSends > 0) {
+      this.hedging = new HedgingPolicy(settings.hedging, now);
+      this.hedgeLimit = this.#makeHedgeLimitOwner();
+    }
     this.limitForwarder = new LimitForwarder({
       limits: this.limits,
       isOwner: (backendId) => this.#ownerOfLimit(backendId) === address,
@@ -338,6 +348,15 @@
     });
   }
 
+  #makeHedgeLimitOwner(): HedgeLimitOwner {
+    const { maxExtraSends } = this.#settings.hedging;
+    const { owned, group } = this;
+    return new HedgeLimitOwner(new HedgeLimiter(maxExtraSends), (service) => {
+      const slice = owned.sliceOf(service);
+      return group.ownerOf(slice) === this.#settings.peerAddress ? owned.ownedSinceMs(slice) : undefined;
+    });
+  }
+
   /** Number of instances that are known to this one, itself included. */
   get #instanceCount(): number {
     return Math.max(this.group.peers.length, this.instances.list().length) + 1;
@@ -380,7 +399,7 @@
 
   #makeRelay(): GatewayRelay {
     const { codec, logger, now, random } = this.#dependencies;
-    const { hedging } = this.#settings;
+    const { hedging, hedgeLimit } = this;
     const { peerAddress, zone, maxResponseBytes, maxEventBytes, responseMemoryBytes } = this.#settings;
     const turns = new TurnClient({
       owned: this.owned,
@@ -409,8 +428,15 @@
       permits: this.permits,
       allotments: this.#allotmentClient,
       upstream: this.upstream,
-      hedging: hedging.maxExtraSends === 0 ? undefined : {
-        policy: new HedgingPolicy(hedging, now),
+      hedging: hedging === undefined || hedgeLimit === undefined ? undefined : {
+        policy: hedging,
+        limit: new HedgeLimitClient({
+          owner: hedgeLimit,
+          ownerOf: (service) => this.group.ownerOf(this.owned.sliceOf(service)),
+          caller: this.#ownerCaller,
+          address: peerAddress,
+          startedAtMs: now(),
+        }),
         acquireExtraSend: (call) => this.#acquireExtraSend(call),
       },
       responseLimits: { maxResponseBytes, maxEventBytes },
@@ -440,6 +466,7 @@
     this.upstream.onDidStateLimit((
       { backend: { id: backendId, startedAtMs }, limitPerSecond },
     ) => this.limits.record({ backendId, startedAtMs }, limitPerSecond));
+    this.hedging?.onDidDropSample(() => this.metrics.incrementCounter("hedging_samples_dropped"));
     this.links.onDidChange((isCutOff) => {
       if (isCutOff) this.#dependencies.closeIdleBackendConnections();
       // The failures of the last moments were due to the links, not to the servers.
--- a/src/daemon/node/gateway.ts
+++ b/src/daemon/node/gateway.ts
@@ -125,6 +125,7 @@
         limitForwarder: core.limitForwarder,
         links: core.links,
         instances: core.instances,
+        hedging: core.hedging,
         peerHosts: () => core.group.peers.map(hostOf),
         logger,
       }),
@@ -139,7 +140,7 @@
 
 function turnServiceParts(core: GatewayCore) {
   const { owned, group, configuration, backends, strikes, crashes, streams, leaving } = core;
-  const { limits, limiter, allotments, forwarders } = core;
+  const { limits, limiter, allotments, hedgeLimit, forwarders } = core;
   return {
     owned,
     group,
@@ -152,6 +153,7 @@
     limits,
     limiter,
     allotments,
+    hedgeLimit,
     forwarders,
   };
 }
--- a/src/peer/common/turn_service.ts
+++ b/src/peer/common/turn_service.ts
@@ -16,6 +16,7 @@
   StrikeChangeSchema,
 } from "../../base/common/gen/ragwortcleat/v1/turns_pb.ts";
 import type { AllotmentOwner } from "../../call/common/allotment_owner.ts";
+import type { HedgeLimitOwner } from "../../call/common/hedge_limit_client.ts";
 import type { CrashMonitor, IStrikeChange } from "../../call/common/crash_monitor.ts";
 import type { StreamOriginRegistry } from "../../call/common/stream_origin_registry.ts";
 import { fromLimitMessage, toLimitMessage } from "../../call/common/limit_message.ts";
@@ -41,6 +42,8 @@
   readonly limits: ServerLimits;
   readonly limiter: SendRateLimiter;
   readonly allotments: AllotmentOwner;
+  /** Undefined if hedging is off. */
+  readonly hedgeLimit: HedgeLimitOwner | undefined;
   /** Returns peer addresses of instances that reach backend servers. */
   readonly forwarders: () => string[];
   /** Address at which peers reach this instance. */
@@ -80,6 +83,10 @@
     findForwarders: () => ({ addresses: opts.forwarders() }),
     acquirePermit: (req) => acquirePermit(req, opts),
     acquireAllotment: (req) => opts.allotments.answer(req),
+    acquireHedge: ({ instance: asker, ...question }) => {
+      const isGranted = opts.hedgeLimit?.decide({ asker, ...question });
+      return { isOwner: isGranted !== undefined, isGranted: isGranted === true };
+    },
     reassigned: () => {
       group.renewNow();
       return {};
--- a/src/peer/node/load_reporter.ts
+++ b/src/peer/node/load_reporter.ts
@@ -1,4 +1,4 @@
-/** Exchanges UDP datagrams on backend load, prompt prefixes, strikes, begun streams, leaving servers and limits with the peers. */
+/** Exchanges UDP datagrams on backend load, prompt prefixes, strikes, begun streams, leaving servers, limits and latencies with the peers. */
 import type { Socket } from "node:dgram";
 import { createSocket } from "node:dgram";
 import { create, fromBinary, toBinary } from "@bufbuild/protobuf";
@@ -8,6 +8,7 @@
 import { toError } from "../../base/common/errors.ts";
 import {
   BegunStreamSchema,
+  LatencySampleSchema,
   LoadDigestSchema,
   PromptHomeSchema,
   ServerRunSchema,
@@ -20,6 +21,7 @@
 import { toStrikeMessage } from "../../call/common/strike_message.ts";
 import type { StreamOriginRegistry } from "../../call/common/stream_origin_registry.ts";
 import type { BackendLoadTracker } from "../../routing/common/backend_load_tracker.ts";
+import type { HedgingPolicy } from "../../routing/common/hedging_policy.ts";
 import type { PromptCacheIndex } from "../../routing/common/prompt_cache_index.ts";
 import type { LeavingServers } from "../../services/backends/common/leaving_servers.ts";
 import type { ServerLimits } from "../../services/backends/common/server_limits.ts";
@@ -48,6 +50,8 @@
   readonly limitForwarder: LimitForwarder;
   readonly links: ServerLinkMonitor;
   readonly instances: KnownInstances;
+  /** Shares its latency samples; undefined if hedging is off. */
+  readonly hedging: HedgingPolicy | undefined;
   readonly peerHosts: () => readonly string[];
   readonly logger: ILogger;
 }
@@ -115,7 +119,11 @@
     const streams = this.#opts.streams.recentStreams().map((stream) => create(BegunStreamSchema, stream));
     const leaving = this.#opts.leaving.listRecent().map((run) => create(ServerRunSchema, run));
     const limits = this.#opts.limits.listRecentChanges().map(toLimitMessage);
-    const events = strikeChanges.length + prefixes.length + streams.length + leaving.length + limits.length;
+    const latencySamples = (this.#opts.hedging?.takeUnreportedSamples() ?? []).map((sample) =>
+      create(LatencySampleSchema, sample)
+    );
+    const events = strikeChanges.length + prefixes.length + streams.length + leaving.length + limits.length +
+      latencySamples.length;
     const { isCutOff } = this.#opts.links;
     const isIdle = localLoads.size + events === 0 && !isCutOff;
     // One empty report follows the last load, so that peers discard the previous one.
@@ -134,6 +142,7 @@
         leaving,
         limits,
         isCutOff,
+        latencySamples,
       }),
     );
     this.#sendTo(hosts, message);
@@ -160,10 +169,8 @@
 
   #receive(message: Uint8Array, sender: string): void {
     try {
-      const { instance, loads, strikeChanges, prefixes, streams, leaving, limits, isCutOff } = fromBinary(
-        LoadDigestSchema,
-        message,
-      );
+      const digest = fromBinary(LoadDigestSchema, message);
+      const { instance, loads, strikeChanges, prefixes, streams, leaving, limits, isCutOff } = digest;
       const running = new Map(loads.map((load) => [load.backendId, load.running]));
       // Forwarded limits come without an instance and its loads.
       if (instance !== "") {
@@ -176,6 +183,7 @@
       for (const prefix of prefixes) this.#opts.caches.recordReportedPart(prefix);
       for (const stream of streams) this.#opts.streams.add(stream);
       for (const run of leaving) this.#opts.leaving.merge(run);
+      this.#opts.hedging?.recordReportedSamples(digest.latencySamples);
       for (const message of limits) {
         const limit = fromLimitMessage(message);
         if (limit !== undefined) this.#opts.limits.merge(limit);
--- a/src/routing/common/hedging_policy.ts
+++ b/src/routing/common/hedging_policy.ts
@@ -1,6 +1,8 @@
 /** Decides when a repeatable request is sent to a second server because the first one is slow. */
 import type { Histogram } from "hdr-histogram-js";
 import { build } from "hdr-histogram-js";
+import { Emitter } from "../../base/common/emitter.ts";
+import { hash64 } from "../../base/common/hash.ts";
 import type { BackendLoadTracker } from "./backend_load_tracker.ts";
 import type { IBackendEntry } from "../../services/backends/common/backend_directory.ts";
 
@@ -12,8 +14,8 @@
 const MIN_SAMPLES_BEYOND = 2;
 /** Validity of a computed delay. */
 const DELAY_TTL_MS = 250;
-/** Hedged requests to a service that an instance can send at once: those that wait for one server that pauses. */
-const MAX_TOKENS = 5;
+/** Number of samples in one report; bounds the size of the datagram. */
+const MAX_REPORTED_SAMPLES = 32;
 const MAX_LATENCY_MS = 60_000;
 /** Latencies are recorded in whole ms. */
 const RESOLUTION_MS = 1;
@@ -33,6 +35,8 @@
 /** Why a request that was slow enough was not hedged. */
 export enum HedgeDenial {
   FewSamples = "few-samples",
+  /** The instance that keeps the limit does not respond or is not known. */
+  Owner = "owner",
   /** The share of extra sends is used up. */
   Limit = "limit",
   /** The servers of the service are too busy. */
@@ -50,18 +54,19 @@
 export interface IHedgingPolicy {
   /** Whether requests to a host and path may be hedged, by the settings. */
   includes(host: string, path: string): boolean;
-  /** Records a first send to a service, which earns a part of a hedged request. */
-  recordSend(service: string): void;
   /** Records the latency of a first send, in ms; for a cancelled one the time until then. */
   recordLatency(route: string, latencyMs: number): void;
   /** Time after the first send at which a hedged request may be sent, in ms; undefined with too few samples. */
   delayMs(route: string): number | undefined;
   /** Whether the servers of a service are idle enough for hedged requests. */
   isIdleEnough(backends: readonly IBackendEntry[], loads: Pick<BackendLoadTracker, "running">): boolean;
-  /** Takes the right to send one hedged request to a service; returns false if the limit is used up. */
-  tryWithdraw(service: string): boolean;
-  /** Returns the right to a hedged request that was not sent. */
-  refund(service: string): void;
+}
+
+/** Latency of one request, as instances report it to each other. */
+export interface ILatencySample {
+  /** Hash of the route's key. */
+  readonly routeHash: bigint;
+  readonly latencyMs: number;
 }
 
 interface IRouteLatencies {
@@ -73,16 +78,21 @@
 }
 
 /**
- * Hedges after a quantile of the route's recent latency, within a share of the sends. Designed for three load patterns:
- * a server that pauses while the others are sound, where its requests go elsewhere after the usual time; a slow phase of all servers,
- * in which all requests become worth hedging at once and the token bucket keeps the extra sends at the share; and
- * overload, in which nothing is hedged.
+ * Hedges after a quantile of the route's recent latency at all instances. Designed for three load patterns: a server
+ * that pauses while the others are sound, where its requests go elsewhere after the usual time; a slow phase of all
+ * servers, in which all requests become worth hedging at once and `HedgeLimiter` keeps the extra sends at the share;
+ * and overload, in which nothing is hedged.
  */
 export class HedgingPolicy implements IHedgingPolicy {
   readonly #settings: IHedgingSettings;
   readonly #now: () => number;
-  readonly #tokens = new Map<string, number>();
-  readonly #routes = new Map<string, IRouteLatencies>();
+  /** Latencies by the hash of the route's key. */
+  readonly #routes = new Map<bigint, IRouteLatencies>();
+  /** Samples of this instance that no report contains yet, oldest first. */
+  #unreported: ILatencySample[] = [];
+  readonly #onDidDropSample = new Emitter<void>();
+  /** A sample of this instance was too old to fit into the next report. */
+  readonly onDidDropSample = this.#onDidDropSample.event;
   #periodEndsAtMs = 0;
 
   /** `now` returns the time in ms. */
@@ -96,29 +106,33 @@
     return routes.length === 0 || routes.some((prefix) => `${host}${path}`.startsWith(prefix));
   }
 
-  recordSend(service: string): void {
-    const tokens = this.#tokens.get(service) ?? 0;
-    this.#tokens.set(service, Math.min(MAX_TOKENS, tokens + this.#settings.maxExtraSends));
+  recordLatency(route: string, latencyMs: number): void {
+    const sample = {
+      routeHash: hash64(route),
+      latencyMs: Math.min(MAX_LATENCY_MS, Math.max(0, Math.round(latencyMs))),
+    };
+    this.#add(sample);
+    this.#unreported.push(sample);
+    if (this.#unreported.length <= MAX_REPORTED_SAMPLES) return;
+    this.#unreported.shift();
+    this.#onDidDropSample.fire();
   }
 
-  recordLatency(route: string, latencyMs: number): void {
-    this.#rotate();
-    let latencies = this.#routes.get(route);
-    if (latencies === undefined) {
-      latencies = {
-        current: makeHistogram(),
-        previous: makeHistogram(),
-        delayMs: undefined,
-        validUntilMs: 0,
-      };
-      this.#routes.set(route, latencies);
-    }
-    latencies.current.recordValue(Math.min(MAX_LATENCY_MS, Math.max(0, Math.round(latencyMs))));
+  /** Returns the samples of this instance since the last call, for its next report. */
+  takeUnreportedSamples(): ILatencySample[] {
+    const samples = this.#unreported;
+    this.#unreported = [];
+    return samples;
+  }
+
+  /** Adds samples of another instance. */
+  recordReportedSamples(samples: readonly ILatencySample[]): void {
+    for (const sample of samples) this.#add(sample);
   }
 
   delayMs(route: string): number | undefined {
     this.#rotate();
-    const latencies = this.#routes.get(route);
+    const latencies = this.#routes.get(hash64(route));
     if (latencies === undefined) return undefined;
     const now = this.#now();
     if (now >= latencies.validUntilMs) {
@@ -134,15 +148,19 @@
     return slots > 0 && running <= slots * this.#settings.maxUtilization;
   }
 
-  tryWithdraw(service: string): boolean {
-    const tokens = this.#tokens.get(service) ?? 0;
-    if (tokens < 1) return false;
-    this.#tokens.set(service, tokens - 1);
-    return true;
-  }
-
-  refund(service: string): void {
-    this.#tokens.set(service, Math.min(MAX_TOKENS, (this.#tokens.get(service) ?? 0) + 1));
+  #add({ routeHash, latencyMs }: ILatencySample): void {
+    this.#rotate();
+    let latencies = this.#routes.get(routeHash);
+    if (latencies === undefined) {
+      latencies = {
+        current: makeHistogram(),
+        previous: makeHistogram(),
+        delayMs: undefined,
+        validUntilMs: 0,
+      };
+      this.#routes.set(routeHash, latencies);
+    }
+    latencies.current.recordValue(Math.min(MAX_LATENCY_MS, latencyMs));
   }
 
   #computeDelayMs({ current, previous }: IRouteLatencies): number | undefined {
--- a/test/harness/gateway_cluster.ts
+++ b/test/harness/gateway_cluster.ts
@@ -249,6 +249,7 @@
         limits: core.limits,
         limiter: core.limiter,
         allotments: core.allotments,
+        hedgeLimit: core.hedgeLimit,
         forwarders: core.forwarders,
         address: `${name}:3`,
         context: yield* Effect.context<never>(),
@@ -415,6 +416,7 @@
       const streams = core.streams.recentStreams();
       const leaving = core.leaving.listRecent();
       const limits = core.limits.listRecentChanges();
+      const latencies = core.hedging?.takeUnreportedSamples() ?? [];
       const addresses = new Set(core.group.peers);
       for (const peer of connected) {
         if (!addresses.has(`${peer.name}:3`)) continue;
@@ -423,6 +425,7 @@
         for (const stream of streams) peer.core.streams.add(stream);
         for (const run of leaving) peer.core.leaving.merge(run);
         for (const limit of limits) peer.core.limits.merge(limit);
+        peer.core.hedging?.recordReportedSamples(latencies);
         peer.core.instances.recordReport(name, { isCutOff: core.links.isCutOff });
       }
       for (const { recipients, limits } of core.limitForwarder.takeDue()) {
