--- a/src/call/common/crash_monitor.ts
+++ b/src/call/common/crash_monitor.ts
@@ -71,6 +71,13 @@
   readonly spread?: number;
 }
 
+/** A server run that may have ended without a trace. */
+export interface ISilentServer {
+  readonly server: IServerRun;
+  /** Unix time at which the last of its requests without a response was sent, in ms. */
+  readonly lastSentAtMs: number;
+}
+
 export class CrashMonitor {
   readonly #opts: ICrashMonitorOptions;
   readonly #ledger: StrikeLedger;
@@ -252,12 +259,19 @@
     for (const attempt of unresolved) this.#strike(attempt, CrashEvidence.ServerEnded);
   }
 
-  /** Server runs with requests that have waited for long, or of which it is not known whether the server survived them. */
-  listSilentServers(): IServerRun[] {
-    const silent = new Map(this.#unresolved.servers().map((server) => [serverKey(server), server]));
+  /** Returns the server runs with requests that wait for long or whose end is unknown, and when the last of them was sent. */
+  listSilentServers(): ISilentServer[] {
+    const silent = new Map<string, ISilentServer>();
+    const add = (server: IServerRun, attempts: readonly { readonly sentAtMs: number }[]) => {
+      const key = serverKey(server);
+      const lastSentAtMs = Math.max(...attempts.map(({ sentAtMs }) => sentAtMs));
+      const earlierMs = silent.get(key)?.lastSentAtMs ?? -Infinity;
+      silent.set(key, { server, lastSentAtMs: Math.max(earlierMs, lastSentAtMs) });
+    };
+    for (const { server, values } of this.#unresolved.list()) add(server, values);
     for (const attempts of this.#running.values()) {
-      const waiting = [...attempts].find((attempt) => this.#hasWaited(attempt));
-      if (waiting !== undefined) silent.set(serverKey(waiting.server), waiting.server);
+      const waiting = [...attempts].filter((attempt) => this.#hasWaited(attempt));
+      if (waiting.length > 0) add(waiting[0].server, waiting);
     }
     return [...silent.values()];
   }
--- a/src/call/common/server_end_detector.ts
+++ b/src/call/common/server_end_detector.ts
@@ -53,8 +53,8 @@
  */
 export class ServerEndDetector {
   readonly #opts: IServerEndDetectorOptions;
-  /** By server run; only of servers that have such requests. */
-  #states = new Map<string, IProbeState>();
+  /** By server run, while the list is not read. */
+  readonly #states = new Map<string, IProbeState>();
 
   constructor(opts: IServerEndDetectorOptions) {
     this.#opts = opts;
@@ -108,16 +108,18 @@
     });
   }
 
-  /** Listed server runs with requests that wait for long or whose end is unknown, without those that are leaving anyway. */
+  /**
+   * Listed server runs that may have ended since they last accepted a connection, without those that are leaving anyway.
+   * Requests from before that time are never struck, so that no further connection is needed for them.
+   */
   #listSilentServers(): IBackendEntry[] {
     const { crashes, directory } = this.#opts;
     const silent: IBackendEntry[] = [];
-    for (const { backendId, startedAtMs } of crashes.listSilentServers()) {
+    for (const { server: { backendId, startedAtMs }, lastSentAtMs } of crashes.listSilentServers()) {
       const entry = directory.get(backendId);
-      if (entry?.startedAtMs === startedAtMs && !entry.isDraining) silent.push(entry);
+      if (entry?.startedAtMs !== startedAtMs || entry.isDraining) continue;
+      if (lastSentAtMs > this.#stateOf(entry).acceptedAtMs) silent.push(entry);
     }
-    const keys = new Set(silent.map(keyOf));
-    this.#states = new Map([...this.#states].filter(([key]) => keys.has(key)));
     return silent;
   }
 
--- a/src/call/common/survival_tracker.ts
+++ b/src/call/common/survival_tracker.ts
@@ -70,9 +70,12 @@
     return [...this.#events.values()].flatMap(({ events }) => events.map(({ value }) => value));
   }
 
-  /** Server runs with events. */
-  servers(): IServerRun[] {
-    return [...this.#events.values()].map(({ server }) => server);
+  /** Server runs with events, and the values of these. */
+  list(): { readonly server: IServerRun; readonly values: readonly T[] }[] {
+    return [...this.#events.values()].map(({ server, events }) => ({
+      server,
+      values: events.map(({ value }) => value),
+    }));
   }
 
   /** Number of server runs with events. */
