Reports reach all instances where there are more than slices

Cause: reports went to the owners of the 32 slices only, so that with 88 instances 56 knew no load but their own, nor strikes, leaving servers and begun streams. They placed turns and admitted programs as if servers were idle.

Change: while an instance owns several slices, each reports to all as before. Otherwise up to 12 owners, selected by rendezvous hashing, are aggregators. Each other instance reports to one of them and receives the sums over all from it; aggregators exchange the sums of their groups and pass events on. The decisions are in ReportExchange, which performs no I/O and is used by the datagram sender and by the virtual cluster of the tests. Limits that an instance knows from others are not repeated by it in this mode. Members ask the aggregators for streams, and for instances that forward; the shares without an owner use the number of instances that aggregators count.

--- a/src/call/common/known_instances.ts
+++ b/src/call/common/known_instances.ts
@@ -7,18 +7,18 @@
 
 interface IInstanceState {
   readonly firstReportAtMs: number;
-  lastReportAtMs: number;
-  /** Time of the last report that the instance reaches no backend server. */
-  cutOffAtMs: number;
+  readonly lastReportAtMs: number;
 }
 
 /**
- * Owners of slices receive the reports of all busy instances; the others receive none, and ask an owner.
- * Instances are identified by their hosts.
+ * In a small deployment all instances report to this one. Otherwise an aggregator receives the reports of its members
+ * and of the other aggregators, and the others receive summaries. Instances are identified by their hosts.
  */
 export class KnownInstances {
   readonly #now: () => number;
   readonly #states = new Map<string, IInstanceState>();
+  /** Time of the last report that an instance reaches no backend server. */
+  readonly #cutOffAtMs = new Map<string, number>();
 
   constructor(now: () => number) {
     this.#now = now;
@@ -27,13 +27,23 @@
   recordReport(host: string, { isCutOff }: { isCutOff: boolean }): void {
     const now = this.#now();
     const firstReportAtMs = this.#states.get(host)?.firstReportAtMs ?? now;
-    const cutOffAtMs = isCutOff ? now : -Infinity;
-    this.#states.set(host, { firstReportAtMs, lastReportAtMs: now, cutOffAtMs });
+    this.#states.set(host, { firstReportAtMs, lastReportAtMs: now });
+    if (isCutOff) this.recordCutOff(host);
+    else this.#cutOffAtMs.delete(host);
+  }
+
+  /** Records that an instance reaches no backend server, as another one has reported. */
+  recordCutOff(host: string): void {
+    this.#cutOffAtMs.set(host, this.#now());
   }
 
   /** Whether an instance has reported lately that it reaches no backend server. */
   isCutOff(host: string): boolean {
-    return (this.#states.get(host)?.cutOffAtMs ?? -Infinity) >= this.#now() - CUT_OFF_TTL_MS;
+    const cutOffAtMs = this.#cutOffAtMs.get(host);
+    if (cutOffAtMs === undefined) return false;
+    if (cutOffAtMs >= this.#now() - CUT_OFF_TTL_MS) return true;
+    this.#cutOffAtMs.delete(host);
+    return false;
   }
 
   /** Hosts of all instances that have reported lately. */
--- a/src/call/common/stream_origin_registry.ts
+++ b/src/call/common/stream_origin_registry.ts
@@ -10,8 +10,8 @@
 /** How long a stream is repeated in the reports to the other instances, in ms: datagrams may be lost. */
 const REPORT_REPEAT_MS = 250;
 /**
- * Time after its start from which an instance receives the reports of all others, in ms: it joins the group within a second,
- * and the others read the owners of slices every 1.5 s.
+ * Time from which an instance is sent all streams that others begin, in ms after its start or after it has become an
+ * aggregator of reports: it joins the group within a second, and the others read the owners of slices every 1.5 s.
  */
 const COMPLETE_AFTER_MS = 2500;
 /** Maximum number of streams in one report, so that it fits into a datagram. */
@@ -36,13 +36,30 @@
   /** Fires when this instance has relayed the first event of a stream. */
   readonly onDidBegin: Event<IBegunStream> = this.#onDidBegin.event;
 
-  /** Unix time in ms from which this instance knows all streams that any instance begins. */
-  readonly completeSinceMs: number;
+  #completeSinceMs: number;
 
   /** `now` returns the Unix time in ms. */
   constructor(now: () => number) {
     this.#now = now;
-    this.completeSinceMs = now() + COMPLETE_AFTER_MS;
+    this.#completeSinceMs = now() + COMPLETE_AFTER_MS;
+  }
+
+  /**
+   * Unix time in ms from which this instance knows all streams that any instance begins, within milliseconds; `Infinity` if
+   * it is told of them later.
+   */
+  get completeSinceMs(): number {
+    return this.#completeSinceMs;
+  }
+
+  /** Records that other instances tell this one of the streams that they begin at once. */
+  setComplete(): void {
+    this.#completeSinceMs = this.#now() + COMPLETE_AFTER_MS;
+  }
+
+  /** Records that this instance learns from an aggregator's next summary which streams others have begun. */
+  setIncomplete(): void {
+    this.#completeSinceMs = Infinity;
   }
 
   get size(): number {
--- a/src/daemon/common/gateway_core.ts
+++ b/src/daemon/common/gateway_core.ts
@@ -5,6 +5,7 @@
  */
 import type { Scope } from "effect";
 import { Effect } from "effect";
+import { hostOf } from "../../base/common/address.ts";
 import { TurnService } from "../../base/common/gen/ragwortcleat/v1/turns_pb.ts";
 import type { GetSnapshotResponse, KeyedSnapshot } from "../../base/common/gen/ragwortcleat/v1/turns_pb.ts";
 import { ForwarderFinder } from "../../call/common/forwarder_finder.ts";
@@ -37,6 +38,8 @@
 import { HedgingPolicy } from "../../routing/common/hedging_policy.ts";
 import { UtilizationAdmission } from "../../routing/common/program_admission.ts";
 import { LimitForwarder } from "../../peer/common/limit_forwarder.ts";
+import { ReportContents } from "../../peer/common/report_contents.ts";
+import { ReportExchange, ReportRole } from "../../peer/common/report_exchange.ts";
 import { AllotmentShare } from "../../routing/common/allotment_share.ts";
 import { SendRateLimiter } from "../../routing/common/send_rate_limiter.ts";
 import { PromptCacheIndex } from "../../routing/common/prompt_cache_index.ts";
@@ -123,7 +126,7 @@
   readonly hedging: HedgingPolicy | undefined;
   /** Decides on the hedged requests to the services whose slice this instance owns; undefined if hedging is off. */
   readonly hedgeLimit: HedgeLimitOwner | undefined;
-  readonly limitForwarder: LimitForwarder;
+  readonly reports: ReportExchange;
   readonly links: ServerLinkMonitor;
   /** Other instances from which reports arrive. */
   readonly instances: KnownInstances;
@@ -201,15 +204,9 @@
       this.hedging = new HedgingPolicy(settings.hedging, now);
       this.hedgeLimit = this.#makeHedgeLimitOwner();
     }
-    this.limitForwarder = new LimitForwarder({
-      limits: this.limits,
-      isOwner: (backendId) => this.#ownerOfLimit(backendId) === address,
-      peers: () => this.group.peers.map(hostOf),
-      instances: this.instances,
-      now,
-    });
     const { connectProbe: probe, random } = dependencies;
     this.links = new ServerLinkMonitor({ directory: this.directory, probe, logger, random });
+    this.reports = this.#makeReports();
     this.upstream = this.#makeUpstream();
     this.forwardService = new ForwardService({
       upstream: this.upstream,
@@ -226,16 +223,27 @@
     return this.routes.configuration !== undefined && this.directory.size > 0;
   }
 
-  /** Peer addresses of some instances that reach backend servers, in random order. All use the same port. */
+  /** Peer addresses of some instances that reach backend servers, in random order. */
   readonly forwarders = (): string[] => {
-    const { peerAddress } = this.#settings;
-    const port = peerAddress.slice(peerAddress.lastIndexOf(":"));
-    const hosts = this.instances.list().filter((host) => !this.instances.isCutOff(host));
+    const known = new Set([...this.instances.list(), ...this.group.peers.map(hostOf)]);
+    const hosts = [...known].filter((host) => !this.instances.isCutOff(host));
     const shuffled = hosts.map((host) => ({ host, rank: this.#dependencies.random() }))
       .sort((a, b) => a.rank - b.rank);
-    return shuffled.slice(0, MAX_NAMED_FORWARDERS).map(({ host }) => `${host}${port}`);
+    return shuffled.slice(0, MAX_NAMED_FORWARDERS).map(({ host }) => this.#addressOf(host));
   };
 
+  /** Peer address of a host. All instances use the same port. */
+  #addressOf(host: string): string {
+    const { peerAddress } = this.#settings;
+    return `${host}${peerAddress.slice(peerAddress.lastIndexOf(":"))}`;
+  }
+
+  /** Peer addresses of the instances that receive all reports, without this one. */
+  #informedPeers(): string[] {
+    const { aggregators } = this.reports;
+    return aggregators.length > 0 ? aggregators.map((host) => this.#addressOf(host)) : this.group.peers;
+  }
+
   /** Follows the store and the peers until the scope ends. */
   start(): Effect.Effect<void, never, Scope.Scope> {
     return Effect.gen({ self: this }, function* () {
@@ -278,21 +286,58 @@
     return [...new Set([...this.group.peers, ...seeds])].filter((peer) => peer !== peerAddress);
   }
 
+  /** Addresses of the other instances that know all begun streams. */
+  #streamPeers(): string[] {
+    return this.reports.aggregators.length > 0 ? this.#informedPeers() : this.#peerAddresses();
+  }
+
   /** Peer address of the instance that grants the permits of a server: the owner of the slice of its id. */
   #ownerOfLimit(backendId: string): string {
     return this.group.ownerOf(this.owned.sliceOf(backendId));
   }
 
+  #makeReports(): ReportExchange {
+    const { logger, now } = this.#dependencies;
+    const { instance, peerAddress } = this.#settings;
+    const { loads, caches, crashes, streams, leaving, limits, links, instances, hedging, metrics } = this;
+    let table: IOwnerTable | undefined;
+    let ownerHosts: string[] = [];
+    return new ReportExchange({
+      instance,
+      host: hostOf(peerAddress),
+      ownerHosts: () => {
+        if (table !== this.group.table) ownerHosts = this.group.table.addresses.map(hostOf);
+        table = this.group.table;
+        return ownerHosts;
+      },
+      contents: new ReportContents({ loads, caches, crashes, streams, leaving, limits, links, hedging }),
+      loads,
+      streams,
+      instances,
+      limitForwarder: new LimitForwarder({
+        limits,
+        isOwner: (backendId) => this.#ownerOfLimit(backendId) === peerAddress,
+        peers: () => this.group.peers.map(hostOf),
+        instances,
+        isAggregator: () => this.reports.role === ReportRole.Aggregator,
+        now,
+      }),
+      metrics,
+      logger,
+      now,
+    });
+  }
+
   #makePermitClient(): PermitClient {
     const { now, random } = this.#dependencies;
-    const { group } = this;
+    const instanceCount = () => Math.max(this.group.peers.length + 1, this.reports.instanceCount);
     return new PermitClient({
       limits: this.limits,
       limiter: this.limiter,
       owners: {
         ownerOf: (backendId) => this.#ownerOfLimit(backendId),
         get instanceCount() {
-          return group.peers.length + 1;
+          return instanceCount();
         },
       },
       caller: this.#ownerCaller,
@@ -359,7 +404,8 @@
 
   /** Number of instances that are known to this one, itself included. */
   get #instanceCount(): number {
-    return Math.max(this.group.peers.length, this.instances.list().length) + 1;
+    const knownHere = Math.max(this.group.peers.length, this.instances.list().length) + 1;
+    return Math.max(knownHere, this.reports.instanceCount);
   }
 
   #makeUpstream(): ForwardingUpstream {
@@ -372,7 +418,7 @@
       limits: this.limits,
       finder: new ForwarderFinder({
         peers: this.#peers,
-        owners: () => this.group.peers,
+        owners: () => this.#informedPeers(),
         address,
         logger,
         random,
@@ -421,7 +467,7 @@
       streamFinder: new StreamOriginFinder({
         registry: this.streams,
         peers: this.#peers,
-        peerAddresses: () => this.#peerAddresses(),
+        peerAddresses: () => this.#streamPeers(),
         logger,
       }),
       streamAnnouncer: this.#streamReplicator,
@@ -595,11 +641,6 @@
   }
 }
 
-/** Host of a peer address. */
-export function hostOf(address: string): string {
-  return address.slice(0, address.lastIndexOf(":"));
-}
-
 /** Store partition of each slice, indexed by slice number. */
 function slicePartitions({ sliceTopics, storeParts }: GatewaySettings): IPartition[] {
   return Array.from({ length: sliceTopics * storeParts }, (_, slice) => ({
--- a/src/daemon/node/gateway.ts
+++ b/src/daemon/node/gateway.ts
@@ -15,7 +15,7 @@
 import type { ILogger } from "../../services/logging/common/logger.ts";
 import type { GatewaySettings } from "../../services/settings/common/gen/gateway_settings.ts";
 import type { IPlatformAdapter } from "../../services/store/common/platform_adapter.ts";
-import { GatewayCore, hostOf } from "../common/gateway_core.ts";
+import { GatewayCore } from "../common/gateway_core.ts";
 import { registerGatewayGauges } from "../common/gateway_gauges.ts";
 
 const MS_PER_SECOND = 1000;
@@ -113,20 +113,9 @@
     );
     const loadReporter = yield* disposeWithScope(
       new LoadReporter({
-        instance: settings.instance,
         host: peer.host,
         port: settings.datagramPort,
-        loads: core.loads,
-        caches: core.caches,
-        crashes: core.crashes,
-        streams: core.streams,
-        leaving: core.leaving,
-        limits: core.limits,
-        limitForwarder: core.limitForwarder,
-        links: core.links,
-        instances: core.instances,
-        hedging: core.hedging,
-        peerHosts: () => core.group.peers.map(hostOf),
+        exchange: core.reports,
         logger,
       }),
     );
--- a/src/peer/common/limit_forwarder.ts
+++ b/src/peer/common/limit_forwarder.ts
@@ -1,4 +1,4 @@
-/** Forwards limits of backend servers to the instances that receive no reports because they own no slices. */
+/** Tells limits of backend servers to the instances that may have missed the reports on them. */
 import type { KnownInstances } from "../../call/common/known_instances.ts";
 import type { IServerLimit, ServerLimits } from "../../services/backends/common/server_limits.ts";
 
@@ -14,6 +14,8 @@
   /** Hosts of the instances that receive the regular reports. */
   readonly peers: () => readonly string[];
   readonly instances: KnownInstances;
+  /** Whether this instance passes on the reports of others, which contain the changes of limits. */
+  readonly isAggregator: () => boolean;
   readonly now: () => number;
 }
 
@@ -24,8 +26,8 @@
 }
 
 /**
- * Reports go to the owners of slices only, whose number does not grow with the number of instances. The owner of
- * a server's limit receives the reports of all busy instances, and tells those that do not own slices.
+ * While all instances report to the owners of slices, the owner of a server's limit tells those that do not own slices. An
+ * aggregator tells all limits to the instances that report to it for the first time.
  */
 export class LimitForwarder {
   readonly #opts: ILimitForwarderOptions;
@@ -37,19 +39,32 @@
 
   /** Returns what is to be sent now; nothing if the last call that returned something was too recent. */
   takeDue(): ILimitMessage[] {
-    const { limits, isOwner, peers, instances, now } = this.#opts;
+    const { limits, isOwner, isAggregator, peers, instances, now } = this.#opts;
     if (now() < this.#nextAtMs) return [];
+    if (isAggregator()) return this.#takeForNewReporters(limits.list(), instances.list());
     const isOwned = ({ run }: IServerLimit) => isOwner(run.backendId);
     const changes = limits.listRecentChanges().filter(isOwned);
     const inForce = limits.list().filter(isOwned);
     if (changes.length + inForce.length === 0) return [];
     const known = new Set(peers());
     const others = instances.list().filter((host) => !known.has(host));
-    const messages = [
+    return this.#take([
       { recipients: others.filter((host) => instances.isNew(host, NEW_REPORTER_MS)), limits: inForce },
       { recipients: others, limits: changes },
-    ].filter(({ recipients, limits }) => recipients.length > 0 && limits.length > 0);
-    if (messages.length > 0) this.#nextAtMs = now() + FORWARD_INTERVAL_MS;
-    return messages;
+    ]);
+  }
+
+  #takeForNewReporters(limits: readonly IServerLimit[], hosts: readonly string[]): ILimitMessage[] {
+    const { instances } = this.#opts;
+    return this.#take([{
+      recipients: hosts.filter((host) => instances.isNew(host, NEW_REPORTER_MS)),
+      limits,
+    }]);
+  }
+
+  #take(messages: readonly ILimitMessage[]): ILimitMessage[] {
+    const due = messages.filter(({ recipients, limits }) => recipients.length > 0 && limits.length > 0);
+    if (due.length > 0) this.#nextAtMs = this.#opts.now() + FORWARD_INTERVAL_MS;
+    return due;
   }
 }
--- a/src/peer/common/limit_forwarder_test.ts
+++ b/src/peer/common/limit_forwarder_test.ts
@@ -6,7 +6,7 @@
 
 const OWNED = { backendId: "owned", startedAtMs: 1 };
 
-function makeForwarder() {
+function makeForwarder({ isAggregator = false } = {}) {
   const clock = { nowMs: 10_000 };
   const now = () => clock.nowMs;
   const limits = new ServerLimits(new NullLogger(), now);
@@ -17,6 +17,7 @@
     limits,
     isOwner: (id) => id === OWNED.backendId,
     peers: () => ["peer"],
+    isAggregator: () => isAggregator,
     now,
   });
   return { clock, limits, forwarder, recordReport };
@@ -61,3 +62,19 @@
     4,
   ]]);
 });
+
+test("an aggregator tells all limits to new reporters, also those that it does not own, and leaves changes to reports", (t) => {
+  const { clock, limits, forwarder, recordReport } = makeForwarder({ isAggregator: true });
+  limits.record({ backendId: "not owned", startedAtMs: 1 }, 4);
+  recordReport("old");
+  clock.nowMs += 5000;
+  recordReport("old");
+  recordReport("new");
+  limits.record(OWNED, 5);
+  t.deepEqual(
+    forwarder.takeDue().map((
+      { recipients, limits },
+    ) => [recipients, limits.map(({ perSecond }) => perSecond)]),
+    [[["new"], [4, 5]]],
+  );
+});
--- a/src/peer/common/reports_beyond_slices_test.ts
+++ b/src/peer/common/reports_beyond_slices_test.ts
@@ -1,11 +1,11 @@
 import test from "ava";
 import type { ExecutionContext } from "ava";
 import { Effect } from "effect";
+import type { IGateway } from "../../../test/harness/gateway_cluster.ts";
 import { GatewayCluster } from "../../../test/harness/gateway_cluster.ts";
 import { CrashForm, RestartForm } from "../../../test/stand_ins/backend_fleet.ts";
 import { AttemptResult } from "../../call/common/observed_attempt.ts";
 import { RequestIdentity } from "../../call/common/request_identity.ts";
-import type { GatewayCore } from "../../daemon/common/gateway_core.ts";
 
 const SERVER = "one-server";
 const ENDED_SERVER = "ended-server";
@@ -14,8 +14,10 @@
 const PARTS = [{ id: "part", tokens: 100 }, { id: "last", tokens: 10 }];
 const RUN = { backendId: SERVER, startedAtMs: 1 };
 
+type Core = IGateway["core"];
+
 /** Makes an instance learn one of each kind of event. */
-function causeEvents(core: GatewayCore): void {
+function causeEvents(core: Core): void {
   const entry = { id: ENDED_SERVER, startedAtMs: 1, service: "s", host: "h", port: 1, zone: "z", slots: 4 };
   const attempt = core.crashes.observe(CRASHING, {
     requestId: "r",
@@ -30,7 +32,7 @@
 }
 
 /** What an instance has not learnt of the events and of the requests that run on a server. */
-function missingAt(core: GatewayCore, running: number): string[] {
+function missingAt(core: Core, running: number): string[] {
   const known = {
     load: core.loads.running(SERVER) === running,
     strike: core.crashes.isSuspect(CRASHING),
--- a/src/routing/common/backend_load_tracker.ts
+++ b/src/routing/common/backend_load_tracker.ts
@@ -63,6 +63,16 @@
     this.#peerReports.set(report.instance, { ...report, receivedAtMs: this.#now() });
   }
 
+  /** Replaces the reports of all other instances by one that contains the loads of all. */
+  replacePeerReports(report: IInstanceLoadReport): void {
+    this.#peerReports.clear();
+    this.recordPeerReport(report);
+  }
+
+  removePeerReport(instance: string): void {
+    this.#peerReports.delete(instance);
+  }
+
   recordRequestStart(id: string): void {
     this.#state(id).running += 1;
   }
--- a/src/services/backends/common/server_limits.ts
+++ b/src/services/backends/common/server_limits.ts
@@ -24,6 +24,8 @@
   readonly observedAtMs: number;
   /** Time at which the limit last changed. */
   readonly changedAtMs: number;
+  /** Whether this instance has received the change from the server. */
+  readonly isOwnChange: boolean;
 }
 
 /** Remembers the newest statement of each server, whichever instance has received it. */
@@ -71,10 +73,14 @@
       .map((statement) => this.#toLimit(statement));
   }
 
-  /** Limits that have begun, changed or ended recently, to be reported to other instances. */
-  listRecentChanges(): IServerLimit[] {
+  /**
+   * Limits that have begun, changed or ended recently, to be reported to other instances. With `isOwnOnly` without those
+   * that another instance has told this one.
+   */
+  listRecentChanges({ isOwnOnly = false } = {}): IServerLimit[] {
     const oldestMs = this.#now() - REPORT_REPEAT_MS;
-    return [...this.#statements.values()].filter(({ changedAtMs }) => changedAtMs >= oldestMs)
+    return [...this.#statements.values()]
+      .filter(({ changedAtMs, isOwnChange }) => changedAtMs >= oldestMs && (isOwnChange || !isOwnOnly))
       .map((statement) => this.#toLimit(statement));
   }
 
@@ -108,6 +114,7 @@
       perSecond,
       observedAtMs,
       changedAtMs,
+      isOwnChange: hasChanged || known === undefined ? isOwn : known.isOwnChange,
     });
     if (!hasChanged) return;
     this.#evict();
--- a/test/harness/gateway_cluster.ts
+++ b/test/harness/gateway_cluster.ts
@@ -31,7 +31,6 @@
 
 const CLOCK_STEP_MS = 10;
 const EVENT_LOOP_TURNS_PER_STEP = 2;
-const REPORT_INTERVAL_MS = 100;
 const HEARTBEAT_INTERVAL_MS = 1200;
 const SERVERS_PER_SERVICE = 8;
 export const CONFIGURATION_TOPIC = "keyed.op";
@@ -154,6 +153,8 @@
   losesAnswers = false;
   /** Receives what instances send each other and the store, as messages and arguments of calls. */
   recordTraffic: (traffic: unknown) => void = () => {};
+  /** Whether a report from one instance to another is lost. */
+  isReportLost: (from: string, to: string) => boolean = () => false;
   #nextId = 0;
   #nextWriter = 0n;
   #seed = 1;
@@ -223,7 +224,7 @@
         this.nowMs += CLOCK_STEP_MS;
         yield* TestClock.adjust(CLOCK_STEP_MS);
         for (let turn = 0; turn < EVENT_LOOP_TURNS_PER_STEP; turn++) yield* nextMacrotask();
-        if (this.nowMs % REPORT_INTERVAL_MS === 0) this.#exchangeReports();
+        this.#exchangeReports();
         if (this.nowMs % HEARTBEAT_INTERVAL_MS === 0) this.fleet.sendHeartbeats();
       }
     });
@@ -411,27 +412,11 @@
   #exchangeReports(): void {
     const connected = [...this.gateways.values()].filter(({ isPeerDisconnected }) => !isPeerDisconnected);
     for (const { name, core } of connected) {
-      const running = core.loads.localLoads();
-      const changes = core.crashes.recentChanges();
-      const streams = core.streams.recentStreams();
-      const leaving = core.leaving.listRecent();
-      const limits = core.limits.listRecentChanges();
-      const latencies = core.hedging?.takeUnreportedSamples() ?? [];
-      const addresses = new Set(core.group.peers);
-      for (const peer of connected) {
-        if (!addresses.has(`${peer.name}:3`)) continue;
-        peer.core.loads.recordPeerReport({ instance: name, running });
-        for (const change of changes) peer.core.crashes.merge(change);
-        for (const stream of streams) peer.core.streams.add(stream);
-        for (const run of leaving) peer.core.leaving.merge(run);
-        for (const limit of limits) peer.core.limits.merge(limit);
-        peer.core.hedging?.recordReportedSamples(latencies);
-        peer.core.instances.recordReport(name, { isCutOff: core.links.isCutOff });
-      }
-      for (const { recipients, limits } of core.limitForwarder.takeDue()) {
-        for (const peer of connected) {
-          if (!recipients.includes(peer.name)) continue;
-          for (const limit of limits) peer.core.limits.merge(limit);
+      for (const { recipients, digest } of core.reports.takeDue()) {
+        for (const host of recipients) {
+          const target = this.gateways.get(host);
+          if (target === undefined || target.isPeerDisconnected || this.isReportLost(name, host)) continue;
+          target.core.reports.receive(digest, name);
         }
       }
     }
