--- a/src/peer/common/report_events.ts
+++ b/src/peer/common/report_events.ts
@@ -53,7 +53,6 @@
   add(events: readonly T[], now: number): void {
     for (const event of events) {
       const key = this.#keyOf(event);
-      if (now - (this.#passedAtMs.get(key) ?? -Infinity) < REPEAT_INTERVAL_MS) continue;
       this.#waiting.delete(key);
       this.#waiting.set(key, { event, atMs: now });
     }
@@ -63,20 +62,18 @@
     }
   }
 
-  /** Returns the events and the times at which they were added. */
+  /** Returns the events and the times at which they were added; those that were returned a moment ago wait for the next call. */
   take(now: number): { readonly event: T; readonly atMs: number }[] {
     for (const [key, atMs] of this.#passedAtMs) {
       if (now - atMs < REPEAT_INTERVAL_MS) break;
       this.#passedAtMs.delete(key);
     }
-    if (this.#waiting.size === 0) return [];
-    const taken = [...this.#waiting.values()];
-    for (const key of this.#waiting.keys()) {
-      this.#passedAtMs.delete(key);
+    const due = [...this.#waiting].filter(([key]) => !this.#passedAtMs.has(key));
+    for (const [key] of due) {
+      this.#waiting.delete(key);
       this.#passedAtMs.set(key, now);
     }
-    this.#waiting.clear();
-    return taken;
+    return due.map(([, waiting]) => waiting);
   }
 }
 
