--- a/src/daemon/common/gateway_gauges.ts
+++ b/src/daemon/common/gateway_gauges.ts
@@ -1,6 +1,9 @@
 /** Gauges of a gateway; their values are read when the metrics are rendered. */
+import { ReportRole } from "../../peer/common/report_exchange.ts";
 import type { GatewayCore } from "./gateway_core.ts";
 
+const REPORT_ROLES = [ReportRole.Direct, ReportRole.Member, ReportRole.Aggregator];
+
 export interface IGaugeSources {
   readonly core: GatewayCore;
   /** Number of requests in progress. */
@@ -56,6 +59,23 @@
     help: "Requests that are being sent to backend servers for other instances.",
     read: () => core.forwardService.activeCount,
   });
+  metrics.registerGauge("reports_role", {
+    help:
+      "How this instance reports to others: 0 to all owners of slices, 1 to an aggregator, 2 as an aggregator.",
+    read: () => REPORT_ROLES.indexOf(core.reports.role),
+  });
+  metrics.registerGauge("reports_members", {
+    help: "Instances that report to this one as their aggregator.",
+    read: () => core.reports.memberCount,
+  });
+  metrics.registerGauge("reports_instances", {
+    help: "Instances that aggregators count; 0 if they are not known.",
+    read: () => core.reports.instanceCount,
+  });
+  metrics.registerGauge("reports_summary_age_ms", {
+    help: "Time since the aggregator's last summary, in ms; -1 if this instance receives none.",
+    read: () => core.reports.summaryAgeMs ?? -1,
+  });
   metrics.registerGauge("peers_known", {
     help: "Other instances that own slices.",
     read: () => group.peers.length,
--- a/src/daemon/common/gateway_gauges_test.ts
+++ b/src/daemon/common/gateway_gauges_test.ts
@@ -1,4 +1,5 @@
 import test from "ava";
+import { ReportRole } from "../../peer/common/report_exchange.ts";
 import type { GatewayCore } from "./gateway_core.ts";
 import { registerGatewayGauges } from "./gateway_gauges.ts";
 import { Metrics } from "../../services/metrics/common/metrics.ts";
@@ -17,6 +18,7 @@
     limits: { list: () => [1, 2] },
     links: { isCutOff: true },
     forwardService: { activeCount: 5 },
+    reports: { role: ReportRole.Member, memberCount: 0, instanceCount: 88, summaryAgeMs: 60 },
   } as unknown as GatewayCore;
   registerGatewayGauges({ core, activeRequests: () => 7, droppedLines: () => 0, now: () => 1000 });
   const text = metrics.render();
@@ -32,6 +34,10 @@
       "ragwortcleat_servers_limited 2",
       "ragwortcleat_servers_unreachable 1",
       "ragwortcleat_forwards_active 5",
+      "ragwortcleat_reports_role 1",
+      "ragwortcleat_reports_members 0",
+      "ragwortcleat_reports_instances 88",
+      "ragwortcleat_reports_summary_age_ms 60",
     ]
   ) t.true(text.includes(line), line);
 });
