Reports: streams after the loss of an aggregator; number of instances after a reduction

Two faults that tests showed (both failed before): - A stream that began while the aggregator was lost was reported to that one for 250 ms only, and the member moves after 700 ms, so that no other instance learnt it. A member now reports the streams of the last 2.5 s to a new aggregator. - After a reduction to fewer instances than slices, the number that aggregators had counted stayed in force (40 instead of 10), which lowers the shares of limits. It counts only while there are aggregators. Instances name owners as forwarders only where there are aggregators, as before in small deployments.

--- a/src/call/common/stream_origin_registry.ts
+++ b/src/call/common/stream_origin_registry.ts
@@ -119,8 +119,8 @@
   }
 
   /** Returns the streams that this instance has begun most recently, to be reported to the others. */
-  recentStreams(): IBegunStream[] {
-    const oldestMs = this.#now() - REPORT_REPEAT_MS;
+  recentStreams(withinMs = REPORT_REPEAT_MS): IBegunStream[] {
+    const oldestMs = this.#now() - withinMs;
     return this.ownStreams().slice(-MAX_REPORTED_STREAMS).filter(({ atMs }) => atMs >= oldestMs);
   }
 
--- a/src/daemon/common/gateway_core.ts
+++ b/src/daemon/common/gateway_core.ts
@@ -225,8 +225,10 @@
 
   /** Peer addresses of some instances that reach backend servers, in random order. */
   readonly forwarders = (): string[] => {
-    const known = new Set([...this.instances.list(), ...this.group.peers.map(hostOf)]);
-    const hosts = [...known].filter((host) => !this.instances.isCutOff(host));
+    const owners = this.reports.aggregators.length > 0 ? this.group.peers.map(hostOf) : [];
+    const hosts = [...new Set([...this.instances.list(), ...owners])].filter((host) =>
+      !this.instances.isCutOff(host)
+    );
     const shuffled = hosts.map((host) => ({ host, rank: this.#dependencies.random() }))
       .sort((a, b) => a.rank - b.rank);
     return shuffled.slice(0, MAX_NAMED_FORWARDERS).map(({ host }) => this.#addressOf(host));
--- a/src/peer/common/member_reports.ts
+++ b/src/peer/common/member_reports.ts
@@ -13,6 +13,9 @@
 import { rendezvousOrder } from "./report_topology.ts";
 import { SendPacer } from "./send_pacer.ts";
 
+/** Age of the streams that are reported to a new aggregator, in ms: the former one may not have passed them on. */
+const MOVED_STREAMS_MS = 2500;
+
 export interface IMemberReportsOptions {
   readonly instance: string;
   readonly host: string;
@@ -64,7 +67,8 @@
     if (probe !== undefined) messages.push({ recipients: [probe], digest: this.#makeDigest(new Map()) });
     if (aggregator === undefined) return messages;
     const { loads, isCutOff } = contents;
-    const events = contents.takeEvents({ isOwnOnly: true });
+    const moved = aggregator === former ? {} : { streamsWithinMs: MOVED_STREAMS_MS };
+    const events = contents.takeEvents({ isOwnOnly: true, ...moved });
     const isEmpty = loads.size + countEvents(events) === 0 && !isCutOff;
     if (!this.#pacer.takeDue({ isEmpty })) return messages;
     this.#reportedLoads = loads;
--- a/src/peer/common/report_contents.ts
+++ b/src/peer/common/report_contents.ts
@@ -52,16 +52,18 @@
 
   /**
    * Returns the events for the next report; prefixes and latencies are returned once only. Limits that this instance knows from
-   * others are left out with `isOwnOnly`.
+   * others are left out with `isOwnOnly`. `streamsWithinMs` is the age of the streams to return, in ms.
    */
-  takeEvents({ isOwnOnly }: { isOwnOnly: boolean }): ReportEvents {
+  takeEvents(
+    { isOwnOnly, streamsWithinMs }: { isOwnOnly: boolean; streamsWithinMs?: number },
+  ): ReportEvents {
     const { crashes, caches, leaving, limits, hedging } = this.#opts;
     return {
       strikeChanges: crashes.recentChanges().map(({ strike, ...change }) =>
         create(StrikeChangeSchema, { strike: toStrikeMessage(strike), ...change })
       ),
       prefixes: caches.takeUnreportedPrefixes().map((prefix) => create(PromptHomeSchema, prefix)),
-      streams: this.recentStreams(),
+      streams: this.recentStreams(streamsWithinMs),
       leaving: leaving.listRecent().map((run) => create(ServerRunSchema, run)),
       limits: limits.listRecentChanges({ isOwnOnly }).map(toLimitMessage),
       latencySamples: (hedging?.takeUnreportedSamples() ?? []).map((sample) =>
@@ -70,8 +72,8 @@
     };
   }
 
-  recentStreams(): ReportEvents["streams"] {
-    return this.#opts.streams.recentStreams().map((stream) => create(BegunStreamSchema, stream));
+  recentStreams(withinMs?: number): ReportEvents["streams"] {
+    return this.#opts.streams.recentStreams(withinMs).map((stream) => create(BegunStreamSchema, stream));
   }
 
   /** Records the events of another instance. */
--- a/src/peer/common/report_exchange.ts
+++ b/src/peer/common/report_exchange.ts
@@ -113,9 +113,9 @@
     return this.#role === ReportRole.Member ? this.#membership.summaryAgeMs : undefined;
   }
 
-  /** Number of all instances as last known from aggregators, this one included; 0 if it is not known. */
+  /** Number of all instances as last known from aggregators, this one included; 0 if it is not known or there are none. */
   get instanceCount(): number {
-    return this.#instanceCount;
+    return this.#topology.isAggregated ? this.#instanceCount : 0;
   }
 
   /** Time until the next regular messages, in ms. */
--- a/src/peer/common/report_exchange_test.ts
+++ b/src/peer/common/report_exchange_test.ts
@@ -285,3 +285,29 @@
   }
   t.deepEqual(network.knownLoads, [total + 5]);
 });
+
+test("streams that begin while the aggregator is lost are reported to the next one", (t) => {
+  const network = new Network(88, 32);
+  network.advance(3000);
+  network.all.forEach((instance) => instance.run(1));
+  network.advance(1000);
+  const stream = { attemptId: "a", contentKey: 1n };
+  const lost = network.withRole(ReportRole.Aggregator).find(({ exchange }) => exchange.memberCount > 0)!;
+  const { to } = network.sent.findLast(({ from, digest }) =>
+    from === lost.host && digest.kind === ReportKind.SUMMARY
+  )!;
+  network.frozen.add(lost.host);
+  network.instances.get(to)!.streams.record(stream, { service: "e", softwareVersion: "v" });
+  network.advance(1500);
+  t.true(network.all.every(({ streams }) => streams.list(stream).length === 1));
+});
+
+test("after a reduction to fewer instances than slices, the former number of instances does not count", (t) => {
+  const { network } = loadedNetwork(40);
+  network.advance(1000);
+  for (let index = 10; index < 40; index++) network.frozen.add(`h${index}`);
+  network.setOwners(Array.from({ length: 32 }, (_, slice) => `h${slice % 10}`));
+  network.advance(2000);
+  t.deepEqual([...new Set(network.all.map(({ exchange }) => exchange.instanceCount))], [0]);
+  t.deepEqual(network.knownLoads, [45]);
+});
