--- a/test/proofs/log_schema_test.ts
+++ b/test/proofs/log_schema_test.ts
@@ -22,6 +22,8 @@
   "src/daemon/common/gateway_core.ts",
   "src/daemon/node/gateway.ts",
   "src/entry/node/gateway_server.ts",
+  "src/peer/common/aggregator_selector.ts",
+  "src/peer/common/report_exchange.ts",
   "src/peer/node/forward_server.ts",
   "src/peer/node/load_reporter.ts",
   "src/services/backends",
