--- a/test/proofs/turns_after_power_loss_test.ts
+++ b/test/proofs/turns_after_power_loss_test.ts
@@ -148,3 +148,20 @@
   }
   t.deepEqual(faults, []);
 });
+
+test("programs that begin between two losses of all instances can use their whole budget", async (t) => {
+  const faults: string[] = [];
+  for (const seed of SEEDS) {
+    await GatewayCluster.run(OPTIONS, (cluster) =>
+      Effect.gen(function* () {
+        const loss = new PowerLoss(cluster, { seed, prefix: "between" });
+        yield* loss.loseAll();
+        yield* loss.sendTurns(loss.programs, { waitMs: 1500 });
+        yield* loss.loseAll();
+        t.true(loss.failedHandovers > 0);
+        yield* loss.continueAll({ parallel: 1 });
+        faults.push(...loss.faults());
+      }));
+  }
+  t.deepEqual(faults, []);
+});
