Budgets: a program that begins after an unclean end can use a budget of up to four turns

Cause: the next owner counted 20 % of the budget as spent for each program without a record. A lost owner can have granted at most the first turn, or a sixth of the budget and the 20 %, and one turn of that is the turn by which a budget may be exceeded. So too much was counted; but the exact amount with 20 % still refuses the third of three turns.

Change: only what exceeds the limit of the turn that begins is counted, and the share is 12 % from eight turns on (an eighth and 12 % are below a quarter), so that nothing is counted for budgets of up to four turns. Claims of the build before state 20 %, for which the share and the sixth are counted; those that state none are counted as before. Builds that read the new claims count no less than a lost owner of this build can have granted.

--- a/src/turns/common/spending_ledger.ts
+++ b/src/turns/common/spending_ledger.ts
@@ -4,10 +4,13 @@
  * Percentage of a budget that may be granted without a log record, beyond one turn. After an unclean end the next owner
  * counts it as spent for each program that has no record, also for those that begin later.
  */
-export const UNRECORDED_PERCENT = 20;
+export const UNRECORDED_PERCENT = 12;
 /** Number of turns that a budget must cover for more than one turn to be granted without a record. */
-const MIN_UNRECORDED_TURNS = 6;
-/** The percentage that owners of earlier builds grant; their claims do not state it. */
+const MIN_UNRECORDED_TURNS = 8;
+/** The same for owners of earlier builds whose claims state this percentage. */
+const EARLIER_UNRECORDED_PERCENT = 20;
+const EARLIER_MIN_UNRECORDED_TURNS = 6;
+/** The percentage that owners of the first builds grant; their claims do not state it. */
 export const FORMER_UNRECORDED_PERCENT = 36;
 /** Share of the turns that still fit the budget which a record reserves ahead of use. */
 const RESERVED_SHARE = 0.4;
@@ -333,14 +336,19 @@
 
 /**
  * Tokens that count as spent for a program without a record after an unclean end, given the limit of the turn that it begins. Its
- * first turn may have had another limit and is not counted: that is the turn by which the budget may be exceeded. Nothing
- * else is counted if the share and the largest first turn for which a share is granted are together below the limit.
+ * first turn and the share may have been granted. One turn of them is the turn by which the budget may be exceeded.
  */
 function countedShare(percent: number, { budget, maxTokens }: ITurnLimits): number {
   const share = Math.floor(budget * percent / 100);
-  const isGrantedToLongOnly = percent <= UNRECORDED_PERCENT;
-  if (isGrantedToLongOnly && share + budget / MIN_UNRECORDED_TURNS <= maxTokens) return 0;
-  return Math.max(0, Math.min(share, budget - maxTokens));
+  const minTurns = minUnrecordedTurns(percent);
+  if (minTurns === undefined) return Math.max(0, Math.min(share, budget - maxTokens));
+  return Math.max(0, Math.min(share, share + Math.floor(budget / minTurns) - maxTokens));
+}
+
+/** Number of turns that a budget must cover for an owner to grant the share of `percent`; undefined if it grants it to all. */
+function minUnrecordedTurns(percent: number): number | undefined {
+  if (percent <= UNRECORDED_PERCENT) return MIN_UNRECORDED_TURNS;
+  return percent <= EARLIER_UNRECORDED_PERCENT ? EARLIER_MIN_UNRECORDED_TURNS : undefined;
 }
 
 /** Upper bound of the tokens that a program can have delivered so far. */
--- a/src/turns/common/spending_ledger_test.ts
+++ b/src/turns/common/spending_ledger_test.ts
@@ -369,6 +369,28 @@
   }
 });
 
+// Guards against a 402 for parallel turns of a program that begins after an unclean end, while its delivered tokens leave room.
+test("after an unclean end, a new program whose budget covers up to four turns can use all of it", (t) => {
+  for (let turns = 1; turns <= 4; turns++) {
+    const budget = turns * MAX_TOKENS;
+    t.is(deliverAll(recover([], 1), { prefix: "after", budget, limit: MAX_TOKENS }), budget);
+  }
+});
+
+test("turns that owners of the build before granted without a record leave no more than the budget and one turn", (t) => {
+  for (const budget of [240, 600]) {
+    for (let firstLimit = 5; firstLimit <= budget; firstLimit += 5) {
+      const lost = firstLimit + (firstLimit * 6 <= budget ? budget / 5 : 0);
+      for (let limit = 5; limit <= budget; limit += 5) {
+        const ledger = new SpendingLedger();
+        ledger.markUnclean(1, 20);
+        const total = lost + deliverAll(ledger, { prefix: "after", budget, limit });
+        t.true(total <= budget + Math.max(firstLimit, limit), `${firstLimit}, ${limit}: ${total}`);
+      }
+    }
+  }
+});
+
 test("a lost reservation does not refuse the turn beyond the budget that records leave room for", (t) => {
   const [log, budget]: [ISpendingRecord[], number] = [[], 10 * MAX_TOKENS];
   const ledger = new SpendingLedger();
