Budgets: reserve nothing of a program's last turns where another loss would refuse them

What callers saw: in turns_after_power_loss_test, 402 for good for the turn that continues a stored one, in a program that began after a loss of all instances, when all are lost again before that turn.

Cause: after an unclean end a record still reserved one turn while none was running, and the next unclean end counts it as spent. A program that may have been granted turns without a record has no turn beyond its budget to make up for it.

Change: such a program is reserved nothing once fewer than four turns fit its budget; each of these turns waits for its own record. Programs of longer budgets still go on within a reservation, and may lose one turn to each unclean end. Less is granted ahead of records than before, so the bound is unaffected.

--- a/src/turns/common/spending_ledger.ts
+++ b/src/turns/common/spending_ledger.ts
@@ -14,6 +14,11 @@
 export const FORMER_UNRECORDED_PERCENT = 36;
 /** Share of the turns that still fit the budget which a record reserves ahead of use. */
 const RESERVED_SHARE = 0.4;
+/**
+ * Number of turns that must fit the remaining budget for a reservation after an unclean end, for a program that may have used
+ * its turn beyond the budget: another unclean end would count the reservation as spent.
+ */
+const MIN_TURNS_FOR_RESERVATION = 4;
 /** Maximum number of ended turns that are remembered, so that a late request to begin one of them is refused. */
 const MAX_ENDED_TURNS = 2000;
 /** Multiplier on the retention period before spending is evicted: allows for clock skew and long turns. */
@@ -298,14 +303,16 @@
   /**
    * Reservation of the next record: whole turns that still fit the budget, and at least what may be granted while the
    * append is in flight. Another unclean end would count it as spent. So after one, only one turn is reserved, and only while
-   * none is running; turns that follow each other faster than that is recorded wait for their own record.
+   * none is running; turns that follow each other faster than that is recorded wait for their own record. So do the last turns
+   * of a program that may have used its turn beyond the budget.
    */
   #nextReservation(program: IProgramSpending, now: number): number {
-    const { budget, maxTokens, running, recordedLimit, unrecordedLimit, retainMs } = program;
+    const { budget, maxTokens, running, recordedLimit, unrecordedLimit, retainMs, isComplete } = program;
     const committed = committedTokens(program);
     const turnsLeft = maxTokens === 0 ? 0 : Math.floor(Math.max(0, budget - committed) / maxTokens);
     const isCautious = this.#isAfterUncleanEnd(retainMs, now);
-    const cautiousTurns = running.size === 0 ? 1 : 0;
+    const isReservable = isComplete || turnsLeft >= MIN_TURNS_FOR_RESERVATION;
+    const cautiousTurns = running.size === 0 && isReservable ? 1 : 0;
     const turns = isCautious ? cautiousTurns : Math.max(1, Math.floor(turnsLeft * RESERVED_SHARE));
     const unrecorded = recordedLimit === undefined ? Math.max(0, unrecordedLimit - committed) : 0;
     return Math.max(Math.min(turns, turnsLeft) * maxTokens, unrecorded);
