Budgets: grant a quarter of a budget without a record, the first turn included

Change: without a record, one turn or a quarter of the budget is granted, whichever is more. The next owner counts a quarter less one turn, nothing for budgets of up to four turns. Claims state 25; earlier builds count at least as much for it. The 20 % of earlier builds count as 37 % with their first turn; builds that state none are counted as before and rank above all others, so that the largest percentage of several unclean ends is always the safe one.

Tests of the ledger, of owned slices with faults and of budget losses pass unchanged.

--- a/src/turns/common/slice_state.ts
+++ b/src/turns/common/slice_state.ts
@@ -42,7 +42,7 @@
     return this.#holder;
   }
 
-  /** Percentage of a budget that the newest owner may have granted without a record, beyond one turn. */
+  /** What the newest owner's claim states of its grants without a record, see {@link SpendingLedger.markUnclean}. */
   get unrecordedPercent(): number {
     return this.#unrecordedPercent;
   }
--- a/src/turns/common/spending_ledger.ts
+++ b/src/turns/common/spending_ledger.ts
@@ -1,17 +1,17 @@
 /** Token budget accounting for the programs of one slice. */
 
 /**
- * Percentage of a budget that may be granted without a log record, beyond one turn. After an unclean end the next owner
- * counts it as spent for each program that has no record, also for those that begin later.
+ * Percentage of a budget that may be granted without a log record, or one turn if that is more. After an unclean end the
+ * next owner counts what exceeds one turn as spent for each program that has no record, also for those that begin later.
  */
-export const UNRECORDED_PERCENT = 12;
-/** Number of turns that a budget must cover for more than one turn to be granted without a record. */
-const MIN_UNRECORDED_TURNS = 8;
-/** The same for owners of earlier builds whose claims state this percentage. */
-const EARLIER_UNRECORDED_PERCENT = 20;
-const EARLIER_MIN_UNRECORDED_TURNS = 6;
-/** The percentage that owners of the first builds grant; their claims do not state it. */
+export const UNRECORDED_PERCENT = 25;
+/** Stated by owners of earlier builds that grant a turn of up to a sixth of the budget and 20 % of it. */
+const EARLIER_STATED_PERCENT = 20;
+const EARLIER_UNRECORDED_PERCENT = 37;
+/** Owners of the first builds grant one turn of any limit and 36 % of the budget; their claims state no percentage. */
 export const FORMER_UNRECORDED_PERCENT = 36;
+/** Stands for {@link FORMER_UNRECORDED_PERCENT}, as the largest of all percentages. */
+const ANY_TURN_PERCENT = 100;
 /** Share of the turns that still fit the budget which a record reserves ahead of use. */
 const RESERVED_SHARE = 0.4;
 /**
@@ -101,8 +101,8 @@
  *
  * Safety does not depend on clocks. When an ownership ends without a release, the next owner counts the
  * full reservation of each record as spent, and running turns at their limit. A program without a record may have been
- * granted one turn and a share of its budget: the share counts as spent, and no turn is granted before a record is
- * written. So no loss of state lets a program receive more than its budget plus one turn.
+ * granted one turn, or a share of its budget if that is more: the excess counts as spent, and no turn is granted before a
+ * record is written. So no loss of state lets a program receive more than its budget plus one turn.
  *
  * The load pattern is programs of one to nine sequential turns with a budget of about 1.6 times their use, and several losses of
  * all instances within a minute. What may not have been delivered is tracked separately, because it must not refuse a program
@@ -115,7 +115,7 @@
   readonly #ended = new Set<string>();
   /** Time at which an ownership was last found to have ended without a release; 0 if never. */
   #uncleanAtMs = 0;
-  /** Largest percentage of a budget that an ownership which ended uncleanly may have granted without a record. */
+  /** Largest percentage of a budget, see {@link grantedPercent}, that an ownership which ended uncleanly may have granted. */
   #uncleanPercent = 0;
 
   get size(): number {
@@ -134,9 +134,9 @@
    * Records that an ownership was found at `atMs` to have ended without a release, and which percentage of a budget it may
    * have granted without a record. Does nothing if `atMs` is 0, for never.
    */
-  markUnclean(atMs: number, unrecordedPercent = UNRECORDED_PERCENT): void {
+  markUnclean(atMs: number, statedPercent = UNRECORDED_PERCENT): void {
     if (atMs === 0) return;
-    this.#uncleanPercent = Math.max(this.#uncleanPercent, unrecordedPercent);
+    this.#uncleanPercent = Math.max(this.#uncleanPercent, grantedPercent(statedPercent));
     if (atMs <= this.#uncleanAtMs) return;
     this.#uncleanAtMs = atMs;
     for (const { running, inherited } of this.#programs.values()) {
@@ -271,23 +271,21 @@
 
   /**
    * Adds a program that has no record. Within the retention period after an unclean end, an earlier owner may
-   * have granted it the unrecorded share, which counts as spent.
+   * have granted it more than one turn without one; the excess counts as spent.
    */
   #addProgram({ programId, maxTokens, budget, retainMs }: ITurnGrantRequest, now: number): IProgramSpending {
     const isAfterUncleanEnd = this.#isAfterUncleanEnd(retainMs, now);
-    const unrecordedShare = isAfterUncleanEnd
-      ? countedShare(this.#uncleanPercent, { budget, maxTokens })
-      : grantableShare({ budget, maxTokens });
+    const countedTokens = isAfterUncleanEnd ? countedExcess(this.#uncleanPercent, { budget, maxTokens }) : 0;
     const program: IProgramSpending = {
       programId,
-      spent: isAfterUncleanEnd ? unrecordedShare : 0,
-      uncertain: isAfterUncleanEnd ? unrecordedShare : 0,
+      spent: countedTokens,
+      uncertain: countedTokens,
       running: new Map(),
       inherited: new Set(),
       isComplete: !isAfterUncleanEnd,
       maxTokens,
       recordedLimit: undefined,
-      unrecordedLimit: isAfterUncleanEnd ? 0 : maxTokens + unrecordedShare,
+      unrecordedLimit: isAfterUncleanEnd ? 0 : Math.max(maxTokens, percentOf(budget, UNRECORDED_PERCENT)),
       budget,
       lastUsedMs: now,
       retainMs,
@@ -336,26 +334,25 @@
   readonly maxTokens: number;
 }
 
-/** Tokens that a program may be granted without a record, beyond its first turn. */
-function grantableShare({ budget, maxTokens }: ITurnLimits): number {
-  return budget < maxTokens * MIN_UNRECORDED_TURNS ? 0 : Math.floor(budget * UNRECORDED_PERCENT / 100);
+/** Percentage of a budget that an owner may have granted without a record, if that is more than one turn; by what its claim states. */
+function grantedPercent(statedPercent: number): number {
+  if (statedPercent === FORMER_UNRECORDED_PERCENT) return ANY_TURN_PERCENT;
+  return statedPercent === EARLIER_STATED_PERCENT ? EARLIER_UNRECORDED_PERCENT : statedPercent;
 }
 
 /**
- * Tokens that count as spent for a program without a record after an unclean end, given the limit of the turn that it begins. Its
- * first turn and the share may have been granted. One turn of them is the turn by which the budget may be exceeded.
+ * Tokens that count as spent for a program without a record after an unclean end, given the limit of the turn that it begins. One
+ * turn of what may have been granted is not counted: it is the turn by which the budget may be exceeded.
  */
-function countedShare(percent: number, { budget, maxTokens }: ITurnLimits): number {
-  const share = Math.floor(budget * percent / 100);
-  const minTurns = minUnrecordedTurns(percent);
-  if (minTurns === undefined) return Math.max(0, Math.min(share, budget - maxTokens));
-  return Math.max(0, Math.min(share, share + Math.floor(budget / minTurns) - maxTokens));
+function countedExcess(percent: number, { budget, maxTokens }: ITurnLimits): number {
+  if (percent === ANY_TURN_PERCENT) {
+    return Math.max(0, Math.min(percentOf(budget, FORMER_UNRECORDED_PERCENT), budget - maxTokens));
+  }
+  return Math.max(0, percentOf(budget, percent) - maxTokens);
 }
 
-/** Number of turns that a budget must cover for an owner to grant the share of `percent`; undefined if it grants it to all. */
-function minUnrecordedTurns(percent: number): number | undefined {
-  if (percent <= UNRECORDED_PERCENT) return MIN_UNRECORDED_TURNS;
-  return percent <= EARLIER_UNRECORDED_PERCENT ? EARLIER_MIN_UNRECORDED_TURNS : undefined;
+function percentOf(budget: number, percent: number): number {
+  return Math.floor(budget * percent / 100);
 }
 
 /** Upper bound of the tokens that a program can have delivered so far. */
