Store calls: one callback with a timer instead of four effects

Cause: an instance that serves nothing spends most of its processor time on about 5.6 store calls a second (profile of 20 s: half of the samples within the effects of these calls, 9 % in the race with the time limit, 3 % in parsing the URL). Its start makes two for each slice that it owns.

HttpClient.fetch now waits for the complete response in one callback, with the time limit as a timer, and takes the server's address separately, so that no URL is parsed for each call. What callers see is unchanged: a call without a response in time counts as no response.

--- a/src/base/node/http_client.ts
+++ b/src/base/node/http_client.ts
@@ -29,9 +29,21 @@
   }
 }
 
+/** The time limit of a request has passed. */
+export class RequestTimeoutError extends Error {
+  constructor(timeoutMs: number) {
+    super(`timed out after ${timeoutMs} ms`);
+  }
+}
+
 export interface IHttpRequest {
   readonly method: string;
+  /** Complete URL; only the path and query if there is an {@link origin}. */
   readonly url: string;
+  /** Server of the request; saves the parsing of a URL. */
+  readonly origin?: { readonly hostname: string; readonly port: string };
+  /** Time limit for the complete response of {@link HttpClient.fetch}, in ms. */
+  readonly timeoutMs?: number;
   readonly headers?: Record<string, string>;
   readonly body?: string | Uint8Array;
   /**
@@ -66,14 +78,37 @@
 
   /** Sends a request and reads the complete response. */
   fetch(req: IHttpRequest): Effect.Effect<IHttpResponse, HttpError> {
-    return Effect.flatMap(this.send(req), readBody);
+    // One callback instead of one effect for each step: the calls to the store are most of an idle instance's work.
+    return Effect.callback<IHttpResponse, HttpError>((resume) => {
+      const tracker = new SendTracker();
+      let timer: NodeJS.Timeout | undefined;
+      const settle = (result: Effect.Effect<IHttpResponse, HttpError>) => {
+        clearTimeout(timer);
+        resume(result);
+      };
+      const clientRequest = this.#request(req, (res) => collectBody(res, settle));
+      tracker.observe(clientRequest);
+      clientRequest.on("error", (err) => settle(Effect.fail(new HttpError(tracker.progress, err))));
+      clientRequest.end(req.body);
+      const { timeoutMs } = req;
+      if (timeoutMs !== undefined) {
+        timer = setTimeout(() => {
+          resume(Effect.fail(new HttpError(tracker.progress, new RequestTimeoutError(timeoutMs))));
+          clientRequest.destroy();
+        }, timeoutMs);
+      }
+      return Effect.sync(() => {
+        clearTimeout(timer);
+        clientRequest.destroy();
+      });
+    });
   }
 
   /** Sends a request and returns when the response headers have arrived. Interruption destroys the request. */
   send(req: IHttpRequest): Effect.Effect<IncomingMessage, HttpError> {
     return Effect.callback<IncomingMessage, HttpError>((resume) => {
       const tracker = new SendTracker();
-      const clientRequest = request(req.url, this.#options(req), (res) => resume(Effect.succeed(res)));
+      const clientRequest = this.#request(req, (res) => resume(Effect.succeed(res)));
       tracker.observe(clientRequest);
       clientRequest.on("error", (err) => resume(Effect.fail(new HttpError(tracker.progress, err))));
       clientRequest.end(req.body);
@@ -81,6 +116,11 @@
     });
   }
 
+  #request(req: IHttpRequest, onResponse: (res: IncomingMessage) => void): ClientRequest {
+    if (req.origin === undefined) return request(req.url, this.#options(req), onResponse);
+    return request({ ...this.#options(req), ...req.origin, path: req.url }, onResponse);
+  }
+
   #options(req: IHttpRequest): RequestOptions {
     const body = req.body === undefined ? {} : { "content-length": String(byteLength(req.body)) };
     const agent = req.freshConnection ? this.#unpooledAgent : this.#agent;
@@ -112,33 +152,41 @@
 /** Reads the body of a response. */
 export function readBody(res: IncomingMessage): Effect.Effect<IHttpResponse, HttpError> {
   return Effect.callback<IHttpResponse, HttpError>((resume) => {
-    const body = new ByteBuffer();
-    let isSettled = false;
-    const settle = (result: Effect.Effect<IHttpResponse, HttpError>) => {
-      isSettled = true;
-      resume(result);
-    };
-    const fail = (err: Error) => {
-      if (!isSettled) settle(Effect.fail(new HttpError(SendProgress.Sent, err)));
-    };
-    res.on("data", (chunk: Uint8Array) => {
-      if (isSettled) return;
-      body.append(chunk);
-      if (body.length <= MAX_BODY_BYTES) return;
-      fail(new Error(`response body exceeds ${MAX_BODY_BYTES} bytes`));
-      res.destroy();
-    });
-    res.on("end", () => {
-      if (isSettled) return;
-      settle(Effect.succeed({ status: res.statusCode ?? 0, headers: res.headers, body: body.take() }));
-    });
-    res.on("error", fail);
-    res.on("close", () => {
-      if (!isSettled) fail(new Error("Premature close"));
-    });
-    // The connection may have been lost before the listeners were added.
-    if (res.errored !== null) fail(res.errored);
-    else if (res.destroyed) fail(new Error("Premature close"));
+    collectBody(res, resume);
     return Effect.sync(() => res.destroy());
   });
 }
+
+/** Calls back once, with the complete response or the reason why there is none. */
+function collectBody(
+  res: IncomingMessage,
+  callback: (result: Effect.Effect<IHttpResponse, HttpError>) => void,
+): void {
+  const body = new ByteBuffer();
+  let isSettled = false;
+  const settle = (result: Effect.Effect<IHttpResponse, HttpError>) => {
+    isSettled = true;
+    callback(result);
+  };
+  const fail = (err: Error) => {
+    if (!isSettled) settle(Effect.fail(new HttpError(SendProgress.Sent, err)));
+  };
+  res.on("data", (chunk: Uint8Array) => {
+    if (isSettled) return;
+    body.append(chunk);
+    if (body.length <= MAX_BODY_BYTES) return;
+    fail(new Error(`response body exceeds ${MAX_BODY_BYTES} bytes`));
+    res.destroy();
+  });
+  res.on("end", () => {
+    if (isSettled) return;
+    settle(Effect.succeed({ status: res.statusCode ?? 0, headers: res.headers, body: body.take() }));
+  });
+  res.on("error", fail);
+  res.on("close", () => {
+    if (!isSettled) fail(new Error("Premature close"));
+  });
+  // The connection may have been lost before the listeners were added.
+  if (res.errored !== null) fail(res.errored);
+  else if (res.destroyed) fail(new Error("Premature close"));
+}
