Set no timers while an instance has nothing to watch

These loops now wait for what gives them work: an attempt of this instance, the failure of a follower, a stream that begins. They keep to multiples of their interval since the start, so that no bound of detection and no rate of writes changes.

--- a/src/call/common/crash_monitor.ts
+++ b/src/call/common/crash_monitor.ts
@@ -1,4 +1,6 @@
 /** Attributes crashes of backend servers to the requests that were unfinished on them. */
+import type { Effect } from "effect";
+import { Latch } from "effect";
 import type { Event } from "../../base/common/emitter.ts";
 import { Emitter } from "../../base/common/emitter.ts";
 import type { ISeparation } from "../../routing/common/backend_chooser.ts";
@@ -83,6 +85,8 @@
   readonly #ledger: StrikeLedger;
   readonly #recentChanges = new Map<string, { readonly change: IStrikeChange; readonly atMs: number }>();
   readonly #running = new Map<string, Set<IObservedAttempt>>();
+  /** Open while attempts of this instance run or may be unresolved. */
+  readonly #active = Latch.makeUnsafe(false);
   /** Attempts of which it is not known whether the server survived them. */
   readonly #unresolved: SurvivalTracker<IEndedAttempt>;
   /** Strikes of this instance, which later heartbeats of the same server run refute. */
@@ -212,6 +216,7 @@
     const running = this.#running.get(key) ?? new Set();
     running.add(attempt);
     this.#running.set(key, running);
+    Latch.openUnsafe(this.#active);
     return attempt;
   }
 
@@ -236,6 +241,7 @@
   /** Strikes the attempt if its server ends. Reports it, since another instance may outlive this one. */
   #awaitServer(attempt: IEndedAttempt): void {
     this.#unresolved.add(attempt.server, attempt);
+    Latch.openUnsafe(this.#active);
     this.#reportPending(attempt);
   }
 
@@ -322,6 +328,11 @@
     }
   }
 
+  /** Waits until this instance has attempts that {@link reportAtRisk} may have to report. */
+  get awaitAttempts(): Effect.Effect<void> {
+    return this.#active.await;
+  }
+
   /**
    * Returns pending strikes of the requests on servers whose heartbeats are overdue, and of all suspects that are being
    * run, and reports them to the peers. They are kept outside this instance, as all instances may be lost before the
@@ -342,6 +353,7 @@
     }
     const running = observed.map(toEnded);
     const own = [...running, ...this.#unresolved.values()].filter(({ requestId }) => requestId !== undefined);
+    if (own.length === 0) Latch.closeUnsafe(this.#active);
     const atRisk = own.filter(isAtRisk);
     for (const attempt of atRisk) this.#reportPending(attempt);
     return atRisk.map((attempt) => this.#toStrike(attempt));
--- a/src/call/common/server_end_detector.ts
+++ b/src/call/common/server_end_detector.ts
@@ -8,6 +8,7 @@
 import type { IConnectProbe } from "./server_link_monitor.ts";
 import { PROBE_TIMEOUT_MS } from "./server_link_monitor.ts";
 import { serverKey } from "./strike_ledger.ts";
+import { repeatWhenNeeded } from "../../base/common/periodic.ts";
 
 /** Interval between two tries to connect to a silent server, in ms. A server that restarts is away for seconds. */
 const PROBE_INTERVAL_MS = 400;
@@ -28,6 +29,8 @@
   readonly probe: IConnectProbe;
   /** Whether the platform's list is being read, which shows the ends of servers itself. */
   readonly isListRead: () => boolean;
+  /** Waits until the list is not being read. */
+  readonly awaitListLoss: Effect.Effect<void>;
   readonly logger: ILogger;
   /** Returns a random number in [0, 1). */
   readonly random: () => number;
@@ -62,12 +65,15 @@
 
   /** Tries to connect to silent servers while the list is not read, until the scope ends. */
   start(): Effect.Effect<void, never, Scope.Scope> {
-    const loop = Effect.gen({ self: this }, function* () {
-      while (true) {
-        yield* Effect.sleep(PROBE_INTERVAL_MS);
-        if (this.#opts.isListRead()) this.#states.clear();
-        else yield* this.probeSilentServers();
-      }
+    const { isListRead, awaitListLoss } = this.#opts;
+    const forgetWhileRead = Effect.sync(() => {
+      if (isListRead()) this.#states.clear();
+    });
+    const probeUnlessRead = Effect.suspend(() => isListRead() ? Effect.void : this.probeSilentServers());
+    const loop = repeatWhenNeeded({
+      intervalMs: PROBE_INTERVAL_MS,
+      awaitWork: Effect.andThen(forgetWhileRead, awaitListLoss),
+      work: probeUnlessRead,
     });
     return Effect.asVoid(Effect.forkScoped(loop));
   }
--- a/src/call/common/server_end_detector_test.ts
+++ b/src/call/common/server_end_detector_test.ts
@@ -45,6 +45,7 @@
       directory,
       probe: { connect },
       isListRead: () => this.isListRead,
+      awaitListLoss: Effect.void,
       logger,
       random: () => 0,
     });
--- a/src/call/common/stream_origin_replicator.ts
+++ b/src/call/common/stream_origin_replicator.ts
@@ -1,8 +1,9 @@
 /** Keeps the origins of recent streams in a keyed topic of the store, so that they survive a restart of all instances. */
 import { create, fromBinary, toBinary } from "@bufbuild/protobuf";
 import type { Scope } from "effect";
-import { Effect, Semaphore } from "effect";
+import { Effect, Latch, Semaphore } from "effect";
 import { toError } from "../../base/common/errors.ts";
+import { repeatWhenNeeded } from "../../base/common/periodic.ts";
 import type { BegunStreamList } from "../../base/common/gen/ragwortcleat/v1/turns_pb.ts";
 import { BegunStreamListSchema } from "../../base/common/gen/ragwortcleat/v1/turns_pb.ts";
 import type { ILogger } from "../../services/logging/common/logger.ts";
@@ -42,12 +43,15 @@
   readonly #opts: IStreamOriginReplicatorOptions;
   /** Serializes writes, so that an older list never replaces a newer one. */
   readonly #writing = Semaphore.makeUnsafe(1);
+  /** Open while streams may have begun that are not written. */
+  readonly #unwritten = Latch.makeUnsafe(true);
   #isLoaded = false;
   #lastWritten: IBegunStream | undefined;
   #isFailing = false;
 
   constructor(opts: IStreamOriginReplicatorOptions) {
     this.#opts = opts;
+    opts.registry.onDidBegin(() => Latch.openUnsafe(this.#unwritten));
   }
 
   /** Reads the streams of all instances once, then writes those of this one until the scope ends. */
@@ -56,10 +60,11 @@
       // Nothing is written before the stored streams have been read, as a write replaces those of an earlier run.
       while (!(yield* this.#attempt(this.#load()))) yield* Effect.sleep(RETRY_DELAY_MS);
       this.#isLoaded = true;
-      while (true) {
-        yield* Effect.sleep(WRITE_INTERVAL_MS);
-        yield* this.#attempt(this.#write());
-      }
+      yield* repeatWhenNeeded({
+        intervalMs: WRITE_INTERVAL_MS,
+        awaitWork: this.#unwritten.await,
+        work: this.#writeNew(),
+      });
     });
     return Effect.asVoid(Effect.forkScoped(replicate));
   }
@@ -94,6 +99,13 @@
     });
   }
 
+  #writeNew(): Effect.Effect<void> {
+    return Effect.gen({ self: this }, function* () {
+      Latch.closeUnsafe(this.#unwritten);
+      if (!(yield* this.#attempt(this.#write()))) Latch.openUnsafe(this.#unwritten);
+    });
+  }
+
   #isAbandoned(streams: BegunStreamList["streams"]): boolean {
     return this.#opts.now() - Math.max(0, ...streams.map(({ atMs }) => atMs)) > ABANDONED_AGE_MS;
   }
--- a/src/call/common/strike_replicator.ts
+++ b/src/call/common/strike_replicator.ts
@@ -4,6 +4,7 @@
 import { Effect } from "effect";
 import { toError } from "../../base/common/errors.ts";
 import { StrikeSchema } from "../../base/common/gen/ragwortcleat/v1/turns_pb.ts";
+import { repeatWhenNeeded } from "../../base/common/periodic.ts";
 import { Signal } from "../../base/common/signal.ts";
 import type { ILogger } from "../../services/logging/common/logger.ts";
 import type { IKeyedUpdate } from "../../services/store/common/keyed_topic_follower.ts";
@@ -146,23 +147,27 @@
 
   /** Writes pending strikes of the requests whose crash may go unnoticed. */
   #atRiskLoop(): Effect.Effect<void> {
-    return Effect.gen({ self: this }, function* () {
-      const written = new Map<string, number>();
-      while (true) {
-        yield* Effect.sleep(AT_RISK_INTERVAL_MS);
-        const now = this.#opts.now();
-        for (const [key, atMs] of written) if (now - atMs > PENDING_EXPIRY_MS) written.delete(key);
-        for (const strike of this.#opts.monitor.reportAtRisk()) {
-          const key = `${PENDING_KEY_PREFIX}${strikeKey(strike)}`;
-          if (written.has(key) || !this.#canStore(key)) continue;
-          written.set(key, now);
-          this.#pending.set(key, { key, value: encode(strike), dueAtMs: now });
-          this.#changed.notify();
-        }
-      }
+    const written = new Map<string, number>();
+    return repeatWhenNeeded({
+      intervalMs: AT_RISK_INTERVAL_MS,
+      awaitWork: this.#opts.monitor.awaitAttempts,
+      work: Effect.sync(() => this.#enqueueAtRisk(written)),
     });
   }
 
+  /** `written` contains the time at which each pending strike was enqueued, by its key. */
+  #enqueueAtRisk(written: Map<string, number>): void {
+    const now = this.#opts.now();
+    for (const [key, atMs] of written) if (now - atMs > PENDING_EXPIRY_MS) written.delete(key);
+    for (const strike of this.#opts.monitor.reportAtRisk()) {
+      const key = `${PENDING_KEY_PREFIX}${strikeKey(strike)}`;
+      if (written.has(key) || !this.#canStore(key)) continue;
+      written.set(key, now);
+      this.#pending.set(key, { key, value: encode(strike), dueAtMs: now });
+      this.#changed.notify();
+    }
+  }
+
   /** Deletes pending strikes that no longer count. */
   #deleteExpiredPending(): void {
     const oldestMs = this.#opts.now() - PENDING_EXPIRY_MS;
--- a/src/daemon/common/gateway_core.ts
+++ b/src/daemon/common/gateway_core.ts
@@ -31,6 +31,7 @@
 import type { IRequestCodec, IUpstream } from "../../call/common/opaque_request.ts";
 import type { IPeerTransports } from "../../membership/common/peer_client.ts";
 import { PeerRpcClients } from "../../membership/common/peer_client.ts";
+import { repeatWhenNeeded } from "../../base/common/periodic.ts";
 import { BackendLoadTracker } from "../../routing/common/backend_load_tracker.ts";
 import { RequestProgress } from "../../routing/common/allotment_limiter.ts";
 import { HedgeLimiter } from "../../routing/common/hedge_limiter.ts";
@@ -263,7 +264,16 @@
     const { connectProbe: probe, logger, random } = this.#dependencies;
     const { crashes, directory } = this;
     const isListRead = () => !this.backends.isFailing && this.backends.lastReadMs > 0;
-    return new ServerEndDetector({ crashes, directory, probe, isListRead, logger, random });
+    const { awaitLoss: awaitListLoss } = this.backends;
+    return new ServerEndDetector({
+      crashes,
+      directory,
+      probe,
+      isListRead,
+      awaitListLoss,
+      logger,
+      random,
+    });
   }
 
   #makeStreamReplicator(): StreamOriginReplicator {
@@ -510,24 +520,29 @@
 
   /** Applies a peer's snapshot once after the start, and while this instance cannot read the store itself. */
   #syncFromPeers(): Effect.Effect<void> {
-    return Effect.gen({ self: this }, function* () {
-      let hasSynced = false;
-      while (true) {
-        yield* Effect.sleep(SNAPSHOT_INTERVAL_MS);
-        if (hasSynced && !this.#isStoreFailing) continue;
+    let hasSynced = false;
+    const { configuration, backends, strikes } = this;
+    const awaitLoss = Effect.raceAll(
+      [configuration, backends, strikes.follower].map((follower) => follower.awaitLoss),
+    );
+    return repeatWhenNeeded({
+      intervalMs: SNAPSHOT_INTERVAL_MS,
+      awaitWork: Effect.suspend(() => hasSynced ? awaitLoss : Effect.void),
+      work: Effect.gen({ self: this }, function* () {
+        if (hasSynced && !this.#isStoreFailing) return;
         const peers = this.#peerAddresses();
-        if (peers.length === 0) continue;
+        if (peers.length === 0) return;
         const snapshot = yield* this.#fetchSnapshot(
           peers[Math.floor(this.#dependencies.random() * peers.length)],
         );
-        if (snapshot === undefined) continue;
+        if (snapshot === undefined) return;
         if (this.#isStoreFailing) this.#applySnapshot(snapshot);
         for (const { strike, isWithdrawn, isPending } of snapshot.strikeChanges) {
           if (strike !== undefined) this.crashes.merge({ strike, isWithdrawn, isPending });
         }
         for (const run of snapshot.leaving) this.leaving.merge(run);
         hasSynced = true;
-      }
+      }),
     });
   }
 
--- a/src/services/store/common/keyed_topic_follower.ts
+++ b/src/services/store/common/keyed_topic_follower.ts
@@ -1,6 +1,6 @@
 /** Follows a keyed topic of the store and reports changes to the latest value of each key. */
 import type { Scope } from "effect";
-import { Clock, Effect } from "effect";
+import { Clock, Effect, Latch } from "effect";
 import type { Event } from "../../../base/common/emitter.ts";
 import { Emitter } from "../../../base/common/emitter.ts";
 import type { ILogger } from "../../logging/common/logger.ts";
@@ -46,6 +46,8 @@
   /** Offset up to which the items are current. */
   #endOffset = -1;
   #failedSinceMs: number | undefined;
+  /** Open while the topic is not being read. */
+  readonly #unread = Latch.makeUnsafe(true);
   #lastReadMs = 0;
   #hasRead = false;
 
@@ -63,6 +65,11 @@
     return this.#failedSinceMs !== undefined;
   }
 
+  /** Waits until the topic is not being read: before the first successful call and after one that failed. */
+  get awaitLoss(): Effect.Effect<void> {
+    return this.#unread.await;
+  }
+
   /** Time of the last successful call, in ms of the clock; 0 before the first. */
   get lastReadMs(): number {
     return this.#lastReadMs;
@@ -164,6 +171,7 @@
   #recordFailure(now: number, error: string): void {
     if (this.#failedSinceMs !== undefined) return;
     this.#failedSinceMs = now;
+    Latch.openUnsafe(this.#unread);
     this.#opts.logger.warn("store-lost", { topic: this.#opts.topic, error, lastReadMs: this.#lastReadMs });
   }
 
@@ -172,6 +180,7 @@
     return Effect.map(Clock.currentTimeMillis, (now) => {
       const unreadMs = Math.max(1, now - this.#lastReadMs);
       this.#lastReadMs = now;
+      Latch.closeUnsafe(this.#unread);
       if (this.#failedSinceMs === undefined) return 0;
       this.#opts.logger.info("store-regained", {
         topic: this.#opts.topic,
--- a/src/services/store/common/keyed_topic_follower_test.ts
+++ b/src/services/store/common/keyed_topic_follower_test.ts
@@ -88,3 +88,23 @@
   }));
   t.deepEqual(updates, ["a=1", "a=-!", "b=2!"]);
 });
+
+test("the loss of a topic is awaited while it is read, not before the first read nor during an outage", async (t) => {
+  const { log, follower } = setUp();
+  const losses: string[] = [];
+  const awaitLoss = (name: string) =>
+    Effect.forkScoped(Effect.map(follower.awaitLoss, () => losses.push(name)));
+  await run(Effect.gen(function* () {
+    yield* awaitLoss("unread");
+    yield* follower.start();
+    yield* TestClock.adjust(50);
+    yield* awaitLoss("lost");
+    yield* TestClock.adjust(1000);
+    t.deepEqual(losses, ["unread"]);
+    log.fault = LogFault.Refuse;
+    yield* TestClock.adjust(100);
+    yield* awaitLoss("away");
+    yield* TestClock.adjust(1);
+    t.deepEqual(losses, ["unread", "lost", "away"]);
+  }));
+});
