Placement bench: fleets of many instances whose reports of loads have an age

Simulates 12 to 400 instances, engines whose memory can run out (the newest of the least urgent requests is preempted), two kinds of programs with priorities, and reports of loads that reach the others after two hops, at once, or only the first 32 instances as today. A shared prefix takes memory once.

--- a/bench/placement.ts
+++ b/bench/placement.ts
@@ -1,6 +1,6 @@
 /** Compares strategies of placing turns on engines during a burst, in virtual time. */
 import { renderTable } from "../src/cli/common/output.ts";
-import { simulateBurst } from "./placement/burst.ts";
+import { simulateBurst, SMALL_FLEET } from "./placement/burst.ts";
 import { PlacementStrategy } from "./placement/engine_selectors.ts";
 
 const SEEDS = [1, 2, 3, 4, 5];
@@ -17,6 +17,7 @@
         programsPerSecond: PROGRAMS_PER_SECOND,
         burstFactor,
         roamingProbability: ROAMING_PROBABILITY,
+        fleet: SMALL_FLEET,
       })
     );
     const mean = (values: readonly number[]) => values.reduce((sum, value) => sum + value, 0) / values.length;
--- a/bench/placement/burst_test.ts
+++ b/bench/placement/burst_test.ts
@@ -1,6 +1,6 @@
 import test from "ava";
 import type { IBurstResult } from "./burst.ts";
-import { simulateBurst } from "./burst.ts";
+import { simulateBurst, SMALL_FLEET } from "./burst.ts";
 import { PlacementStrategy } from "./engine_selectors.ts";
 
 const SEEDS = [1, 2];
@@ -14,6 +14,7 @@
       programsPerSecond: 18,
       burstFactor: 2.2,
       roamingProbability: 0.4,
+      fleet: SMALL_FLEET,
     })
   );
 }
--- a/bench/placement/engine_model.ts
+++ b/bench/placement/engine_model.ts
@@ -1,4 +1,7 @@
-/** Model of an engine in virtual time: continuous batching in which prefill delays decode steps. */
+/**
+ * Model of an engine in virtual time: continuous batching in which prefill delays decode steps. If the running requests need
+ * more memory than there is, the newest of the least urgent ones is preempted and prefilled again.
+ */
 
 /** Time of a decode step: a base, plus a term per request of the batch and per token of context. */
 const DECODE_STEP_MS = 1.14;
@@ -14,9 +17,17 @@
   /** Tokens of the session's history after the shared prefix, including the new input. */
   readonly sessionTokens: number;
   readonly answerTokens: number;
+  /** The engine runs lower values first. */
+  readonly urgency: number;
   readonly onDone: () => void;
 }
 
+export interface IEngineCapacity {
+  readonly slots: number;
+  /** Memory for the contexts of running requests and for cached prompts, in tokens. */
+  readonly kvTokens: number;
+}
+
 interface IRunningRequest {
   readonly work: IEngineRequest;
   prefillTokensLeft: number;
@@ -25,17 +36,18 @@
 
 export class EngineModel {
   readonly id: string;
-  readonly #slots: number;
+  readonly #capacity: IEngineCapacity;
   readonly #queue: IEngineRequest[] = [];
   #running: IRunningRequest[] = [];
-  /** Cached tokens by session or shared prefix; nothing is evicted. */
+  /** Cached tokens by session or shared prefix, least recently used first. */
   readonly #cachedTokens = new Map<string, number>();
   /** Prompt tokens prefilled so far. */
   prefilledTokens = 0;
+  preemptions = 0;
 
-  constructor(id: string, slots: number) {
+  constructor(id: string, capacity: IEngineCapacity) {
     this.id = id;
-    this.#slots = slots;
+    this.#capacity = capacity;
   }
 
   get load(): number {
@@ -43,12 +55,17 @@
   }
 
   enqueue(work: IEngineRequest): void {
-    this.#queue.push(work);
+    const index = this.#queue.findIndex(({ urgency }) => urgency > work.urgency);
+    this.#queue.splice(index < 0 ? this.#queue.length : index, 0, work);
   }
 
   /** Advances the engine by 1 ms. */
   tick(): void {
-    while (this.#running.length < this.#slots && this.#queue.length > 0) this.#admit(this.#queue.shift()!);
+    while (this.#running.length < this.#capacity.slots && this.#queue.length > 0) {
+      const isFull = this.#contextTokens() + this.#queue[0].sessionTokens > this.#capacity.kvTokens;
+      if (isFull && this.#running.length > 0) break;
+      this.#admit(this.#queue.shift()!);
+    }
     let leftMs = 1;
     for (const running of this.#running) {
       if (running.prefillTokensLeft <= 0) continue;
@@ -57,6 +74,58 @@
       leftMs -= prefilled / PREFILL_TOKENS_PER_MS;
     }
     if (leftMs > 0) this.#decode(leftMs);
+    this.#freeMemory();
+  }
+
+  /** Tokens that the running requests hold; a shared prefix is held once. */
+  #contextTokens(): number {
+    const prefixes = new Map(
+      this.#running.map(({ work }) => [work.sharedPrefixId, work.sharedPrefixTokens]),
+    );
+    let sum = 0;
+    for (const tokens of prefixes.values()) sum += tokens;
+    for (const { work, answerTokensLeft } of this.#running) {
+      sum += work.sessionTokens + work.answerTokens - answerTokensLeft;
+    }
+    return sum;
+  }
+
+  /** Evicts cached prompts that no running request uses, then preempts requests until the rest fits. */
+  #freeMemory(): void {
+    const { kvTokens } = this.#capacity;
+    while (this.#running.length > 1 && this.#contextTokens() > kvTokens) {
+      const victim = this.#running.reduce((worst, next) =>
+        next.work.urgency >= worst.work.urgency ? next : worst
+      );
+      this.#running = this.#running.filter((running) => running !== victim);
+      this.#cachedTokens.delete(victim.work.sessionId);
+      this.preemptions += 1;
+      // The tokens generated so far are kept and prefilled again with the prompt.
+      const { work, answerTokensLeft } = victim;
+      const generated = work.answerTokens - answerTokensLeft;
+      this.enqueue({
+        ...work,
+        sessionTokens: work.sessionTokens + generated,
+        answerTokens: answerTokensLeft,
+      });
+    }
+    const inUse = new Set(
+      this.#running.flatMap(({ work }) => [work.sessionId, work.sharedPrefixId]),
+    );
+    let idleTokens = 0;
+    for (const [id, tokens] of this.#cachedTokens) if (!inUse.has(id)) idleTokens += tokens;
+    const maxIdleTokens = kvTokens - this.#contextTokens();
+    for (const [id, tokens] of this.#cachedTokens) {
+      if (idleTokens <= maxIdleTokens) break;
+      if (inUse.has(id)) continue;
+      this.#cachedTokens.delete(id);
+      idleTokens -= tokens;
+    }
+  }
+
+  #touch(id: string, tokens: number): void {
+    this.#cachedTokens.delete(id);
+    this.#cachedTokens.set(id, tokens);
   }
 
   #admit(work: IEngineRequest): void {
@@ -64,7 +133,7 @@
     const missingPrefixTokens = this.#cachedTokens.has(sharedPrefixId) ? 0 : sharedPrefixTokens;
     const missingSessionTokens = Math.max(0, sessionTokens - (this.#cachedTokens.get(sessionId) ?? 0));
     this.prefilledTokens += missingPrefixTokens + missingSessionTokens;
-    this.#cachedTokens.set(sharedPrefixId, sharedPrefixTokens);
+    this.#touch(sharedPrefixId, sharedPrefixTokens);
     this.#running.push({
       work,
       prefillTokensLeft: missingPrefixTokens + missingSessionTokens,
@@ -86,7 +155,7 @@
     if (done.length === 0) return;
     this.#running = this.#running.filter((running) => !done.includes(running));
     for (const { work } of done) {
-      this.#cachedTokens.set(work.sessionId, work.sessionTokens + work.answerTokens);
+      this.#touch(work.sessionId, work.sessionTokens + work.answerTokens);
       work.onDone();
     }
   }
--- a/bench/placement/engine_selectors.ts
+++ b/bench/placement/engine_selectors.ts
@@ -2,10 +2,11 @@
 import { hash32 } from "../../src/base/common/hash.ts";
 import type { IBackendEntry } from "../../src/services/backends/common/backend_directory.ts";
 import { EngineBackendChooser } from "../../src/routing/common/backend_chooser.ts";
-import { BackendLoadTracker } from "../../src/routing/common/backend_load_tracker.ts";
 import { PromptCacheIndex } from "../../src/routing/common/prompt_cache_index.ts";
+import type { IEngineCapacity } from "./engine_model.ts";
+import type { LoadReports } from "./load_reports.ts";
 
-const ENGINE_INFO = { slots: 16, kvTokens: 10_000_000, tokensPerEvent: 22 };
+const TOKENS_PER_EVENT = 22;
 
 export interface ITurnInput {
   readonly sessionId: string;
@@ -34,16 +35,23 @@
   Sticky = "sticky",
 }
 
+export interface IEngineSelectorOptions {
+  readonly engineIds: readonly string[];
+  readonly engine: IEngineCapacity;
+  readonly instances: number;
+  readonly reports: LoadReports;
+}
+
 export function makeEngineSelector(
   strategy: PlacementStrategy,
-  engineIds: readonly string[],
-  instances: number,
+  opts: IEngineSelectorOptions,
 ): IEngineSelector {
+  const { engineIds } = opts;
   switch (strategy) {
     case PlacementStrategy.CostModel:
-      return new ProductEngineSelector(engineIds, { instances, sharesReports: true });
+      return new ProductEngineSelector(opts, true);
     case PlacementStrategy.CostModelWithoutReports:
-      return new ProductEngineSelector(engineIds, { instances, sharesReports: false });
+      return new ProductEngineSelector(opts, false);
     case PlacementStrategy.LeastLoaded:
       return { choose: (_turn, loads) => leastLoaded(engineIds, loads), recordCompletion: () => {} };
     case PlacementStrategy.RoundRobin: {
@@ -62,32 +70,32 @@
   return engineIds.reduce((best, id) => (loads.get(id) ?? 0) < (loads.get(best) ?? 0) ? id : best);
 }
 
-/** Runs the product's chooser for each instance, with or without reports from the other instances. */
+/** Runs the product's chooser for each instance, with or without reports of prefixes from the other instances. */
 class ProductEngineSelector implements IEngineSelector {
   readonly #cacheIndexes: readonly PromptCacheIndex[];
-  readonly #sharesReports: boolean;
+  readonly #opts: IEngineSelectorOptions;
+  readonly #sharesPrefixes: boolean;
   readonly #backends: readonly IBackendEntry[];
 
-  constructor(engineIds: readonly string[], opts: { instances: number; sharesReports: boolean }) {
+  constructor(opts: IEngineSelectorOptions, sharesPrefixes: boolean) {
+    this.#opts = opts;
+    this.#sharesPrefixes = sharesPrefixes;
     this.#cacheIndexes = Array.from({ length: opts.instances }, () => new PromptCacheIndex());
-    this.#sharesReports = opts.sharesReports;
     const commonFields = {
       service: "s",
       host: "h",
       port: 1,
       zone: "z",
-      slots: ENGINE_INFO.slots,
+      slots: opts.engine.slots,
       isDraining: false,
       startedAtMs: 0,
     };
-    this.#backends = engineIds.map((id) => ({ id, ...commonFields }));
+    this.#backends = opts.engineIds.map((id) => ({ id, ...commonFields }));
   }
 
-  choose(turn: ITurnInput, loads: ReadonlyMap<string, number>): string {
-    const loadTracker = new BackendLoadTracker(() => 0);
-    loadTracker.recordPeerReport({ instance: "all", running: loads });
-    const chooser = new EngineBackendChooser(ENGINE_INFO, {
-      loads: loadTracker,
+  choose(turn: ITurnInput): string {
+    const chooser = new EngineBackendChooser({ ...this.#opts.engine, tokensPerEvent: TOKENS_PER_EVENT }, {
+      loads: this.#opts.reports.viewOf(turn.instanceIndex),
       caches: this.#cacheIndexes[turn.instanceIndex],
     });
     const input = {
@@ -105,14 +113,17 @@
   recordCompletion(turn: ITurnInput, engineId: string): void {
     this.#cacheIndexes[turn.instanceIndex].recordPrompt(engineId, {
       parts: prefixesOf(turn),
-      capacity: ENGINE_INFO.kvTokens,
+      capacity: this.#opts.engine.kvTokens,
+    });
+    if (!this.#sharesPrefixes) return;
+    const { reports } = this.#opts;
+    this.#cacheIndexes.forEach((cacheIndex, instance) => {
+      const [prefix, session] = prefixesOf(turn);
+      // The home of a session comes with each turn's budget; prefixes come with the reports.
+      cacheIndex.recordReportedPart({ backendId: engineId, partId: session.id, tokens: session.tokens });
+      if (!reports.isReporting(instance) || !reports.isReporting(turn.instanceIndex)) return;
+      cacheIndex.recordReportedPart({ backendId: engineId, partId: prefix.id, tokens: prefix.tokens });
     });
-    if (!this.#sharesReports) return;
-    for (const cacheIndex of this.#cacheIndexes) {
-      for (const { id, tokens } of prefixesOf(turn)) {
-        cacheIndex.recordReportedPart({ backendId: engineId, partId: id, tokens });
-      }
-    }
   }
 }
 
