Engines: compare the session's engine with a random sample while other instances use the engines too

Callers of a fleet whose instances learn of loads late saw most turns late: every instance saw the same engines as the cheapest and sent to them until the next report, and sessions left their caches for engines that only seemed idle.

Now a new session takes the cheaper of two random engines, and a later turn compares its session's engine with one random engine. Engines that are slow or fail more than others are not drawn. An instance without reports of others compares all, as before.

--- a/bench/placement/burst.ts
+++ b/bench/placement/burst.ts
@@ -195,7 +195,15 @@
     const engineIds = this.#engines.map(({ id }) => id);
     this.#reports = new LoadReports({ engineIds, instances, knowledge, now: () => this.#now });
     const reports = this.#reports;
-    this.#engineSelector = makeEngineSelector(opts.strategy, { engineIds, engine, instances, reports });
+    const choiceRandom = new SeededRandom(opts.seed + 1000);
+    const random = () => choiceRandom.nextInt(1_000_000) / 1_000_000;
+    this.#engineSelector = makeEngineSelector(opts.strategy, {
+      engineIds,
+      engine,
+      instances,
+      reports,
+      random,
+    });
   }
 
   run(): IBurstResult {
--- a/bench/placement/burst_test.ts
+++ b/bench/placement/burst_test.ts
@@ -1,6 +1,6 @@
 import test from "ava";
 import type { IBurstResult } from "./burst.ts";
-import { simulateBurst, SMALL_FLEET } from "./burst.ts";
+import { LARGE_ENGINES_FLEET, simulateBurst, SMALL_FLEET } from "./burst.ts";
 import { PlacementStrategy } from "./engine_selectors.ts";
 
 const SEEDS = [1, 2];
@@ -52,3 +52,18 @@
     `cost model ${candidate}, least loaded ${baseline}`,
   );
 });
+
+/** Minimum share of the programs of a burst below the engines' capacity that complete on time. */
+const MIN_ON_TIME_SHARE = 0.85;
+
+test("many instances that learn of loads late keep a burst below capacity on time", (t) => {
+  const { programs, onTime } = simulateBurst({
+    strategy: PlacementStrategy.CostModel,
+    seed: 1,
+    programsPerSecond: 60,
+    burstFactor: 1.8,
+    roamingProbability: 0.4,
+    fleet: LARGE_ENGINES_FLEET,
+  });
+  t.true(onTime >= programs * MIN_ON_TIME_SHARE, `${onTime} of ${programs}`);
+});
--- a/bench/placement/engine_selectors.ts
+++ b/bench/placement/engine_selectors.ts
@@ -40,6 +40,8 @@
   readonly engine: IEngineCapacity;
   readonly instances: number;
   readonly reports: LoadReports;
+  /** Returns a random number in [0, 1). */
+  readonly random: () => number;
 }
 
 export function makeEngineSelector(
@@ -97,6 +99,7 @@
     const chooser = new EngineBackendChooser({ ...this.#opts.engine, tokensPerEvent: TOKENS_PER_EVENT }, {
       loads: this.#opts.reports.viewOf(turn.instanceIndex),
       caches: this.#cacheIndexes[turn.instanceIndex],
+      random: this.#opts.random,
     });
     const input = {
       zone: "z",
--- a/src/call/common/backend_dispatcher.ts
+++ b/src/call/common/backend_dispatcher.ts
@@ -84,6 +84,8 @@
   readonly isConfigurationStale: () => boolean;
   /** Availability zone of this instance. */
   readonly zone: string;
+  /** Returns a random number in [0, 1). */
+  readonly random: () => number;
 }
 
 /** A request to send and the destination of its response. */
--- a/src/call/common/backend_dispatcher_test.ts
+++ b/src/call/common/backend_dispatcher_test.ts
@@ -105,6 +105,7 @@
     logger,
     metrics,
     zone: "z",
+    random: () => 0,
   });
   const identity = RequestIdentity.of(REQUEST);
   const call = new RelayedCall(REQUEST, {
--- a/src/routing/common/backend_chooser.ts
+++ b/src/routing/common/backend_chooser.ts
@@ -21,6 +21,11 @@
 const MAX_SLOWDOWN = 10;
 /** Upper bound of the factor by which failed requests raise a server's cost. */
 const MAX_FAILURE_FACTOR = 10;
+/** Engines drawn at random for a session that no engine has cached, and for one that may leave the engine that has. */
+const NEW_SESSION_SAMPLE = 2;
+const CACHED_SESSION_SAMPLE = 1;
+/** Latency relative to the median up to which an engine is drawn. */
+const MAX_SAMPLED_SLOWDOWN = 1.5;
 /** Utilization (requests per slot) from which the preferred server for an affinity key is not used. */
 const MAX_AFFINITY_UTILIZATION = 0.5;
 
@@ -54,6 +59,13 @@
   choose(input: IBackendChoiceInput, backends: readonly IBackendEntry[]): IBackendChoice | undefined;
 }
 
+export interface IEngineChooserOptions {
+  readonly loads: BackendLoadTracker;
+  readonly caches: PromptCacheIndex;
+  /** Returns a random number in [0, 1). */
+  readonly random: () => number;
+}
+
 interface IEligibilityOptions {
   readonly backends: readonly IBackendEntry[];
   readonly loads: BackendLoadTracker;
@@ -131,19 +143,22 @@
  * Chooses the engine with the lowest expected cost: queueing for a slot, prefill of uncached tokens, and
  * decoding at a speed that depends on the batch size. Designed for programs of several turns with long
  * shared prompts, whose latency targets leave a slack of about half of the time on an idle engine.
+ *
+ * While other instances use the engines as well, only the engine that has the session cached and a random sample are
+ * compared. Many instances see the same loads, some 100 ms old: if each chose the cheapest of all engines, all would send
+ * to the same few until the next report, and sessions would leave their caches for engines that only seem idle.
  */
 export class EngineBackendChooser implements IBackendChooser {
   readonly #loads: BackendLoadTracker;
   readonly #caches: PromptCacheIndex;
   readonly #engine: IEngineInfo;
+  readonly #random: () => number;
 
-  constructor(
-    engine: IEngineInfo,
-    { loads, caches }: { loads: BackendLoadTracker; caches: PromptCacheIndex },
-  ) {
+  constructor(engine: IEngineInfo, { loads, caches, random }: IEngineChooserOptions) {
     this.#engine = engine;
     this.#loads = loads;
     this.#caches = caches;
+    this.#random = random;
   }
 
   choose(input: IBackendChoiceInput, backends: readonly IBackendEntry[]): IBackendChoice | undefined {
@@ -152,8 +167,29 @@
       loads: this.#loads,
     });
     const medianMs = medianLatencyMs(candidates, this.#loads);
-    const eligible = probed === undefined ? candidates : [probed];
-    return cheapest(eligible.map((backend) => this.#score(input, { backend, medianMs, failing })));
+    if (probed !== undefined) return this.#score(input, { backend: probed, medianMs, failing });
+    const choices = candidates.map((backend) => this.#score(input, { backend, medianMs, failing }));
+    if (!this.#loads.hasPeerLoad()) return cheapest(choices);
+    const isSound = ({ backend }: IBackendChoice) =>
+      !failing.has(backend.id) &&
+      slowdownOf(backend.id, { loads: this.#loads, medianMs }) <= MAX_SAMPLED_SLOWDOWN;
+    return cheapest(this.#sample(input, { choices, sound: choices.filter(isSound) }));
+  }
+
+  /** Returns the engine with the session in its cache, if there is one, and some others at random, sound ones if there are any. */
+  #sample(
+    { parts }: IBackendChoiceInput,
+    { choices, sound }: { choices: readonly IBackendChoice[]; sound: readonly IBackendChoice[] },
+  ): readonly IBackendChoice[] {
+    const sharedTokens = parts.slice(0, -1).reduce((sum, { tokens }) => sum + tokens, 0);
+    const home = cheapest(choices.filter(({ cachedTokens }) => cachedTokens > sharedTokens));
+    const others = (sound.length > 0 ? sound : choices).filter((choice) => choice !== home);
+    const size = home === undefined ? NEW_SESSION_SAMPLE : CACHED_SESSION_SAMPLE;
+    const sample = home === undefined ? [] : [home];
+    for (let i = 0; i < size && others.length > 0; i++) {
+      sample.push(...others.splice(Math.floor(this.#random() * others.length), 1));
+    }
+    return sample;
   }
 
   #score(
--- a/src/routing/common/backend_chooser_test.ts
+++ b/src/routing/common/backend_chooser_test.ts
@@ -2,6 +2,7 @@
 import type { IBackendEntry } from "../../services/backends/common/backend_directory.ts";
 import type { IBackendChoiceInput } from "./backend_chooser.ts";
 import { EngineBackendChooser, ServiceBackendChooser, SuspectBackendChooser } from "./backend_chooser.ts";
+import { SeededRandom } from "../../../test/demo/random.ts";
 import { BackendLoadTracker } from "./backend_load_tracker.ts";
 import { UtilizationAdmission } from "./program_admission.ts";
 import { PromptCacheIndex } from "./prompt_cache_index.ts";
@@ -32,7 +33,7 @@
   const clock = { now: 0 };
   const loads = new BackendLoadTracker(() => clock.now);
   const caches = new PromptCacheIndex();
-  const engines = new EngineBackendChooser(ENGINE, { loads, caches });
+  const engines = new EngineBackendChooser(ENGINE, { loads, caches, random: () => 0.5 });
   return {
     clock,
     loads,
@@ -51,7 +52,7 @@
 
 test("a session stays on a busier engine, as prefill elsewhere would delay other requests", (t) => {
   const { caches, loads, backends } = setUp();
-  const engines = new EngineBackendChooser({ ...ENGINE, slots: 16 }, { loads, caches });
+  const engines = new EngineBackendChooser({ ...ENGINE, slots: 16 }, { loads, caches, random: () => 0.5 });
   const history = [{ id: "shared", tokens: 12_000 }, { id: "line", tokens: 8000 }];
   for (const { id } of backends) {
     caches.recordPrompt(id, { parts: history.slice(0, 1), capacity: ENGINE.kvTokens });
@@ -109,6 +110,26 @@
   t.is(loads.running("a"), 0);
 });
 
+test("stale loads of many instances do not send all turns to one engine", (t) => {
+  const random = new SeededRandom(1);
+  const backends = backendsOf(["a", "b", "c", "d", "e", "f", "g", "h"]);
+  // All instances act on the same report, in which one engine has the lowest load.
+  const running = new Map(backends.map(({ id }) => [id, id === "a" ? 1 : 2]));
+  const counts = new Map<string, number>();
+  for (let instance = 0; instance < 88; instance++) {
+    const loads = new BackendLoadTracker(() => 0);
+    loads.recordPeerReport({ instance: "others", running });
+    const chooser = new EngineBackendChooser(ENGINE, {
+      loads,
+      caches: new PromptCacheIndex(),
+      random: () => random.nextInt(1000) / 1000,
+    });
+    const { id } = chooser.choose(makeInput({ affinity: `line-${instance}` }), backends)!.backend;
+    counts.set(id, (counts.get(id) ?? 0) + 1);
+  }
+  t.true(Math.max(...counts.values()) <= 88 / 3, [...counts].join(" "));
+});
+
 test("a slow engine is avoided", (t) => {
   const { engines, loads, backends } = setUp();
   for (const [id, latencyMs] of [["a", 30], ["b", 150], ["c", 30]] as const) {
--- a/src/routing/common/backend_load_tracker.ts
+++ b/src/routing/common/backend_load_tracker.ts
@@ -52,6 +52,15 @@
     return sum;
   }
 
+  /** Whether other instances have recently reported requests on servers. */
+  hasPeerLoad(): boolean {
+    const oldestMs = this.#now() - PEER_REPORT_TTL_MS;
+    for (const { receivedAtMs, running } of this.#peerReports.values()) {
+      if (receivedAtMs >= oldestMs && running.size > 0) return true;
+    }
+    return false;
+  }
+
   /** Load on servers from this instance's own requests, to be reported to the other instances. */
   localLoads(): Map<string, number> {
     const loads = new Map<string, number>();
