Reports: aggregate where there are more owners than aggregators, also if they own several slices each

Cause: reports went through aggregators only while no instance owned several slices, as if slices were always assigned evenly.

Change: with more than 12 owners, reports go through aggregators in any case. With up to 12, all is as before. The interval of direct reports grew with more than 12 peers, which do not occur any more in this mode; it is 100 ms.

Not covered: up to 12 owners beside instances without a slice.

--- a/src/peer/common/report_exchange.ts
+++ b/src/peer/common/report_exchange.ts
@@ -21,10 +21,8 @@
 import { ReportTopology } from "./report_topology.ts";
 import { SendPacer } from "./send_pacer.ts";
 
-/** Interval between reports to all owners; short compared with the duration of a request. */
-const MIN_DIRECT_INTERVAL_MS = 100;
-/** Added to that interval per peer; limits what an instance receives to 125 reports per second. */
-const DIRECT_INTERVAL_PER_PEER_MS = 8;
+/** Interval between reports to all owners, of which there are few; short compared with the duration of a request. */
+const DIRECT_INTERVAL_MS = 100;
 /** Delay of the report on a stream that has begun; collects those that begin together. */
 const STREAM_DELAY_MS = 5;
 /** Delay with which an aggregator passes on a stream that has begun. */
@@ -151,9 +149,7 @@
   }
 
   get #intervalMs(): number {
-    if (this.#role !== ReportRole.Direct) return AGGREGATED_INTERVAL_MS;
-    const peers = this.#others(this.#topology.owners).length;
-    return Math.max(MIN_DIRECT_INTERVAL_MS, peers * DIRECT_INTERVAL_PER_PEER_MS);
+    return this.#role === ReportRole.Direct ? DIRECT_INTERVAL_MS : AGGREGATED_INTERVAL_MS;
   }
 
   #others(hosts: readonly string[]): string[] {
--- a/src/peer/common/report_topology.ts
+++ b/src/peer/common/report_topology.ts
@@ -11,8 +11,8 @@
   /** Hosts of all owners of slices, without duplicates. */
   readonly owners: readonly string[];
   /**
-   * Whether there may be instances without a slice. A group of the log assigns slices evenly, so that there are none
-   * while an instance owns several.
+   * Whether there may be instances without a slice: no instance owns several, or there are more owners than aggregators. The
+   * log may assign several slices to some of many instances, and none to the others.
    */
   readonly isAggregated: boolean;
   readonly aggregators: readonly string[];
@@ -21,7 +21,8 @@
   constructor(ownerHosts: readonly string[]) {
     const assigned = ownerHosts.filter((host) => host !== "");
     this.owners = [...new Set(assigned)];
-    this.isAggregated = assigned.length > 0 && this.owners.length === assigned.length;
+    const hasSliceEach = assigned.length > 0 && this.owners.length === assigned.length;
+    this.isAggregated = hasSliceEach || this.owners.length > MAX_AGGREGATORS;
     this.aggregators = rendezvousOrder(SELECTION_KEY, this.owners).slice(0, MAX_AGGREGATORS);
   }
 }
