Bench of processor time: turns that continue from earlier ones

bench:gateway_cpu measured turns without history only, so that the cost of loading a session's earlier turns from their owners did not show. The kind "history" sends sessions of six turns whose requests go to the instances in turn.

--- a/bench/gateway_cpu.ts
+++ b/bench/gateway_cpu.ts
@@ -29,19 +29,24 @@
 /** Each probe costs the gateway processor time as well. */
 const READY_POLL_MS = 100;
 const CALLER_PORT = 7541;
-const KINDS = ["safe", "unsafe", "stream", "turn"] as const;
+const KINDS = ["safe", "unsafe", "stream", "turn", "history"] as const;
 type Kind = typeof KINDS[number];
 
+/** Kinds that are turns of a program with a budget; those of the last one continue from earlier ones. */
+const TURN_KINDS: ReadonlySet<Kind> = new Set(["turn", "history"]);
+const ENGINE_KINDS: ReadonlySet<Kind> = new Set(["stream", ...TURN_KINDS]);
+const MAX_SESSION_TURNS = 6;
+
 const ROUTES = KINDS.map((kind) => ({
   Name: kind,
   Host: "h",
   PathPrefix: `/${kind}/`,
-  Service: kind === "stream" || kind === "turn" ? "engines" : "plain",
+  Service: ENGINE_KINDS.has(kind) ? "engines" : "plain",
   TimeoutMs: 30_000,
   TargetLatencyMs: 1000,
   Attempts: 2,
-  Kind: kind === "turn" ? "stream" : kind,
-  ...(kind === "turn" ? { RetainS: 60, KeepContext: true } : {}),
+  Kind: TURN_KINDS.has(kind) ? "stream" : kind,
+  ...(TURN_KINDS.has(kind) ? { RetainS: 60, KeepContext: true } : {}),
 }));
 const CONFIGURATION = {
   Version: 1,
@@ -109,7 +114,15 @@
 
 let requestCount = 0;
 
-function send(kind: Kind, { host, agent }: { host: string; agent: Agent }): Promise<number> {
+/** The instance that receives a request, and its callers' state. */
+interface IReceiver {
+  readonly host: string;
+  readonly agent: Agent;
+  /** The last completed turn of each program, and its place in its session. */
+  readonly sessions: Map<string, { readonly lastTurn: string; readonly turns: number }>;
+}
+
+function send(kind: Kind, { host, agent, sessions }: IReceiver): Promise<number> {
   const id = `r${++requestCount}`;
   const program = `p${requestCount % 20}`;
   const headers: Record<string, string> = {
@@ -119,19 +132,26 @@
     "Ragwortcleat-Program": program,
     "Ragwortcleat-Session": program,
   };
-  if (kind === "stream" || kind === "turn") {
+  if (ENGINE_KINDS.has(kind)) {
     headers["Ragwortcleat-Model"] = "m";
     headers["Ragwortcleat-Token-Count"] = "400,440";
     headers["Ragwortcleat-Prompt-Prefix"] = `${program}-a:200,${program}-b:200`;
   }
-  if (kind === "turn") headers["Ragwortcleat-Token-Budget"] = "100000000";
+  if (TURN_KINDS.has(kind)) headers["Ragwortcleat-Token-Budget"] = "100000000";
+  const session = sessions.get(program);
+  const previous = session === undefined || session.turns === MAX_SESSION_TURNS ? undefined : session;
+  if (kind === "history" && previous !== undefined) headers["Ragwortcleat-Previous-Turn"] = previous.lastTurn;
   const body = `{"n":${requestCount}}`;
   headers["Content-Length"] = String(body.length);
   return new Promise((resolve, reject) => {
     const opts = { host, port: CALLER_PORT, path: `/${kind}/${id}`, method: "POST", headers, agent };
     const req = request(
       opts,
-      (res) => res.resume().on("end", () => resolve(res.statusCode!)).on("error", reject),
+      (res) =>
+        res.resume().on("error", reject).on("end", () => {
+          if (kind === "history") sessions.set(program, { lastTurn: id, turns: (previous?.turns ?? 0) + 1 });
+          resolve(res.statusCode!);
+        }),
     );
     req.on("error", reject).end(body);
   });
@@ -198,6 +218,7 @@
   await delay(IDLE_MS);
   results.set("idle [ms/s]", (total() - beforeIdle) / count / (IDLE_MS / 1000));
   const agent = new Agent({ keepAlive: true });
+  const sessions: IReceiver["sessions"] = new Map();
   let failed = 0;
   for (const [phase, amount] of [["cold", COLD_REQUESTS], ["warm", requests]] as const) {
     for (const kind of kinds) {
@@ -207,7 +228,7 @@
       const caller = async () => {
         while (sent < amount) {
           const { host } = gateways[sent++ % gateways.length];
-          const status = await send(kind, { host, agent }).catch(() => 0);
+          const status = await send(kind, { host, agent, sessions }).catch(() => 0);
           if (status !== 200) failed += 1;
         }
       };
