Send and serve turn RPCs without the library's per-call objects

In a profile of three gateways that serve turns, a quarter of the processor time was the RPC library: on each side of a call it creates linked abort controllers and aborts them at the end (an exception each), several header objects and async iterators, and writes head and body separately. The profile does not count the HTTP work that this causes.

UnaryTransport and UnaryHandler implement what the turn service uses of the same protocol: unary calls, binary, no deadline, not compressed. Requests that need more (compressed, JSON, with a deadline) still go to the library's handler, so builds before this one call it and are called. Requests now state their length and no longer accept compressed responses: earlier builds compressed those above 1 KiB. Handlers of the turn service no longer get a call context, which none used.

unary_handler_test is about new code: three of its seven tests were seen to fail without the part that they are for (requests that are not accepted, the abort, the size limit).

--- a/src/peer/common/turn_service.ts
+++ b/src/peer/common/turn_service.ts
@@ -1,6 +1,5 @@
 /** Server side of the turn service between gateways. */
 import { create } from "@bufbuild/protobuf";
-import type { ServiceImpl } from "@connectrpc/connect";
 import type { Context } from "effect";
 import { Effect } from "effect";
 import type {
@@ -29,6 +28,7 @@
 import type { OwnedSlices } from "../../turns/common/owned_slices.ts";
 import { toSpendingMessages } from "../../turns/common/slice_state.ts";
 import type { SliceGroup } from "../../turns/common/slice_group.ts";
+import type { UnaryService } from "./unary_service.ts";
 
 export interface ITurnServiceOptions {
   readonly owned: OwnedSlices;
@@ -51,7 +51,7 @@
   readonly context: Context.Context<never>;
 }
 
-export function makeTurnService(opts: ITurnServiceOptions): ServiceImpl<typeof TurnService> {
+export function makeTurnService(opts: ITurnServiceOptions): UnaryService<typeof TurnService> {
   const { owned, group } = opts;
   const run = Effect.runPromiseWith(opts.context);
   return {
--- a/src/peer/node/http1_transports.ts
+++ b/src/peer/node/http1_transports.ts
@@ -1,14 +1,17 @@
 /** HTTP/1.1 client connections and server for short calls between peers. */
 import type { Server } from "node:http";
 import { createServer } from "node:http";
-import type { ForwardServer } from "./forward_server.ts";
-import type { ServiceImpl, Transport } from "@connectrpc/connect";
-import { connectNodeAdapter, createConnectTransport } from "@connectrpc/connect-node";
+import type { Transport } from "@connectrpc/connect";
+import { connectNodeAdapter } from "@connectrpc/connect-node";
 import { TurnService } from "../../base/common/gen/ragwortcleat/v1/turns_pb.ts";
 import { KeepAliveAgent } from "../../base/node/keep_alive_agent.ts";
 import type { IListenAddress } from "../../base/node/listen.ts";
 import { listen } from "../../base/node/listen.ts";
 import type { IPeerTransports } from "../../membership/common/peer_client.ts";
+import type { UnaryService } from "../common/unary_service.ts";
+import type { ForwardServer } from "./forward_server.ts";
+import { UnaryHandler } from "./unary_handler.ts";
+import { UnaryTransport } from "./unary_transport.ts";
 
 const MAX_MESSAGE_BYTES = 8 * 1024 * 1024;
 /** Forwarded requests have the headers of callers, and some of their own. */
@@ -23,14 +26,7 @@
   get(address: string): Transport {
     const agent = new KeepAliveAgent({});
     this.#agents.set(address, agent);
-    return createConnectTransport({
-      baseUrl: `http://${address}`,
-      httpVersion: "1.1",
-      nodeOptions: { agent },
-      useBinaryFormat: true,
-      readMaxBytes: MAX_MESSAGE_BYTES,
-      writeMaxBytes: MAX_MESSAGE_BYTES,
-    });
+    return new UnaryTransport({ address, agent, maxMessageBytes: MAX_MESSAGE_BYTES });
   }
 
   reset(address: string): void {
@@ -48,7 +44,13 @@
   readonly #server: Server;
 
   /** Requests that are to be forwarded do not go to the service. */
-  constructor(service: ServiceImpl<typeof TurnService>, forwards?: ForwardServer) {
+  constructor(service: UnaryService<typeof TurnService>, forwards?: ForwardServer) {
+    const unary = new UnaryHandler({
+      service: TurnService,
+      implementation: service,
+      maxMessageBytes: MAX_MESSAGE_BYTES,
+    });
+    // Serves what the unary handler does not accept, such as compressed requests.
     const handler = connectNodeAdapter({
       routes: (router) => router.service(TurnService, service),
       readMaxBytes: MAX_MESSAGE_BYTES,
@@ -62,6 +64,7 @@
     };
     this.#server = createServer(opts, (req, res) => {
       if (forwards?.accepts(req)) forwards.handle(req, res);
+      else if (unary.accepts(req)) unary.handle(req, res);
       else handler(req, res);
     });
   }
