Reports: an instance without a slice is a member also where few instances own all slices

Cause: with up to 12 owners reports went to all owners, as if there were no other instances. The platform assigns the partitions of each topic to the first instances of the group: with topics of 8 partitions 8 instances own all slices, and the others knew no load but their own.

Change: an instance without a slice is always a member. An owner that has members, or hears of another aggregator's, is an aggregator; otherwise the sums of others would contain its own reports. Without members all is as before.

report_exchange_test, 11 instances of which 8 own four slices each: three knew only their own loads of 8, 9 and 10 before; all know all after, and report directly again once each owns a slice.

--- a/src/peer/common/report_exchange.ts
+++ b/src/peer/common/report_exchange.ts
@@ -99,7 +99,7 @@
 
   /** Hosts of the other aggregators; empty while instances report to all owners. */
   get aggregators(): readonly string[] {
-    return this.#topology.isAggregated ? this.#others(this.#topology.aggregators) : [];
+    return this.#isDirect ? [] : this.#others(this.#topology.aggregators);
   }
 
   get memberCount(): number {
@@ -113,7 +113,7 @@
 
   /** Number of all instances as last known from aggregators, this one included; 0 if it is not known or there are none. */
   get instanceCount(): number {
-    return this.#topology.isAggregated ? this.#instanceCount : 0;
+    return this.#isDirect ? 0 : this.#instanceCount;
   }
 
   /** Time until the next regular messages, in ms. */
@@ -148,6 +148,10 @@
     this.#relay(digest, sender);
   }
 
+  get #isDirect(): boolean {
+    return !this.#topology.isAggregated && this.#role === ReportRole.Direct;
+  }
+
   get #intervalMs(): number {
     return this.#role === ReportRole.Direct ? DIRECT_INTERVAL_MS : AGGREGATED_INTERVAL_MS;
   }
@@ -164,7 +168,7 @@
   }
 
   #updateRole(): void {
-    const { host, ownerHosts } = this.#opts;
+    const { ownerHosts } = this.#opts;
     this.#group.evict();
     const hosts = ownerHosts();
     if (hosts !== this.#ownerHosts) {
@@ -172,13 +176,22 @@
       this.#topology = new ReportTopology(hosts);
       this.#membership.setAggregators(this.#others(this.#topology.aggregators));
     }
-    const { isAggregated, aggregators } = this.#topology;
-    const isAggregator = this.#group.members.length > 0 || (isAggregated && aggregators.includes(host));
-    const role = isAggregator ? ReportRole.Aggregator : isAggregated ? ReportRole.Member : ReportRole.Direct;
+    const role = this.#selectRole();
     if (role !== this.#role) this.#changeRole(role);
     this.#forgetFormerLoads();
   }
 
+  /** An owner that has or hears members of others is an aggregator, as the others' sums contain its own reports otherwise. */
+  #selectRole(): ReportRole {
+    const { host } = this.#opts;
+    const { isAggregated, aggregators, owners } = this.#topology;
+    if (this.#group.members.length > 0) return ReportRole.Aggregator;
+    if (owners.length === 0) return ReportRole.Direct;
+    if (!owners.includes(host)) return ReportRole.Member;
+    if (isAggregated) return aggregators.includes(host) ? ReportRole.Aggregator : ReportRole.Member;
+    return this.#group.hasOtherGroups ? ReportRole.Aggregator : ReportRole.Direct;
+  }
+
   #changeRole(role: ReportRole): void {
     const { owners, isAggregated, aggregators } = this.#topology;
     this.#opts.logger.info("report-role", {
--- a/src/peer/common/report_exchange_test.ts
+++ b/src/peer/common/report_exchange_test.ts
@@ -153,6 +153,20 @@
   t.deepEqual([...new Set(network.all.map(({ exchange }) => exchange.instanceCount))], [88]);
 });
 
+// Guards against instances without a slice where few instances own all slices: they knew no load but their own.
+test("where 8 of 11 instances own four slices each, a load is known everywhere three intervals later", (t) => {
+  const network = new Network(11, 32);
+  network.setOwners(Array.from({ length: 32 }, (_, slice) => `h${slice % 8}`));
+  network.advance(1500);
+  network.all.forEach((instance, index) => instance.run(index));
+  network.advance(3 * INTERVAL_MS);
+  t.deepEqual(network.knownLoads, [11 * 10 / 2]);
+  network.setOwners(Array.from({ length: 32 }, (_, slice) => `h${slice % 11}`));
+  network.advance(3000);
+  t.is(network.withRole(ReportRole.Direct).length, 11);
+  t.deepEqual(network.knownLoads, [11 * 10 / 2]);
+});
+
 test("the loads of 13 to 31 instances, some of which own several slices, are known everywhere through aggregators", (t) => {
   for (const count of [13, 20, 31]) {
     const { network, total } = loadedNetwork(count);
--- a/src/peer/common/report_group.ts
+++ b/src/peer/common/report_group.ts
@@ -46,6 +46,11 @@
     return this.#hostsOf(ReportKind.GROUP);
   }
 
+  /** Whether another aggregator reports for more than itself. */
+  get hasOtherGroups(): boolean {
+    return this.aggregators.some((host) => this.#reporters.get(host)!.instanceCount > 1);
+  }
+
   /** Hosts of instances that report to all owners, for which this aggregator is responsible. */
   get directReporters(): string[] {
     return this.#hostsOf(ReportKind.UNSPECIFIED).filter((host) => this.isResponsibleFor(host));
