Trial: join head and small bodies of HTTP messages into one write

In a profile of four gateways that serve turns with history, after the change of the RPCs, writev was the largest single function with 10.8 % of the samples; about 6.7 of these belonged to requests and to responses of RPCs, whose head and body are separate pieces.

--- a/src/call/node/http_upstream.ts
+++ b/src/call/node/http_upstream.ts
@@ -4,6 +4,7 @@
 import { Effect } from "effect";
 import type { Event } from "../../base/common/emitter.ts";
 import { Emitter } from "../../base/common/emitter.ts";
+import { endMessage } from "../../base/node/end_message.ts";
 import { KeepAliveAgent } from "../../base/node/keep_alive_agent.ts";
 import type { IBackendEntry } from "../../services/backends/common/backend_directory.ts";
 import type {
@@ -114,7 +115,7 @@
         this.#reportLimitEnd(backend, { head, requestId: req.requestId });
         resume(Effect.succeed({ head, body: new HttpResponseBody(res, () => requestError) }));
       });
-      clientRequest.end(req.body);
+      endMessage(clientRequest, req.body);
       return Effect.sync(() => {
         clearTimeout(connectTimer);
         clientRequest.destroy();
