--- a/src/call/node/http_upstream.ts
+++ b/src/call/node/http_upstream.ts
@@ -4,7 +4,6 @@
 import { Effect } from "effect";
 import type { Event } from "../../base/common/emitter.ts";
 import { Emitter } from "../../base/common/emitter.ts";
-import { endMessage } from "../../base/node/end_message.ts";
 import { KeepAliveAgent } from "../../base/node/keep_alive_agent.ts";
 import type { IBackendEntry } from "../../services/backends/common/backend_directory.ts";
 import type {
@@ -115,7 +114,7 @@
         this.#reportLimitEnd(backend, { head, requestId: req.requestId });
         resume(Effect.succeed({ head, body: new HttpResponseBody(res, () => requestError) }));
       });
-      endMessage(clientRequest, req.body);
+      clientRequest.end(req.body);
       return Effect.sync(() => {
         clearTimeout(connectTimer);
         clientRequest.destroy();
--- a/src/entry/node/gateway_server.ts
+++ b/src/entry/node/gateway_server.ts
@@ -7,7 +7,6 @@
 import { Effect, Fiber } from "effect";
 import { toError } from "../../base/common/errors.ts";
 import { endToEndHeaders } from "../../base/common/http_headers.ts";
-import { endMessage } from "../../base/node/end_message.ts";
 import type { IListenAddress } from "../../base/node/listen.ts";
 import { listen } from "../../base/node/listen.ts";
 import type { GatewayRelay } from "../../call/common/gateway_relay.ts";
@@ -164,7 +163,7 @@
 
   respond(status: number, headers: readonly string[], body: Uint8Array): void {
     this.#writeHead(status, [...endToEndHeaders(headers), "Content-Length", String(body.length)]);
-    endMessage(this.#res, body);
+    this.#res.end(body);
   }
 
   startStream(status: number, headers: readonly string[]): void {
--- a/src/peer/node/unary_handler.ts
+++ b/src/peer/node/unary_handler.ts
@@ -5,7 +5,6 @@
 import { Code, ConnectError } from "@connectrpc/connect";
 import { codeToHttpStatus, errorToJsonBytes } from "@connectrpc/connect/protocol-connect";
 import { toError } from "../../base/common/errors.ts";
-import { endMessage } from "../../base/node/end_message.ts";
 import type { UnaryService } from "../common/unary_service.ts";
 import { CONTENT_TYPE_PROTO, readUnaryBody } from "./unary_body.ts";
 import { unaryPath } from "./unary_transport.ts";
@@ -71,8 +70,8 @@
 
 function respond(res: ServerResponse, { status, type, body }: IUnaryResponse): void {
   if (res.destroyed) return;
-  res.writeHead(status, ["Content-Type", type, "Content-Length", String(body.length)]);
-  endMessage(res, body);
+  res.writeHead(status, { "Content-Type": type, "Content-Length": body.length });
+  res.end(body);
 }
 
 function respondError(res: ServerResponse, err: unknown): void {
--- a/src/peer/node/unary_transport.ts
+++ b/src/peer/node/unary_transport.ts
@@ -11,7 +11,6 @@
   errorFromJsonBytes,
   protocolVersion,
 } from "@connectrpc/connect/protocol-connect";
-import { endMessage } from "../../base/node/end_message.ts";
 import { CONTENT_TYPE_PROTO, readUnaryBody } from "./unary_body.ts";
 
 const OK_STATUS = 200;
@@ -31,19 +30,12 @@
   readonly #opts: IUnaryTransportOptions;
   readonly #host: string | null | undefined;
   readonly #port: string | number | null | undefined;
-  /** Alternating names and values of the headers that all requests have. */
-  readonly #headers: readonly string[];
 
   constructor(opts: IUnaryTransportOptions) {
     this.#opts = opts;
     const { hostname, port } = urlToHttpOptions(new URL(`http://${opts.address}`));
     this.#host = hostname;
     this.#port = port;
-    this.#headers = [
-      ...["Host", opts.address],
-      ...["Content-Type", CONTENT_TYPE_PROTO],
-      ...["Connect-Protocol-Version", protocolVersion],
-    ];
   }
 
   async unary<I extends DescMessage, O extends DescMessage>(
@@ -90,7 +82,11 @@
         path,
         agent,
         method: "POST",
-        headers: [...this.#headers, "Content-Length", String(body.length)],
+        headers: {
+          "Content-Type": CONTENT_TYPE_PROTO,
+          "Content-Length": body.length,
+          "Connect-Protocol-Version": protocolVersion,
+        },
       });
       const abort = () => fail(new ConnectError("the call was aborted", Code.Canceled));
       const fail = (err: Error) => {
@@ -109,7 +105,7 @@
           resolve({ res, bytes });
         }, fail);
       });
-      endMessage(req, body);
+      req.end(body);
     });
   }
 }
