Plain services: choose by the requests of this instance, in an order of its own

Calls without an affinity key went to the same server from all instances whenever the loads that they knew were equal, as the order among equal servers was that of the empty key; and loads that others report are older than a call takes. An instance also used nearly all servers, and opened connections to them.

Now only the requests of this instance count, and equal servers rank by a key of the instance (drawn at its start), so that it reuses its connections to the first ones. Without latency samples the tie-break is scaled below the weight of one request; with another key it outweighed the failure factor, and a failing server was chosen (the test of the probes showed it).

Both new tests failed on the chooser before: 1950 of 1950 calls on one server, and 40 instances on the same one.

--- a/src/call/common/backend_dispatcher.ts
+++ b/src/call/common/backend_dispatcher.ts
@@ -106,9 +106,12 @@
 export class BackendDispatcher {
   readonly #opts: IBackendDispatcherOptions;
   readonly #authorizer: CallAuthorizer;
+  /** Distinguishes this instance from the others in the choice among equal servers. */
+  readonly #instanceKey: string;
 
   constructor(opts: IBackendDispatcherOptions) {
     this.#opts = opts;
+    this.#instanceKey = String(opts.random());
     this.#authorizer = new CallAuthorizer(opts);
   }
 
@@ -225,7 +228,7 @@
   #chooserOf(service: string): IBackendChooser {
     const engine = this.engineOf(service);
     return engine === undefined
-      ? new ServiceBackendChooser(this.#opts.loads)
+      ? new ServiceBackendChooser(this.#opts.loads, this.#instanceKey)
       : new EngineBackendChooser(engine, this.#opts);
   }
 
--- a/src/routing/common/backend_chooser.ts
+++ b/src/routing/common/backend_chooser.ts
@@ -114,6 +114,19 @@
   return Math.min(MAX_FAILURE_FACTOR, 1 / (1 - (failing.get(id) ?? 0)));
 }
 
+/** Draws `size` choices at random, each at most once. */
+function drawSample(
+  choices: readonly IBackendChoice[],
+  { size, random }: { size: number; random: () => number },
+): readonly IBackendChoice[] {
+  const remaining = [...choices];
+  const sample: IBackendChoice[] = [];
+  while (sample.length < size && remaining.length > 0) {
+    sample.push(...remaining.splice(Math.floor(random() * remaining.length), 1));
+  }
+  return sample;
+}
+
 function cheapest(choices: readonly IBackendChoice[]): IBackendChoice | undefined {
   let best: IBackendChoice | undefined;
   for (const choice of choices) if (best === undefined || choice.costMs < best.costMs) best = choice;
@@ -186,10 +199,7 @@
     const others = (sound.length > 0 ? sound : choices).filter((choice) => choice !== home);
     const size = home === undefined ? NEW_SESSION_SAMPLE : CACHED_SESSION_SAMPLE;
     const sample = home === undefined ? [] : [home];
-    for (let i = 0; i < size && others.length > 0; i++) {
-      sample.push(...others.splice(Math.floor(this.#random() * others.length), 1));
-    }
-    return sample;
+    return [...sample, ...drawSample(others, { size, random: this.#random })];
   }
 
   #score(
@@ -219,15 +229,22 @@
 }
 
 /**
- * Chooses the server with the fewest requests per slot, weighted by its latency. Requests with an affinity
+ * Chooses the server with the fewest requests of this instance per slot, weighted by its latency. Requests with an affinity
  * key keep using the key's preferred server while that has capacity. Designed for bursts of short calls
  * that follow turns.
+ *
+ * Only the requests of this instance count. Calls are shorter than the age of the loads that others report, so that many
+ * instances that chose by these would send to the same server. Among equal servers each instance has an order of its own,
+ * in which it finds its connections to the first ones open.
  */
 export class ServiceBackendChooser implements IBackendChooser {
   readonly #loads: BackendLoadTracker;
+  readonly #instanceKey: string;
 
-  constructor(loads: BackendLoadTracker) {
+  /** `instanceKey` distinguishes this instance from the others. */
+  constructor(loads: BackendLoadTracker, instanceKey: string) {
     this.#loads = loads;
+    this.#instanceKey = instanceKey;
   }
 
   choose(input: IBackendChoiceInput, backends: readonly IBackendEntry[]): IBackendChoice | undefined {
@@ -236,14 +253,16 @@
       loads: this.#loads,
     });
     const medianMs = medianLatencyMs(candidates, this.#loads);
+    const unitMs = medianMs > 0 ? medianMs : 1;
     const choices = (probed === undefined ? candidates : [probed]).map((backend) => {
       const running = this.#loads.running(backend.id);
       const slowdown = slowdownOf(backend.id, { loads: this.#loads, medianMs });
       const zoneMs = backend.zone === input.zone ? 0 : CROSS_ZONE_MS;
-      const unitMs = medianMs > 0 ? medianMs : 1;
-      const costMs =
-        (running + 1) / backend.slots * slowdown * failureFactorOf(backend.id, failing) * unitMs +
-        zoneMs + tieBreakMs(input.affinity, backend.id);
+      // Without latency samples a request weighs little, and ties must not outweigh load or failures.
+      const tieBreakScale = Math.min(1, unitMs / backend.slots);
+      const costMs = (this.#loads.localRunning(backend.id) + 1) / backend.slots * slowdown *
+          failureFactorOf(backend.id, failing) * unitMs +
+        zoneMs + tieBreakMs(input.affinity || this.#instanceKey, backend.id) * tieBreakScale;
       return { backend, costMs, running, cachedTokens: 0 };
     });
     const sound = choices.filter(({ backend }) => !failing.has(backend.id));
--- a/src/routing/common/backend_chooser_test.ts
+++ b/src/routing/common/backend_chooser_test.ts
@@ -39,7 +39,7 @@
     loads,
     caches,
     engines,
-    services: new ServiceBackendChooser(loads),
+    services: new ServiceBackendChooser(loads, "i"),
     backends: backendsOf(ids),
   };
 }
@@ -130,6 +130,33 @@
   t.true(Math.max(...counts.values()) <= 88 / 3, [...counts].join(" "));
 });
 
+test("stale loads of many instances do not send all service calls to one server, nor each instance to all", (t) => {
+  const backends = backendsOf(Array.from({ length: 18 }, (_, index) => `s${index}`));
+  const running = new Map(backends.map(({ id }) => [id, id === "s0" ? 1 : 2]));
+  const counts = new Map<string, number>();
+  for (let instance = 0; instance < 195; instance++) {
+    const loads = new BackendLoadTracker(() => 0);
+    loads.recordPeerReport({ instance: "others", running });
+    const chooser = new ServiceBackendChooser(loads, `${instance}`);
+    const ids = Array.from(
+      { length: 10 },
+      () => chooser.choose(makeInput({ affinity: "" }), backends)!.backend.id,
+    );
+    t.true(new Set(ids).size <= 1);
+    for (const id of ids) counts.set(id, (counts.get(id) ?? 0) + 1);
+  }
+  t.true(Math.max(...counts.values()) <= 1950 / 6, [...counts].join(" "));
+});
+
+test("instances without reports do not all choose the same server for a call", (t) => {
+  const backends = backendsOf(["a", "b", "c", "d"]);
+  const choices = Array.from({ length: 40 }, (_, instance) => {
+    const chooser = new ServiceBackendChooser(new BackendLoadTracker(() => 0), `${instance}`);
+    return chooser.choose(makeInput({ affinity: "" }), backends)!.backend.id;
+  });
+  t.is(new Set(choices).size, 4);
+});
+
 test("a slow engine is avoided", (t) => {
   const { engines, loads, backends } = setUp();
   for (const [id, latencyMs] of [["a", 30], ["b", 150], ["c", 30]] as const) {
--- a/src/routing/common/backend_load_tracker.ts
+++ b/src/routing/common/backend_load_tracker.ts
@@ -44,7 +44,7 @@
 
   /** Requests running on a server: those of this instance plus those last reported by other instances. */
   running(id: string): number {
-    let sum = this.#servers.get(id)?.running ?? 0;
+    let sum = this.localRunning(id);
     const oldestMs = this.#now() - PEER_REPORT_TTL_MS;
     for (const { receivedAtMs, running } of this.#peerReports.values()) {
       if (receivedAtMs >= oldestMs) sum += running.get(id) ?? 0;
@@ -52,6 +52,11 @@
     return sum;
   }
 
+  /** Requests of this instance running on a server. */
+  localRunning(id: string): number {
+    return this.#servers.get(id)?.running ?? 0;
+  }
+
   /** Whether other instances have recently reported requests on servers. */
   hasPeerLoad(): boolean {
     const oldestMs = this.#now() - PEER_REPORT_TTL_MS;
