--- a/bench/placement_fleets.ts
+++ b/bench/placement_fleets.ts
@@ -4,7 +4,8 @@
 import type { IFleet } from "./placement/burst.ts";
 import { LARGE_ENGINES_FLEET, simulateBurst, SMALL_ENGINES_FLEET } from "./placement/burst.ts";
 import { PlacementStrategy } from "./placement/engine_selectors.ts";
-import { LoadKnowledge } from "./placement/load_reports.ts";
+import type { LoadKnowledge } from "./placement/load_reports.ts";
+import { simulateServiceCalls } from "./placement/service_calls.ts";
 
 const { values } = parseArgs({
   options: {
@@ -61,3 +62,24 @@
   )
 );
 console.log(renderTable(rows));
+
+const SERVICE_SCENARIOS = [[12, 1800, 40], [88, 1800, 40], [195, 800, 40], [195, 1800, 40], [195, 240, 400]];
+const serviceRows = SERVICE_SCENARIOS.flatMap(([instances, callsPerSecond, meanWorkMs]) =>
+  (values.knowledge.split(",") as LoadKnowledge[]).map((knowledge) => {
+    const results = seeds.map((seed) =>
+      simulateServiceCalls({ instances, knowledge, callsPerSecond, meanWorkMs, seed })
+    );
+    const mean = (read: (result: typeof results[0]) => number) =>
+      results.reduce((sum, result) => sum + read(result), 0) / results.length;
+    return {
+      instances,
+      calls: callsPerSecond,
+      work_ms: meanWorkMs,
+      knowledge,
+      mean_ms: mean(({ meanMs }) => meanMs).toFixed(1),
+      p99_ms: mean(({ p99Ms }) => p99Ms).toFixed(0),
+      connections_per_call: mean(({ connectionsPerCall }) => connectionsPerCall).toFixed(3),
+    };
+  })
+);
+console.log(renderTable(serviceRows));
