Failure rates of servers are shared between instances

Cause: each instance passes a failing server over only after about seven requests of its own, and there are 79 of them.

Change: reports contain the answers, and failures among them, of servers that have failed requests lately. Aggregators pass on sums. A request of another instance counts as a probe, so that a failing server gets one about every 2 s from all. The weight of all answers stays within 20, so that a server that has recovered is soon used again. One instance with bad links is one of many in the sums; lost links do not count as failures, as before. Earlier builds ignore the new field.

report_exchange_test: of 88 instances eight fail one request each; without the change none knows the server as failing.

--- a/src/peer/common/report_contents.ts
+++ b/src/peer/common/report_contents.ts
@@ -5,6 +5,7 @@
   BegunStreamSchema,
   LatencySampleSchema,
   PromptHomeSchema,
+  ServerAnswersSchema,
   ServerRunSchema,
   StrikeChangeSchema,
 } from "../../base/common/gen/ragwortcleat/v1/turns_pb.ts";
@@ -51,13 +52,13 @@
   }
 
   /**
-   * Returns the events for the next report; prefixes and latencies are returned once only. Limits that this instance knows from
+   * Returns the events for the next report; prefixes, latencies and answers are returned once only. Limits that this instance knows from
    * others are left out with `isOwnOnly`. `streamsWithinMs` is the age of the streams to return, in ms.
    */
   takeEvents(
     { isOwnOnly, streamsWithinMs }: { isOwnOnly: boolean; streamsWithinMs?: number },
   ): ReportEvents {
-    const { crashes, caches, leaving, limits, hedging } = this.#opts;
+    const { loads, crashes, caches, leaving, limits, hedging } = this.#opts;
     return {
       strikeChanges: crashes.recentChanges().map(({ strike, ...change }) =>
         create(StrikeChangeSchema, { strike: toStrikeMessage(strike), ...change })
@@ -69,6 +70,9 @@
       latencySamples: (hedging?.takeUnreportedSamples() ?? []).map((sample) =>
         create(LatencySampleSchema, sample)
       ),
+      serverAnswers: loads.failureRates.takeUnreported().map((answers) =>
+        create(ServerAnswersSchema, answers)
+      ),
     };
   }
 
@@ -78,7 +82,7 @@
 
   /** Records the events of another instance. */
   mergeEvents(events: ReportEvents): void {
-    const { crashes, caches, streams, leaving, limits, hedging } = this.#opts;
+    const { loads, crashes, caches, streams, leaving, limits, hedging } = this.#opts;
     for (const { strike, isWithdrawn, isPending } of events.strikeChanges) {
       if (strike !== undefined) crashes.merge({ strike, isWithdrawn, isPending });
     }
@@ -86,6 +90,11 @@
     for (const stream of events.streams) streams.add(stream);
     for (const run of events.leaving) leaving.merge(run);
     hedging?.recordReportedSamples(events.latencySamples);
+    loads.failureRates.recordReported(
+      events.serverAnswers.flatMap(({ run, answers, failures }) =>
+        run === undefined ? [] : [{ run, answers, failures }]
+      ),
+    );
     for (const message of events.limits) {
       const limit = fromLimitMessage(message);
       if (limit !== undefined) limits.merge(limit);
--- a/src/peer/common/report_events.ts
+++ b/src/peer/common/report_events.ts
@@ -8,7 +8,7 @@
 /** The part of a report that is passed on unchanged. */
 export type ReportEvents = Pick<
   LoadDigest,
-  "strikeChanges" | "prefixes" | "streams" | "leaving" | "limits" | "latencySamples"
+  "strikeChanges" | "prefixes" | "streams" | "leaving" | "limits" | "latencySamples" | "serverAnswers"
 >;
 
 /** Maximum number of events of each kind in a message, which together stay below 60 KB. */
@@ -19,6 +19,7 @@
   leaving: 64,
   limits: 96,
   latencySamples: 256,
+  serverAnswers: 64,
 };
 
 /** Combines events for one message; the newest of each kind are kept. */
@@ -30,12 +31,14 @@
     leaving: [...older.leaving, ...newer.leaving].slice(-MAX_EVENTS.leaving),
     limits: [...older.limits, ...newer.limits].slice(-MAX_EVENTS.limits),
     latencySamples: [...older.latencySamples, ...newer.latencySamples].slice(-MAX_EVENTS.latencySamples),
+    serverAnswers: [...older.serverAnswers, ...newer.serverAnswers].slice(-MAX_EVENTS.serverAnswers),
   };
 }
 
 export function countEvents(events: ReportEvents): number {
   return events.strikeChanges.length + events.prefixes.length + events.streams.length +
-    events.leaving.length + events.limits.length + events.latencySamples.length;
+    events.leaving.length + events.limits.length + events.latencySamples.length +
+    events.serverAnswers.length;
 }
 
 /** Events of one kind that wait to be passed on. */
@@ -77,6 +80,31 @@
   }
 }
 
+/** Sums of the answers that wait to be passed on, by server run. */
+class AnswerSums {
+  readonly #sums = new Map<string, ReportEvents["serverAnswers"][number]>();
+
+  add(reported: ReportEvents["serverAnswers"]): void {
+    for (const entry of reported) {
+      if (entry.run === undefined) continue;
+      const key = serverKey(entry.run);
+      const sum = this.#sums.get(key);
+      this.#sums.set(
+        key,
+        sum === undefined
+          ? entry
+          : { ...sum, answers: sum.answers + entry.answers, failures: sum.failures + entry.failures },
+      );
+    }
+  }
+
+  take(): ReportEvents["serverAnswers"] {
+    const sums = [...this.#sums.values()].slice(-MAX_EVENTS.serverAnswers);
+    this.#sums.clear();
+    return sums;
+  }
+}
+
 /** Events of other instances that an aggregator passes on to some recipients, each repetition once. */
 export class EventRelay {
   readonly #now: () => number;
@@ -104,6 +132,8 @@
     () => String(++this.#sampleCount),
   );
 
+  readonly #serverAnswers = new AnswerSums();
+
   constructor(now: () => number) {
     this.#now = now;
   }
@@ -116,6 +146,7 @@
     this.#leaving.add(events.leaving, now);
     this.#limits.add(events.limits, now);
     this.#latencySamples.add(events.latencySamples, now);
+    this.#serverAnswers.add(events.serverAnswers);
   }
 
   take(): ReportEvents {
@@ -130,6 +161,7 @@
         ageMs: event.ageMs + now - atMs,
       })),
       latencySamples: this.#latencySamples.take(now).map(({ event }) => event),
+      serverAnswers: this.#serverAnswers.take(),
     };
   }
 
--- a/src/peer/common/report_events_test.ts
+++ b/src/peer/common/report_events_test.ts
@@ -32,6 +32,7 @@
     leaving: [run],
     limits: [{ run, perSecond: 12.5, ageMs: 1234.5 }],
     latencySamples: [{ routeHash: 2n ** 63n, latencyMs: 30_000 }],
+    serverAnswers: [{ run, answers: 1000, failures: 500 }],
   };
 }
 
--- a/src/peer/common/report_exchange_test.ts
+++ b/src/peer/common/report_exchange_test.ts
@@ -16,6 +16,15 @@
 import { ReportExchange, ReportRole } from "./report_exchange.ts";
 
 const INTERVAL_MS = 150;
+const SERVER = {
+  service: "s",
+  host: "h",
+  port: 1,
+  zone: "z",
+  slots: 4,
+  isDraining: false,
+  startedAtMs: 0,
+};
 const STEP_MS = 5;
 
 class Instance {
@@ -308,6 +317,20 @@
   t.false(network.sent.some(({ digest }) => digest.leaving.length + digest.streams.length > 0));
 });
 
+// Guards against each of many instances failing several requests of its own before it passes a failing server over.
+test("a server that fails a request of some instances is known to all as failing", (t) => {
+  for (const count of [10, 88]) {
+    const { network } = loadedNetwork(count);
+    const servers = ["s", "x", "y"].map((id) => ({ ...SERVER, id }));
+    for (const { loads } of network.all.slice(0, 8)) {
+      for (const server of servers) loads.failureRates.recordAnswer(server, { isFailed: server.id === "x" });
+    }
+    network.advance(3 * INTERVAL_MS);
+    const known = network.all.map(({ loads }) => [...loads.failureRates.failingAmong(servers).keys()].join());
+    t.deepEqual([...new Set(known)], ["x"], `${count} instances`);
+  }
+});
+
 test("an instance that is cut off is known to all as such", (t) => {
   const network = new Network(88, 32);
   network.advance(3000);
--- a/src/routing/common/server_failure_rates_test.ts
+++ b/src/routing/common/server_failure_rates_test.ts
@@ -92,3 +92,34 @@
   clock.now += 200;
   t.true(rates.isProbeDue(servers[0]));
 });
+
+test("answers are reported once, and only of servers that have failed requests", (t) => {
+  const { rates, servers } = setUp();
+  rates.recordAnswer(servers[0], { isFailed: false });
+  t.deepEqual(rates.takeUnreported(), []);
+  rates.recordAnswer(servers[0], { isFailed: true });
+  const run = { backendId: "s0", startedAtMs: 0 };
+  t.deepEqual(rates.takeUnreported(), [{ run, answers: 2, failures: 1 }]);
+  t.deepEqual(rates.takeUnreported(), []);
+});
+
+test("reported answers are not reported again, and delay the next probe", (t) => {
+  const { clock, rates, servers, failing } = setUp();
+  clock.now = 10_000;
+  const run = { backendId: "s1", startedAtMs: 0 };
+  rates.recordReported([{ run, answers: 100, failures: 50 }]);
+  t.deepEqual(failing(), ["s1"]);
+  t.deepEqual(rates.takeUnreported(), []);
+  t.false(rates.isProbeDue(servers[1]));
+  clock.now += 2000;
+  t.true(rates.isProbeDue(servers[1]));
+});
+
+test("reports of a server that has recovered end its exclusion", (t) => {
+  const { rates, failing } = setUp();
+  const run = { backendId: "s1", startedAtMs: 0 };
+  rates.recordReported([{ run, answers: 20, failures: 10 }]);
+  t.deepEqual(failing(), ["s1"]);
+  for (let answer = 0; answer < 20; answer++) rates.recordReported([{ run, answers: 1, failures: 0 }]);
+  t.deepEqual(failing(), []);
+});
