--- a/src/routing/common/backend_chooser.ts
+++ b/src/routing/common/backend_chooser.ts
@@ -186,20 +186,17 @@
     const isSound = ({ backend }: IBackendChoice) =>
       !failing.has(backend.id) &&
       slowdownOf(backend.id, { loads: this.#loads, medianMs }) <= MAX_SAMPLED_SLOWDOWN;
-    const sound = choices.filter(isSound);
-    const free = sound.filter(({ running }) => running < this.#engine.slots);
-    const drawn = [free, sound, choices].find(({ length }) => length > 0) ?? [];
-    return cheapest(this.#sample(input, { choices, drawn }));
+    return cheapest(this.#sample(input, { choices, sound: choices.filter(isSound) }));
   }
 
-  /** Returns the engine with the session in its cache, if there is one, and some at random of those that may be drawn. */
+  /** Returns the engine with the session in its cache, if there is one, and some others at random, sound ones if there are any. */
   #sample(
     { parts }: IBackendChoiceInput,
-    { choices, drawn }: { choices: readonly IBackendChoice[]; drawn: readonly IBackendChoice[] },
+    { choices, sound }: { choices: readonly IBackendChoice[]; sound: readonly IBackendChoice[] },
   ): readonly IBackendChoice[] {
     const sharedTokens = parts.slice(0, -1).reduce((sum, { tokens }) => sum + tokens, 0);
     const home = cheapest(choices.filter(({ cachedTokens }) => cachedTokens > sharedTokens));
-    const others = drawn.filter((choice) => choice !== home);
+    const others = (sound.length > 0 ? sound : choices).filter((choice) => choice !== home);
     const size = home === undefined ? NEW_SESSION_SAMPLE : CACHED_SESSION_SAMPLE;
     const sample = home === undefined ? [] : [home];
     return [...sample, ...drawSample(others, { size, random: this.#random })];
