Engines: draw one engine for a new session among those with its shared parts cached

Cause: both engines drawn for a new session may lack its shared parts, which then push others out of their caches.

Change: one is drawn among the engines that have most of the shared parts cached, the other among all; the cheaper one serves. The new test failed before.

--- a/src/routing/common/backend_chooser.ts
+++ b/src/routing/common/backend_chooser.ts
@@ -21,9 +21,6 @@
 const MAX_SLOWDOWN = 10;
 /** Upper bound of the factor by which failed requests raise a server's cost. */
 const MAX_FAILURE_FACTOR = 10;
-/** Engines drawn at random for a session that no engine has cached, and for one that may leave the engine that has. */
-const NEW_SESSION_SAMPLE = 2;
-const CACHED_SESSION_SAMPLE = 1;
 /** Latency relative to the median up to which an engine is drawn. */
 const MAX_SAMPLED_SLOWDOWN = 1.5;
 /** Utilization (requests per slot) from which the preferred server for an affinity key is not used. */
@@ -114,17 +111,10 @@
   return Math.min(MAX_FAILURE_FACTOR, 1 / (1 - (failing.get(id) ?? 0)));
 }
 
-/** Draws `size` choices at random, each at most once. */
-function drawSample(
-  choices: readonly IBackendChoice[],
-  { size, random }: { size: number; random: () => number },
-): readonly IBackendChoice[] {
-  const remaining = [...choices];
-  const sample: IBackendChoice[] = [];
-  while (sample.length < size && remaining.length > 0) {
-    sample.push(...remaining.splice(Math.floor(random() * remaining.length), 1));
-  }
-  return sample;
+/** Returns the choices with the largest number of cached tokens. */
+function withMostCached(choices: readonly IBackendChoice[]): readonly IBackendChoice[] {
+  const most = Math.max(...choices.map(({ cachedTokens }) => cachedTokens));
+  return choices.filter(({ cachedTokens }) => cachedTokens === most);
 }
 
 function cheapest(choices: readonly IBackendChoice[]): IBackendChoice | undefined {
@@ -158,7 +148,8 @@
  * shared prompts, whose latency targets leave a slack of about half of the time on an idle engine.
  *
  * While other instances use the engines as well, only the engine that has the session cached and a random sample are
- * compared. Many instances see the same loads, some 100 ms old: if each chose the cheapest of all engines, all would send
+ * compared: for a new session one engine of those that have most of its shared parts cached, and one of all.
+ * Many instances see the same loads, some 100 ms old: if each chose the cheapest of all engines, all would send
  * to the same few until the next report, and sessions would leave their caches for engines that only seem idle.
  */
 export class EngineBackendChooser implements IBackendChooser {
@@ -196,10 +187,14 @@
   ): readonly IBackendChoice[] {
     const sharedTokens = parts.slice(0, -1).reduce((sum, { tokens }) => sum + tokens, 0);
     const home = cheapest(choices.filter(({ cachedTokens }) => cachedTokens > sharedTokens));
-    const others = (sound.length > 0 ? sound : choices).filter((choice) => choice !== home);
-    const size = home === undefined ? NEW_SESSION_SAMPLE : CACHED_SESSION_SAMPLE;
-    const sample = home === undefined ? [] : [home];
-    return [...sample, ...drawSample(others, { size, random: this.#random })];
+    const drawable = sound.length > 0 ? sound : choices;
+    const first = home ?? this.#draw(withMostCached(drawable));
+    const other = this.#draw(drawable.filter((choice) => choice !== first));
+    return [first, other].filter((choice) => choice !== undefined);
+  }
+
+  #draw(choices: readonly IBackendChoice[]): IBackendChoice | undefined {
+    return choices[Math.floor(this.#random() * choices.length)];
   }
 
   #score(
--- a/src/routing/common/backend_chooser_test.ts
+++ b/src/routing/common/backend_chooser_test.ts
@@ -130,6 +130,23 @@
   t.true(Math.max(...counts.values()) <= 88 / 3, [...counts].join(" "));
 });
 
+// Guards against reading shared parts again on engines drawn at random, while equally busy ones have them cached.
+test("new sessions go to engines that have their shared parts cached while these are no busier", (t) => {
+  const { caches, loads, backends } = setUp(Array.from({ length: 10 }, (_, index) => `e${index}`));
+  const random = new SeededRandom(1);
+  const engines = new EngineBackendChooser(ENGINE, {
+    loads,
+    caches,
+    random: () => random.nextInt(1000) / 1000,
+  });
+  loads.recordPeerReport({ instance: "i", running: new Map(backends.map(({ id }) => [id, 1])) });
+  for (const id of ["e3", "e7"]) {
+    caches.recordReportedPart({ backendId: id, partId: "shared", tokens: 12_000 });
+  }
+  const chosen = Array.from({ length: 50 }, () => engines.choose(makeInput(), backends)!.backend.id);
+  t.deepEqual([...new Set(chosen)].sort(), ["e3", "e7"]);
+});
+
 test("stale loads of many instances do not send all service calls to one server, nor each instance to all", (t) => {
   const backends = backendsOf(Array.from({ length: 18 }, (_, index) => `s${index}`));
   const running = new Map(backends.map(({ id }) => [id, id === "s0" ? 1 : 2]));
