Slices: go on with a recovery after a failed call instead of starting again

After a loss of all instances, turns that continue stored ones wait for the slices of these turns. An attempt to open a slice read its partition from the first record and gave up all progress when one page failed or took over a second. All slices are read at the same time then and share the store's read bandwidth, so a slice with many pages could fail again and again.

What an unclean end would change in the ledger is applied only once the claim is in the log, so that a release that the former owner appends meanwhile still counts. After a page that did not arrive in time, pages of half the size are read, down to the largest record. A page without records before the end of the partition, and a statement that records were deleted which does not advance the offset, now end the attempt; both were repeated without a pause.

`slice-opened` says how long the recovery took, and how many attempts, records and bytes.

--- a/src/services/store/common/partitioned_log.ts
+++ b/src/services/store/common/partitioned_log.ts
@@ -66,6 +66,8 @@
   readonly from: number;
   /** Maximum time to wait for a first record, in ms. */
   readonly waitMs: number;
+  /** Maximum size of the records of one page; the store's own limit by default. */
+  readonly maxBytes?: number;
 }
 
 /** The latest value of a key. */
--- a/src/turns/common/slice_journal.ts
+++ b/src/turns/common/slice_journal.ts
@@ -11,18 +11,21 @@
 import { Signal } from "../../base/common/signal.ts";
 import type { ILogger } from "../../services/logging/common/logger.ts";
 import type { IPartition, IPartitionedLog } from "../../services/store/common/partitioned_log.ts";
-import type { StoreError } from "../../services/store/common/partitioned_log.ts";
-import { StoreFault } from "../../services/store/common/partitioned_log.ts";
+import { StoreError, StoreFault } from "../../services/store/common/partitioned_log.ts";
 import { estimateEventBytes, MAX_APPEND_BYTES, splitIntoAppends } from "./append_batching.ts";
 import type { SliceEvent } from "./slice_state.ts";
 import { SliceState, toSpendingEvents, toTurnEvents } from "./slice_state.ts";
-import type { ISpendingRecord, SpendingLedger } from "./spending_ledger.ts";
+import type { ISpendingRecord, IUncleanEnd } from "./spending_ledger.ts";
 import { UNRECORDED_PERCENT } from "./spending_ledger.ts";
 
 /** Delay after a failed call: about seven calls a second during a store outage. */
 const RETRY_DELAY_MS = 150;
 /** Batching delay of spending records: limits a slice to about two such appends a second. */
 const SPENDING_APPEND_DELAY_MS = 500;
+/** Size of a page of records, which is halved when a page does not arrive in time: all slices are read at once after a loss of all instances. */
+const MAX_PAGE_BYTES = 1024 * 1024;
+/** Largest size of a record in the store. */
+const MIN_PAGE_BYTES = 256 * 1024;
 /** Interval between checkpoints: bounds the log's size and what a new owner has to read. */
 const CHECKPOINT_INTERVAL_MS = 120_000;
 
@@ -64,6 +67,14 @@
   ownership: ISliceOwnership,
 ) => Effect.Effect<readonly ISpendingRecord[] | undefined>;
 
+/** Progress of reading a partition. */
+interface IReadCursor {
+  /** Offset of the next record. */
+  next: number;
+  records: number;
+  bytes: number;
+}
+
 /** Dependencies and identity of a {@link SliceJournal}. */
 export interface ISliceJournalOptions {
   readonly slice: number;
@@ -87,7 +98,7 @@
   readonly #wake = new Signal();
   readonly #opened = Deferred.makeUnsafe<boolean>();
   #pending: IPending[] = [];
-  #slice = new SliceState();
+  readonly #slice = new SliceState();
   #state = SliceJournalState.Opening;
   #end = 0;
   #appendNumber = 0;
@@ -96,6 +107,11 @@
   #checkpointAtMs = 0;
   #isReleasing = false;
   #hasFailedToOpen = false;
+  /** Number of attempts to open the slice. */
+  #attempts = 0;
+  #pageBytes = MAX_PAGE_BYTES;
+  /** Progress of the recovery, which further attempts to open the slice continue. */
+  readonly #recovery: IReadCursor = { next: 0, records: 0, bytes: 0 };
   /** Spending records received from the former owner; newer than the log's. */
   #formerSpending: readonly ISpendingRecord[] = [];
   /** Former ownership whose handover was requested, and the spending records received, if any. */
@@ -125,7 +141,7 @@
     return this.#isStalled;
   }
 
-  /** State of the slice; valid while the journal is open. */
+  /** State of the slice; complete while the journal is open. */
   get slice(): SliceState {
     return this.#slice;
   }
@@ -205,8 +221,10 @@
 
   #open(): Effect.Effect<void> {
     return Effect.gen({ self: this }, function* () {
+      const startedAtMs = yield* Clock.currentTimeMillis;
       while (this.#state === SliceJournalState.Opening) {
-        const isClaimed = yield* this.#tryOpen().pipe(
+        this.#attempts += 1;
+        const isClaimed = yield* this.#tryOpen(startedAtMs).pipe(
           Effect.catchTag(
             "StoreError",
             (err) => Effect.as(this.#logFirstOpenFailure(err), false),
@@ -217,41 +235,60 @@
     });
   }
 
-  /** Reads the slice's records and appends a claim after them; false if another record was appended first. */
-  #tryOpen(): Effect.Effect<boolean, StoreError> {
+  /** Reads the records that earlier attempts have not read and appends a claim after them; false if it was not appended. */
+  #tryOpen(startedAtMs: number): Effect.Effect<boolean, StoreError> {
     return Effect.gen({ self: this }, function* () {
-      const state = new SliceState();
-      const end = yield* this.#readFrom(0, (record) => state.apply(record));
-      const now = yield* Clock.currentTimeMillis;
-      if (state.writer !== this.#opts.writer) {
-        this.#formerSpending = state.isReleased ? [] : yield* this.#settleFormerOwnership(state, now);
-        const outcome = yield* this.#append([this.#claim(now, state.ledger)], end);
-        if (!outcome.isAppended) return false;
-        this.#end = outcome.end;
-      } else {
-        this.#end = end;
+      const state = this.#slice;
+      const cursor = this.#recovery;
+      while (this.#state === SliceJournalState.Opening) {
+        yield* this.#readInto(cursor, (record) => state.apply(record));
+        const now = yield* Clock.currentTimeMillis;
+        // The claim is already in the log if an earlier attempt has appended it and its response was lost.
+        if (state.writer === this.#opts.writer) {
+          this.#end = cursor.next;
+          this.#completeOpening(startedAtMs, now);
+          return true;
+        }
+        const isUnclean = !(yield* this.#settleFormerOwnership(state));
+        const { ledger, unrecordedPercent } = state;
+        const unclean = isUnclean ? ledger.uncleanAfter(now, unrecordedPercent) : ledger;
+        const outcome = yield* this.#append([this.#claim(now, unclean)], cursor.next);
+        if (outcome.isAppended) {
+          if (isUnclean) ledger.markUnclean(now, unrecordedPercent);
+          this.#end = outcome.end;
+          this.#completeOpening(startedAtMs, now);
+          return true;
+        }
+        if (outcome.end <= cursor.next) return false;
       }
-      if (this.#state !== SliceJournalState.Opening) return true;
-      // Also applies when an earlier attempt appended the claim and its response was lost.
-      for (const record of this.#formerSpending) state.ledger.adopt(record);
-      this.#slice = state;
-      this.#checkpointAtMs = now;
-      this.#state = SliceJournalState.Open;
-      const { slice, writer } = this.#opts;
-      this.#opts.logger.info("slice-opened", {
-        slice,
-        writer: String(writer),
-        end: this.#end,
-        isClean: state.isReleased || this.#handoverRequest?.granted !== undefined,
-        programs: state.ledger.size,
-        turns: state.turns.size,
-      });
-      Deferred.doneUnsafe(this.#opened, Effect.succeed(true));
-      return true;
+      return false;
+    });
+  }
+
+  #completeOpening(startedAtMs: number, now: number): void {
+    if (this.#state !== SliceJournalState.Opening) return;
+    const state = this.#slice;
+    for (const record of this.#formerSpending) state.ledger.adopt(record);
+    this.#checkpointAtMs = now;
+    this.#state = SliceJournalState.Open;
+    const { slice, writer } = this.#opts;
+    const { records, bytes } = this.#recovery;
+    this.#opts.logger.info("slice-opened", {
+      slice,
+      writer: String(writer),
+      end: this.#end,
+      isClean: state.isReleased || this.#handoverRequest?.granted !== undefined,
+      programs: state.ledger.size,
+      turns: state.turns.size,
+      tookMs: Math.round(now - startedAtMs),
+      attempts: this.#attempts,
+      records,
+      bytes,
     });
+    Deferred.doneUnsafe(this.#opened, Effect.succeed(true));
   }
 
-  #claim(atMs: number, { uncleanAtMs, uncleanPercent }: SpendingLedger): SliceEvent {
+  #claim(atMs: number, { uncleanAtMs, uncleanPercent }: IUncleanEnd): SliceEvent {
     const { instance, address } = this.#opts;
     const unclean = uncleanAtMs === 0 ? {} : { uncleanAtMs, uncleanPercent };
     const fields = { instance, address, atMs, unrecordedPercent: UNRECORDED_PERCENT, ...unclean };
@@ -262,40 +299,60 @@
    * Requests the handover from a former owner that did not release the slice. That owner returns its spending
    * records and grants nothing more. If it does not respond, everything it may have granted counts as spent,
    * and new programs wait for their records during the retention period. The request keeps that rare when all
-   * slices are reassigned simultaneously, or when the store refuses some instances and serves others.
+   * slices are reassigned simultaneously, or when the store refuses some instances and serves others. Returns whether
+   * all that the former owner has granted is known.
    */
   #settleFormerOwnership(
-    { writer, holder, ledger, unrecordedPercent }: SliceState,
-    now: number,
-  ): Effect.Effect<readonly ISpendingRecord[]> {
+    { writer, holder, isReleased }: SliceState,
+  ): Effect.Effect<boolean> {
     return Effect.gen({ self: this }, function* () {
+      this.#formerSpending = [];
+      if (isReleased) return true;
       const { slice, address, askRelease } = this.#opts;
       const isOtherInstance = writer !== undefined && holder !== "" && holder !== address;
-      if (isOtherInstance && this.#handoverRequest?.writer !== writer) {
+      if (!isOtherInstance) return false;
+      if (this.#handoverRequest?.writer !== writer) {
         this.#handoverRequest = { writer, granted: yield* askRelease({ slice, writer, holder }) };
       }
-      const granted = isOtherInstance ? this.#handoverRequest?.granted : undefined;
-      if (granted === undefined) ledger.markUnclean(now, unrecordedPercent);
-      return granted ?? [];
+      const { granted } = this.#handoverRequest;
+      this.#formerSpending = granted ?? [];
+      return granted !== undefined;
     });
   }
 
-  /** Reads all records from an offset; returns the offset after the last. */
-  #readFrom(from: number, apply: (record: SliceRecord) => void): Effect.Effect<number, StoreError> {
+  /** Reads all records that follow a cursor, and advances it page by page. */
+  #readInto(cursor: IReadCursor, apply: (record: SliceRecord) => void): Effect.Effect<void, StoreError> {
     return Effect.gen({ self: this }, function* () {
-      let next = from;
       while (true) {
         const page = yield* Effect.result(
-          this.#opts.log.read(this.#opts.partition, { from: next, waitMs: 0 }),
+          this.#opts.log.read(this.#opts.partition, {
+            from: cursor.next,
+            waitMs: 0,
+            maxBytes: this.#pageBytes,
+          }),
         );
         if (page._tag === "Failure") {
-          if (page.failure.fault !== StoreFault.HistoryTruncated) return yield* Effect.fail(page.failure);
-          next = page.failure.oldest;
+          const { fault, oldest } = page.failure;
+          if (fault === StoreFault.NoResponse) {
+            this.#pageBytes = Math.max(MIN_PAGE_BYTES, this.#pageBytes / 2);
+          }
+          if (fault !== StoreFault.HistoryTruncated || oldest <= cursor.next) {
+            return yield* Effect.fail(page.failure);
+          }
+          cursor.next = oldest;
           continue;
         }
-        for (const { data } of page.success.records) apply(fromBinary(SliceRecordSchema, data));
-        next += page.success.records.length;
-        if (next >= page.success.end) return next;
+        const { records, end } = page.success;
+        for (const { data } of records) {
+          cursor.bytes += data.length;
+          apply(fromBinary(SliceRecordSchema, data));
+        }
+        cursor.next += records.length;
+        cursor.records += records.length;
+        if (cursor.next >= end) return;
+        if (records.length === 0) {
+          return yield* Effect.fail(new StoreError(StoreFault.NoResponse, "a page without records"));
+        }
       }
     });
   }
@@ -391,14 +448,15 @@
    */
   #readOutcome(): Effect.Effect<boolean | undefined> {
     const records: SliceRecord[] = [];
-    return this.#readFrom(this.#end, (record) => records.push(record)).pipe(
-      Effect.map((end) => {
+    const cursor: IReadCursor = { next: this.#end, records: 0, bytes: 0 };
+    return this.#readInto(cursor, (record) => records.push(record)).pipe(
+      Effect.map(() => {
         const own = records.filter(({ writer, appendNumber }) =>
           writer === this.#opts.writer && appendNumber === this.#appendNumber
         );
         if (records.length === 0) return undefined;
         if (own.length === records.length) {
-          this.#end = end;
+          this.#end = cursor.next;
           this.#clearStalled();
           return true;
         }
@@ -449,12 +507,12 @@
   #logFirstOpenFailure(err: StoreError): Effect.Effect<void> {
     if (this.#hasFailedToOpen) return Effect.void;
     this.#hasFailedToOpen = true;
-    return this.#logFailure("slice-open-failed", err);
+    return this.#logFailure("slice-open-failed", err, { records: this.#recovery.records });
   }
 
-  #logFailure(event: string, { fault, message }: StoreError): Effect.Effect<void> {
+  #logFailure(event: string, { fault, message }: StoreError, fields: object = {}): Effect.Effect<void> {
     return Effect.sync(() =>
-      this.#opts.logger.warn(event, { slice: this.#opts.slice, fault, error: message })
+      this.#opts.logger.warn(event, { slice: this.#opts.slice, fault, error: message, ...fields })
     );
   }
 }
--- a/src/turns/common/slice_journal_test.ts
+++ b/src/turns/common/slice_journal_test.ts
@@ -4,6 +4,7 @@
 import { Effect, Fiber } from "effect";
 import { TestClock } from "effect/testing";
 import { LogFault, PartitionedLogCore } from "../../../test/stand_ins/partitioned_log_core.ts";
+import { SlowReadLog } from "../../../test/stand_ins/slow_read_log.ts";
 import { KeptTurnSchema } from "../../base/common/gen/ragwortcleat/v1/turns_pb.ts";
 import { NullLogger } from "../../services/logging/common/logger.ts";
 import { SliceJournal, SliceJournalState } from "./slice_journal.ts";
@@ -206,3 +207,77 @@
     t.deepEqual(["3", "4", "5"].map(isGranted), [true, true, false]);
   }));
 });
+
+const RECOVERY_TIMEOUT_MS = 30_000;
+
+/** Stores turns in a slice, then opens it again over a log that is slow to read; returns the new owner's journal. */
+function recoverSlowly(
+  log: SlowReadLog,
+  { turns, content, reads }: { turns: number; content: string; reads: Partial<SlowReadLog> },
+): Effect.Effect<SliceJournal, never, Scope.Scope> {
+  return Effect.gen(function* () {
+    const first = yield* openJournal(log, 1n);
+    for (let index = 0; index < turns; index++) yield* first.storeTurn(createTurn(`t${index}`, content));
+    first.close();
+    Object.assign(log, reads);
+    const second = createJournal(log, 2n);
+    yield* second.start();
+    yield* TestClock.adjust(RECOVERY_TIMEOUT_MS);
+    return second;
+  });
+}
+
+test("a slice is recovered although some pages of each pass over its records fail", async (t) => {
+  const log = new SlowReadLog();
+  await run(Effect.gen(function* () {
+    const reads = { pageBytes: 500, isReadFailing: (read: number) => read % 4 === 0 };
+    const journal = yield* recoverSlowly(log, { turns: 20, content: "x".repeat(300), reads });
+    t.is(journal.state, SliceJournalState.Open);
+    t.is([...journal.slice.turns.values()].length, 20);
+  }));
+});
+
+test("a slice is recovered although whole pages do not arrive within the time limit of a call", async (t) => {
+  const log = new SlowReadLog();
+  await run(Effect.gen(function* () {
+    // A fair share of the store's bandwidth when a hundred slices are read at once.
+    const reads = { bytesPerMs: 800, timeoutMs: 1000 };
+    const journal = yield* recoverSlowly(log, { turns: 20, content: "x".repeat(150_000), reads });
+    t.is(journal.state, SliceJournalState.Open);
+    t.is([...journal.slice.turns.values()].length, 20);
+  }));
+});
+
+test("a page without records before the end of the partition is not read again at once", async (t) => {
+  const log = new SlowReadLog();
+  await run(Effect.gen(function* () {
+    const first = yield* openJournal(log, 1n);
+    first.close();
+    const readsBefore = log.reads;
+    log.isReadEmpty = (read) => read < readsBefore + 50;
+    const second = createJournal(log, 2n);
+    yield* second.start();
+    yield* TestClock.adjust(100);
+    t.is(log.reads, readsBefore + 1);
+    yield* TestClock.adjust(RECOVERY_TIMEOUT_MS);
+    t.is(second.state, SliceJournalState.Open);
+  }));
+});
+
+test("turns granted before the former owner's late release are not counted as uncertain", async (t) => {
+  const log = new SlowReadLog();
+  await run(Effect.gen(function* () {
+    yield* TestClock.adjust(1);
+    const former = yield* openJournal(log, 1n);
+    log.fault = LogFault.Delay;
+    const next = createJournal(log, 2n);
+    yield* next.start();
+    yield* TestClock.adjust(10);
+    log.fault = LogFault.None;
+    yield* former.release();
+    log.applyDelayedAppends();
+    yield* TestClock.adjust(1000);
+    t.is(next.state, SliceJournalState.Open);
+    t.is(next.slice.ledger.uncleanAtMs, 0);
+  }));
+});
--- a/src/turns/common/spending_ledger.ts
+++ b/src/turns/common/spending_ledger.ts
@@ -94,6 +94,14 @@
   retainMs: number;
 }
 
+/** When an ownership was last found to have ended without a release, and what it may have granted. */
+export interface IUncleanEnd {
+  /** Unix time in ms; 0 if never. */
+  readonly uncleanAtMs: number;
+  /** Largest percentage of a budget that may have been granted without a record. */
+  readonly uncleanPercent: number;
+}
+
 /**
  * Grants turns against budgets in memory and writes log records asynchronously. Programs are many and
  * short, so that an append before each turn would add a store call and its latency to each; and during a
@@ -108,7 +116,7 @@
  * all instances within a minute. What may not have been delivered is tracked separately, because it must not refuse a program
  * that has budget left: see {@link hasRoom}.
  */
-export class SpendingLedger {
+export class SpendingLedger implements IUncleanEnd {
   readonly #programs = new Map<string, IProgramSpending>();
   readonly #dirty = new Set<IProgramSpending>();
   /** Ids of ended turns, in the order in which they ended. */
@@ -136,14 +144,23 @@
    */
   markUnclean(atMs: number, statedPercent = UNRECORDED_PERCENT): void {
     if (atMs === 0) return;
-    this.#uncleanPercent = Math.max(this.#uncleanPercent, grantedPercent(statedPercent));
-    if (atMs <= this.#uncleanAtMs) return;
-    this.#uncleanAtMs = atMs;
+    const { uncleanAtMs, uncleanPercent } = this.uncleanAfter(atMs, statedPercent);
+    this.#uncleanPercent = uncleanPercent;
+    if (uncleanAtMs === this.#uncleanAtMs) return;
+    this.#uncleanAtMs = uncleanAtMs;
     for (const { running, inherited } of this.#programs.values()) {
       for (const turnId of running.keys()) inherited.add(turnId);
     }
   }
 
+  /** Returns what {@link markUnclean} would record, for a claim that may not be appended. */
+  uncleanAfter(atMs: number, statedPercent: number): IUncleanEnd {
+    return {
+      uncleanAtMs: Math.max(this.#uncleanAtMs, atMs),
+      uncleanPercent: Math.max(this.#uncleanPercent, grantedPercent(statedPercent)),
+    };
+  }
+
   /** Applies a record from the log; its reservation counts as spent. */
   restore(
     { programId, spent, running, ahead, uncertain, isComplete, atMs, retainMs }: ISpendingRecord,
