Slices: release a slice at once while its records are being read

After a loss of all instances they start one after the other, and each start reassigns slices. An instance that lost a slice whose records it was still reading waited up to 600 ms for the slice to open, only to append a release. It renews its membership after that, and the platform assigns the slice to the next owner only then, so slices stayed closed for as long as instances came back.

From the question to the former owner on, the release is appended as before.

The new test failed before: the release took 600 ms of virtual time.

--- a/src/turns/common/owned_slices_test.ts
+++ b/src/turns/common/owned_slices_test.ts
@@ -3,6 +3,7 @@
 import { Clock, Effect, Fiber } from "effect";
 import { TestClock } from "effect/testing";
 import { LogFault, PartitionedLogCore } from "../../../test/stand_ins/partitioned_log_core.ts";
+import { SlowReadLog } from "../../../test/stand_ins/slow_read_log.ts";
 import {
   BeginTurnRequestSchema,
   KeptTurnSchema,
@@ -209,3 +210,26 @@
     t.is((yield* owned.begin(beginRequest("3", 1100))).verdict, TurnVerdict.GRANTED);
   }));
 });
+
+// Guards against slices that no instance opens while many instances start one after the other: each start reassigns slices, and the
+// next owner can read a slice only when the former one has released it.
+test("a slice whose records are still being read is released at once", async (t) => {
+  const log = new SlowReadLog();
+  await run(Effect.gen(function* () {
+    const [a, b] = [createOwnedSlices(log, "a"), createOwnedSlices(log, "b")];
+    yield* a.assign(ALL);
+    yield* a.store(create(KeptTurnSchema, { turnId: "k", content: Buffer.from("c"), retainMs: 60_000 }));
+    yield* a.assign(NONE);
+    log.bytesPerMs = 0.02;
+    yield* b.assign(ALL);
+    yield* Effect.sleep(500);
+    const revokedAtMs = yield* Clock.currentTimeMillis;
+    yield* b.assign(NONE);
+    t.is(yield* Clock.currentTimeMillis, revokedAtMs);
+    yield* Effect.sleep(3000);
+    log.bytesPerMs = Infinity;
+    yield* a.assign(ALL);
+    t.true((yield* a.load("k")).isOwner);
+    t.true((yield* a.begin(beginRequest("1"))).isFresh);
+  }));
+});
--- a/src/turns/common/slice_journal.ts
+++ b/src/turns/common/slice_journal.ts
@@ -106,6 +106,8 @@
   #isStalled = false;
   #checkpointAtMs = 0;
   #isReleasing = false;
+  /** Whether the former owner may have handed the slice over, or a claim may be in the log. */
+  #hasTakenOver = false;
   #hasFailedToOpen = false;
   /** Number of attempts to open the slice. */
   #attempts = 0;
@@ -183,6 +185,10 @@
   release(): Effect.Effect<void> {
     return Effect.suspend(() => {
       if (this.#state === SliceJournalState.Closed) return Effect.void;
+      // Nothing has changed while the records are read, so that the next owner need not wait.
+      if (this.#state === SliceJournalState.Opening && !this.#hasTakenOver) {
+        return Effect.sync(() => this.close());
+      }
       // The claim may already be in the log. Without a release after it, the next owner would have to assume
       // that turns were granted without a record.
       if (this.#state === SliceJournalState.Opening) return Effect.andThen(this.awaitOpen(), this.release());
@@ -249,6 +255,8 @@
           this.#completeOpening(startedAtMs, now);
           return true;
         }
+        if (this.#state !== SliceJournalState.Opening) return false;
+        this.#hasTakenOver = true;
         const isUnclean = !(yield* this.#settleFormerOwnership(state));
         const { ledger, unrecordedPercent } = state;
         const unclean = isUnclean ? ledger.uncleanAfter(now, unrecordedPercent) : ledger;
