Peers: a call that times out leaves the connections of other calls open

Each call between gateways has its own HTTP/1.1 connection and its own time limit, but the time-out of one closed all connections to that peer. An owner that was slow for one slice so lost the calls for all its other slices, among them turns that waited for their record; they were sent again over new connections, which costs a small instance more processor time than the calls, and timed out again.

A time-out closes its own connection, by aborting the request, and the idle ones, which may be dead as well.

The new test failed before: a call that waits for a record failed when a call beside it timed out. HTTP/2 (scheduler) still closes its one session to the peer.

--- a/src/base/node/keep_alive_agent.ts
+++ b/src/base/node/keep_alive_agent.ts
@@ -22,6 +22,11 @@
   /** Closes idle connections, and active ones when their request has finished. */
   drain(): void {
     this.#isDraining = true;
+    this.closeIdle();
+  }
+
+  /** Closes idle connections. */
+  closeIdle(): void {
     for (const sockets of Object.values(this.freeSockets)) {
       for (const socket of sockets ?? []) socket.destroy();
     }
--- a/src/membership/common/peer_client.ts
+++ b/src/membership/common/peer_client.ts
@@ -14,7 +14,7 @@
 /** Provides the transport for each peer address. A transport owns its connection. */
 export interface IPeerTransports {
   get(address: string): Transport;
-  /** Closes the connection to an address, so that the next call opens a new one. */
+  /** Closes the connections to an address that carry no other call, so that the next call opens a new one. */
   reset(address: string): void;
 }
 
@@ -39,8 +39,8 @@
   }
 
   /**
-   * Makes one call with a timeout. A call that times out also closes the connection: an intermediary
-   * between the two ends may have dropped its state for this connection while new connections still work.
+   * Makes one call with a timeout. A call that times out also closes its connection, and unused ones: an intermediary
+   * between the two ends may have dropped its state for them while new connections still work.
    */
   call<T>(address: string, opts: IPeerCall<S, T>): Effect.Effect<T, PeerError> {
     const attempt = Effect.tryPromise({
@@ -57,7 +57,7 @@
     });
   }
 
-  /** Closes the connection to a peer and discards its client. */
+  /** Closes the unused connections to a peer and discards its client. */
   reset(address: string): void {
     this.#clients.delete(address);
     this.#transports.reset(address);
--- a/src/peer/node/http1_transports.ts
+++ b/src/peer/node/http1_transports.ts
@@ -24,18 +24,19 @@
   readonly #agents = new Map<string, KeepAliveAgent>();
 
   get(address: string): Transport {
-    const agent = new KeepAliveAgent({});
+    const agent = this.#agents.get(address) ?? new KeepAliveAgent({});
     this.#agents.set(address, agent);
     return new UnaryTransport({ address, agent, maxMessageBytes: MAX_MESSAGE_BYTES });
   }
 
+  /** Other calls in flight keep their connections: each call has one of its own, and a time limit of its own. */
   reset(address: string): void {
-    this.#agents.get(address)?.destroy();
-    this.#agents.delete(address);
+    this.#agents.get(address)?.closeIdle();
   }
 
   dispose(): void {
-    for (const address of [...this.#agents.keys()]) this.reset(address);
+    for (const agent of this.#agents.values()) agent.destroy();
+    this.#agents.clear();
   }
 }
 
--- a/src/peer/node/http1_transports_test.ts
+++ b/src/peer/node/http1_transports_test.ts
@@ -1,10 +1,15 @@
 import { create, toBinary } from "@bufbuild/protobuf";
 import test from "ava";
-import { Effect, Result } from "effect";
+import { Deferred, Effect, Fiber, Result } from "effect";
 import { ConnectionEnd, startRawServer } from "../../../test/stand_ins/raw_server.ts";
-import { LoadTurnResponseSchema, TurnService } from "../../base/common/gen/ragwortcleat/v1/turns_pb.ts";
+import {
+  LoadTurnResponseSchema,
+  TurnService,
+  TurnVerdict,
+} from "../../base/common/gen/ragwortcleat/v1/turns_pb.ts";
 import { PeerRpcClients } from "../../membership/common/peer_client.ts";
-import { Http1Transports } from "./http1_transports.ts";
+import type { UnaryService } from "../common/unary_service.ts";
+import { Http1Transports, TurnServer } from "./http1_transports.ts";
 
 const TIMEOUT_MS = 5000;
 const HEAD = "HTTP/1.1 200 OK\r\nContent-Type: application/proto\r\n\r\n";
@@ -42,3 +47,44 @@
     new Uint8Array(Buffer.from("content")),
   );
 });
+
+const PEER = { host: "127.0.0.64", port: 7511 };
+
+// Guards against turns whose owner never responds: while one slice opens slowly, its calls time out, and each of them closed
+// the connections of the calls for the other slices of the same instance.
+test("a call that times out leaves the other calls to the same peer in flight", async (t) => {
+  const received = Deferred.makeUnsafe<void>();
+  const isRecorded = Deferred.makeUnsafe<void>();
+  const service: Partial<UnaryService<typeof TurnService>> = {
+    loadTurn: () => new Promise<never>(() => {}),
+    beginTurn: async () => {
+      Deferred.doneUnsafe(received, Effect.void);
+      await Effect.runPromise(Deferred.await(isRecorded));
+      return { verdict: TurnVerdict.GRANTED, isFresh: true };
+    },
+  };
+  const server = new TurnServer(service as UnaryService<typeof TurnService>);
+  await server.listen(PEER);
+  t.teardown(() => server.dispose());
+  const transports = new Http1Transports();
+  t.teardown(() => transports.dispose());
+  const clients = new PeerRpcClients(TurnService, transports);
+  const address = `${PEER.host}:${PEER.port}`;
+  const begin = clients.call(address, {
+    timeoutMs: TIMEOUT_MS,
+    invoke: (client, signal) => client.beginTurn({ turnId: "t" }, { signal }),
+  });
+  const load = clients.call(address, {
+    timeoutMs: 50,
+    invoke: (client, signal) => client.loadTurn({ turnId: "u" }, { signal }),
+  });
+  const work = Effect.gen(function* () {
+    const begun = yield* Effect.forkChild(Effect.result(begin));
+    yield* Deferred.await(received);
+    t.true(Result.isFailure(yield* Effect.result(load)));
+    Deferred.doneUnsafe(isRecorded, Effect.void);
+    const result = yield* Fiber.join(begun);
+    t.true(Result.isSuccess(result) && result.success.verdict === TurnVerdict.GRANTED);
+  });
+  await Effect.runPromise(work);
+});
