Budgets: do not grant a turn that an earlier request to begin it has ended

A request to begin a turn is repeated under the same id when its connection breaks. If the owner waits for the program's record meanwhile, the first request times out there and ends the turn, and the second one was granted all the same when the record was written. The turn then ran without being counted: its tokens were not charged, so the program could receive more than its budget plus one turn.

The owner grants a turn after its record only if it is still running, and responds "not recorded" otherwise.

The new test failed before: the second request was granted.

--- a/src/turns/common/owned_slices.ts
+++ b/src/turns/common/owned_slices.ts
@@ -167,9 +167,11 @@
       const endTurn = () => ledger.end(req.programId, { turnId: req.turnId, tokens: 0 });
       const record = Effect.timeoutOption(journal.ensureProgramRecorded(req.programId), timeoutMs);
       const recorded = yield* Effect.onInterrupt(record, () => Effect.sync(endTurn));
-      if (recorded._tag === "Some" && recorded.value) return TurnVerdict.GRANTED;
+      const isRecorded = recorded._tag === "Some" && recorded.value;
+      // An earlier request to begin the turn may have ended it meanwhile, because it timed out.
+      if (isRecorded && ledger.isRunning(req.programId, req.turnId)) return TurnVerdict.GRANTED;
       endTurn();
-      return recorded._tag === "Some" ? TurnVerdict.NOT_OWNER : TurnVerdict.NOT_RECORDED;
+      return recorded._tag === "Some" && !isRecorded ? TurnVerdict.NOT_OWNER : TurnVerdict.NOT_RECORDED;
     });
   }
 
--- a/src/turns/common/owned_slices_test.ts
+++ b/src/turns/common/owned_slices_test.ts
@@ -233,3 +233,25 @@
     t.true((yield* a.begin(beginRequest("1"))).isFresh);
   }));
 });
+
+// Guards against deliveries beyond budget plus one turn: the response to the first request is lost, and the turn ends at the owner
+// when that request times out, while the second one still waits for the record.
+test("a turn that is requested twice is not granted after its first request has timed out", async (t) => {
+  const log = new PartitionedLogCore();
+  await run(Effect.gen(function* () {
+    yield* Effect.sleep(1);
+    yield* createOwnedSlices(log, "a").assign(ALL);
+    yield* Effect.sleep(1);
+    const owner = createOwnedSlices(log, "b");
+    yield* owner.assign(ALL);
+    yield* owner.begin(beginRequest("0"));
+    log.fault = LogFault.Delay;
+    const first = yield* Effect.forkChild(owner.begin(beginRequest("1")));
+    yield* Effect.sleep(950);
+    const second = yield* Effect.forkChild(owner.begin(beginRequest("1")));
+    yield* Effect.sleep(60);
+    log.fault = LogFault.None;
+    t.is((yield* Fiber.join(first)).verdict, TurnVerdict.NOT_RECORDED);
+    t.is((yield* Fiber.join(second)).verdict, TurnVerdict.NOT_RECORDED);
+  }));
+});
--- a/src/turns/common/spending_ledger.ts
+++ b/src/turns/common/spending_ledger.ts
@@ -226,6 +226,11 @@
     return program.spent === 0 && [...program.running.keys()].every((running) => running === turnId);
   }
 
+  /** Whether a turn has been granted and has not ended. */
+  isRunning(programId: string, turnId: string): boolean {
+    return this.#programs.get(programId)?.running.has(turnId) === true;
+  }
+
   /** Whether a record in the log covers everything granted to the program. */
   isRecorded(programId: string): boolean {
     const program = this.#programs.get(programId);
