Turns: calls to an owner end within the time that the turn has

After a loss of all instances a turn that continues a stored one waited until its caller's deadline passed, and was not refused: with 1.309 s left, one call to an owner that does not respond took 1.3 s. A call that may append ran for 1.3 s whatever was left, loading the ancestors of a turn began another whole time limit, and an instance that was opening a slice responded after 400 ms, 50 ms later than its callers waited, so that they took it for lost, broke the connection and looked its owner up again.

One loop now calls owners for all steps. No call continues beyond the time limit, a call that may append takes at most half of what is left, so that a second connection or owner is tried, and a chain has one time limit. The first ancestor that cannot be loaded ends the lookup. The owner of an opening slice responds after 250 ms and says that it is opening (new field `slice_status`), which saves the lookup of the owner.

For each step the client records slice, owner, its state, tries, time and last error; metrics `owner_wait` and `chain_load`.

--- a/src/call/common/gateway_relay.ts
+++ b/src/call/common/gateway_relay.ts
@@ -266,7 +266,7 @@
         partIds: (req.prompt?.parts ?? []).map(({ id }) => call.scoped(id)),
       };
       const beginTurn = Effect.map(
-        Effect.suspend(() => this.#opts.turns.begin(grant, timeoutMs)),
+        Effect.suspend(() => this.#opts.turns.begin(grant, { timeoutMs })),
         (begun) => {
           call.isTurnRefused = begun !== undefined && begun.verdict !== TurnVerdict.GRANTED;
           return begun;
@@ -454,7 +454,7 @@
         retainMs: route.retainMs,
         organisation: call.ownerName,
       };
-      return yield* this.#opts.turns.store(completed, call.deadlineAtMs - now);
+      return yield* this.#opts.turns.store(completed, { timeoutMs: call.deadlineAtMs - now });
     });
   }
 
--- a/src/daemon/common/gateway_core.ts
+++ b/src/daemon/common/gateway_core.ts
@@ -464,6 +464,7 @@
       group: this.group,
       peers: this.#peers,
       logger,
+      metrics: this.metrics,
       address: peerAddress,
     });
     return new GatewayRelay({
--- a/src/peer/common/turn_service.ts
+++ b/src/peer/common/turn_service.ts
@@ -56,11 +56,9 @@
   const run = Effect.runPromiseWith(opts.context);
   return {
     beginTurn: (req) => run(owned.begin(req)),
-    endTurn: (req) => run(Effect.map(owned.end(req), (isOwner) => ({ isOwner }))),
-    storeTurn: async ({ turn }) => {
-      const isStored = turn === undefined ? undefined : await run(owned.store(turn));
-      return { isOwner: isStored !== undefined, isStored: isStored === true };
-    },
+    endTurn: (req) => run(owned.end(req)),
+    storeTurn: async ({ turn }) =>
+      turn === undefined ? { isOwner: false, isStored: false } : await run(owned.store(turn)),
     loadTurn: ({ turnId, organisation }) => run(owned.load(turnId, organisation)),
     getSnapshot: () => ({
       configuration: toKeyedSnapshot(opts.configuration.snapshot()),
--- a/src/turns/common/owned_slices.ts
+++ b/src/turns/common/owned_slices.ts
@@ -7,7 +7,7 @@
   KeptTurn,
   PromptHome,
 } from "../../base/common/gen/ragwortcleat/v1/turns_pb.ts";
-import { TurnVerdict } from "../../base/common/gen/ragwortcleat/v1/turns_pb.ts";
+import { SliceStatus, TurnVerdict } from "../../base/common/gen/ragwortcleat/v1/turns_pb.ts";
 import { hash32 } from "../../base/common/hash.ts";
 import type { ILogger } from "../../services/logging/common/logger.ts";
 import type { IPartition, IPartitionedLog } from "../../services/store/common/partitioned_log.ts";
@@ -17,8 +17,11 @@
 import type { ISpendingRecord } from "./spending_ledger.ts";
 import { GrantDecision } from "./spending_ledger.ts";
 
-/** Time limit for waiting on a slice that is being recovered: recovery takes a few store calls. */
-const OPEN_TIMEOUT_MS = 400;
+/**
+ * Time limit for waiting on a slice that is being recovered, which takes a few store calls. Shorter than the time limit of a call
+ * to the owner, so that the caller learns that the owner is alive.
+ */
+export const OPEN_TIMEOUT_MS = 250;
 /** Time limit for recording a grant in the log; the turn is refused when it is exceeded. */
 const RECORD_TIMEOUT_MS = 1000;
 /** Time limit for recording a grant while appends fail: allows one retry. */
@@ -47,8 +50,14 @@
   readonly acquiredAtMs: number;
 }
 
+/** Response of the owner of a slice. */
+export interface ISliceResult {
+  /** Why this instance does not serve the slice; unset if it does. */
+  readonly sliceStatus?: SliceStatus | undefined;
+}
+
 /** Response to a request to begin a turn. */
-export interface IBeginTurnResult {
+export interface IBeginTurnResult extends ISliceResult {
   readonly verdict: TurnVerdict;
   /** Whether the program has delivered no tokens yet and has no other running turn. */
   readonly isFresh: boolean;
@@ -56,8 +65,19 @@
   readonly home?: PromptHome | undefined;
 }
 
+/** Response to the report of a turn's end. */
+export interface IEndTurnResult extends ISliceResult {
+  readonly isOwner: boolean;
+}
+
+/** Response to a request to store a turn. */
+export interface IStoreTurnResult extends ISliceResult {
+  readonly isOwner: boolean;
+  readonly isStored: boolean;
+}
+
 /** Result of a turn lookup. */
-export interface ILoadTurnResult {
+export interface ILoadTurnResult extends ISliceResult {
   /** Whether this instance owns the turn's slice. */
   readonly isOwner: boolean;
   /** Undefined when the turn is unknown. */
@@ -143,7 +163,10 @@
   begin(req: BeginTurnRequest): Effect.Effect<IBeginTurnResult> {
     return Effect.gen({ self: this }, function* () {
       const journal = yield* this.#findOpenJournal(req.programId);
-      if (journal === undefined) return { verdict: TurnVerdict.NOT_OWNER, isFresh: false };
+      if (journal === undefined) {
+        const sliceStatus = this.#statusOf(req.programId);
+        return { verdict: TurnVerdict.NOT_OWNER, isFresh: false, sliceStatus };
+      }
       const isFresh = journal.slice.ledger.isFresh(req.programId, req.turnId);
       return {
         verdict: yield* this.#decide(journal, req),
@@ -175,30 +198,43 @@
     });
   }
 
-  /** Ends a turn and charges its tokens; false when this instance does not own the program. */
-  end({ programId, turnId, tokens, home }: EndTurnRequest): Effect.Effect<boolean> {
+  /** Ends a turn and charges its tokens. */
+  end({ programId, turnId, tokens, home }: EndTurnRequest): Effect.Effect<IEndTurnResult> {
     return Effect.map(this.#findOpenJournal(programId), (journal) => {
-      if (journal !== undefined && home !== undefined) this.#homes.record(home);
-      journal?.slice.ledger.end(programId, { turnId, tokens });
-      if (journal?.slice.ledger.isDirty === true) journal.scheduleSpendingAppend();
-      return journal !== undefined;
+      if (journal === undefined) return { isOwner: false, sliceStatus: this.#statusOf(programId) };
+      if (home !== undefined) this.#homes.record(home);
+      journal.slice.ledger.end(programId, { turnId, tokens });
+      if (journal.slice.ledger.isDirty) journal.scheduleSpendingAppend();
+      return { isOwner: true };
     });
   }
 
-  /** Appends a turn to its slice's log; undefined when this instance does not own the slice. */
-  store(turn: KeptTurn): Effect.Effect<boolean | undefined> {
+  /** Appends a turn to its slice's log. */
+  store(turn: KeptTurn): Effect.Effect<IStoreTurnResult> {
     return Effect.gen({ self: this }, function* () {
       const journal = yield* this.#findOpenJournal(turn.turnId);
-      return journal === undefined ? undefined : yield* journal.storeTurn(turn);
+      if (journal === undefined) {
+        return { isOwner: false, isStored: false, sliceStatus: this.#statusOf(turn.turnId) };
+      }
+      return { isOwner: true, isStored: yield* journal.storeTurn(turn) };
     });
   }
 
   /** Looks up a kept turn: that of the organisation or, if it has none of this id, that of another one. */
   load(turnId: string, organisation?: string): Effect.Effect<ILoadTurnResult> {
-    return Effect.map(this.#findOpenJournal(turnId), (journal) => ({
-      isOwner: journal !== undefined,
-      turn: journal?.slice.turns.find(turnId, organisation),
-    }));
+    return Effect.map(
+      this.#findOpenJournal(turnId),
+      (journal): ILoadTurnResult =>
+        journal === undefined
+          ? { isOwner: false, sliceStatus: this.#statusOf(turnId) }
+          : { isOwner: true, turn: journal.slice.turns.find(turnId, organisation) },
+    );
+  }
+
+  /** Why this instance does not serve an id's slice. */
+  #statusOf(id: string): SliceStatus {
+    const isOpening = this.#owned.get(this.sliceOf(id))?.journal.state === SliceJournalState.Opening;
+    return isOpening ? SliceStatus.OPENING : SliceStatus.NOT_OWNED;
   }
 
   /** Open journal of an id's slice; waits up to {@link OPEN_TIMEOUT_MS} while the slice is recovered. */
--- a/src/turns/common/owned_slices_test.ts
+++ b/src/turns/common/owned_slices_test.ts
@@ -7,12 +7,14 @@
 import {
   BeginTurnRequestSchema,
   KeptTurnSchema,
+  SliceStatus,
   TurnVerdict,
 } from "../../base/common/gen/ragwortcleat/v1/turns_pb.ts";
 import type { IPartitionedLog } from "../../services/store/common/partitioned_log.ts";
 import { StoreError, StoreFault } from "../../services/store/common/partitioned_log.ts";
 import { NullLogger } from "../../services/logging/common/logger.ts";
 import { OwnedSlices } from "./owned_slices.ts";
+import { FAST_CALL_TIMEOUT_MS } from "./turn_client.ts";
 
 let writers = 0n;
 
@@ -109,7 +111,7 @@
     yield* b.assign(ALL);
     yield* b.begin(beginRequest("2"));
     const turn = create(KeptTurnSchema, { turnId: "p", content: Buffer.from("c"), retainMs: 60_000 });
-    t.false(yield* a.store(turn));
+    t.false((yield* a.store(turn)).isStored);
     t.is((yield* a.begin(beginRequest("3"))).verdict, TurnVerdict.NOT_OWNER);
   }));
 });
@@ -255,3 +257,20 @@
     t.is((yield* Fiber.join(second)).verdict, TurnVerdict.NOT_RECORDED);
   }));
 });
+
+test("the owner of an opening slice responds before the time limit of its callers", async (t) => {
+  const log = new SlowReadLog();
+  await run(Effect.gen(function* () {
+    const [a, b] = [createOwnedSlices(log, "a"), createOwnedSlices(log, "b")];
+    yield* a.assign(ALL);
+    t.true((yield* a.load("k")).isOwner);
+    yield* a.assign(NONE);
+    log.bytesPerMs = 0.001;
+    yield* b.assign(ALL);
+    const askedAtMs = yield* Clock.currentTimeMillis;
+    const { isOwner, sliceStatus } = yield* b.load("k");
+    t.false(isOwner);
+    t.is(sliceStatus, SliceStatus.OPENING);
+    t.true((yield* Clock.currentTimeMillis) - askedAtMs < FAST_CALL_TIMEOUT_MS);
+  }));
+});
--- a/src/turns/common/turn_client.ts
+++ b/src/turns/common/turn_client.ts
@@ -2,13 +2,7 @@
 import { create } from "@bufbuild/protobuf";
 import type { Client } from "@connectrpc/connect";
 import { Clock, Effect } from "effect";
-import type {
-  BeginTurnRequest,
-  EndTurnRequest,
-  KeptTurn,
-  TurnRef,
-  TurnService,
-} from "../../base/common/gen/ragwortcleat/v1/turns_pb.ts";
+import type { KeptTurn, TurnRef, TurnService } from "../../base/common/gen/ragwortcleat/v1/turns_pb.ts";
 import {
   BeginTurnRequestSchema,
   EndTurnRequestSchema,
@@ -17,20 +11,31 @@
   TurnRefSchema,
   TurnVerdict,
 } from "../../base/common/gen/ragwortcleat/v1/turns_pb.ts";
-import type { PeerError } from "../../base/common/errors.ts";
 import type { PeerRpcClients } from "../../membership/common/peer_client.ts";
 import { mayContinue } from "../../services/organisations/common/organisation_scope.ts";
 import type { ILogger } from "../../services/logging/common/logger.ts";
+import type { Metrics } from "../../services/metrics/common/metrics.ts";
 import { KeptTurnMap } from "./kept_turn_map.ts";
 import type { IPromptHome } from "./prompt_home_cache.ts";
-import type { IBeginTurnResult, OwnedSlices } from "./owned_slices.ts";
+import type {
+  IBeginTurnResult,
+  IEndTurnResult,
+  ILoadTurnResult,
+  ISliceResult,
+  IStoreTurnResult,
+  OwnedSlices,
+} from "./owned_slices.ts";
+import type { OwnerWaits } from "./owner_waits.ts";
+import { OwnerStatus, OwnerStep, toOwnerStatus } from "./owner_waits.ts";
 import type { SliceGroup } from "./slice_group.ts";
 import type { ITurnGrantRequest } from "./spending_ledger.ts";
 
 /** Time limit for calls that may wait for an append: recording a grant can take up to a second. */
 const APPEND_CALL_TIMEOUT_MS = 1300;
+/** Share of the time left that such a call may take, so that another connection or owner can be tried. */
+const APPEND_CALL_SHARE = 0.5;
 /** Time limit for calls that need no append; the connection or the owner is presumed lost when exceeded. */
-const FAST_CALL_TIMEOUT_MS = 350;
+export const FAST_CALL_TIMEOUT_MS = 350;
 /** Delay before the owner is looked up again and the call is retried. */
 const RETRY_DELAY_MS = 60;
 /** Time limit for reporting the end of a turn to its owner: longer than the reassignment of a slice takes. */
@@ -40,12 +45,33 @@
 
 type TurnServiceClient = Client<typeof TurnService>;
 
+/** A request to the owner of a slice. */
+interface IOwnerQuestion<R extends ISliceResult> {
+  readonly step: OwnerStep;
+  /** Id of the program or turn that the slice belongs to. */
+  readonly id: string;
+  /** Whether the owner may have to append a record before it responds. */
+  readonly isAppending: boolean;
+  readonly here: () => Effect.Effect<R>;
+  readonly there: (client: TurnServiceClient, signal: AbortSignal) => Promise<R>;
+  /** Whether the receiver has served the request; another one is called otherwise. */
+  readonly isServed: (response: R) => boolean;
+}
+
+interface IOwnerReply<R> {
+  readonly status: OwnerStatus;
+  /** Set with {@link OwnerStatus.Open}. */
+  readonly response?: R;
+  readonly error?: string;
+}
+
 /** Dependencies and address of a {@link TurnClient}. */
 export interface ITurnClientOptions {
   readonly owned: OwnedSlices;
   readonly group: SliceGroup;
   readonly peers: PeerRpcClients<typeof TurnService>;
   readonly logger: ILogger;
+  readonly metrics?: Metrics;
   /** Address at which peers reach this instance. */
   readonly address: string;
 }
@@ -91,23 +117,30 @@
   readonly organisation?: string | undefined;
 }
 
-/** Who looks up a turn, and for how long. */
-export interface ILoadTurnOptions {
+/** Limits and records the waiting for owners. */
+export interface IOwnerCallOptions {
+  /** Time limit, in ms; no call to an owner continues beyond it. */
   readonly timeoutMs: number;
+  /** Records what the request waited for. */
+  readonly waits?: OwnerWaits;
+}
+
+/** Who looks up a turn, and for how long. */
+export interface ILoadTurnOptions extends IOwnerCallOptions {
   /** Name of the caller's organisation, as in {@link KeptTurn}. */
   readonly organisation?: string | undefined;
 }
 
 /** Access to budgets and kept turns, whichever instance owns them. */
 export interface ITurnClient {
-  /** Requests to begin a turn; undefined when no owner responded within `timeoutMs`. */
-  begin(request: ITurnRequest, timeoutMs: number): Effect.Effect<IBeginTurnResult | undefined>;
+  /** Requests to begin a turn; undefined when no owner responded in time. */
+  begin(request: ITurnRequest, opts: IOwnerCallOptions): Effect.Effect<IBeginTurnResult | undefined>;
   /** Reports to the owner the tokens that a turn has delivered. */
   end(turn: IEndedTurn): Effect.Effect<void>;
   /** Loads the chain that ends with a turn, all of which must belong to the caller's organisation. */
   load(turnId: string, opts: ILoadTurnOptions): Effect.Effect<ChainLookupResult>;
   /** Stores a completed turn; true once it is in the log. */
-  store(completed: ICompletedTurn, timeoutMs: number): Effect.Effect<boolean>;
+  store(completed: ICompletedTurn, opts: IOwnerCallOptions): Effect.Effect<boolean>;
 }
 
 /** A turn that has ended, with any outcome. */
@@ -136,33 +169,58 @@
     this.#opts = opts;
   }
 
-  begin(request: ITurnRequest, timeoutMs: number): Effect.Effect<IBeginTurnResult | undefined> {
+  begin(request: ITurnRequest, opts: IOwnerCallOptions): Effect.Effect<IBeginTurnResult | undefined> {
     const req = create(BeginTurnRequestSchema, { ...request, partIds: [...request.partIds] });
-    return this.#retry(timeoutMs, () => this.#beginOnce(req));
+    return this.#askOwner({
+      step: OwnerStep.Grant,
+      id: req.programId,
+      isAppending: true,
+      here: () => this.#opts.owned.begin(req),
+      there: (client, signal): Promise<IBeginTurnResult> => client.beginTurn(req, { signal }),
+      isServed: ({ verdict }) => verdict !== TurnVerdict.NOT_OWNER,
+    }, opts);
   }
 
   end(turn: IEndedTurn): Effect.Effect<void> {
     const home = turn.home === undefined ? undefined : create(PromptHomeSchema, turn.home);
     const req = create(EndTurnRequestSchema, { ...turn, home });
-    return Effect.map(this.#retry(END_REPORT_TIMEOUT_MS, () => this.#endOnce(req)), (isReported) => {
-      if (!isReported) this.#opts.logger.warn("turn-end-unreported", turn);
+    const response = this.#askOwner({
+      step: OwnerStep.End,
+      id: req.programId,
+      isAppending: false,
+      here: () => this.#opts.owned.end(req),
+      there: (client, signal): Promise<IEndTurnResult> => client.endTurn(req, { signal }),
+      isServed: ({ isOwner }) => isOwner,
+    }, { timeoutMs: END_REPORT_TIMEOUT_MS });
+    return Effect.map(response, (res) => {
+      if (res === undefined) this.#opts.logger.warn("turn-end-unreported", turn);
     });
   }
 
   load(turnId: string, opts: ILoadTurnOptions): Effect.Effect<ChainLookupResult> {
     return Effect.gen({ self: this }, function* () {
+      const startedAtMs = yield* Clock.currentTimeMillis;
+      const result = yield* this.#loadChain(turnId, opts);
+      const tookMs = (yield* Clock.currentTimeMillis) - startedAtMs;
+      this.#opts.metrics?.recordDuration("chain_load", tookMs, { outcome: result.state });
+      return result;
+    });
+  }
+
+  #loadChain(turnId: string, opts: ILoadTurnOptions): Effect.Effect<ChainLookupResult> {
+    return Effect.gen({ self: this }, function* () {
+      const deadlineMs = (yield* Clock.currentTimeMillis) + opts.timeoutMs;
       const last = yield* this.#loadTurn(turnId, opts);
       if (!(last instanceof Object)) return { state: last };
-      const ancestors = yield* Effect.forEach(
-        last.ancestors,
-        (ref) => this.#loadTurn(ref.turnId, opts),
-        { concurrency: "unbounded" },
-      );
-      const turns: KeptTurn[] = [];
-      for (const turn of [...ancestors, last]) {
-        if (!(turn instanceof Object)) return { state: turn };
-        turns.push(turn);
-      }
+      const timeoutMs = deadlineMs - (yield* Clock.currentTimeMillis);
+      const load = (ref: TurnRef) =>
+        Effect.filterOrFail(
+          this.#loadTurn(ref.turnId, { ...opts, timeoutMs }),
+          (turn) => turn instanceof Object,
+          (failure) => ({ state: failure as ChainLookupFailure }),
+        );
+      const ancestors = yield* Effect.forEach(last.ancestors, load, { concurrency: "unbounded" });
+      const turns: KeptTurn[] = [...ancestors, last];
       const contents = turns.map(({ content }) => content);
       const refs = turns.map((turn) =>
         create(TurnRefSchema, { turnId: turn.turnId, storedAtMs: turn.storedAtMs })
@@ -170,30 +228,43 @@
       const ended = turns.filter(({ programId }) => programId !== "").map((turn) => {
         return { programId: turn.programId, turnId: turn.turnId, tokens: turn.tokens, home: undefined };
       });
-      return { state: ChainLookupStatus.Found, chain: { contents, refs, ended } };
-    });
+      return { state: ChainLookupStatus.Found as const, chain: { contents, refs, ended } };
+    }).pipe(Effect.catch((failure) => Effect.succeed(failure)));
   }
 
-  store(completed: ICompletedTurn, timeoutMs: number): Effect.Effect<boolean> {
+  store(completed: ICompletedTurn, opts: IOwnerCallOptions): Effect.Effect<boolean> {
     return Effect.gen({ self: this }, function* () {
       const now = yield* Clock.currentTimeMillis;
       const turn = toKeptTurn(completed, now);
-      const isStored = yield* this.#retry(timeoutMs, () => this.#storeOnce(turn));
-      if (isStored !== true) return false;
+      const stored = yield* this.#askOwner({
+        step: OwnerStep.Store,
+        id: turn.turnId,
+        isAppending: true,
+        here: () => this.#opts.owned.store(turn),
+        there: (client, signal): Promise<IStoreTurnResult> => client.storeTurn({ turn }, { signal }),
+        isServed: ({ isStored }) => isStored,
+      }, opts);
+      if (stored === undefined) return false;
       this.#recent.evictExpired(now);
       this.#recent.put(turn);
       return true;
     });
   }
 
-  #loadTurn(
-    turnId: string,
-    { timeoutMs, organisation }: ILoadTurnOptions,
-  ): Effect.Effect<KeptTurn | ChainLookupFailure> {
+  #loadTurn(turnId: string, opts: ILoadTurnOptions): Effect.Effect<KeptTurn | ChainLookupFailure> {
     return Effect.gen({ self: this }, function* () {
+      const { organisation } = opts;
       const recent = this.#recent.find(turnId, organisation);
       if (recent !== undefined && mayContinue(recent.organisation, organisation)) return recent;
-      const found = yield* this.#retry(timeoutMs, () => this.#loadOnce({ turnId, organisation }));
+      const found = yield* this.#askOwner({
+        step: OwnerStep.History,
+        id: turnId,
+        isAppending: false,
+        here: () => this.#opts.owned.load(turnId, organisation),
+        there: (client, signal): Promise<ILoadTurnResult> =>
+          client.loadTurn({ turnId, organisation }, { signal }),
+        isServed: ({ isOwner }) => isOwner,
+      }, opts);
       if (found === undefined) return ChainLookupStatus.Unavailable;
       if (found.turn === undefined) return ChainLookupStatus.Unknown;
       if (!mayContinue(found.turn.organisation, organisation)) return ChainLookupStatus.NotOwned;
@@ -202,72 +273,70 @@
     });
   }
 
-  /** Retries a call, each time with a refreshed owner table; undefined when no owner responds in time. */
-  #retry<T>(
-    timeoutMs: number,
-    attempt: () => Effect.Effect<T | undefined, PeerError>,
-  ): Effect.Effect<T | undefined> {
+  /** Calls the owner of an id's slice, as often as there is time for; undefined when no owner serves the request in time. */
+  #askOwner<R extends ISliceResult>(
+    question: IOwnerQuestion<R>,
+    { timeoutMs, waits }: IOwnerCallOptions,
+  ): Effect.Effect<R | undefined> {
     return Effect.gen({ self: this }, function* () {
-      const deadlineMs = (yield* Clock.currentTimeMillis) + timeoutMs;
-      while (true) {
-        const result = yield* Effect.catchTag(attempt(), "PeerError", () => Effect.succeed(undefined));
-        if (result !== undefined) return result;
-        if ((yield* Clock.currentTimeMillis) + RETRY_DELAY_MS >= deadlineMs) return undefined;
+      const { step } = question;
+      const { group, owned, metrics } = this.#opts;
+      const slice = owned.sliceOf(question.id);
+      const startedAtMs = yield* Clock.currentTimeMillis;
+      const deadlineMs = startedAtMs + timeoutMs;
+      let error: string | undefined;
+      for (let tries = 1, leftMs = timeoutMs;; tries++) {
+        const owner = group.ownerOf(slice);
+        const reply = yield* this.#askOnce(question, { owner, leftMs });
+        error = reply.error ?? error;
+        const now = yield* Clock.currentTimeMillis;
+        const isServed = reply.status === OwnerStatus.Open;
+        if (isServed || now + RETRY_DELAY_MS >= deadlineMs) {
+          const waitMs = now - startedAtMs;
+          waits?.record({ step, slice, owner, status: reply.status, tries, waitMs, isServed, error });
+          metrics?.recordDuration("owner_wait", waitMs, { step, status: reply.status });
+          return reply.response;
+        }
         yield* Effect.sleep(RETRY_DELAY_MS);
-        yield* this.#opts.group.refresh();
+        // An owner that is opening the slice is the right one.
+        if (reply.status !== OwnerStatus.Opening) {
+          yield* Effect.timeoutOption(group.refresh(), deadlineMs - now - RETRY_DELAY_MS);
+        }
+        leftMs = deadlineMs - (yield* Clock.currentTimeMillis);
       }
     });
   }
 
-  #beginOnce(req: BeginTurnRequest): Effect.Effect<IBeginTurnResult | undefined, PeerError> {
-    const owner = this.#ownerOf(req.programId);
-    const begun = owner === this.#opts.address
-      ? this.#opts.owned.begin(req)
-      : this.#call(owner, (client, signal) => client.beginTurn(req, { signal }), APPEND_CALL_TIMEOUT_MS);
-    return Effect.map(begun, (res) => res?.verdict === TurnVerdict.NOT_OWNER ? undefined : res);
-  }
-
-  #endOnce(req: EndTurnRequest): Effect.Effect<true | undefined, PeerError> {
-    const owner = this.#ownerOf(req.programId);
-    const isOwner = owner === this.#opts.address ? this.#opts.owned.end(req) : Effect.map(
-      this.#call(owner, (client, signal) => client.endTurn(req, { signal }), FAST_CALL_TIMEOUT_MS),
-      (res) => res?.isOwner,
-    );
-    return Effect.map(isOwner, (value) => value === true ? true : undefined);
-  }
-
-  #storeOnce(turn: KeptTurn): Effect.Effect<true | undefined, PeerError> {
-    const owner = this.#ownerOf(turn.turnId);
-    const isStored = owner === this.#opts.address ? this.#opts.owned.store(turn) : Effect.map(
-      this.#call(owner, (client, signal) => client.storeTurn({ turn }, { signal }), APPEND_CALL_TIMEOUT_MS),
-      (res) => res?.isStored,
-    );
-    return Effect.map(isStored, (value) => value === true ? true : undefined);
-  }
-
-  #loadOnce(
-    { turnId, organisation }: { turnId: string; organisation: string | undefined },
-  ): Effect.Effect<{ turn: KeptTurn | undefined } | undefined, PeerError> {
-    const owner = this.#ownerOf(turnId);
-    const loaded = owner === this.#opts.address ? this.#opts.owned.load(turnId, organisation) : this.#call(
-      owner,
-      (client, signal) => client.loadTurn({ turnId, organisation }, { signal }),
-      FAST_CALL_TIMEOUT_MS,
-    );
-    return Effect.map(loaded, (res) => res?.isOwner ? { turn: res.turn } : undefined);
-  }
-
-  #ownerOf(id: string): string {
-    return this.#opts.group.ownerOf(this.#opts.owned.sliceOf(id));
-  }
-
-  #call<T>(
-    address: string,
-    invoke: (client: TurnServiceClient, signal: AbortSignal) => Promise<T>,
-    timeoutMs: number,
-  ): Effect.Effect<T | undefined, PeerError> {
-    if (address === "") return Effect.succeed(undefined);
-    return this.#opts.peers.call(address, { timeoutMs, invoke });
+  #askOnce<R extends ISliceResult>(
+    question: IOwnerQuestion<R>,
+    { owner, leftMs }: { owner: string; leftMs: number },
+  ): Effect.Effect<IOwnerReply<R>> {
+    return Effect.suspend((): Effect.Effect<IOwnerReply<R>> => {
+      const { address, peers } = this.#opts;
+      if (owner === "") return Effect.succeed({ status: OwnerStatus.Unknown });
+      const toReply = (response: R): IOwnerReply<R> =>
+        question.isServed(response)
+          ? { status: OwnerStatus.Open, response }
+          : { status: toOwnerStatus(response.sliceStatus) };
+      if (owner === address) {
+        const here = Effect.timeoutOption(question.here(), leftMs);
+        return Effect.map(
+          here,
+          (response) =>
+            response._tag === "Some" ? toReply(response.value) : { status: OwnerStatus.Unresponsive },
+        );
+      }
+      const limitMs = question.isAppending
+        ? Math.min(APPEND_CALL_TIMEOUT_MS, Math.max(FAST_CALL_TIMEOUT_MS, leftMs * APPEND_CALL_SHARE))
+        : FAST_CALL_TIMEOUT_MS;
+      const call = peers.call(owner, { timeoutMs: Math.min(limitMs, leftMs), invoke: question.there });
+      return Effect.map(call, toReply).pipe(
+        Effect.catchTag(
+          "PeerError",
+          ({ message }) => Effect.succeed({ status: OwnerStatus.Unresponsive, error: message }),
+        ),
+      );
+    });
   }
 }
 
--- /dev/null
+++ b/src/turns/common/turn_client_test.ts
@@ -0,0 +1,92 @@
+import type { MessageInitShape } from "@bufbuild/protobuf";
+import { createRouterTransport } from "@connectrpc/connect";
+import test from "ava";
+import { Clock, Effect, Fiber } from "effect";
+import { TestClock } from "effect/testing";
+import { PartitionedLogCore } from "../../../test/stand_ins/partitioned_log_core.ts";
+import type {
+  LoadTurnRequest,
+  LoadTurnResponseSchema,
+} from "../../base/common/gen/ragwortcleat/v1/turns_pb.ts";
+import { TurnService } from "../../base/common/gen/ragwortcleat/v1/turns_pb.ts";
+import { PeerRpcClients } from "../../membership/common/peer_client.ts";
+import { NullLogger } from "../../services/logging/common/logger.ts";
+import { OwnedSlices } from "./owned_slices.ts";
+import type { SliceGroup } from "./slice_group.ts";
+import { ChainLookupStatus, TurnClient } from "./turn_client.ts";
+
+const ADDRESS = "here:1";
+const GRANT = { programId: "p", turnId: "t", maxTokens: 5, budget: 50, retainMs: 60_000, partIds: [] };
+
+interface IPeer {
+  readonly load?: (req: LoadTurnRequest) => Promise<MessageInitShape<typeof LoadTurnResponseSchema>>;
+}
+
+/** Client whose slices are all owned by one peer; calls to begin a turn are never answered. */
+function createClient(t: { readonly refreshes: number[] }, { load }: IPeer = {}): TurnClient {
+  const logger = new NullLogger();
+  const owned = new OwnedSlices({
+    log: new PartitionedLogCore(),
+    logger,
+    instance: "here",
+    address: ADDRESS,
+    partitions: [{ topic: "slices-0", part: 0 }],
+    newWriter: () => 1n,
+    askRelease: () => Effect.succeed(undefined),
+  });
+  const group = {
+    ownerOf: () => "peer:1",
+    refresh: () => Effect.map(Clock.currentTimeMillis, (now) => void t.refreshes.push(now)),
+  } as unknown as SliceGroup;
+  const never = () => new Promise<never>(() => {});
+  const transport = createRouterTransport((router) =>
+    router.service(TurnService, { beginTurn: never, loadTurn: load ?? never })
+  );
+  const peers = new PeerRpcClients(TurnService, { get: () => transport, reset: () => {} });
+  return new TurnClient({ owned, group, peers, logger, address: ADDRESS });
+}
+
+/** Runs an effect under virtual time and returns its result and how long it took. */
+function measure<T>(work: Effect.Effect<T>): Promise<{ result: T; tookMs: number }> {
+  const measured = Effect.gen(function* () {
+    const result = yield* work;
+    return { result, tookMs: yield* Clock.currentTimeMillis };
+  });
+  const ticking = Effect.gen(function* () {
+    const fiber = yield* Effect.forkChild(measured);
+    for (let step = 0; step < 500; step++) {
+      yield* TestClock.adjust(10);
+      yield* Effect.promise(() => new Promise<void>((resolve) => setImmediate(resolve)));
+    }
+    return yield* Fiber.join(fiber);
+  });
+  return Effect.runPromise(Effect.provide(ticking, TestClock.layer()));
+}
+
+test("a turn whose owner does not respond is given up within the time limit", async (t) => {
+  const client = createClient({ refreshes: [] });
+  const { result, tookMs } = await measure(client.begin(GRANT, { timeoutMs: 650 }));
+  t.is(result, undefined);
+  t.true(tookMs <= 650, String(tookMs));
+});
+
+test("an owner that does not respond is looked up and called again within the time limit", async (t) => {
+  const refreshes: number[] = [];
+  await measure(createClient({ refreshes }).begin(GRANT, { timeoutMs: 1500 }));
+  t.true(refreshes.length > 0 && refreshes[0] < 1000, String(refreshes));
+});
+
+test("a chain whose last turn is found late is given up within one time limit", async (t) => {
+  const client = createClient({ refreshes: [] }, {
+    load: async ({ turnId }) => {
+      if (turnId !== "last") return await new Promise(() => {});
+      await new Promise((resolve) => setImmediate(resolve));
+      const ancestors = [{ turnId: "first", storedAtMs: 0 }];
+      return { isOwner: true, turn: { turnId, ancestors, retainMs: 60_000 } };
+    },
+  });
+  const late = Effect.andThen(Effect.sleep(200), client.load("last", { timeoutMs: 500 }));
+  const { result, tookMs } = await measure(late);
+  t.is(result.state, ChainLookupStatus.Unavailable);
+  t.true(tookMs <= 700, String(tookMs));
+});
