Relay: refuse a turn that has no owner while its caller can try again

A turn waits for owners for at most half of its time, counted anew for each step, and Retry-After leaves time to serve it. The first of grant, history and token that refuses a turn ends it; the end of a grant that may have been given is reported as before. A request that no server has received is refused shortly before its deadline instead of at it, also if an earlier server has refused it.

A request for a token of an allotment that is still in flight when the turn is refused loses that token, as when the caller leaves.

--- a/src/call/common/gateway_relay.ts
+++ b/src/call/common/gateway_relay.ts
@@ -6,7 +6,8 @@
 import { combinedPriority } from "../../services/organisations/common/organisation_scope.ts";
 import { isRepeatable, RouteKind, selectServiceByWeight } from "../../services/routes/common/route_table.ts";
 import { BoundedLabel } from "../../services/metrics/common/bounded_label.ts";
-import type { ITurnChain, ITurnClient } from "../../turns/common/turn_client.ts";
+import type { IBeginTurnResult } from "../../turns/common/owned_slices.ts";
+import type { IOwnerCallOptions, ITurnChain, ITurnClient } from "../../turns/common/turn_client.ts";
 import { ChainLookupStatus } from "../../turns/common/turn_client.ts";
 import type { IAttempt } from "./backend_dispatcher.ts";
 import { BackendDispatcher } from "./backend_dispatcher.ts";
@@ -43,6 +44,14 @@
 const CRASHING_RETRY_AFTER_MS = 60_000;
 /** Time limit for reaching the owner of a budget or a stored turn. A slice handover takes less time. */
 const OWNER_TIMEOUT_MS = 1500;
+/** Share of the time left that a turn may wait for owners, so that its caller has time for another try. */
+const OWNER_WAIT_SHARE = 0.5;
+/** Share of the time left after which the caller of a turn without an owner should retry, and the least delay. */
+const OWNER_RETRY_SHARE = 0.3;
+const MIN_OWNER_RETRY_AFTER_MS = 50;
+/** Time before its deadline at which a request that no server has received is refused: the refusal must reach the caller. */
+const MAX_REFUSAL_MARGIN_MS = 150;
+const REFUSAL_MARGIN_SHARE = 0.1;
 /** Time limit for the first configuration and server list after startup: the time of a few store requests. */
 const STARTUP_TIMEOUT_MS = 600;
 const STARTUP_POLL_INTERVAL_MS = 20;
@@ -76,6 +85,7 @@
   /** Serves one request. Interruption means that the caller has disconnected. */
   handle(raw: IRawRequest, sink: IResponseSink): Effect.Effect<void> {
     return Effect.gen({ self: this }, function* () {
+      const arrivedAtMs = yield* Clock.currentTimeMillis;
       const { routes, codec } = this.#opts;
       const { isConfigured: hadOrganisations } = routes.organisations;
       const first = codec.readRequest(raw, { hasOrganisations: hadOrganisations });
@@ -96,7 +106,6 @@
       if (this.#opts.crashes.isQuarantined(identity)) {
         return this.#refuseEarly(sink, this.#crashingRefusal(identity), req);
       }
-      const now = yield* Clock.currentTimeMillis;
       const context = { identity, route, organisation };
       const isResumed = route.kind === RouteKind.Stream && req.lastEventId !== undefined;
       const origin = isResumed ? yield* this.#streams.findOrigin(req, context) : undefined;
@@ -110,7 +119,7 @@
         route,
         service: (origin ?? earlierOrigin)?.service ??
           selectServiceByWeight(route.services, this.#opts.random()),
-        now,
+        now: arrivedAtMs,
         configurationVersion: routes.version,
         organisation,
         hasOrganisations,
@@ -180,11 +189,18 @@
     else writeRefusal(sink, refusal);
   }
 
+  /** Waits until a request must be refused: shortly before its deadline if no server has received it, and at the deadline otherwise. */
   #awaitDeadline(call: RelayedCall): Effect.Effect<IRefusal> {
     return Effect.gen(function* () {
+      const { startedAtMs, deadlineAtMs } = call;
+      const marginMs = Math.min(MAX_REFUSAL_MARGIN_MS, (deadlineAtMs - startedAtMs) * REFUSAL_MARGIN_SHARE);
       const now = yield* Clock.currentTimeMillis;
-      yield* Effect.sleep(Math.max(0, call.deadlineAtMs - now));
-      if (call.runs === 0 && call.choice === undefined) {
+      yield* Effect.sleep(Math.max(0, deadlineAtMs - marginMs - now));
+      if (call.runs === 0 && !call.isSending) {
+        return retryableRefusal(RefusalReason.DeadlineExceeded, UNAVAILABLE_RETRY_AFTER_MS);
+      }
+      yield* Effect.sleep(Math.max(0, deadlineAtMs - (yield* Clock.currentTimeMillis)));
+      if (call.runs === 0 && !call.isSending) {
         return retryableRefusal(RefusalReason.DeadlineExceeded, UNAVAILABLE_RETRY_AFTER_MS);
       }
       return finalRefusal(GatewayStatus.Timeout, RefusalReason.DeadlineExceeded);
@@ -253,10 +269,29 @@
 
   /** Obtains the budget and the history of a turn and serves it. */
   #beginTurn(call: RelayedCall, sink: IResponseSink): Effect.Effect<IRefusal | undefined> {
+    return Effect.gen({ self: this }, function* () {
+      // Any refusal ends the turn, so that it need not wait for the other answers.
+      const questions = [this.#obtainGrant(call), this.#loadChain(call), this.#requireToken(call)] as const;
+      const [first, chain] = yield* Effect.all(questions, { concurrency: "unbounded" });
+      const isSettled = first.verdict === TurnVerdict.SPENT && (yield* this.#reportStoredEnds(call, chain));
+      const begun = isSettled ? yield* this.#obtainGrant(call) : first;
+      if (begun.verdict === TurnVerdict.SPENT) {
+        return finalRefusal(GatewayStatus.BudgetExhausted, RefusalReason.BudgetExhausted);
+      }
+      if (begun.home !== undefined) this.#dispatcher.recordPromptHome(call, begun.home);
+      const refusal = begun.isFresh ? this.#admit(call) : undefined;
+      if (refusal !== undefined) return refusal;
+      const { req } = call;
+      const body = chain.contents.length === 0 ? req.body : Buffer.concat([...chain.contents, req.body]);
+      return yield* this.#serve({ call, sink, body, beforeEnd: this.#storeTurn(call, chain) });
+    }).pipe(Effect.catch((refusal) => Effect.succeed(refusal)));
+  }
+
+  /** Requests the turn from its program's budget; fails if no owner decides. */
+  #obtainGrant(call: RelayedCall): Effect.Effect<IBeginTurnResult, IRefusal> {
     return Effect.gen({ self: this }, function* () {
       const { req, route } = call;
       const program = req.program!;
-      const timeoutMs = Math.min(OWNER_TIMEOUT_MS, call.deadlineAtMs - call.startedAtMs);
       const grant = {
         programId: call.scoped(program.programId),
         turnId: req.id,
@@ -265,72 +300,65 @@
         retainMs: route.retainMs,
         partIds: (req.prompt?.parts ?? []).map(({ id }) => call.scoped(id)),
       };
-      const beginTurn = Effect.map(
-        Effect.suspend(() => this.#opts.turns.begin(grant, { timeoutMs })),
-        (begun) => {
-          call.isTurnRefused = begun !== undefined && begun.verdict !== TurnVerdict.GRANTED;
-          return begun;
-        },
-      );
-      const loadChain = this.#loadChain(call, timeoutMs);
-      const questions = [beginTurn, loadChain, this.#acquireToken(call)] as const;
-      const [first, chain, overAllotment] = yield* Effect.all(questions, { concurrency: "unbounded" });
-      if (chain === ChainLookupStatus.NotOwned) {
-        return finalRefusal(GatewayStatus.NotFound, RefusalReason.TurnNotOwned);
-      }
-      const isSettled = first?.verdict === TurnVerdict.SPENT &&
-        (yield* this.#reportStoredEnds(call, { chain, timeoutMs }));
-      const begun = isSettled ? yield* beginTurn : first;
-      const verdict = begun?.verdict;
-      if (verdict === TurnVerdict.SPENT) {
-        return finalRefusal(GatewayStatus.BudgetExhausted, RefusalReason.BudgetExhausted);
-      }
-      if (verdict === TurnVerdict.NOT_RECORDED) {
-        return retryableRefusal(RefusalReason.BudgetUnavailable, STORE_RETRY_AFTER_MS);
-      }
-      if (verdict !== TurnVerdict.GRANTED) {
-        return retryableRefusal(RefusalReason.BudgetUnavailable, UNAVAILABLE_RETRY_AFTER_MS);
+      const begun = yield* this.#opts.turns.begin(grant, yield* ownerCallOptions(call));
+      call.isTurnRefused = begun !== undefined && begun.verdict !== TurnVerdict.GRANTED;
+      if (begun?.verdict === TurnVerdict.NOT_RECORDED) {
+        return yield* Effect.fail(retryableRefusal(RefusalReason.BudgetUnavailable, STORE_RETRY_AFTER_MS));
       }
-      if (overAllotment !== undefined) return overAllotment;
-      if (begun?.home !== undefined) this.#dispatcher.recordPromptHome(call, begun.home);
-      const refusal = begun?.isFresh ? this.#admit(call) : undefined;
-      if (refusal !== undefined) return refusal;
-      if (!(chain instanceof Object)) {
-        const reason = chain === ChainLookupStatus.Unknown
-          ? RefusalReason.TurnUnknown
-          : RefusalReason.HistoryUnavailable;
-        return retryableRefusal(reason, UNAVAILABLE_RETRY_AFTER_MS);
+      const isDecided = begun?.verdict === TurnVerdict.GRANTED || begun?.verdict === TurnVerdict.SPENT;
+      if (begun === undefined || !isDecided) {
+        return yield* noOwnerRefusal(call, RefusalReason.BudgetUnavailable);
       }
-      const body = chain.contents.length === 0 ? req.body : Buffer.concat([...chain.contents, req.body]);
-      return yield* this.#serve({ call, sink, body, beforeEnd: this.#storeTurn(call, chain) });
+      return begun;
     });
   }
 
+  /** Acquires the token for the next send; fails if the allotment does not cover the request. */
+  #requireToken(call: RelayedCall): Effect.Effect<void, IRefusal> {
+    return Effect.flatMap(
+      this.#acquireToken(call),
+      (refusal) => refusal === undefined ? Effect.void : Effect.fail(refusal),
+    );
+  }
+
   /**
    * Reports the ends of the program's own stored turns, which the budget's owner may still count as running at their limit:
    * the reports are lost with the instances. Returns false if there is no such turn.
    */
-  #reportStoredEnds(
-    call: RelayedCall,
-    { chain, timeoutMs }: { chain: ITurnChain | ChainLookupStatus; timeoutMs: number },
-  ): Effect.Effect<boolean> {
-    const stored = chain instanceof Object ? chain.ended : [];
-    const ownProgramId = call.scoped(call.req.program!.programId);
-    const ended = stored.filter(({ programId }) => programId === ownProgramId);
-    const reports = Effect.forEach(ended, (turn) => this.#opts.turns.end(turn), {
-      concurrency: "unbounded",
-      discard: true,
+  #reportStoredEnds(call: RelayedCall, chain: ITurnChain): Effect.Effect<boolean> {
+    return Effect.gen({ self: this }, function* () {
+      const ownProgramId = call.scoped(call.req.program!.programId);
+      const ended = chain.ended.filter(({ programId }) => programId === ownProgramId);
+      const reports = Effect.forEach(ended, (turn) => this.#opts.turns.end(turn), {
+        concurrency: "unbounded",
+        discard: true,
+      });
+      const { timeoutMs } = yield* ownerCallOptions(call);
+      yield* Effect.timeoutOption(reports, timeoutMs);
+      return ended.length > 0;
     });
-    return Effect.as(Effect.timeoutOption(reports, timeoutMs), ended.length > 0);
   }
 
-  #loadChain(call: RelayedCall, timeoutMs: number): Effect.Effect<ITurnChain | ChainLookupStatus> {
-    const previous = call.req.program?.previousTurnId;
-    if (!call.route.keepsHistory || previous === undefined) return Effect.succeed(EMPTY_CHAIN);
-    return Effect.map(
-      this.#opts.turns.load(previous, { timeoutMs, organisation: call.ownerName }),
-      (result) => result.state === ChainLookupStatus.Found ? result.chain : result.state,
-    );
+  /** Loads the turns that the turn continues; fails if one of them cannot be loaded. */
+  #loadChain(call: RelayedCall): Effect.Effect<ITurnChain, IRefusal> {
+    return Effect.gen({ self: this }, function* () {
+      const previous = call.req.program?.previousTurnId;
+      if (!call.route.keepsHistory || previous === undefined) return EMPTY_CHAIN;
+      const opts = { ...yield* ownerCallOptions(call), organisation: call.ownerName };
+      const result = yield* this.#opts.turns.load(previous, opts);
+      switch (result.state) {
+        case ChainLookupStatus.Found:
+          return result.chain;
+        case ChainLookupStatus.NotOwned:
+          return yield* Effect.fail(finalRefusal(GatewayStatus.NotFound, RefusalReason.TurnNotOwned));
+        case ChainLookupStatus.Unknown:
+          return yield* Effect.fail(
+            retryableRefusal(RefusalReason.TurnUnknown, UNAVAILABLE_RETRY_AFTER_MS),
+          );
+        case ChainLookupStatus.Unavailable:
+          return yield* noOwnerRefusal(call, RefusalReason.HistoryUnavailable);
+      }
+    });
   }
 
   /** Tries servers until one has responded or no further attempt is permitted. */
@@ -351,7 +379,9 @@
         }
         const { holdsToken } = call;
         call.holdsToken = false;
+        call.isSending = true;
         const outcome = yield* this.#hedged.run(attempt, choice);
+        call.isSending = false;
         if (outcome === AttemptOutcome.Done) return undefined;
         // A server that did not run the request leaves the token for the next attempt.
         if (outcome !== AttemptOutcome.Failed) call.holdsToken = holdsToken;
@@ -454,7 +484,8 @@
         retainMs: route.retainMs,
         organisation: call.ownerName,
       };
-      return yield* this.#opts.turns.store(completed, { timeoutMs: call.deadlineAtMs - now });
+      const { ownerWaits: waits } = call;
+      return yield* this.#opts.turns.store(completed, { timeoutMs: call.deadlineAtMs - now, waits });
     });
   }
 
@@ -480,6 +511,27 @@
   }
 }
 
+/** Returns for how long a turn may wait for owners from now on, and where its waiting is recorded. */
+function ownerCallOptions(
+  { deadlineAtMs, ownerWaits: waits }: RelayedCall,
+): Effect.Effect<IOwnerCallOptions> {
+  return Effect.map(Clock.currentTimeMillis, (now) => {
+    const timeoutMs = Math.min(OWNER_TIMEOUT_MS, Math.max(0, deadlineAtMs - now) * OWNER_WAIT_SHARE);
+    return { timeoutMs, waits };
+  });
+}
+
+/** Fails with the refusal of a turn that no owner serves. Its caller is to return while there is time to serve the turn. */
+function noOwnerRefusal(
+  { deadlineAtMs }: RelayedCall,
+  reason: RefusalReason,
+): Effect.Effect<never, IRefusal> {
+  return Effect.flatMap(Clock.currentTimeMillis, (now) => {
+    const shareMs = Math.max(MIN_OWNER_RETRY_AFTER_MS, (deadlineAtMs - now) * OWNER_RETRY_SHARE);
+    return Effect.fail(retryableRefusal(reason, Math.min(UNAVAILABLE_RETRY_AFTER_MS, shareMs)));
+  });
+}
+
 const EMPTY_CHAIN: ITurnChain = { contents: [], refs: [], ended: [] };
 
 function isTurn({ req, route }: RelayedCall): boolean {
--- a/src/call/common/gateway_relay_test.ts
+++ b/src/call/common/gateway_relay_test.ts
@@ -1,6 +1,6 @@
 import test from "ava";
 import { create } from "@bufbuild/protobuf";
-import { Effect, Fiber } from "effect";
+import { Clock, Effect, Fiber } from "effect";
 import { TestClock } from "effect/testing";
 import { RecordingSink } from "../../../test/stand_ins/recording_sink.ts";
 import { UNLIMITED_PERMITS } from "../../../test/stand_ins/unlimited_permits.ts";
@@ -132,6 +132,13 @@
   }
 }
 
+/** Turns whose budget has no owner that responds. */
+class TurnsWithoutOwner extends FakeTurns {
+  override begin() {
+    return Effect.never;
+  }
+}
+
 /** Reads the fields of a resumed request, which the test passes in a header. */
 function resumeOf(headers: readonly string[]): object {
   const index = headers.indexOf("resume");
@@ -195,6 +202,7 @@
   allotment: { perSecond: 1, burst: 1 },
 };
 const STREAM: Partial<IRoute> = { kind: RouteKind.Stream, retainMs: 60_000 };
+const KEPT_TURN: Partial<IRoute> = { ...STREAM, keepsHistory: true };
 
 /** Grants a number of requests. */
 class FakeAllotments implements IAllotmentClient {
@@ -315,12 +323,13 @@
   const work = Effect.gen(function* () {
     const resume = setup.resume === undefined ? [] : ["resume", JSON.stringify(setup.resume)];
     const req = { method: "POST", target, headers: [...headers, ...resume], body: Buffer.from("new") };
-    const fiber = yield* Effect.forkChild(gateway.handle(req, sink));
+    const handling = Effect.andThen(gateway.handle(req, sink), Clock.currentTimeMillis);
+    const fiber = yield* Effect.forkChild(handling);
     for (let i = 0; i < 40; i++) yield* TestClock.adjust(100);
-    yield* Fiber.join(fiber);
+    return yield* Fiber.join(fiber);
   });
-  await Effect.runPromise(Effect.provide(work, TestClock.layer()));
-  return { sink, sent: upstream.sent, turns, streams };
+  const answeredAtMs = await Effect.runPromise(Effect.provide(work, TestClock.layer()));
+  return { sink, sent: upstream.sent, turns, streams, answeredAtMs };
 }
 
 function event(id: number, data = `d${id}`): string {
@@ -744,3 +753,24 @@
   const failed = await relay({ route, script, headers: ["key"], allotments: new FakeAllotments(1) });
   t.deepEqual([failed.sink.status, failed.sent.length], [502, 1]);
 });
+
+test("a turn whose history cannot be loaded is refused at once, and its end reported", async (t) => {
+  const turns = new TurnsWithoutOwner();
+  const { sink, answeredAtMs } = await relay({ turns, route: KEPT_TURN, headers: ["previous", "gone"] });
+  t.is(sink.status, 503);
+  t.is(answeredAtMs, 0);
+  t.is(turns.ended.length, 1);
+});
+
+test("a request that no server has received is refused before its caller leaves", async (t) => {
+  const { sink, answeredAtMs } = await relay({ turns: new TurnsWithoutOwner(), route: KEPT_TURN });
+  t.is(sink.status, 503);
+  t.true(answeredAtMs < 3000, String(answeredAtMs));
+});
+
+test("the wait for the first list of servers counts towards a request's deadline", async (t) => {
+  const setup = { turns: new TurnsWithoutOwner(), route: KEPT_TURN, backends: 0 };
+  const { sink, answeredAtMs } = await relay(setup);
+  t.is(sink.status, 503);
+  t.true(answeredAtMs < 3000, String(answeredAtMs));
+});
--- a/src/call/common/relayed_call.ts
+++ b/src/call/common/relayed_call.ts
@@ -4,6 +4,7 @@
 import { scopedId } from "../../services/organisations/common/organisation_scope.ts";
 import { digestPrefixOf } from "../../services/organisations/common/organisation_table.ts";
 import type { IRoute } from "../../services/routes/common/route_table.ts";
+import { OwnerWaits } from "../../turns/common/owner_waits.ts";
 import { AttemptState } from "./attempt_state.ts";
 import type { IAllotmentDecision } from "./allotment_client.ts";
 import type { GatewayStatus, IRefusal, RefusalReason } from "./gateway_refusal.ts";
@@ -60,6 +61,10 @@
   runs = 0;
   /** Number of attempts in which the server did not run the request. */
   refusals = 0;
+  /** Whether the request is being sent to a server, which may have received it. */
+  isSending = false;
+  /** What the turn waited for at the owners of slices. */
+  readonly ownerWaits = new OwnerWaits();
   /** Whether the budget's owner has refused the turn, so that its end need not be reported. */
   isTurnRefused = false;
   /** Last decision on the allotment; undefined if the organisation has none. */
@@ -255,6 +260,7 @@
       hedgeWon: this.hedge?.isWinner,
       limitedServers: this.limitedServers === 0 ? undefined : this.limitedServers,
       permitWaitMs: this.permitWaitMs === 0 ? undefined : Math.round(this.permitWaitMs),
+      ownerWaits: this.ownerWaits.toLogField(),
       events: this.events,
       framing: this.framing,
       connectionError: this.connectionError,
