Observability: what a turn waited for at the owners of its slices

`explain` derived from the duration of a refused request whether an owner had responded, which the shorter waits invalidate.

The request's line has `ownerWaits`: per step (grant, history, store) the longest wait that failed, or the longest one, with slice, owner, state of the slice there (open, opening, not-owned, unknown, unresponsive), number of calls, time and last error; also if the caller leaves meanwhile. `explain` renders them and lists `slice-open-failed`. `slice_open` is a histogram of the time from assignment to claim.

--- a/src/cli/common/request_causes.ts
+++ b/src/cli/common/request_causes.ts
@@ -3,8 +3,6 @@
 import type { ILogLine } from "./log_line.ts";
 import { numberField, stringField } from "./log_line.ts";
 
-/** Shortest duration of a refused request that indicates that no owner responded, in ms. */
-const OWNER_NO_RESPONSE_MS = 1400;
 /** Time to the first event from which a turn counts as late, in ms. */
 const LATE_FIRST_EVENT_MS = 300;
 /** Number of running requests from which a server counts as heavily loaded. */
@@ -99,9 +97,10 @@
     ...uncleanCauses(beliefs),
   ],
   [RefusalReason.BudgetUnavailable]: (end, { beliefs }) => [
-    (numberField(end, "tookMs") ?? 0) >= OWNER_NO_RESPONSE_MS
+    isUnserved(end, "grant")
       ? "no owner of the program's slice responded"
       : "the owner could not record the grant in the store",
+    ...waitCauses(end),
     ...ownerCauses(beliefs),
     ...storeCauses(beliefs),
   ],
@@ -115,8 +114,9 @@
       stringField(end, "organisation") ?? "a caller without an organisation"
     }, which the key with digest ${keyDigestOf(end)} belongs to in configuration ${versionOf(end)}`,
   ],
-  [RefusalReason.HistoryUnavailable]: (_end, { beliefs }) => [
+  [RefusalReason.HistoryUnavailable]: (end, { beliefs }) => [
     "the previous turn could not be fetched, or this one could not be recorded, so its end was not sent to the caller",
+    ...waitCauses(end),
     ...ownerCauses(beliefs),
     ...storeCauses(beliefs),
   ],
@@ -127,6 +127,7 @@
         numberField(end, "events") ?? 0
       } events forwarded)`,
     ...lateCauses(end, evidence),
+    ...waitCauses(end),
     ...ownerCauses(evidence.beliefs),
     ...storeCauses(evidence.beliefs),
   ],
@@ -178,7 +179,7 @@
   if (status >= 400) {
     return [`${end.fields.backend ?? "the backend server"} itself responded with status ${status}`];
   }
-  return lateCauses(end, evidence);
+  return [...lateCauses(end, evidence), ...waitCauses(end)];
 }
 
 /** Both sends of a hedged request, and which of them was relayed. */
@@ -196,7 +197,8 @@
   const events = numberField(end, "events") ?? 0;
   const disconnect = `the caller disconnected after ${end.fields.tookMs} ms and ${events} events`;
   const { beliefs } = evidence;
-  return [disconnect, ...lateCauses(end, evidence), ...ownerCauses(beliefs), ...storeCauses(beliefs)];
+  const causes = [...lateCauses(end, evidence), ...waitCauses(end)];
+  return [disconnect, ...causes, ...ownerCauses(beliefs), ...storeCauses(beliefs)];
 }
 
 /** Slices that were taken over from owners that did not report the budgets they had granted. */
@@ -229,6 +231,31 @@
   ];
 }
 
+interface ILoggedWait {
+  readonly step?: unknown;
+  readonly isServed?: unknown;
+  readonly [name: string]: unknown;
+}
+
+/** Waits for owners of slices that the request's line reports. */
+function waitsOf({ fields: { ownerWaits } }: ILogLine): ILoggedWait[] {
+  if (!Array.isArray(ownerWaits)) return [];
+  return ownerWaits.filter((wait): wait is ILoggedWait => typeof wait === "object" && wait !== null);
+}
+
+function isUnserved(end: ILogLine, step: string): boolean {
+  return waitsOf(end).some((wait) => wait.step === step && wait.isServed === false);
+}
+
+function waitCauses(end: ILogLine): string[] {
+  return waitsOf(end).map(({ step, slice, owner, status, tries, waitMs, isServed, error }) => {
+    const outcome = isServed === true ? "was served" : `was not served (${status})`;
+    const lastError = error === undefined ? "" : `, last error: ${error}`;
+    const address = owner === "" ? "no known owner" : owner;
+    return `${step} waited ${waitMs} ms for slice ${slice} at ${address} and ${outcome} after ${tries} calls${lastError}`;
+  });
+}
+
 /** Ownership changes around the time of the request. */
 function ownerCauses(stateChanges: readonly ILogLine[]): string[] {
   const changes = stateChanges.filter(({ event }) =>
--- a/src/cli/common/request_explanation.ts
+++ b/src/cli/common/request_explanation.ts
@@ -35,6 +35,7 @@
   "store-regained",
   "group-renewal-failed",
   "group-renewal-regained",
+  "slice-open-failed",
   "slice-opened",
   "slice-released",
   "slice-claimed-by-other",
--- a/src/cli/common/request_explanation_test.ts
+++ b/src/cli/common/request_explanation_test.ts
@@ -228,3 +228,16 @@
     explainRequest([logLine(1, "i", { ...refusal, ...allotment, allotmentOwner: "" })], "r").causes;
   t.true(alone.includes("i decided alone"), alone);
 });
+
+test("a turn that waited for the owner of a slice names the step, the slice, its owner and state", (t) => {
+  const wait = { slice: 12, owner: "i3:7", tries: 4, waitMs: 640 };
+  const grant = { ...wait, step: "grant", status: "unresponsive", isServed: false, error: "timed out" };
+  const history = { ...wait, step: "history", status: "open", isServed: true };
+  const end = { event: "request", request: "r", status: 503, reason: RefusalReason.BudgetUnavailable };
+  const line = logLine(1, "i", { ...end, ownerWaits: [grant, history] });
+  t.deepEqual(explainRequest([line], "r").causes, [
+    "no owner of the program's slice responded",
+    "grant waited 640 ms for slice 12 at i3:7 and was not served (unresponsive) after 4 calls, last error: timed out",
+    "history waited 640 ms for slice 12 at i3:7 and was served after 4 calls",
+  ]);
+});
--- a/src/daemon/common/gateway_core.ts
+++ b/src/daemon/common/gateway_core.ts
@@ -193,7 +193,16 @@
     const { newWriter } = dependencies;
     const { instance, peerAddress: address } = settings;
     const askRelease = (ownership: ISliceOwnership) => this.#requestRelease(ownership);
-    this.owned = new OwnedSlices({ ...shared, instance, address, partitions, newWriter, askRelease });
+    const { metrics } = this;
+    this.owned = new OwnedSlices({
+      ...shared,
+      metrics,
+      instance,
+      address,
+      partitions,
+      newWriter,
+      askRelease,
+    });
     const askPeer = (peer: string) => this.#fetchTable(peer);
     this.group = new SliceGroup({ ...shared, address, partitions, owned: this.owned, askPeer });
     this.limiter = new SendRateLimiter({ now, firstDelay: () => 1 });
--- a/src/turns/common/owned_slices.ts
+++ b/src/turns/common/owned_slices.ts
@@ -10,6 +10,7 @@
 import { SliceStatus, TurnVerdict } from "../../base/common/gen/ragwortcleat/v1/turns_pb.ts";
 import { hash32 } from "../../base/common/hash.ts";
 import type { ILogger } from "../../services/logging/common/logger.ts";
+import type { Metrics } from "../../services/metrics/common/metrics.ts";
 import type { IPartition, IPartitionedLog } from "../../services/store/common/partitioned_log.ts";
 import { PromptHomeCache } from "./prompt_home_cache.ts";
 import type { AskRelease } from "./slice_journal.ts";
@@ -33,6 +34,7 @@
 export interface IOwnedSlicesOptions {
   readonly log: IPartitionedLog;
   readonly logger: ILogger;
+  readonly metrics?: Metrics;
   readonly instance: string;
   /** Address at which peers reach this instance. */
   readonly address: string;
--- a/src/turns/common/slice_journal.ts
+++ b/src/turns/common/slice_journal.ts
@@ -10,6 +10,7 @@
 } from "../../base/common/gen/ragwortcleat/v1/turns_pb.ts";
 import { Signal } from "../../base/common/signal.ts";
 import type { ILogger } from "../../services/logging/common/logger.ts";
+import type { Metrics } from "../../services/metrics/common/metrics.ts";
 import type { IPartition, IPartitionedLog } from "../../services/store/common/partitioned_log.ts";
 import { StoreError, StoreFault } from "../../services/store/common/partitioned_log.ts";
 import { estimateEventBytes, MAX_APPEND_BYTES, splitIntoAppends } from "./append_batching.ts";
@@ -87,6 +88,7 @@
   readonly writer: bigint;
   readonly log: IPartitionedLog;
   readonly logger: ILogger;
+  readonly metrics?: Metrics;
 }
 
 /**
@@ -281,6 +283,8 @@
     this.#state = SliceJournalState.Open;
     const { slice, writer } = this.#opts;
     const { records, bytes } = this.#recovery;
+    const tookMs = Math.round(now - startedAtMs);
+    this.#opts.metrics?.recordDuration("slice_open", tookMs);
     this.#opts.logger.info("slice-opened", {
       slice,
       writer: String(writer),
@@ -288,7 +292,7 @@
       isClean: state.isReleased || this.#handoverRequest?.granted !== undefined,
       programs: state.ledger.size,
       turns: state.turns.size,
-      tookMs: Math.round(now - startedAtMs),
+      tookMs,
       attempts: this.#attempts,
       records,
       bytes,
--- a/src/turns/common/turn_client.ts
+++ b/src/turns/common/turn_client.ts
@@ -279,31 +279,41 @@
     { timeoutMs, waits }: IOwnerCallOptions,
   ): Effect.Effect<R | undefined> {
     return Effect.gen({ self: this }, function* () {
-      const { step } = question;
-      const { group, owned, metrics } = this.#opts;
+      const { group, owned } = this.#opts;
       const slice = owned.sliceOf(question.id);
       const startedAtMs = yield* Clock.currentTimeMillis;
       const deadlineMs = startedAtMs + timeoutMs;
+      const wait = { step: question.step, slice, owner: "", status: OwnerStatus.Unresponsive, tries: 0 };
       let error: string | undefined;
-      for (let tries = 1, leftMs = timeoutMs;; tries++) {
-        const owner = group.ownerOf(slice);
-        const reply = yield* this.#askOnce(question, { owner, leftMs });
-        error = reply.error ?? error;
-        const now = yield* Clock.currentTimeMillis;
-        const isServed = reply.status === OwnerStatus.Open;
-        if (isServed || now + RETRY_DELAY_MS >= deadlineMs) {
-          const waitMs = now - startedAtMs;
-          waits?.record({ step, slice, owner, status: reply.status, tries, waitMs, isServed, error });
-          metrics?.recordDuration("owner_wait", waitMs, { step, status: reply.status });
-          return reply.response;
+      const record = (now: number) => {
+        const waitMs = Math.round(now - startedAtMs);
+        const isServed = wait.status === OwnerStatus.Open;
+        waits?.record({ ...wait, waitMs, isServed, error });
+        const { step, status } = wait;
+        this.#opts.metrics?.recordDuration("owner_wait", waitMs, { step, status });
+      };
+      const askRepeatedly = Effect.gen({ self: this }, function* () {
+        let leftMs = timeoutMs;
+        while (true) {
+          wait.owner = group.ownerOf(slice);
+          wait.tries += 1;
+          const reply = yield* this.#askOnce(question, { owner: wait.owner, leftMs });
+          wait.status = reply.status;
+          error = reply.error ?? error;
+          const now = yield* Clock.currentTimeMillis;
+          if (reply.status === OwnerStatus.Open || now + RETRY_DELAY_MS >= deadlineMs) {
+            record(now);
+            return reply.response;
+          }
+          yield* Effect.sleep(RETRY_DELAY_MS);
+          // An owner that is opening the slice is the right one.
+          if (reply.status !== OwnerStatus.Opening) {
+            yield* Effect.timeoutOption(group.refresh(), deadlineMs - now - RETRY_DELAY_MS);
+          }
+          leftMs = deadlineMs - (yield* Clock.currentTimeMillis);
         }
-        yield* Effect.sleep(RETRY_DELAY_MS);
-        // An owner that is opening the slice is the right one.
-        if (reply.status !== OwnerStatus.Opening) {
-          yield* Effect.timeoutOption(group.refresh(), deadlineMs - now - RETRY_DELAY_MS);
-        }
-        leftMs = deadlineMs - (yield* Clock.currentTimeMillis);
-      }
+      });
+      return yield* Effect.onInterrupt(askRepeatedly, () => Effect.map(Clock.currentTimeMillis, record));
     });
   }
 
--- a/test/proofs/waiting_turns_test.ts
+++ b/test/proofs/waiting_turns_test.ts
@@ -5,6 +5,7 @@
 import test from "ava";
 import { Effect } from "effect";
 import type { IPartitionReadOptions } from "../../src/services/store/common/partitioned_log.ts";
+import type { IOwnerWait } from "../../src/turns/common/owner_waits.ts";
 import { CallerKind, GatewayCluster, RoutePath } from "../harness/gateway_cluster.ts";
 import { CrashForm, RestartForm } from "../stand_ins/backend_fleet.ts";
 
@@ -109,6 +110,11 @@
       t.deepEqual(late, []);
       t.is(answers.length, DEADLINES_MS.length * OPTIONS.instances);
       t.true(answers.some(({ status }) => status === 503));
+      const refused = cluster.linesOf("request").filter(({ status }) => status === 503);
+      for (const { ownerWaits } of refused) {
+        const waits = ownerWaits as readonly Partial<IOwnerWait>[];
+        t.true(waits.some(({ isServed, tries = 0 }) => isServed === false && tries > 0));
+      }
     }));
 });
 
