Proofs: stored turns are continued after 60 instances have lost power

All 60 instances are killed and return one every 50 ms, with 64 slices, while calls to the store take 20 to 250 ms and one of twelve is not answered. After the return calls stay slow. Turns that continue stored ones are sent every second through random instances: those sent within 6 s are served, or refused in time for another try, all later ones are served.

--- a/test/proofs/waiting_turns_test.ts
+++ b/test/proofs/waiting_turns_test.ts
@@ -7,6 +7,9 @@
 import type { IPartitionReadOptions } from "../../src/services/store/common/partitioned_log.ts";
 import type { IOwnerWait } from "../../src/turns/common/owner_waits.ts";
 import { CallerKind, GatewayCluster, RoutePath } from "../harness/gateway_cluster.ts";
+import type { IPartitionedLog } from "../../src/services/store/common/partitioned_log.ts";
+import { StoreError, StoreFault } from "../../src/services/store/common/partitioned_log.ts";
+import { SeededRandom } from "../demo/random.ts";
 import { CrashForm, RestartForm } from "../stand_ins/backend_fleet.ts";
 
 const OPTIONS = { instances: 4, crashForm: CrashForm.BeforeHead, restartForm: RestartForm.SameId };
@@ -140,3 +143,85 @@
       t.deepEqual([...new Set(later.map(({ status }) => status))], [200]);
     }));
 });
+
+const LARGE = { ...OPTIONS, instances: 60, settings: { sliceTopics: 8, storeParts: 8 } };
+const PROGRAMS = 24;
+const RETURN_INTERVAL_MS = 50;
+/** Time after the return of the last instance from which every turn must be served. */
+const RECOVERY_MS = 6000;
+const SEND_INTERVAL_MS = 1000;
+const STORE_MS = [20, 250] as const;
+const STORE_TIMEOUT_MS = 1000;
+/** One of so many calls is not answered. */
+const LOST_CALLS = 12;
+
+/** Makes the calls to the store that open slices and find their owners slow, and loses some of them while it is lossy. */
+function slowDown(
+  store: IPartitionedLog,
+  { random, isLossy }: { random: SeededRandom; isLossy: () => boolean },
+): void {
+  const slow = <A>(call: Effect.Effect<A, StoreError>): Effect.Effect<A, StoreError> =>
+    Effect.suspend(() => {
+      if (!isLossy() || random.nextInt(LOST_CALLS) > 0) {
+        return Effect.delay(call, STORE_MS[0] + random.nextInt(STORE_MS[1] - STORE_MS[0]));
+      }
+      const lost = Effect.fail(new StoreError(StoreFault.NoResponse, "no answer"));
+      return Effect.andThen(Effect.sleep(STORE_TIMEOUT_MS), lost);
+    });
+  const { read, append, join, owners } = store;
+  Object.assign(store, {
+    read: (...args: Parameters<typeof read>) => slow(read.apply(store, args)),
+    append: (...args: Parameters<typeof append>) => slow(append.apply(store, args)),
+    join: (...args: Parameters<typeof join>) => slow(join.apply(store, args)),
+    owners: (...args: Parameters<typeof owners>) => slow(owners.apply(store, args)),
+  });
+}
+
+test("stored turns are continued through any of 60 instances soon after all of them have lost power", async (t) => {
+  await GatewayCluster.run(LARGE, (cluster) =>
+    Effect.gen(function* () {
+      const random = new SeededRandom(1);
+      const programs = Array.from({ length: PROGRAMS }, (_, index) => `p${index}`);
+      for (const program of programs) {
+        const turn = { id: program, program };
+        yield* sendTurn(cluster, cluster.names[random.nextInt(LARGE.instances)], {
+          turn,
+          onAnswer: ({ status }) => t.is(status, 200),
+        });
+      }
+      yield* cluster.advance(1500);
+      const { names } = cluster;
+      for (const name of names) {
+        yield* cluster.kill(name);
+        yield* cluster.store.leave("slices", `${name}:3`);
+      }
+      let isLossy = true;
+      slowDown(cluster.store, { random, isLossy: () => isLossy });
+      for (const name of names) {
+        yield* cluster.start(name);
+        yield* cluster.advance(RETURN_INTERVAL_MS);
+      }
+      isLossy = false;
+      const faults: string[] = [];
+      for (let afterMs = 0; afterMs <= RECOVERY_MS + SEND_INTERVAL_MS; afterMs += SEND_INTERVAL_MS) {
+        for (const program of programs) {
+          const turn = {
+            id: `${program}-${afterMs}`,
+            program: `${program}-${afterMs}`,
+            previousTurn: program,
+          };
+          yield* sendTurn(cluster, names[random.nextInt(names.length)], {
+            turn,
+            onAnswer: (answer) => {
+              const isRefusedInTime = answer.status === 503 && answer.afterMs + answer.retryAfterMs < 3000;
+              if (answer.status === 200 || (afterMs < RECOVERY_MS && isRefusedInTime)) return;
+              faults.push(`${turn.id}: ${JSON.stringify(answer)}`);
+            },
+          });
+        }
+        yield* cluster.advance(SEND_INTERVAL_MS);
+      }
+      yield* cluster.advance(2500);
+      t.deepEqual(faults, []);
+    }));
+});
