--- a/src/turns/common/owned_slices_test.ts
+++ b/src/turns/common/owned_slices_test.ts
@@ -3,15 +3,18 @@
 import { Clock, Effect, Fiber } from "effect";
 import { TestClock } from "effect/testing";
 import { LogFault, PartitionedLogCore } from "../../../test/stand_ins/partitioned_log_core.ts";
+import { SlowReadLog } from "../../../test/stand_ins/slow_read_log.ts";
 import {
   BeginTurnRequestSchema,
   KeptTurnSchema,
+  SliceStatus,
   TurnVerdict,
 } from "../../base/common/gen/ragwortcleat/v1/turns_pb.ts";
 import type { IPartitionedLog } from "../../services/store/common/partitioned_log.ts";
 import { StoreError, StoreFault } from "../../services/store/common/partitioned_log.ts";
 import { NullLogger } from "../../services/logging/common/logger.ts";
 import { OwnedSlices } from "./owned_slices.ts";
+import { FAST_CALL_TIMEOUT_MS } from "./turn_client.ts";
 
 let writers = 0n;
 
@@ -108,7 +111,7 @@
     yield* b.assign(ALL);
     yield* b.begin(beginRequest("2"));
     const turn = create(KeptTurnSchema, { turnId: "p", content: Buffer.from("c"), retainMs: 60_000 });
-    t.false(yield* a.store(turn));
+    t.false((yield* a.store(turn)).isStored);
     t.is((yield* a.begin(beginRequest("3"))).verdict, TurnVerdict.NOT_OWNER);
   }));
 });
@@ -209,3 +212,65 @@
     t.is((yield* owned.begin(beginRequest("3", 1100))).verdict, TurnVerdict.GRANTED);
   }));
 });
+
+// Guards against slices that no instance opens while many instances start one after the other: each start reassigns slices, and the
+// next owner can read a slice only when the former one has released it.
+test("a slice whose records are still being read is released at once", async (t) => {
+  const log = new SlowReadLog();
+  await run(Effect.gen(function* () {
+    const [a, b] = [createOwnedSlices(log, "a"), createOwnedSlices(log, "b")];
+    yield* a.assign(ALL);
+    yield* a.store(create(KeptTurnSchema, { turnId: "k", content: Buffer.from("c"), retainMs: 60_000 }));
+    yield* a.assign(NONE);
+    log.bytesPerMs = 0.02;
+    yield* b.assign(ALL);
+    yield* Effect.sleep(500);
+    const revokedAtMs = yield* Clock.currentTimeMillis;
+    yield* b.assign(NONE);
+    t.is(yield* Clock.currentTimeMillis, revokedAtMs);
+    yield* Effect.sleep(3000);
+    log.bytesPerMs = Infinity;
+    yield* a.assign(ALL);
+    t.true((yield* a.load("k")).isOwner);
+    t.true((yield* a.begin(beginRequest("1"))).isFresh);
+  }));
+});
+
+// Guards against deliveries beyond budget plus one turn: the response to the first request is lost, and the turn ends at the owner
+// when that request times out, while the second one still waits for the record.
+test("a turn that is requested twice is not granted after its first request has timed out", async (t) => {
+  const log = new PartitionedLogCore();
+  await run(Effect.gen(function* () {
+    yield* Effect.sleep(1);
+    yield* createOwnedSlices(log, "a").assign(ALL);
+    yield* Effect.sleep(1);
+    const owner = createOwnedSlices(log, "b");
+    yield* owner.assign(ALL);
+    yield* owner.begin(beginRequest("0"));
+    log.fault = LogFault.Delay;
+    const first = yield* Effect.forkChild(owner.begin(beginRequest("1")));
+    yield* Effect.sleep(950);
+    const second = yield* Effect.forkChild(owner.begin(beginRequest("1")));
+    yield* Effect.sleep(60);
+    log.fault = LogFault.None;
+    t.is((yield* Fiber.join(first)).verdict, TurnVerdict.NOT_RECORDED);
+    t.is((yield* Fiber.join(second)).verdict, TurnVerdict.NOT_RECORDED);
+  }));
+});
+
+test("the owner of an opening slice responds before the time limit of its callers", async (t) => {
+  const log = new SlowReadLog();
+  await run(Effect.gen(function* () {
+    const [a, b] = [createOwnedSlices(log, "a"), createOwnedSlices(log, "b")];
+    yield* a.assign(ALL);
+    t.true((yield* a.load("k")).isOwner);
+    yield* a.assign(NONE);
+    log.bytesPerMs = 0.001;
+    yield* b.assign(ALL);
+    const askedAtMs = yield* Clock.currentTimeMillis;
+    const { isOwner, sliceStatus } = yield* b.load("k");
+    t.false(isOwner);
+    t.is(sliceStatus, SliceStatus.OPENING);
+    t.true((yield* Clock.currentTimeMillis) - askedAtMs < FAST_CALL_TIMEOUT_MS);
+  }));
+});
