Streams: a resumed stream ends only with a run that goes on after the last event

Callers saw a stream that had broken off end as if it were complete, or found the bytes of an error in it: the next server answered 200 with an empty body, with comments or repeated events only, with 204, 205 or 206, with events without an id or after a gap, or with the head of another response as its body. A response with an encoding or another media type was relayed as events too. An error status in place of the rest was written on the response that had begun, which ended in an internal error instead of a third attempt. Comments counted as events of a turn, in its tokens and in its history. A kept turn that its caller resumed was stored without its beginning.

Cause: the relay dropped events that the caller had and took any body that ended in order for the end of the stream.

EventOrder follows the ids of all parts of a stream, with their step once two events have shown it. A server that goes on may repeat what the caller has; then each event must follow the last one, lines must be those of event streams, and at least one event must be new. Otherwise the stream goes on at the next permitted server or is aborted. A stream that broke off right after its last event therefore never ends as complete: nothing tells an empty continuation of it from one of a server that does not know it. A kept turn is refused as not run if its caller resumes it.

--- a/src/base/common/http_headers.ts
+++ b/src/base/common/http_headers.ts
@@ -12,6 +12,12 @@
   "upgrade",
 ]);
 
+/** Returns the value of the first header with a name in lower case; undefined if there is none. */
+export function findHeader(raw: readonly string[], lowerCaseName: string): string | undefined {
+  for (let i = 0; i < raw.length; i += 2) if (raw[i].toLowerCase() === lowerCaseName) return raw[i + 1];
+  return undefined;
+}
+
 /** Removes the hop-by-hop headers and `Content-Length`. */
 export function endToEndHeaders(raw: readonly string[]): string[] {
   const headers: string[] = [];
--- a/src/call/common/attempt_state.ts
+++ b/src/call/common/attempt_state.ts
@@ -1,5 +1,6 @@
 /** State of one attempt at a request on a backend server. */
 import type { IBackendChoice } from "../../routing/common/backend_chooser.ts";
+import { EventOrder } from "./event_order.ts";
 import type { IRefusal } from "./gateway_refusal.ts";
 import type { BodyFraming, UpstreamFault } from "./opaque_request.ts";
 import type { IStreamOrigin } from "./stream_origin.ts";
@@ -14,8 +15,10 @@
   denial: IRefusal | undefined;
   /** How the last attempt failed; undefined if none has failed. */
   fault: UpstreamFault | undefined;
-  /** Id of the last event that the caller has received, in this request or in the one that it resumes. */
-  lastEventId: string | undefined;
+  /** Order of the events that the caller has received, in this request and in the one that it resumes. */
+  readonly order: EventOrder;
+  /** Status with which the stream to the caller began; undefined before that. */
+  streamStatus: number | undefined;
   /** Number of events relayed to the caller. */
   events = 0;
   /** Output in the form that the prompts of later turns include, for routes that keep history. */
@@ -31,4 +34,9 @@
   connectionError: string | undefined;
   /** Number of bytes after the last complete event of a stream that has ended. */
   unfinishedBytes = 0;
+
+  /** `lastEventId` is the last event that the caller has received of the stream that it resumes. */
+  constructor(lastEventId: string | undefined) {
+    this.order = new EventOrder(lastEventId);
+  }
 }
--- a/src/call/common/backend_dispatcher.ts
+++ b/src/call/common/backend_dispatcher.ts
@@ -1,5 +1,6 @@
 /** Selects backend servers for a request and sends it to them. */
 import { Clock, Effect } from "effect";
+import { findHeader } from "../../base/common/http_headers.ts";
 import type { IBackendChoice, IBackendChooser } from "../../routing/common/backend_chooser.ts";
 import {
   EngineBackendChooser,
@@ -65,6 +66,8 @@
 /** Upper bound of the wait for a permit, and share of the remaining time that a request may spend on it. */
 const MAX_PERMIT_WAIT_MS = 1000;
 const MAX_PERMIT_WAIT_SHARE = 0.33;
+const EVENT_STREAM_TYPE = "text/event-stream";
+const IDENTITY_ENCODING = "identity";
 
 export interface IBackendDispatcherOptions {
   readonly codec: IRequestCodec;
@@ -341,6 +344,7 @@
         return AttemptOutcome.NotRun;
       }
       const isStream = call.route.kind === RouteKind.Stream && isSuccess(response.head);
+      if (!isStream && attempt.sink.hasStarted) return this.#rejectContinuation(attempt, response);
       return yield* isStream ? this.#relayStream(attempt, response) : this.#relayBuffered(attempt, response);
     });
   }
@@ -382,9 +386,11 @@
           call.connectionError = body.connectionError;
         }),
       );
-      observed.result = isSuccess(head) && head.isSigned ? AttemptResult.Succeeded : AttemptResult.Responded;
+      observed.result = isSuccess(head) && !isUnsound(head)
+        ? AttemptResult.Succeeded
+        : AttemptResult.Responded;
       call.runs += 1;
-      const isFailed = head.status >= 500 || isUnsigned(head);
+      const isFailed = head.status >= 500 || isUnsound(head);
       this.#opts.loads.failureRates.recordAnswer(call.choice!.backend, { isFailed });
       const now = yield* Clock.currentTimeMillis;
       if (isSuccess(head)) {
@@ -392,20 +398,39 @@
       }
       const mayRepeat = isRepeatable(call.route) && call.runs < call.route.attempts;
       if (head.status >= 500 && mayRepeat) return AttemptOutcome.Failed;
-      if (isUnsigned(head) || NOT_RUN_STATUSES.has(head.status)) return AttemptOutcome.Failed;
+      if (isUnsound(head) || NOT_RUN_STATUSES.has(head.status)) return AttemptOutcome.Failed;
       call.status = head.status;
       sink.respond(head.status, head.headers, received.bytes);
       return AttemptOutcome.Done;
     });
   }
 
+  /** Ignores an error with which a server responds to the rest of a stream that has begun. */
+  #rejectContinuation(
+    { call, observed }: IObservedSend,
+    { head, body }: IUpstreamResponse,
+  ): AttemptOutcome {
+    body.drain();
+    observed.result = AttemptResult.Responded;
+    call.runs += 1;
+    this.#opts.loads.failureRates.recordAnswer(call.choice!.backend, { isFailed: head.status >= 500 });
+    const { req: { id: request }, choice, lastEventId } = call;
+    this.#opts.logger.warn("stream-not-resumed", {
+      request,
+      backend: choice!.backend.id,
+      status: head.status,
+      lastEventId,
+    });
+    return AttemptOutcome.Failed;
+  }
+
   #relayStream(
     attempt: IObservedSend,
     { head, body }: IUpstreamResponse,
   ): Effect.Effect<AttemptOutcome, UpstreamError> {
     return Effect.gen({ self: this }, function* () {
       const { call, sink } = attempt;
-      if (isUnsigned(head)) {
+      if (isUnsound(head) || !mayContinue(call, head)) {
         body.discard();
         return yield* Effect.fail(new UpstreamError(UpstreamFault.Invalid));
       }
@@ -472,8 +497,21 @@
   return status >= 200 && status < 300;
 }
 
-function isUnsigned(head: IResponseHead): boolean {
-  return isSuccess(head) && !head.isSigned;
+/** Whether a successful response is not the server's own: it has no signature, or something has encoded its body. */
+function isUnsound(head: IResponseHead): boolean {
+  const encoding = findHeader(head.headers, "content-encoding") ?? IDENTITY_ENCODING;
+  return isSuccess(head) && (!head.isSigned || encoding.trim().toLowerCase() !== IDENTITY_ENCODING);
+}
+
+/** Whether a response may go on with the stream whose beginning the caller has received; true if there is none. */
+function mayContinue(
+  { lastEventId, streamStatus }: RelayedCall,
+  { status, headers }: IResponseHead,
+): boolean {
+  if (lastEventId === undefined) return true;
+  const type = findHeader(headers, "content-type") ?? EVENT_STREAM_TYPE;
+  const mediaType = type.split(";")[0].trim().toLowerCase();
+  return mediaType === EVENT_STREAM_TYPE && status === (streamStatus ?? status);
 }
 
 function affinityOf(call: RelayedCall, key: string | undefined): string {
--- a/src/call/common/event_splitter.ts
+++ b/src/call/common/event_splitter.ts
@@ -1,6 +1,8 @@
 /** Splits a server-sent event stream into complete events, so that a truncated event is never relayed. */
 import { ByteBuffer } from "../../base/common/byte_buffer.ts";
 
+/** A blank line, a comment, or a field that a server of event streams sends. */
+const EVENT_LINE = /^(?:$|:|[a-z][a-z-]*(?::|$))/;
 const LF = 10;
 const CR = 13;
 /** Bytes of an event's end that can lie before a chunk boundary: all but the last of LF CR LF. */
@@ -56,6 +58,12 @@
   }
 }
 
+/** Whether bytes contain only lines of event streams, not for example the head of a response. */
+export function hasOnlyEventLines(bytes: Uint8Array): boolean {
+  const text = Buffer.from(bytes.buffer, bytes.byteOffset, bytes.length).toString("latin1");
+  return text.split(/\r?\n/).every((line) => EVENT_LINE.test(line));
+}
+
 /** Returns the offsets after the blank lines that follow a line end at `from` or later. */
 function findEventEnds(bytes: Uint8Array, from: number): number[] {
   const ends: number[] = [];
--- a/src/call/common/gateway_relay.ts
+++ b/src/call/common/gateway_relay.ts
@@ -99,6 +99,11 @@
       const now = yield* Clock.currentTimeMillis;
       const context = { identity, route, organisation };
       const isResumed = route.kind === RouteKind.Stream && req.lastEventId !== undefined;
+      if (isResumed && route.keepsHistory && isTurn({ req, route })) {
+        // The turn could not be stored: the events before the last one that the caller has are not known here.
+        const refusal = retryableRefusal(RefusalReason.HistoryUnavailable, UNAVAILABLE_RETRY_AFTER_MS);
+        return this.#refuseEarly(sink, refusal, req);
+      }
       const origin = isResumed ? yield* this.#streams.findOrigin(req, context) : undefined;
       if (isResumed && origin === undefined) {
         const refusal = retryableRefusal(RefusalReason.StreamUnknown, STREAM_RETRY_AFTER_MS);
@@ -366,7 +371,7 @@
           if (call.refusals >= MAX_REFUSALS) return this.#noBackendRefusal(call);
           continue;
         }
-        const canResume = !sink.hasStarted || call.lastEventId !== undefined;
+        const canResume = !sink.hasStarted || call.order.canResume;
         if (!isRepeatable(call.route) || !canResume || call.runs >= call.route.attempts) {
           return finalRefusal(GatewayStatus.BadGateway, unknownOutcomeReason(call));
         }
@@ -482,7 +487,7 @@
 
 const EMPTY_CHAIN: ITurnChain = { contents: [], refs: [], ended: [] };
 
-function isTurn({ req, route }: RelayedCall): boolean {
+function isTurn({ req, route }: Pick<RelayedCall, "req" | "route">): boolean {
   return route.kind === RouteKind.Stream && route.retainMs > 0 && req.program?.budgetTokens !== undefined;
 }
 
--- a/src/call/common/relayed_call.ts
+++ b/src/call/common/relayed_call.ts
@@ -6,6 +6,7 @@
 import type { IRoute } from "../../services/routes/common/route_table.ts";
 import { AttemptState } from "./attempt_state.ts";
 import type { IAllotmentDecision } from "./allotment_client.ts";
+import type { EventOrder } from "./event_order.ts";
 import type { GatewayStatus, IRefusal, RefusalReason } from "./gateway_refusal.ts";
 import type { BodyFraming, IOpaqueRequest, UpstreamFault } from "./opaque_request.ts";
 import type { RequestIdentity } from "./request_identity.ts";
@@ -81,7 +82,7 @@
   crashEvidence: object = {};
   /** Undefined if the request was not hedged. */
   hedge: IHedgedSend | undefined;
-  #attempt = new AttemptState();
+  #attempt: AttemptState;
 
   constructor(
     req: IOpaqueRequest,
@@ -107,7 +108,7 @@
     this.ownerName = opts.organisation?.name ?? (opts.hasOrganisations ? "" : undefined);
     this.deadlineAtMs = opts.deadlineAtMs ??
       opts.now + Math.min(req.timeoutMs ?? Infinity, opts.route.timeoutMs);
-    this.lastEventId = req.lastEventId;
+    this.#attempt = new AttemptState(req.lastEventId);
   }
 
   /**
@@ -158,12 +159,21 @@
     this.#attempt.fault = value;
   }
 
+  get order(): EventOrder {
+    return this.#attempt.order;
+  }
+
+  /** Id of the last event that the caller has received, in this request or in the one that it resumes. */
   get lastEventId(): string | undefined {
-    return this.#attempt.lastEventId;
+    return this.#attempt.order.lastId;
+  }
+
+  get streamStatus(): number | undefined {
+    return this.#attempt.streamStatus;
   }
 
-  set lastEventId(value: string | undefined) {
-    this.#attempt.lastEventId = value;
+  set streamStatus(value: number | undefined) {
+    this.#attempt.streamStatus = value;
   }
 
   get events(): number {
--- a/src/call/common/stream_relay.ts
+++ b/src/call/common/stream_relay.ts
@@ -1,7 +1,8 @@
 /** Relays the events of a stream, each one complete and exactly once. */
 import { Deferred, Effect } from "effect";
 import type { IStreamEvent } from "./event_splitter.ts";
-import { EventSplitter } from "./event_splitter.ts";
+import { EventPosition } from "./event_order.ts";
+import { EventSplitter, hasOnlyEventLines } from "./event_splitter.ts";
 import type { IResponseHead, IResponseSink } from "./opaque_request.ts";
 import { BodyFraming, UpstreamError, UpstreamFault } from "./opaque_request.ts";
 import type { RelayedCall } from "./relayed_call.ts";
@@ -39,8 +40,12 @@
   readonly #limits: IResponseLimits;
   readonly #claim: (() => boolean) | undefined;
   readonly #splitter = new EventSplitter();
-  readonly #exceeded = Deferred.makeUnsafe<never, UpstreamError>();
-  #isExceeded = false;
+  /** Whether the caller has received the beginning of the stream from another server. */
+  readonly #isContinuation: boolean;
+  readonly #failed = Deferred.makeUnsafe<never, UpstreamError>();
+  #hasFailed = false;
+  /** Whether this server has sent an event that the caller did not have. */
+  #hasNewEvent = false;
   /** Time of the last event that the caller did not have yet; other bytes are no progress. */
   #lastEventAtMs = performance.now();
   #firstEventAtMs = 0;
@@ -55,6 +60,7 @@
     this.#streams = streams;
     this.#limits = limits;
     this.#claim = claim;
+    this.#isContinuation = call.lastEventId !== undefined;
   }
 
   /** Mean interval between events, in ms; undefined with fewer than three events. */
@@ -68,27 +74,62 @@
   }
 
   get isExceeded(): boolean {
-    return this.#isExceeded;
+    return this.#hasFailed;
   }
 
   push(chunk: Uint8Array): void {
-    if (this.#isExceeded) return;
+    if (this.#hasFailed) return;
     const events = this.#splitter.push(chunk);
     this.#bytes += chunk.length;
     this.#events += events.length;
-    const newEvents = events.filter(({ id }) => !this.#isDuplicate(id));
-    // An event without id and data, for example a comment, says nothing about the answer.
-    const hasAnswer = newEvents.some(({ id, data }) => id !== undefined || data !== "");
+    const newEvents = this.#selectNew(events);
+    const hasAnswer = newEvents.some(isAnswer);
     if (hasAnswer) {
       this.#lastEventAtMs = performance.now();
       if (this.#firstEventAtMs === 0) this.#firstEventAtMs = this.#lastEventAtMs;
     }
     const mayRelay = this.#claim === undefined || this.#sink.hasStarted || (hasAnswer && this.#claim());
     if (newEvents.length > 0 && mayRelay) this.#relay(newEvents);
-    if (this.#isOverLimit()) {
-      this.#isExceeded = true;
-      Deferred.doneUnsafe(this.#exceeded, Effect.fail(new UpstreamError(UpstreamFault.TooLarge)));
+    if (this.#isOverLimit()) this.#fail(new UpstreamError(UpstreamFault.TooLarge));
+  }
+
+  /** Selects the events to relay. The stream fails at the first one that cannot follow those before it. */
+  #selectNew(events: readonly IStreamEvent[]): IStreamEvent[] {
+    const selected: IStreamEvent[] = [];
+    const { order } = this.#call;
+    for (const event of events) {
+      if (this.#isContinuation && !hasOnlyEventLines(event.bytes)) {
+        this.#failOutOfOrder("other bytes than events");
+        break;
+      }
+      if (!isAnswer(event)) {
+        if (!this.#isContinuation) selected.push(event);
+        continue;
+      }
+      const position = order.positionOf(event.id);
+      const isRepeated = position === EventPosition.Earlier && this.#isContinuation && !this.#hasNewEvent;
+      if (isRepeated) continue;
+      // A server that begins a stream determines its ids; only a repeated one contradicts itself.
+      const isInOrder = position === EventPosition.Next ||
+        (!this.#isContinuation && position !== EventPosition.Earlier);
+      if (!isInOrder) {
+        this.#failOutOfOrder(`event ${event.id} after ${order.lastId} (${position})`);
+        break;
+      }
+      order.record(event.id);
+      this.#hasNewEvent = true;
+      selected.push(event);
     }
+    return selected;
+  }
+
+  #failOutOfOrder(reason: string): void {
+    this.#fail(new UpstreamError(UpstreamFault.Invalid, new Error(reason)));
+  }
+
+  #fail(err: UpstreamError): void {
+    this.#hasFailed = true;
+    Deferred.doneUnsafe(this.#failed, Effect.fail(err));
   }
 
   #isOverLimit(): boolean {
@@ -102,8 +143,7 @@
   #relay(newEvents: readonly IStreamEvent[]): void {
     this.#writeHead();
     this.#recordOrigin();
-    for (const { id, data } of newEvents) {
-      this.#call.lastEventId = id ?? this.#call.lastEventId;
+    for (const { data } of newEvents.filter(isAnswer)) {
       this.#call.events += 1;
       if (this.#call.route.keepsHistory) this.#call.output.push(data, "\n");
     }
@@ -113,7 +153,7 @@
   }
 
   failWhenExceeded(): Effect.Effect<never, UpstreamError> {
-    return Deferred.await(this.#exceeded);
+    return Deferred.await(this.#failed);
   }
 
   /** Fails once no event has arrived for the idle timeout. */
@@ -129,28 +169,32 @@
 
   /**
    * Fails if the stream has been broken off although its body ended in order: within an event, or before the first one if
-   * nothing but the end of the connection shows the end.
+   * nothing but the end of the connection shows the end. A server that resumes a stream and adds nothing to it may not know
+   * the stream, so that its response does not show where the stream ends.
    */
   failWhenBrokenOff(framing: BodyFraming): Effect.Effect<void, UpstreamError> {
     return Effect.suspend(() => {
-      const hasEvents = this.#call.lastEventId !== undefined || this.#call.events > 0;
-      const isEmpty = framing === BodyFraming.Connection && !hasEvents;
-      if (!isEmpty && !this.#splitter.isWithinEvent) return Effect.void;
-      const where = isEmpty ? "before its first event" : "within an event";
-      return Effect.fail(new UpstreamError(UpstreamFault.Broken, new Error(`the stream ended ${where}`)));
+      if (this.#splitter.isWithinEvent) return brokenOff(UpstreamFault.Broken, "within an event");
+      if (this.#hasNewEvent) return Effect.void;
+      if (this.#isContinuation) return brokenOff(UpstreamFault.Invalid, "without an event that follows");
+      return framing === BodyFraming.Connection
+        ? brokenOff(UpstreamFault.Broken, "before its first event")
+        : Effect.void;
     });
   }
 
   /** Completes the response to the caller, including blank lines and comments after the last event. */
   finish(): void {
     this.#writeHead();
-    if (this.#splitter.remainder.length > 0) this.#sink.write(this.#splitter.remainder);
+    const { remainder } = this.#splitter;
+    if (remainder.length > 0 && !this.#isContinuation) this.#sink.write(remainder);
     this.#sink.end();
   }
 
   #writeHead(): void {
     if (this.#sink.hasStarted) return;
     this.#call.firstEventAtMs = Date.now();
+    this.#call.streamStatus = this.#head.status;
     this.#sink.startStream(this.#head.status, this.#head.headers);
   }
 
@@ -162,10 +206,13 @@
     if (!this.#call.route.isResumable) return;
     this.#streams.record(this.#call.streamKey, this.#call.origin);
   }
+}
 
-  /** Whether the caller already has the event, from a server that sent an earlier part of the stream. */
-  #isDuplicate(id: string | undefined): boolean {
-    const lastId = this.#call.lastEventId;
-    return id !== undefined && lastId !== undefined && Number(id) <= Number(lastId);
-  }
+/** Whether an event is part of the answer. One without id and data, for example a comment, is not. */
+function isAnswer({ id, data }: IStreamEvent): boolean {
+  return id !== undefined || data !== "";
+}
+
+function brokenOff(fault: UpstreamFault, where: string): Effect.Effect<never, UpstreamError> {
+  return Effect.fail(new UpstreamError(fault, new Error(`the stream ended ${where}`)));
 }
--- a/test/stand_ins/raw_server.ts
+++ b/test/stand_ins/raw_server.ts
@@ -11,9 +11,11 @@
   Reset = "reset",
 }
 
+type RawBytes = string | Uint8Array;
+
 export interface IRawReply {
-  /** All bytes of the response, including its head. */
-  readonly bytes: string | Uint8Array;
+  /** All bytes of the response, including its head; a list is written one after the other. */
+  readonly bytes: RawBytes | readonly RawBytes[];
   /** The connection stays open if it is undefined. */
   readonly end: ConnectionEnd | undefined;
 }
@@ -30,7 +32,7 @@
     socket.on("error", () => {});
     socket.on("data", (data) => {
       const { bytes, end } = reply(data.toString("latin1"));
-      socket.write(bytes, () => endConnection(socket, end));
+      writeAll(socket, isList(bytes) ? bytes : [bytes]).then(() => endConnection(socket, end), () => {});
     });
   });
   server.listen(0, "127.0.0.1");
@@ -39,6 +41,17 @@
   return { address: `127.0.0.1:${port}`, close: () => server.close() };
 }
 
+function isList(bytes: IRawReply["bytes"]): bytes is readonly RawBytes[] {
+  return Array.isArray(bytes);
+}
+
+async function writeAll(socket: Socket, pieces: readonly RawBytes[]): Promise<void> {
+  for (const piece of pieces) {
+    if (piece.length === 0) continue;
+    await new Promise<void>((resolve, reject) => socket.write(piece, (err) => err ? reject(err) : resolve()));
+  }
+}
+
 function endConnection(socket: Socket, end: ConnectionEnd | undefined): void {
   if (end === ConnectionEnd.Closed) socket.end();
   if (end === ConnectionEnd.Reset) socket.resetAndDestroy();
