Silent servers: a request leaves one only while another can still answer in time

Callers saw a stream cut 1.5 s after its last event although its server went on 300 ms later: streams that cannot be resumed, and resumable ones without another server or attempt. A repeatable request whose only other servers had failed or were refused got 502 after 0.8 s, while its server would have answered; the same where the request would have been refused elsewhere as one that crashes servers.

Cause: the stream's idle limit was a constant, and neither limit looked for a server that could take the request over.

The limits are in silence_limits.ts. A request leaves a silent server only if it may run again, another server of its software version is available (not in back-off, with a permit) and would not refuse it. Otherwise the caller's time limit is the only end. The relay reads the clock of the effect runtime, which tests replace.

--- a/src/call/common/attempt_state.ts
+++ b/src/call/common/attempt_state.ts
@@ -28,6 +28,8 @@
   /** Status sent to the caller; 0 if none was sent. */
   status = 0;
   firstEventAtMs = 0;
+  /** Time at which the caller received the last event, in ms of a clock that does not jump; undefined without one. */
+  lastEventAtMs: number | undefined;
   /** Framing of the last response's body; undefined before its head. */
   framing: BodyFraming | undefined;
   /** Code of the error that ended the connection of the last response's body. */
--- a/src/call/common/backend_dispatcher.ts
+++ b/src/call/common/backend_dispatcher.ts
@@ -35,14 +35,12 @@
 import { AttemptOutcome } from "./relayed_call.ts";
 import type { IResponseLimits, ResponseMemoryPool } from "./response_limits.ts";
 import { readInto } from "./response_limits.ts";
+import type { ISilence } from "./silence_limits.ts";
+import { eventSilenceLimit, failWhenSilent, headSilenceLimit } from "./silence_limits.ts";
 import { serversOfOrigin } from "./stream_origin.ts";
 import type { IStreamOriginRecorder } from "./stream_relay.ts";
 import { StreamRelay } from "./stream_relay.ts";
 
-/** Minimum time to wait for a response head before a repeatable request is sent to another server. */
-const MIN_RESPONSE_TIMEOUT_MS = 700;
-/** Response timeout as a multiple of the route's target latency, where that exceeds the minimum. */
-const RESPONSE_TIMEOUT_FACTOR = 4;
 /**
  * Status codes by which a caller concludes that the request has not run. They are not relayed: without proof
  * from the server the request may have run.
@@ -66,6 +64,7 @@
 /** Upper bound of the wait for a permit, and share of the remaining time that a request may spend on it. */
 const MAX_PERMIT_WAIT_MS = 1000;
 const MAX_PERMIT_WAIT_SHARE = 0.33;
+const NANOS_PER_MS = 1e6;
 const EVENT_STREAM_TYPE = "text/event-stream";
 const IDENTITY_ENCODING = "identity";
 
@@ -104,6 +103,10 @@
 
 interface IObservedSend extends IAttempt {
   readonly observed: IObservedAttempt;
+  /** Since when the server and the caller have been waiting at the time of the send. */
+  readonly silence: ISilence;
+  /** Time in ms of a clock that does not jump. */
+  readonly now: () => number;
 }
 
 export class BackendDispatcher {
@@ -245,11 +248,15 @@
     const { loads, crashes } = this.#opts;
     const { call } = attempt;
     const { backend } = choice;
-    return Effect.suspend(() => {
+    return Effect.clockWith((clock) => {
       const observed = crashes.observe(call.identity, { requestId: call.req.id, backend });
       loads.recordRequestStart(backend.id);
       loads.failureRates.recordSend(backend);
-      const send = { ...attempt, observed };
+      const now = () => Number(clock.monotonicTimeNanosUnsafe()) / NANOS_PER_MS;
+      const serverSinceMs = now();
+      const callerSinceMs = call.lastEventAtMs ??
+        serverSinceMs - (clock.currentTimeMillisUnsafe() - call.startedAtMs);
+      const send: IObservedSend = { ...attempt, observed, silence: { serverSinceMs, callerSinceMs }, now };
       return this.#send(send, choice).pipe(
         Effect.catchTag("UpstreamError", (err) => Effect.sync(() => this.#recordFault(send, err))),
         Effect.onInterrupt(() => this.#recordDeadline(call, choice)),
@@ -335,7 +342,7 @@
         headers,
         body,
       });
-      const response = yield* this.#withResponseTimeout(request, call);
+      const response = yield* this.#leaveIfSilent(request, attempt);
       this.#opts.loads.recordResponse(choice.backend.id);
       call.framing = response.body.framing;
       if (response.head.isNotRun) {
@@ -349,19 +356,27 @@
     });
   }
 
-  /** Limits the wait for the response head if the request can be repeated on another server. */
-  #withResponseTimeout<T>(
+  /** Limits the wait for the response head while the request can be repeated on another server. */
+  #leaveIfSilent<T>(
     work: Effect.Effect<T, UpstreamError>,
-    { route, runs, choice }: RelayedCall,
+    { call, silence, now }: IObservedSend,
   ): Effect.Effect<T, UpstreamError> {
+    const { route, choice } = call;
     // A full engine queues the request and sends nothing until a slot is free.
     const isFull = choice!.running >= choice!.backend.slots;
-    if (isFull || !isRepeatable(route) || runs + 1 >= route.attempts) return work;
-    const timeoutMs = Math.max(MIN_RESPONSE_TIMEOUT_MS, route.targetMs * RESPONSE_TIMEOUT_FACTOR);
-    return Effect.timeoutOrElse(work, {
-      duration: timeoutMs,
-      orElse: () => Effect.fail(new UpstreamError(UpstreamFault.TimedOut)),
-    });
+    if (isFull || !mayRunAgain(call)) return work;
+    const limit = () => headSilenceLimit(route, silence);
+    const mayLeave = () => this.#canGoOnElsewhere(call);
+    return Effect.raceFirst(work, failWhenSilent({ now, limit, mayLeave }));
+  }
+
+  /** Whether another server could take over the request of one that is silent, right now. */
+  #canGoOnElsewhere(call: RelayedCall): boolean {
+    const { crashes, loads, permits } = this.#opts;
+    if (crashes.isQuarantined(call.identity)) return false;
+    const choice = this.choose(call, new Set([...call.excluded, call.choice!.backend.id]));
+    return choice !== undefined && !loads.isInBackoff(choice.backend.id) &&
+      !permits.isExhausted(choice.backend);
   }
 
   #relayBuffered(
@@ -405,6 +420,17 @@
     });
   }
 
+  /** Limits the wait for the next event while the stream can go on at another server. */
+  #leaveIfStalled(
+    reading: Effect.Effect<void, UpstreamError>,
+    { attempt: { call, sink, now }, relay }: { attempt: IObservedSend; relay: StreamRelay },
+  ): Effect.Effect<void, UpstreamError> {
+    if (!mayRunAgain(call)) return reading;
+    const limit = () => eventSilenceLimit(call.route, relay.silence);
+    const mayLeave = () => (!sink.hasStarted || call.order.canResume) && this.#canGoOnElsewhere(call);
+    return Effect.raceFirst(reading, failWhenSilent({ now, limit, mayLeave }));
+  }
+
   /** Ignores an error with which a server responds to the rest of a stream that has begun. */
   #rejectContinuation(
     { call, observed }: IObservedSend,
@@ -436,9 +462,10 @@
       }
       attempt.observed.isStreaming = true;
       const { streams, responseLimits: limits } = this.#opts;
-      const relay = new StreamRelay(call, { sink, head, streams, limits, claim: attempt.claim });
+      const { silence, now, claim } = attempt;
+      const relay = new StreamRelay(call, { sink, head, streams, limits, silence, now, claim });
       yield* Effect.ensuring(
-        Effect.raceFirst(readInto(relay, body), relay.failWhenIdle()),
+        this.#leaveIfStalled(readInto(relay, body), { attempt, relay }),
         Effect.sync(() => {
           call.connectionError = body.connectionError;
           call.unfinishedBytes = relay.unfinishedBytes;
@@ -514,6 +541,11 @@
   return mediaType === EVENT_STREAM_TYPE && status === (streamStatus ?? status);
 }
 
+/** Whether a server may run a request after another one that may have run it. */
+function mayRunAgain({ route, runs }: RelayedCall): boolean {
+  return isRepeatable(route) && runs + 1 < route.attempts;
+}
+
 function affinityOf(call: RelayedCall, key: string | undefined): string {
   return key === undefined || key === "" ? "" : call.scoped(key);
 }
--- a/src/call/common/gateway_relay_test.ts
+++ b/src/call/common/gateway_relay_test.ts
@@ -43,7 +43,10 @@
   readonly status?: number;
   readonly isNotRun?: boolean;
   readonly isSigned?: boolean;
-  readonly chunks?: readonly string[];
+  /** Chunks of the body, and numbers for silences between them, in ms. */
+  readonly chunks?: readonly (string | number)[];
+  /** Time until the head, in ms. */
+  readonly headMs?: number;
   /** Fails with this fault before the response head. */
   readonly fault?: UpstreamFault;
   /** Breaks the connection after the chunks. */
@@ -71,8 +74,15 @@
       const behavior = this.#script.shift() ?? {};
       if (behavior.isUnresponsive) return Effect.never;
       if (behavior.fault !== undefined) return Effect.fail(new UpstreamError(behavior.fault));
-      const { status = 200, isNotRun = false, isSigned = true, chunks = [], isTruncated = false, framing } =
-        behavior;
+      const {
+        headMs = 0,
+        status = 200,
+        isNotRun = false,
+        isSigned = true,
+        chunks = [],
+        isTruncated = false,
+        framing,
+      } = behavior;
       const head = {
         status,
         headers: ["x-from", id],
@@ -82,11 +92,15 @@
         ...NOT_LEAVING,
       };
       const read = (onChunk: (chunk: Uint8Array) => void) =>
-        Effect.suspend(() => {
-          for (const chunk of chunks) onChunk(Buffer.from(chunk));
-          return isTruncated ? Effect.fail(new UpstreamError(UpstreamFault.Broken)) : Effect.void;
+        Effect.gen(function* () {
+          for (const chunk of chunks) {
+            if (typeof chunk === "number") yield* Effect.sleep(chunk);
+            else onChunk(Buffer.from(chunk));
+          }
+          if (isTruncated) return yield* Effect.fail(new UpstreamError(UpstreamFault.Broken));
         });
-      return Effect.succeed({ head, body: makeResponseBody(read, framing) });
+      const response = { head, body: makeResponseBody(read, framing) };
+      return headMs === 0 ? Effect.succeed(response) : Effect.delay(Effect.succeed(response), headMs);
     });
   }
 }
@@ -243,6 +257,8 @@
   readonly begun?: readonly (readonly [string, string, string])[];
   /** Last event id and attempt that the caller's request resumes. */
   readonly resume?: { readonly lastEventId: string; readonly resumes?: string };
+  /** How long the caller waits, in ms; 3000 by default. */
+  readonly timeoutMs?: number;
 }
 
 /** Crash monitor whose clock advances by a second with each reading. */
@@ -313,7 +329,8 @@
     isConfigurationStale: () => setup.isStale ?? false,
   });
   const work = Effect.gen(function* () {
-    const resume = setup.resume === undefined ? [] : ["resume", JSON.stringify(setup.resume)];
+    const { timeoutMs = 3000 } = setup;
+    const resume = ["resume", JSON.stringify({ ...setup.resume, timeoutMs })];
     const req = { method: "POST", target, headers: [...headers, ...resume], body: Buffer.from("new") };
     const fiber = yield* Effect.forkChild(gateway.handle(req, sink));
     for (let i = 0; i < 40; i++) yield* TestClock.adjust(100);
@@ -744,3 +761,60 @@
   const failed = await relay({ route, script, headers: ["key"], allotments: new FakeAllotments(1) });
   t.deepEqual([failed.sink.status, failed.sent.length], [502, 1]);
 });
+
+const RESUMABLE: Partial<IRoute> = { kind: RouteKind.Stream, isResumable: true, attempts: 3 };
+const SAFE: Partial<IRoute> = { kind: RouteKind.Safe, attempts: 3 };
+
+test("a stream that only its server can go on with is not cut while the server is silent", async (t) => {
+  const script = [{ chunks: [event(1), 1800, event(2)] }];
+  for (
+    const [route, backends] of [
+      [{ ...RESUMABLE, isResumable: false }, 3],
+      [{ ...RESUMABLE, attempts: 1 }, 3],
+      [RESUMABLE, 1],
+    ] as const
+  ) {
+    const { sink, sent } = await relay({ route, backends, script });
+    t.deepEqual([sent.length, sink.isEnded, sink.text], [1, true, event(1) + event(2)]);
+  }
+});
+
+test("a resumable stream leaves a silent server while its caller still waits", async (t) => {
+  const script = [{ chunks: [event(1), 3000] }, { chunks: [event(2)] }];
+  const { sink, sent } = await relay({ route: RESUMABLE, script });
+  t.deepEqual([sent.length, sink.isEnded, sink.text], [2, true, event(1) + event(2)]);
+});
+
+test("a resumable stream leaves no second server for which its caller would not wait", async (t) => {
+  const route = { ...RESUMABLE, timeoutMs: 3900 };
+  const script = [{ chunks: [event(1), 3000] }, { chunks: [1800, event(2)] }, { chunks: [event(2)] }];
+  const { sink, sent } = await relay({ route, script, timeoutMs: 3900 });
+  t.deepEqual([sent.length, sink.isEnded, sink.text], [2, true, event(1) + event(2)]);
+});
+
+test("a resumable stream stays with a server whose silence its route allows", async (t) => {
+  const script = [{ chunks: [event(1), 1800, event(2)] }];
+  const { sink, sent } = await relay({ route: { ...RESUMABLE, maxPauseMs: 600 }, script });
+  t.deepEqual([sent.length, sink.isEnded, sink.text], [1, true, event(1) + event(2)]);
+});
+
+test("a repeatable request waits for a silent server if no other one may run it", async (t) => {
+  const [first, second] = [{ isUnresponsive: true }, { headMs: 1800, chunks: ["a"] }];
+  for (
+    const [backends, script] of [[1, [{ headMs: 1200, chunks: ["a"] }]], [2, [first, second]]] as const
+  ) {
+    const { sink, sent } = await relay({ route: SAFE, backends, script });
+    t.deepEqual([sent.length, sink.status, sink.text], [backends, 200, "a"]);
+  }
+});
+
+test("a request that would be quarantined elsewhere waits for its silent server", async (t) => {
+  const crashes = createCrashMonitor();
+  const original = crashes.isQuarantined.bind(crashes);
+  let asked = 0;
+  // Not quarantined when it arrives and when it is sent.
+  crashes.isQuarantined = (identity) => ++asked > 2 || original(identity);
+  const script = [{ headMs: 1200, chunks: ["a"] }];
+  const { sink, sent } = await relay({ route: SAFE, crashes, script });
+  t.deepEqual([sent.length, sink.status, sink.text], [1, 200, "a"]);
+});
--- a/src/call/common/hedge_race_test.ts
+++ b/src/call/common/hedge_race_test.ts
@@ -32,6 +32,8 @@
       head: { status: 200, headers: [] } as unknown as IResponseHead,
       streams: { record: (_stream, origin) => origins.push(origin.softwareVersion) },
       limits: LIMITS,
+      silence: { serverSinceMs: 0, callerSinceMs: 0 },
+      now: () => 0,
       claim: () => race.claim(attempt),
     });
     return { attempt, push: (text: string) => relay.push(Buffer.from(text)) };
--- a/src/call/common/relayed_call.ts
+++ b/src/call/common/relayed_call.ts
@@ -208,6 +208,14 @@
     this.#attempt.firstEventAtMs = value;
   }
 
+  get lastEventAtMs(): number | undefined {
+    return this.#attempt.lastEventAtMs;
+  }
+
+  set lastEventAtMs(value: number | undefined) {
+    this.#attempt.lastEventAtMs = value;
+  }
+
   get framing(): BodyFraming | undefined {
     return this.#attempt.framing;
   }
--- a/src/call/common/stream_relay.ts
+++ b/src/call/common/stream_relay.ts
@@ -7,10 +7,9 @@
 import { BodyFraming, UpstreamError, UpstreamFault } from "./opaque_request.ts";
 import type { RelayedCall } from "./relayed_call.ts";
 import type { ILimitedReceiver, IResponseLimits } from "./response_limits.ts";
+import type { ISilence } from "./silence_limits.ts";
 import type { IStreamOrigin } from "./stream_origin.ts";
 
-/** Time without an event after which a stream counts as stalled. Callers time out after 2 s without data. */
-const STREAM_IDLE_TIMEOUT_MS = 1500;
 /** Number of events that a stream may have beyond one for each token, such as those that state its end. */
 const MAX_EXTRA_EVENTS = 16;
 
@@ -24,6 +23,10 @@
   readonly head: IResponseHead;
   readonly streams: IStreamOriginRecorder;
   readonly limits: IResponseLimits;
+  /** Since when the server and the caller have been waiting. */
+  readonly silence: ISilence;
+  /** Time in ms of a clock that does not jump. */
+  readonly now: () => number;
   /**
    * Present if another attempt may be relayed instead: claims the caller's stream at the first event, and returns false
    * if the other attempt has claimed it.
@@ -46,19 +49,23 @@
   #hasFailed = false;
   /** Whether this server has sent an event that the caller did not have. */
   #hasNewEvent = false;
+  readonly #silence: ISilence;
+  readonly #now: () => number;
   /** Time of the last event that the caller did not have yet; other bytes are no progress. */
-  #lastEventAtMs = performance.now();
+  #lastEventAtMs = 0;
   #firstEventAtMs = 0;
   /** Events received, those that the caller already had included. */
   #events = 0;
   #bytes = 0;
 
-  constructor(call: RelayedCall, { sink, head, streams, limits, claim }: IStreamRelayOptions) {
+  constructor(call: RelayedCall, { sink, head, streams, limits, silence, now, claim }: IStreamRelayOptions) {
     this.#call = call;
     this.#sink = sink;
     this.#head = head;
     this.#streams = streams;
     this.#limits = limits;
+    this.#silence = silence;
+    this.#now = now;
     this.#claim = claim;
     this.#isContinuation = call.lastEventId !== undefined;
   }
@@ -85,7 +92,7 @@
     const newEvents = this.#selectNew(events);
     const hasAnswer = newEvents.some(isAnswer);
     if (hasAnswer) {
-      this.#lastEventAtMs = performance.now();
+      this.#lastEventAtMs = this.#now();
       if (this.#firstEventAtMs === 0) this.#firstEventAtMs = this.#lastEventAtMs;
     }
     const mayRelay = this.#claim === undefined || this.#sink.hasStarted || (hasAnswer && this.#claim());
@@ -143,6 +150,7 @@
   #relay(newEvents: readonly IStreamEvent[]): void {
     this.#writeHead();
     this.#recordOrigin();
+    this.#call.lastEventAtMs = this.#now();
     for (const { data } of newEvents.filter(isAnswer)) {
       this.#call.events += 1;
       if (this.#call.route.keepsHistory) this.#call.output.push(data, "\n");
@@ -156,15 +164,10 @@
     return Deferred.await(this.#failed);
   }
 
-  /** Fails once no event has arrived for the idle timeout. */
-  failWhenIdle(): Effect.Effect<never, UpstreamError> {
-    return Effect.gen({ self: this }, function* () {
-      while (true) {
-        const leftMs = this.#lastEventAtMs + STREAM_IDLE_TIMEOUT_MS - performance.now();
-        if (leftMs <= 0) return yield* Effect.fail(new UpstreamError(UpstreamFault.TimedOut));
-        yield* Effect.sleep(leftMs + 1);
-      }
-    });
+  /** Since when no event has arrived that the caller did not have, and whether none has arrived at all. */
+  get silence(): ISilence & { readonly isFirstEvent: boolean } {
+    if (!this.#hasNewEvent) return { ...this.#silence, isFirstEvent: true };
+    return { serverSinceMs: this.#lastEventAtMs, callerSinceMs: this.#lastEventAtMs, isFirstEvent: false };
   }
 
   /**
--- a/src/cli/common/configuration_differences.ts
+++ b/src/cli/common/configuration_differences.ts
@@ -189,6 +189,7 @@
   compareNumbers({ before, after, add }, [
     ["timeoutMs", "time limit", " ms", "slow requests get 504 sooner"],
     ["targetMs", "target latency", " ms", undefined],
+    ["maxPauseMs", "longest pause", " ms", undefined],
     ["attempts", "number of attempts", "", "requests fail after fewer servers"],
     ["retainMs", "retention", " ms", "turns and budgets are forgotten sooner"],
   ]);
@@ -230,7 +231,7 @@
   }
 }
 
-type ComparedNumber = "timeoutMs" | "targetMs" | "attempts" | "retainMs";
+type ComparedNumber = "timeoutMs" | "targetMs" | "maxPauseMs" | "attempts" | "retainMs";
 
 /** Each row has the field, its name in sentences, its unit, and what callers notice if it is lowered. */
 function compareNumbers(
@@ -238,11 +239,10 @@
   rows: readonly (readonly [ComparedNumber, string, string, string | undefined])[],
 ): void {
   for (const [field, label, unit, effect] of rows) {
-    if (before[field] === after[field]) continue;
-    const isLowered = after[field] < before[field];
-    const change = `The ${label} is ${isLowered ? "lowered" : "raised"} from ${before[field]} to ${
-      after[field]
-    }${unit}`;
+    const [from, to] = [before[field] ?? 0, after[field] ?? 0];
+    if (from === to) continue;
+    const isLowered = to < from;
+    const change = `The ${label} is ${isLowered ? "lowered" : "raised"} from ${from} to ${to}${unit}`;
     if (isLowered && effect !== undefined) add(field, `${change}: ${effect}.`);
     else add(field, `${change}.`, Severity.Note);
   }
--- a/src/cli/common/configuration_finding.ts
+++ b/src/cli/common/configuration_finding.ts
@@ -72,6 +72,7 @@
   | "services"
   | "timeoutMs"
   | "targetMs"
+  | "maxPauseMs"
   | "priority"
   | "attempts"
   | "isSticky"
--- a/src/services/routes/common/route_table.ts
+++ b/src/services/routes/common/route_table.ts
@@ -34,6 +34,8 @@
   /** Maximum number of backend servers that may run one request. */
   readonly attempts: number;
   readonly isSticky: boolean;
+  /** Longest pause between the events of a stream that is still on time, in ms; undefined if none is declared. */
+  readonly maxPauseMs?: number | undefined;
   /** Whether a stream can be resumed on another backend server by its event ids. */
   readonly isResumable: boolean;
   /** Whether turns contain only their new input and the gateway keeps the history. */
