Silent servers: one silence is one failure of the server

A sound server that was silent for a second was left out for up to 3 s by all requests of the instance, and passed over by requests that may run only once for half a minute, as long as another server had a free slot.

Cause: each request that left the silent server counted as a failure.

Requests that had been waiting when a silence was counted, on a server that has responded to none since, show the same silence. A server that responds to others meanwhile, or to none sent later, is counted as before.

--- a/src/call/common/backend_dispatcher.ts
+++ b/src/call/common/backend_dispatcher.ts
@@ -107,6 +107,8 @@
   readonly silence: ISilence;
   /** Time in ms of a clock that does not jump. */
   readonly now: () => number;
+  /** Present once a stream is being relayed. */
+  relay?: StreamRelay;
 }
 
 export class BackendDispatcher {
@@ -259,28 +261,39 @@
       const send: IObservedSend = { ...attempt, observed, silence: { serverSinceMs, callerSinceMs }, now };
       return this.#send(send, choice).pipe(
         Effect.catchTag("UpstreamError", (err) => Effect.sync(() => this.#recordFault(send, err))),
-        Effect.onInterrupt(() => this.#recordDeadline(call, choice)),
+        Effect.onInterrupt(() => this.#recordDeadline(send, choice)),
         Effect.ensuring(Effect.sync(() => crashes.finish(observed))),
       );
     }).pipe(Effect.ensuring(Effect.sync(() => loads.recordRequestEnd(backend.id))));
   }
 
   /** Counts an attempt that was interrupted because the request's time was over. A full server owed no answer yet. */
-  #recordDeadline(call: RelayedCall, { backend, running }: IBackendChoice): Effect.Effect<void> {
+  #recordDeadline(send: IObservedSend, { backend, running }: IBackendChoice): Effect.Effect<void> {
     return Effect.map(Clock.currentTimeMillis, (now) => {
-      if (now < call.deadlineAtMs || running >= backend.slots) return;
+      if (now < send.call.deadlineAtMs || running >= backend.slots) return;
+      if (!this.#isNewFailure(send)) return;
       this.#opts.loads.failureRates.recordAnswer(backend, { isFailed: true });
     });
   }
 
-  #recordFault({ call, observed }: IObservedSend, { fault, message }: UpstreamError): AttemptOutcome {
+  /** Whether an attempt that was given up shows a silence of its server that no other one has shown. */
+  #isNewFailure({ call, observed, silence, relay }: IObservedSend): boolean {
+    const { serverSinceMs } = relay?.silence ?? silence;
+    const sinceMs = observed.sentAtMs + (serverSinceMs - silence.serverSinceMs);
+    return this.#opts.loads.recordSilence(call.choice!.backend.id, sinceMs);
+  }
+
+  #recordFault(send: IObservedSend, { fault, message }: UpstreamError): AttemptOutcome {
+    const { call, observed } = send;
     const id = call.choice!.backend.id;
     call.fault = fault;
-    if (!LINK_FAULTS.has(fault)) this.#opts.loads.recordFailure(id);
+    const isServerFailure = !LINK_FAULTS.has(fault) &&
+      (fault !== UpstreamFault.TimedOut || this.#isNewFailure(send));
+    if (isServerFailure) this.#opts.loads.recordFailure(id);
     const outcome = FAULT_OUTCOMES.get(fault) ?? AttemptOutcome.Failed;
     if (outcome === AttemptOutcome.Failed) {
       call.runs += 1;
-      if (!LINK_FAULTS.has(fault)) {
+      if (isServerFailure) {
         this.#opts.loads.failureRates.recordAnswer(call.choice!.backend, { isFailed: true });
       }
     } else {
@@ -464,6 +477,7 @@
       const { streams, responseLimits: limits } = this.#opts;
       const { silence, now, claim } = attempt;
       const relay = new StreamRelay(call, { sink, head, streams, limits, silence, now, claim });
+      attempt.relay = relay;
       yield* Effect.ensuring(
         this.#leaveIfStalled(readInto(relay, body), { attempt, relay }),
         Effect.sync(() => {
--- a/src/routing/common/backend_load_tracker.ts
+++ b/src/routing/common/backend_load_tracker.ts
@@ -22,6 +22,9 @@
   running: number;
   failures: number;
   backoffUntilMs: number;
+  /** Times of the last response head, and of the last request that was given up without one, in ms. */
+  respondedAtMs: number;
+  silenceRecordedAtMs: number;
   /** Moving average of the time per unit of work; undefined before the first sample. */
   unitLatencyMs: number | undefined;
 }
@@ -101,6 +104,20 @@
     const state = this.#state(id);
     state.failures = 0;
     state.backoffUntilMs = 0;
+    state.respondedAtMs = this.#now();
+  }
+
+  /**
+   * Records that a request was given up on a server that had been silent since a time in ms, and returns whether that is a
+   * further failure of the server. All requests that wait during one silence show the same one: a sound server that pauses
+   * for a second would otherwise count as failing for half a minute.
+   */
+  recordSilence(id: string, sinceMs: number): boolean {
+    const state = this.#state(id);
+    const { silenceRecordedAtMs, respondedAtMs } = state;
+    if (silenceRecordedAtMs >= sinceMs && respondedAtMs < silenceRecordedAtMs) return false;
+    state.silenceRecordedAtMs = this.#now();
+    return true;
   }
 
   /** Records that a server dropped or refused a connection or timed out. */
@@ -149,7 +166,14 @@
   #state(id: string): IServerState {
     let state = this.#servers.get(id);
     if (state === undefined) {
-      state = { running: 0, failures: 0, backoffUntilMs: 0, unitLatencyMs: undefined };
+      state = {
+        running: 0,
+        failures: 0,
+        backoffUntilMs: 0,
+        respondedAtMs: -Infinity,
+        silenceRecordedAtMs: -Infinity,
+        unitLatencyMs: undefined,
+      };
       this.#servers.set(id, state);
     }
     return state;
