--- a/src/call/common/backend_dispatcher.ts
+++ b/src/call/common/backend_dispatcher.ts
@@ -261,17 +261,16 @@
       const send: IObservedSend = { ...attempt, observed, silence: { serverSinceMs, callerSinceMs }, now };
       return this.#send(send, choice).pipe(
         Effect.catchTag("UpstreamError", (err) => Effect.sync(() => this.#recordFault(send, err))),
-        Effect.onInterrupt(() => this.#recordDeadline(send, choice)),
+        Effect.onInterrupt(() => this.#recordDeadline(call, choice)),
         Effect.ensuring(Effect.sync(() => crashes.finish(observed))),
       );
     }).pipe(Effect.ensuring(Effect.sync(() => loads.recordRequestEnd(backend.id))));
   }
 
   /** Counts an attempt that was interrupted because the request's time was over. A full server owed no answer yet. */
-  #recordDeadline(send: IObservedSend, { backend, running }: IBackendChoice): Effect.Effect<void> {
+  #recordDeadline(call: RelayedCall, { backend, running }: IBackendChoice): Effect.Effect<void> {
     return Effect.map(Clock.currentTimeMillis, (now) => {
-      if (now < send.call.deadlineAtMs || running >= backend.slots) return;
-      if (!this.#isNewFailure(send)) return;
+      if (now < call.deadlineAtMs || running >= backend.slots) return;
       this.#opts.loads.failureRates.recordAnswer(backend, { isFailed: true });
     });
   }
