Silent servers: a request without a token for a repetition stays with its server

A repeatable request of an organisation near its allotment left a silent server after 0.8 s and then got 502, as the allotment did not cover a second send. It now waits for its server while the organisation is known to be near its allotment.

Evidence: the new test of gateway_relay_test.ts failed before the change (502 outcome-unknown after 1.2 s of silence).

--- a/src/call/common/backend_dispatcher.ts
+++ b/src/call/common/backend_dispatcher.ts
@@ -16,6 +16,7 @@
 import type { IEngineInfo, RouteTable } from "../../services/routes/common/route_table.ts";
 import { isRepeatable, RouteKind } from "../../services/routes/common/route_table.ts";
 import type { IPromptHome } from "../../turns/common/prompt_home_cache.ts";
+import type { IAllotmentClient } from "./allotment_client.ts";
 import { BufferedBody } from "./buffered_body.ts";
 import { CallAuthorizer } from "./call_authorizer.ts";
 import type { CrashMonitor } from "./crash_monitor.ts";
@@ -77,6 +78,8 @@
   readonly crashes: CrashMonitor;
   readonly streams: IStreamOriginRecorder;
   readonly permits: IPermitClient;
+  /** Undefined if no allotments are enforced. */
+  readonly allotments?: Pick<IAllotmentClient, "isLow">;
   readonly upstream: IUpstream;
   readonly responseLimits: IResponseLimits;
   readonly responseMemory: ResponseMemoryPool;
@@ -384,8 +387,9 @@
 
   /** Whether another server could take over the request of one that is silent, right now. */
   #canGoOnElsewhere(call: RelayedCall): boolean {
-    const { crashes, loads, permits } = this.#opts;
+    const { crashes, loads, permits, allotments } = this.#opts;
     if (crashes.isQuarantined(call.identity)) return false;
+    if (call.organisation !== undefined && allotments?.isLow(call.organisation) === true) return false;
     const choice = this.choose(call, new Set([...call.excluded, call.choice!.backend.id]));
     return choice !== undefined && !loads.isInBackoff(choice.backend.id) &&
       !permits.isExhausted(choice.backend);
--- a/src/call/common/gateway_relay_test.ts
+++ b/src/call/common/gateway_relay_test.ts
@@ -234,7 +234,7 @@
   }
 
   isLow() {
-    return false;
+    return this.#left <= 0;
   }
 }
 
@@ -818,3 +818,10 @@
   const { sink, sent } = await relay({ route: SAFE, crashes, script });
   t.deepEqual([sent.length, sink.status, sink.text], [1, 200, "a"]);
 });
+
+test("a request whose organisation may have no token left for a repetition waits for its silent server", async (t) => {
+  const allotments = new FakeAllotments(1);
+  const script = [{ headMs: 1200, chunks: ["a"] }];
+  const { sink, sent } = await relay({ route: SAFE, allotments, headers: ["key", ""], script });
+  t.deepEqual([sent.length, sink.status, sink.text], [1, 200, "a"]);
+});
