--- a/src/call/common/event_order.ts
+++ b/src/call/common/event_order.ts
@@ -1,7 +1,6 @@
 /** Follows the ids of a stream's events, so that parts of it from several servers join without gaps or repetitions. */
 
-/** Ids that can be compared without loss of precision. */
-const ORDERED_ID = /^\d{1,15}$/;
+const DECIMAL_ID = /^\d+$/;
 /** Greatest id of a stream's first event from which ids are assumed to count the events. */
 const MAX_FIRST_COUNT = 1;
 
@@ -24,9 +23,9 @@
   #isStepVarying = false;
   #hasUnordered = false;
 
-  /** `lastId` is the last event that the caller has received of the stream that it resumes. */
+  /** `lastId` is the last event that the caller has received of the stream that it resumes; empty if it has received none. */
   constructor(lastId?: string) {
-    this.#lastId = lastId;
+    this.#lastId = lastId === "" ? undefined : lastId;
   }
 
   /** Id of the last event that the caller has received; undefined if none of them had an id. */
@@ -36,15 +35,16 @@
 
   /** Whether another server can be told where to go on. */
   get canResume(): boolean {
-    return this.#lastId !== undefined && ORDERED_ID.test(this.#lastId) && !this.#hasUnordered;
+    return toNumber(this.#lastId) !== undefined && !this.#hasUnordered;
   }
 
   positionOf(id: string | undefined): EventPosition {
-    if (id === undefined || !ORDERED_ID.test(id)) return EventPosition.Unordered;
-    const last = this.#lastId;
-    if (last === undefined) return EventPosition.Next;
-    if (!ORDERED_ID.test(last)) return EventPosition.Unordered;
-    const difference = Number(id) - Number(last);
+    const number = toNumber(id);
+    if (number === undefined) return EventPosition.Unordered;
+    if (this.#lastId === undefined) return EventPosition.Next;
+    const last = toNumber(this.#lastId);
+    if (last === undefined) return EventPosition.Unordered;
+    const difference = number - last;
     if (difference <= 0) return EventPosition.Earlier;
     return this.#step === undefined || difference === this.#step
       ? EventPosition.Next
@@ -53,11 +53,11 @@
 
   /** Records an event that is relayed to the caller. */
   record(id: string | undefined): void {
-    const last = this.#lastId;
-    if (id === undefined || !ORDERED_ID.test(id)) this.#hasUnordered = true;
-    else if (last === undefined) this.#step = Number(id) <= MAX_FIRST_COUNT ? 1 : undefined;
-    else this.#recordStep(Number(id) - Number(last));
-    this.#lastId = id ?? last;
+    const [last, number] = [toNumber(this.#lastId), toNumber(id)];
+    if (number === undefined) this.#hasUnordered = true;
+    else if (last === undefined) this.#step = number <= MAX_FIRST_COUNT ? 1 : undefined;
+    else this.#recordStep(number - last);
+    this.#lastId = id ?? this.#lastId;
   }
 
   #recordStep(step: number): void {
@@ -65,3 +65,10 @@
     this.#step = this.#isStepVarying ? undefined : step;
   }
 }
+
+/** Returns the number that an id states; undefined if it states none that can be compared without loss of precision. */
+function toNumber(id: string | undefined): number | undefined {
+  if (id === undefined || !DECIMAL_ID.test(id)) return undefined;
+  const number = Number(id);
+  return Number.isSafeInteger(number) ? number : undefined;
+}
