--- a/src/call/common/backend_dispatcher.ts
+++ b/src/call/common/backend_dispatcher.ts
@@ -1,5 +1,6 @@
 /** Selects backend servers for a request and sends it to them. */
 import { Clock, Effect } from "effect";
+import { findHeader } from "../../base/common/http_headers.ts";
 import type { IBackendChoice, IBackendChooser } from "../../routing/common/backend_chooser.ts";
 import {
   EngineBackendChooser,
@@ -15,6 +16,7 @@
 import type { IEngineInfo, RouteTable } from "../../services/routes/common/route_table.ts";
 import { isRepeatable, RouteKind } from "../../services/routes/common/route_table.ts";
 import type { IPromptHome } from "../../turns/common/prompt_home_cache.ts";
+import type { IAllotmentClient } from "./allotment_client.ts";
 import { BufferedBody } from "./buffered_body.ts";
 import { CallAuthorizer } from "./call_authorizer.ts";
 import type { CrashMonitor } from "./crash_monitor.ts";
@@ -34,14 +36,12 @@
 import { AttemptOutcome } from "./relayed_call.ts";
 import type { IResponseLimits, ResponseMemoryPool } from "./response_limits.ts";
 import { readInto } from "./response_limits.ts";
+import type { ISilence } from "./silence_limits.ts";
+import { eventSilenceLimit, failWhenSilent, headSilenceLimit } from "./silence_limits.ts";
 import { serversOfOrigin } from "./stream_origin.ts";
 import type { IStreamOriginRecorder } from "./stream_relay.ts";
 import { StreamRelay } from "./stream_relay.ts";
 
-/** Minimum time to wait for a response head before a repeatable request is sent to another server. */
-const MIN_RESPONSE_TIMEOUT_MS = 700;
-/** Response timeout as a multiple of the route's target latency, where that exceeds the minimum. */
-const RESPONSE_TIMEOUT_FACTOR = 4;
 /**
  * Status codes by which a caller concludes that the request has not run. They are not relayed: without proof
  * from the server the request may have run.
@@ -65,6 +65,9 @@
 /** Upper bound of the wait for a permit, and share of the remaining time that a request may spend on it. */
 const MAX_PERMIT_WAIT_MS = 1000;
 const MAX_PERMIT_WAIT_SHARE = 0.33;
+const NANOS_PER_MS = 1e6;
+const EVENT_STREAM_TYPE = "text/event-stream";
+const IDENTITY_ENCODING = "identity";
 
 export interface IBackendDispatcherOptions {
   readonly codec: IRequestCodec;
@@ -75,6 +78,8 @@
   readonly crashes: CrashMonitor;
   readonly streams: IStreamOriginRecorder;
   readonly permits: IPermitClient;
+  /** Undefined if no allotments are enforced. */
+  readonly allotments?: Pick<IAllotmentClient, "isLow">;
   readonly upstream: IUpstream;
   readonly responseLimits: IResponseLimits;
   readonly responseMemory: ResponseMemoryPool;
@@ -101,6 +106,12 @@
 
 interface IObservedSend extends IAttempt {
   readonly observed: IObservedAttempt;
+  /** Since when the server and the caller have been waiting at the time of the send. */
+  readonly silence: ISilence;
+  /** Time in ms of a clock that does not jump. */
+  readonly now: () => number;
+  /** Present once a stream is being relayed. */
+  relay?: StreamRelay;
 }
 
 export class BackendDispatcher {
@@ -242,11 +253,15 @@
     const { loads, crashes } = this.#opts;
     const { call } = attempt;
     const { backend } = choice;
-    return Effect.suspend(() => {
+    return Effect.clockWith((clock) => {
       const observed = crashes.observe(call.identity, { requestId: call.req.id, backend });
       loads.recordRequestStart(backend.id);
       loads.failureRates.recordSend(backend);
-      const send = { ...attempt, observed };
+      const now = () => Number(clock.monotonicTimeNanosUnsafe()) / NANOS_PER_MS;
+      const serverSinceMs = now();
+      const callerSinceMs = call.lastEventAtMs ??
+        serverSinceMs - (clock.currentTimeMillisUnsafe() - call.startedAtMs);
+      const send: IObservedSend = { ...attempt, observed, silence: { serverSinceMs, callerSinceMs }, now };
       return this.#send(send, choice).pipe(
         Effect.catchTag("UpstreamError", (err) => Effect.sync(() => this.#recordFault(send, err))),
         Effect.onInterrupt(() => this.#recordDeadline(call, choice)),
@@ -263,14 +278,24 @@
     });
   }
 
-  #recordFault({ call, observed }: IObservedSend, { fault, message }: UpstreamError): AttemptOutcome {
+  /** Whether an attempt that was given up shows a silence of its server that no other one has shown. */
+  #isNewFailure({ call, observed, silence, relay }: IObservedSend): boolean {
+    const { serverSinceMs } = relay?.silence ?? silence;
+    const sinceMs = observed.sentAtMs + (serverSinceMs - silence.serverSinceMs);
+    return this.#opts.loads.recordSilence(call.choice!.backend.id, sinceMs);
+  }
+
+  #recordFault(send: IObservedSend, { fault, message }: UpstreamError): AttemptOutcome {
+    const { call, observed } = send;
     const id = call.choice!.backend.id;
     call.fault = fault;
-    if (!LINK_FAULTS.has(fault)) this.#opts.loads.recordFailure(id);
+    const isServerFailure = !LINK_FAULTS.has(fault) &&
+      (fault !== UpstreamFault.TimedOut || this.#isNewFailure(send));
+    if (isServerFailure) this.#opts.loads.recordFailure(id);
     const outcome = FAULT_OUTCOMES.get(fault) ?? AttemptOutcome.Failed;
     if (outcome === AttemptOutcome.Failed) {
       call.runs += 1;
-      if (!LINK_FAULTS.has(fault)) {
+      if (isServerFailure) {
         this.#opts.loads.failureRates.recordAnswer(call.choice!.backend, { isFailed: true });
       }
     } else {
@@ -332,7 +357,7 @@
         headers,
         body,
       });
-      const response = yield* this.#withResponseTimeout(request, call);
+      const response = yield* this.#leaveIfSilent(request, attempt);
       this.#opts.loads.recordResponse(choice.backend.id);
       call.framing = response.body.framing;
       if (response.head.isNotRun) {
@@ -341,23 +366,33 @@
         return AttemptOutcome.NotRun;
       }
       const isStream = call.route.kind === RouteKind.Stream && isSuccess(response.head);
+      if (!isStream && attempt.sink.hasStarted) return this.#rejectContinuation(attempt, response);
       return yield* isStream ? this.#relayStream(attempt, response) : this.#relayBuffered(attempt, response);
     });
   }
 
-  /** Limits the wait for the response head if the request can be repeated on another server. */
-  #withResponseTimeout<T>(
+  /** Limits the wait for the response head while the request can be repeated on another server. */
+  #leaveIfSilent<T>(
     work: Effect.Effect<T, UpstreamError>,
-    { route, runs, choice }: RelayedCall,
+    { call, silence, now }: IObservedSend,
   ): Effect.Effect<T, UpstreamError> {
+    const { route, choice } = call;
     // A full engine queues the request and sends nothing until a slot is free.
     const isFull = choice!.running >= choice!.backend.slots;
-    if (isFull || !isRepeatable(route) || runs + 1 >= route.attempts) return work;
-    const timeoutMs = Math.max(MIN_RESPONSE_TIMEOUT_MS, route.targetMs * RESPONSE_TIMEOUT_FACTOR);
-    return Effect.timeoutOrElse(work, {
-      duration: timeoutMs,
-      orElse: () => Effect.fail(new UpstreamError(UpstreamFault.TimedOut)),
-    });
+    if (isFull || !mayRunAgain(call)) return work;
+    const limit = () => headSilenceLimit(route, silence);
+    const mayLeave = () => this.#canGoOnElsewhere(call);
+    return Effect.raceFirst(work, failWhenSilent({ now, limit, mayLeave }));
+  }
+
+  /** Whether another server could take over the request of one that is silent, right now. */
+  #canGoOnElsewhere(call: RelayedCall): boolean {
+    const { crashes, loads, permits, allotments } = this.#opts;
+    if (crashes.isQuarantined(call.identity)) return false;
+    if (call.organisation !== undefined && allotments?.isLow(call.organisation) === true) return false;
+    const choice = this.choose(call, new Set([...call.excluded, call.choice!.backend.id]));
+    return choice !== undefined && !loads.isInBackoff(choice.backend.id) &&
+      !permits.isExhausted(choice.backend);
   }
 
   #relayBuffered(
@@ -382,9 +417,11 @@
           call.connectionError = body.connectionError;
         }),
       );
-      observed.result = isSuccess(head) && head.isSigned ? AttemptResult.Succeeded : AttemptResult.Responded;
+      observed.result = isSuccess(head) && !isUnsound(head)
+        ? AttemptResult.Succeeded
+        : AttemptResult.Responded;
       call.runs += 1;
-      const isFailed = head.status >= 500 || isUnsigned(head);
+      const isFailed = head.status >= 500 || isUnsound(head);
       this.#opts.loads.failureRates.recordAnswer(call.choice!.backend, { isFailed });
       const now = yield* Clock.currentTimeMillis;
       if (isSuccess(head)) {
@@ -392,28 +429,60 @@
       }
       const mayRepeat = isRepeatable(call.route) && call.runs < call.route.attempts;
       if (head.status >= 500 && mayRepeat) return AttemptOutcome.Failed;
-      if (isUnsigned(head) || NOT_RUN_STATUSES.has(head.status)) return AttemptOutcome.Failed;
+      if (isUnsound(head) || NOT_RUN_STATUSES.has(head.status)) return AttemptOutcome.Failed;
       call.status = head.status;
       sink.respond(head.status, head.headers, received.bytes);
       return AttemptOutcome.Done;
     });
   }
 
+  /** Limits the wait for the next event while the stream can go on at another server. */
+  #leaveIfStalled(
+    reading: Effect.Effect<void, UpstreamError>,
+    { attempt: { call, sink, now }, relay }: { attempt: IObservedSend; relay: StreamRelay },
+  ): Effect.Effect<void, UpstreamError> {
+    if (!mayRunAgain(call)) return reading;
+    const limit = () => eventSilenceLimit(call.route, relay.silence);
+    const mayLeave = () => (!sink.hasStarted || call.order.canResume) && this.#canGoOnElsewhere(call);
+    return Effect.raceFirst(reading, failWhenSilent({ now, limit, mayLeave }));
+  }
+
+  /** Ignores an error with which a server responds to the rest of a stream that has begun. */
+  #rejectContinuation(
+    { call, observed }: IObservedSend,
+    { head, body }: IUpstreamResponse,
+  ): AttemptOutcome {
+    body.drain();
+    observed.result = AttemptResult.Responded;
+    call.runs += 1;
+    this.#opts.loads.failureRates.recordAnswer(call.choice!.backend, { isFailed: head.status >= 500 });
+    const { req: { id: request }, choice, lastEventId } = call;
+    this.#opts.logger.warn("stream-not-resumed", {
+      request,
+      backend: choice!.backend.id,
+      status: head.status,
+      lastEventId,
+    });
+    return AttemptOutcome.Failed;
+  }
+
   #relayStream(
     attempt: IObservedSend,
     { head, body }: IUpstreamResponse,
   ): Effect.Effect<AttemptOutcome, UpstreamError> {
     return Effect.gen({ self: this }, function* () {
       const { call, sink } = attempt;
-      if (isUnsigned(head)) {
+      if (isUnsound(head) || !mayContinue(call, head)) {
         body.discard();
         return yield* Effect.fail(new UpstreamError(UpstreamFault.Invalid));
       }
       attempt.observed.isStreaming = true;
       const { streams, responseLimits: limits } = this.#opts;
-      const relay = new StreamRelay(call, { sink, head, streams, limits, claim: attempt.claim });
+      const { silence, now, claim } = attempt;
+      const relay = new StreamRelay(call, { sink, head, streams, limits, silence, now, claim });
+      attempt.relay = relay;
       yield* Effect.ensuring(
-        Effect.raceFirst(readInto(relay, body), relay.failWhenIdle()),
+        this.#leaveIfStalled(readInto(relay, body), { attempt, relay }),
         Effect.sync(() => {
           call.connectionError = body.connectionError;
           call.unfinishedBytes = relay.unfinishedBytes;
@@ -472,8 +541,26 @@
   return status >= 200 && status < 300;
 }
 
-function isUnsigned(head: IResponseHead): boolean {
-  return isSuccess(head) && !head.isSigned;
+/** Whether a successful response is not the server's own: it has no signature, or something has encoded its body. */
+function isUnsound(head: IResponseHead): boolean {
+  const encoding = findHeader(head.headers, "content-encoding") ?? IDENTITY_ENCODING;
+  return isSuccess(head) && (!head.isSigned || encoding.trim().toLowerCase() !== IDENTITY_ENCODING);
+}
+
+/** Whether a response may go on with the stream whose beginning the caller has received; true if there is none. */
+function mayContinue(
+  { lastEventId, streamStatus }: RelayedCall,
+  { status, headers }: IResponseHead,
+): boolean {
+  if (lastEventId === undefined) return true;
+  const type = findHeader(headers, "content-type") ?? EVENT_STREAM_TYPE;
+  const mediaType = type.split(";")[0].trim().toLowerCase();
+  return mediaType === EVENT_STREAM_TYPE && status === (streamStatus ?? status);
+}
+
+/** Whether a server may run a request after another one that may have run it. */
+function mayRunAgain({ route, runs }: RelayedCall): boolean {
+  return isRepeatable(route) && runs + 1 < route.attempts;
 }
 
 function affinityOf(call: RelayedCall, key: string | undefined): string {
--- a/src/call/common/relayed_call.ts
+++ b/src/call/common/relayed_call.ts
@@ -7,6 +7,7 @@
 import { OwnerWaits } from "../../turns/common/owner_waits.ts";
 import { AttemptState } from "./attempt_state.ts";
 import type { IAllotmentDecision } from "./allotment_client.ts";
+import type { EventOrder } from "./event_order.ts";
 import type { GatewayStatus, IRefusal, RefusalReason } from "./gateway_refusal.ts";
 import type { BodyFraming, IOpaqueRequest, UpstreamFault } from "./opaque_request.ts";
 import type { RequestIdentity } from "./request_identity.ts";
@@ -86,7 +87,7 @@
   crashEvidence: object = {};
   /** Undefined if the request was not hedged. */
   hedge: IHedgedSend | undefined;
-  #attempt = new AttemptState();
+  #attempt: AttemptState;
 
   constructor(
     req: IOpaqueRequest,
@@ -112,7 +113,7 @@
     this.ownerName = opts.organisation?.name ?? (opts.hasOrganisations ? "" : undefined);
     this.deadlineAtMs = opts.deadlineAtMs ??
       opts.now + Math.min(req.timeoutMs ?? Infinity, opts.route.timeoutMs);
-    this.lastEventId = req.lastEventId;
+    this.#attempt = new AttemptState(req.lastEventId);
   }
 
   /**
@@ -163,12 +164,21 @@
     this.#attempt.fault = value;
   }
 
+  get order(): EventOrder {
+    return this.#attempt.order;
+  }
+
+  /** Id of the last event that the caller has received, in this request or in the one that it resumes. */
   get lastEventId(): string | undefined {
-    return this.#attempt.lastEventId;
+    return this.#attempt.order.lastId;
+  }
+
+  get streamStatus(): number | undefined {
+    return this.#attempt.streamStatus;
   }
 
-  set lastEventId(value: string | undefined) {
-    this.#attempt.lastEventId = value;
+  set streamStatus(value: number | undefined) {
+    this.#attempt.streamStatus = value;
   }
 
   get events(): number {
@@ -203,6 +213,14 @@
     this.#attempt.firstEventAtMs = value;
   }
 
+  get lastEventAtMs(): number | undefined {
+    return this.#attempt.lastEventAtMs;
+  }
+
+  set lastEventAtMs(value: number | undefined) {
+    this.#attempt.lastEventAtMs = value;
+  }
+
   get framing(): BodyFraming | undefined {
     return this.#attempt.framing;
   }
