Forwarded requests: open a connection for each request

Requests that an instance has another one send to a server reused idle connections between the two. An intermediary that has forgotten such a connection lets the request hang, which is then lost if it may not be repeated. The transport asks for no idle connections with maxFreeSockets 0, which Node.js (20.19) takes for the default of 256.

The test counts the connections that the forwarding instance accepts: 1 after two requests before the change (it failed), one for each request now. The agent no longer keeps connections alive at all, so that no limit is involved.

--- a/src/call/node/http_upstream.ts
+++ b/src/call/node/http_upstream.ts
@@ -165,7 +165,7 @@
     if (agent === undefined) {
       agent = new KeepAliveAgent({
         keepAliveMsecs: KEEP_ALIVE_PROBE_DELAY_MS,
-        ...this.#reusesConnections ? {} : { maxFreeSockets: 0 },
+        keepAlive: this.#reusesConnections,
       });
       this.#agents.set(id, agent);
     }
--- a/src/peer/node/forward_server_test.ts
+++ b/src/peer/node/forward_server_test.ts
@@ -32,6 +32,8 @@
   readonly address: string;
   /** Closes all connections of the forwarding instance. */
   readonly killForwarder: () => void;
+  /** Number of connections that the forwarding instance has accepted. */
+  readonly countConnections: () => number;
 }
 
 const CODEC: IRequestCodec = {
@@ -112,7 +114,10 @@
   });
   const address = `127.0.0.1:${forwarder.port}`;
   const killForwarder = () => forwarder.server.closeAllConnections();
-  return { transport, service, directory, backend, address, killForwarder };
+  let connections = 0;
+  forwarder.server.on("connection", () => connections += 1);
+  const countConnections = () => connections;
+  return { transport, service, directory, backend, address, killForwarder, countConnections };
 }
 
 /** Sends a request through the forwarding instance; returns the response, or the tag and kind of the error. */
@@ -236,3 +241,11 @@
   await whenClosed;
   t.pass();
 });
+
+test("each request has a connection of its own to the forwarding instance", async (t) => {
+  const setup = await setUp(t, (_req, res) => void res.end("answer"));
+  for (let sends = 1; sends <= 3; sends++) {
+    t.like(await send(setup), { text: "answer" });
+    t.is(setup.countConnections(), sends);
+  }
+});
