Forwarded requests: remove forwarding headers from servers' responses

A response of a backend server with a header of the forwarding protocol, such as x-forward-fault, passed through the forwarding instance and was read as that instance's own statement. With "not-sent" or a refusal, a request that the server had run went to another server, or its caller was told that it had not run.

The forwarding instance removes these headers from the server's response before it adds its own.

--- a/src/call/common/forward_headers.ts
+++ b/src/call/common/forward_headers.ts
@@ -57,7 +57,7 @@
 }
 
 /** A forwarded body is in chunks, so that trailers can follow. Its original framing goes into a header. */
-export function describeFraming({ framing }: IResponseBody): string[] {
+export function describeFraming({ framing }: Pick<IResponseBody, "framing">): string[] {
   return [FRAMING_HEADER, framing];
 }
 
--- a/src/peer/node/forward_server.ts
+++ b/src/peer/node/forward_server.ts
@@ -130,7 +130,8 @@
   { head, body }: IUpstreamResponse,
 ): Effect.Effect<void, UpstreamError> {
   return Effect.suspend(() => {
-    const headers = [...endToEndHeaders(head.headers), ...describeFraming(body)];
+    // A server must not speak for this instance.
+    const headers = [...withoutForwardHeaders(endToEndHeaders(head.headers)), ...describeFraming(body)];
     // Only a body in chunks can be followed by trailers.
     const hasBody = res.req.method !== "HEAD" && !BODILESS_STATUSES.has(head.status);
     if (hasBody) headers.push(...announceFaultTrailer(), "Transfer-Encoding", "chunked");
--- a/src/peer/node/forward_server_test.ts
+++ b/src/peer/node/forward_server_test.ts
@@ -6,10 +6,12 @@
 import { Context, Effect, Fiber } from "effect";
 import { UNLIMITED_PERMITS } from "../../../test/stand_ins/unlimited_permits.ts";
 import { listen } from "../../base/node/listen.ts";
+import { describeFault, describeRefusal } from "../../call/common/forward_headers.ts";
 import { ForwardService } from "../../call/common/forward_service.ts";
 import { ForwardingUpstream } from "../../call/common/forwarding_upstream.ts";
+import { ForwardRefusal } from "../../call/common/forwarding.ts";
 import type { IRequestCodec, IUpstreamRequest } from "../../call/common/opaque_request.ts";
-import { BodyFraming } from "../../call/common/opaque_request.ts";
+import { BodyFraming, UpstreamFault } from "../../call/common/opaque_request.ts";
 import { ServerLinkMonitor } from "../../call/common/server_link_monitor.ts";
 import { HttpForwardTransport } from "../../call/node/http_forward_transport.ts";
 import { HttpUpstream } from "../../call/node/http_upstream.ts";
@@ -249,3 +251,12 @@
     t.is(setup.countConnections(), sends);
   }
 });
+
+test("a server cannot speak for the forwarding instance", async (t) => {
+  const statements = [...describeRefusal(ForwardRefusal.Stopping), ...describeFault(UpstreamFault.NotSent)];
+  const setup = await setUp(t, (_req, res) => {
+    for (let i = 0; i < statements.length; i += 2) res.setHeader(statements[i], statements[i + 1]);
+    res.end("answer");
+  });
+  t.like(await send(setup), { text: "answer" });
+});
