HTTP agents: close a connection on which data arrives between two responses

The pool of the store's client kept a connection on which data had arrived while it was idle. Node.js ignores such data, so the rest of it, or a copy that arrives a moment later, was read as the response to the next call; the store's responses have no ids. The pools for backend servers and other instances closed such connections, but not if the data arrived after a complete response whose end had not been read yet.

The base class of all agents now closes a connection when data arrives without a parser, which Node.js detaches at the end of a response. This replaces the listener that the keep-alive pool added for the idle time. The test of the HTTP client waited in vain for the connection to be closed before the change (timed out after 15 s).

--- a/src/base/node/http_client_test.ts
+++ b/src/base/node/http_client_test.ts
@@ -1,3 +1,5 @@
+import { once } from "node:events";
+import type { Socket } from "node:net";
 import test from "ava";
 import { Effect, Result } from "effect";
 import { ConnectionEnd, startRawServer } from "../../../test/stand_ins/raw_server.ts";
@@ -30,3 +32,27 @@
     }
   });
 }
+
+test("a connection on which data arrives while it is idle is not used again", async (t) => {
+  const late = "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\n";
+  const sockets: Socket[] = [];
+  const server = await startRawServer((_req, socket) => {
+    sockets.push(socket);
+    return { bytes: `${late}${sockets.length === 1 ? "once" : "next"}`, end: undefined };
+  });
+  const client = new HttpClient();
+  t.teardown(() => {
+    client.dispose();
+    server.close();
+  });
+  const fetch = async () => {
+    const response = client.fetch({ method: "GET", url: `http://${server.address}/` });
+    return Buffer.from((await Effect.runPromise(response)).body).toString();
+  };
+  t.is(await fetch(), "once");
+  const closed = once(sockets[0], "close");
+  sockets[0].write(late);
+  await closed;
+  t.is(await fetch(), "next");
+  t.not(sockets[1], sockets[0]);
+});
--- a/src/base/node/keep_alive_agent.ts
+++ b/src/base/node/keep_alive_agent.ts
@@ -1,4 +1,4 @@
-/** Keep-alive connection pool that closes a connection on which data arrives while it is idle. */
+/** Keep-alive connection pool that closes idle connections before the server does. */
 import type { Socket } from "node:net";
 import type { AgentOptions, ClientRequest, IncomingMessage } from "node:http";
 import { StrictAgent } from "./strict_agent.ts";
@@ -12,7 +12,6 @@
 }
 
 export class KeepAliveAgent extends StrictAgent {
-  readonly #idleDataListeners = new WeakMap<Socket, () => void>();
   #isDraining = false;
 
   constructor(opts: AgentOptions) {
@@ -35,16 +34,10 @@
     const isKept = super.keepSocketAlive(socket) as unknown as boolean;
     if (!isKept) return false;
     if (idleTimeoutMs !== undefined) socket.setTimeout(idleTimeoutMs - IDLE_MARGIN_MS);
-    // Data on an idle connection belongs to no request and must not be read as the next response.
-    const closeOnData = () => socket.destroy();
-    socket.on("data", closeOnData);
-    this.#idleDataListeners.set(socket, closeOnData);
     return true;
   }
 
   override reuseSocket(socket: Socket, req: ClientRequest): void {
-    const closeOnData = this.#idleDataListeners.get(socket);
-    if (closeOnData !== undefined) socket.removeListener("data", closeOnData);
     socket.setTimeout(0);
     super.reuseSocket(socket, req);
   }
--- a/src/base/node/strict_agent.ts
+++ b/src/base/node/strict_agent.ts
@@ -1,4 +1,4 @@
-/** HTTP agent whose responses fail when their connection is reset. */
+/** HTTP agent that tells where each response on its connections ends. */
 import type { ClientRequestArgs, IncomingMessage } from "node:http";
 import { Agent } from "node:http";
 import type { Socket } from "node:net";
@@ -7,6 +7,8 @@
 interface IClientSocket extends Socket {
   /** Request that uses the socket. */
   _httpMessage?: { res?: IncomingMessage };
+  /** Absent between a complete response and the next request. */
+  parser?: object | null;
 }
 
 /** The peer reset a connection, which Node.js reported as an ordinary end. */
@@ -21,6 +23,9 @@
 /**
  * A body that has neither a length nor chunks ends with its connection, and Node.js ends it in order even if the connection
  * is reset: it reports the reset on the request only, or, if data arrived with it, not at all.
+ *
+ * Data that arrives between a complete response and the next request belongs to neither. Node.js ignores it, although the
+ * rest of it may still be on its way and would be read as the next response.
  */
 export class StrictAgent extends Agent {
   override createConnection(
@@ -37,6 +42,9 @@
     socket.prependListener("end", () => {
       if (isReset(socket)) failResponse(new ConnectionResetError());
     });
+    socket.on("data", () => {
+      if (!socket.parser) socket.destroy();
+    });
     return socket;
   }
 }
--- a/test/stand_ins/raw_server.ts
+++ b/test/stand_ins/raw_server.ts
@@ -23,14 +23,18 @@
   close(): void;
 }
 
+/** Makes the reply to a request; returns undefined if it writes to the connection itself. */
+export type RawReplier = (request: string, socket: Socket) => IRawReply | undefined;
+
 /** Starts a server that makes the reply to the bytes of each request, which must arrive at once. */
-export async function startRawServer(reply: (request: string) => IRawReply): Promise<IRawServer> {
+export async function startRawServer(replier: RawReplier): Promise<IRawServer> {
   const server = createServer((socket) => {
     socket.unref();
+    socket.setNoDelay(true);
     socket.on("error", () => {});
     socket.on("data", (data) => {
-      const { bytes, end } = reply(data.toString("latin1"));
-      socket.write(bytes, () => endConnection(socket, end));
+      const reply = replier(data.toString("latin1"), socket);
+      if (reply !== undefined) socket.write(reply.bytes, () => endConnection(socket, reply.end));
     });
   });
   server.listen(0, "127.0.0.1");
