Servers' responses: count only those with exactly the request's id

Callers were told "not run, try again" (503) for requests that a server was running, or such a request ran at a second server: a faulty server wrote an earlier refusal once more on a kept connection, where the next response was expected, and a response without an id was taken for that of any request. With two id headers the last one decided. A refusal with the same id, for a request that its caller sends again, was believed in any case. A response with another id made the outcome unknown (502), although the request's own often followed.

Cause: HttpUpstream compared ids only if the response had one, and the codec took the last of several.

A response now belongs to a request only if it states its id exactly once. Another one on a kept connection is read to its end, and the next response is read by a second request object of Node.js that is given the connection and sends nothing; the connection is closed afterwards. On a new connection, which carries no earlier responses, and if no further response can follow, the outcome is unknown as before. An id that a server has refused is sent to it again over a new connection only. Instances also check the id in responses that another instance has forwarded, as that one may still run older code; their own statements have no id.

The stand-in server of forward_server_test echoes the id now.

Not awaited: a response of the request's own that arrives in the same read as the extra one (Node.js closes the connection), or behind two extra ones. Both stay unknown outcomes.

--- a/src/call/common/opaque_request.ts
+++ b/src/call/common/opaque_request.ts
@@ -84,7 +84,7 @@
   readonly status: number;
   /** Alternating names and values. */
   readonly headers: readonly string[];
-  /** Id of the request that the server is responding to. */
+  /** Id of the request that the server is responding to; undefined if the response states none, or several. */
   readonly requestId: string | undefined;
   /** Whether the server states that it has not run the request. */
   readonly isNotRun: boolean;
--- a/src/call/node/http_forward_transport.ts
+++ b/src/call/node/http_forward_transport.ts
@@ -17,7 +17,7 @@
   readonly #upstream: HttpUpstream;
 
   constructor(codec: IRequestCodec) {
-    this.#upstream = new HttpUpstream(codec, { reusesConnections: false });
+    this.#upstream = new HttpUpstream(codec, { reusesConnections: false, requiresId: false });
   }
 
   send(address: string, send: IForwardedSend): ForwardResult {
@@ -33,7 +33,7 @@
             : new UpstreamError(UpstreamFault.PathLost, err),
         ),
     );
-    return Effect.flatMap(response, (res) => readForwarded(res));
+    return Effect.flatMap(response, (res) => readForwarded(res, req.requestId));
   }
 
   dispose(): void {
@@ -41,7 +41,7 @@
   }
 }
 
-function readForwarded(response: IUpstreamResponse): ForwardResult {
+function readForwarded(response: IUpstreamResponse, requestId: string): ForwardResult {
   const { head, body } = response;
   const { refusal, fault, framing } = readVerdict(head);
   if (fault !== undefined) {
@@ -53,6 +53,11 @@
     body.drain();
     return Effect.fail(new ForwardRefusedError(refusal ?? ForwardRefusal.Unsupported));
   }
+  if (head.requestId !== requestId) {
+    body.discard();
+    const err = new Error("response belongs to a different request");
+    return Effect.fail(new UpstreamError(UpstreamFault.Invalid, err));
+  }
   const forwardedBody: IResponseBody = {
     framing,
     get connectionError() {
--- a/src/call/node/http_upstream.ts
+++ b/src/call/node/http_upstream.ts
@@ -1,10 +1,9 @@
 /** Sends opaque requests to backend servers through pooled HTTP/1.1 connections. */
-import type { IncomingMessage } from "node:http";
+import type { ClientRequest, IncomingMessage } from "node:http";
 import { request } from "node:http";
 import { Effect } from "effect";
 import type { Event } from "../../base/common/emitter.ts";
 import { Emitter } from "../../base/common/emitter.ts";
-import { KeepAliveAgent } from "../../base/node/keep_alive_agent.ts";
 import type { IBackendEntry } from "../../services/backends/common/backend_directory.ts";
 import type {
   ILimitStatement,
@@ -16,6 +15,8 @@
   IUpstreamResponse,
 } from "../common/opaque_request.ts";
 import { BodyFraming, UpstreamError, UpstreamFault } from "../common/opaque_request.ts";
+import { ServerConnections } from "./server_connections.ts";
+import { skipResponse } from "./skip_response.ts";
 
 /** Time limit for establishing a connection. A running server accepts one within a few milliseconds. */
 const CONNECT_TIMEOUT_MS = 500;
@@ -37,8 +38,6 @@
 /** Error code of the HTTP parser for a connection that ends within a message. */
 const END_OF_INPUT_CODE = "HPE_INVALID_EOF_STATE";
 const CONNECTION_REFUSED_CODE = "ECONNREFUSED";
-/** Initial delay of TCP keep-alive probes on idle connections. */
-const KEEP_ALIVE_PROBE_DELAY_MS = 1000;
 
 interface IRawHead {
   readonly status: number;
@@ -46,18 +45,30 @@
   readonly rawHeaders: readonly string[];
 }
 
+export interface IHttpUpstreamOptions {
+  /** True by default. */
+  readonly reusesConnections?: boolean;
+  /** Whether a response must have the id of its request. True by default. */
+  readonly requiresId?: boolean;
+}
+
 export class HttpUpstream implements IUpstream {
   readonly #codec: IRequestCodec;
   readonly #reusesConnections: boolean;
-  readonly #agents = new Map<string, KeepAliveAgent>();
+  readonly #requiresId: boolean;
+  readonly #connections = new Map<string, ServerConnections>();
   readonly #onDidAnnounceLeaving = new Emitter<IBackendEntry>();
   readonly onDidAnnounceLeaving: Event<IBackendEntry> = this.#onDidAnnounceLeaving.event;
   readonly #onDidStateLimit = new Emitter<ILimitStatement>();
   readonly onDidStateLimit: Event<ILimitStatement> = this.#onDidStateLimit.event;
 
-  constructor(codec: IRequestCodec, { reusesConnections = true } = {}) {
+  constructor(
+    codec: IRequestCodec,
+    { reusesConnections = true, requiresId = true }: IHttpUpstreamOptions = {},
+  ) {
     this.#codec = codec;
     this.#reusesConnections = reusesConnections;
+    this.#requiresId = requiresId;
   }
 
   send(backend: IBackendEntry, req: IUpstreamRequest): Effect.Effect<IUpstreamResponse, UpstreamError> {
@@ -67,6 +78,7 @@
       // Only the first call of `resume` takes effect, so an error after the response head is ignored here.
       const fail = (err: Error) =>
         resume(Effect.fail(new UpstreamError(isConnected ? faultOf(err) : connectFaultOf(err), err)));
+      const connections = this.#connectionsOf(backend);
       const clientRequest = request({
         host: backend.host,
         port: backend.port,
@@ -74,7 +86,7 @@
         path: req.target,
         headers: req.headers as string[],
         maxHeaderSize: MAX_HEAD_BYTES,
-        agent: this.#agentOf(backend),
+        agent: connections.agentFor(req.requestId),
       });
       const connectTimer = setTimeout(
         () => clientRequest.destroy(new Error(`connection timed out after ${CONNECT_TIMEOUT_MS} ms`)),
@@ -89,35 +101,52 @@
         "socket",
         (socket) => socket.connecting ? socket.once("connect", onConnected) : onConnected(),
       );
-      clientRequest.on("error", (err) => {
-        clearTimeout(connectTimer);
-        requestError = err;
-        fail(err);
-      });
+      let reader = clientRequest;
+      let isInterrupted = false;
       let informationalHeads = 0;
-      clientRequest.on("information", ({ statusCode, rawHeaders }) => {
-        this.#readHead(backend, { status: statusCode, rawHeaders });
-        informationalHeads += 1;
-        if (informationalHeads <= MAX_INFORMATIONAL_HEADS) return;
-        const err = new Error(`more than ${MAX_INFORMATIONAL_HEADS} informational responses`);
-        resume(Effect.fail(new UpstreamError(UpstreamFault.TooLarge, err)));
-        clientRequest.destroy();
-      });
-      clientRequest.on("response", (res) => {
-        const head = this.#readHead(backend, { status: res.statusCode ?? 0, rawHeaders: res.rawHeaders });
-        if (head.requestId !== undefined && head.requestId !== req.requestId) {
-          clientRequest.destroy();
-          const err = new Error("response belongs to a different request");
-          resume(Effect.fail(new UpstreamError(UpstreamFault.Invalid, err)));
-          return;
-        }
-        this.#reportLimitEnd(backend, { head, requestId: req.requestId });
-        resume(Effect.succeed({ head, body: new HttpResponseBody(res, () => requestError) }));
-      });
+      const failAsForeign = () => {
+        const err = new Error("response belongs to a different request");
+        resume(Effect.fail(new UpstreamError(UpstreamFault.Invalid, err)));
+        reader.destroy();
+      };
+      const readResponse = (source: ClientRequest) => {
+        reader = source;
+        source.on("error", (err) => {
+          clearTimeout(connectTimer);
+          requestError = err;
+          fail(err);
+        });
+        source.on("information", ({ statusCode, rawHeaders }) => {
+          this.#readHead(backend, { status: statusCode, rawHeaders });
+          informationalHeads += 1;
+          if (informationalHeads <= MAX_INFORMATIONAL_HEADS) return;
+          const err = new Error(`more than ${MAX_INFORMATIONAL_HEADS} informational responses`);
+          resume(Effect.fail(new UpstreamError(UpstreamFault.TooLarge, err)));
+          source.destroy();
+        });
+        source.on("response", (res) => {
+          const head = this.#readHead(backend, { status: res.statusCode ?? 0, rawHeaders: res.rawHeaders });
+          if (this.#belongsTo(head, req)) {
+            if (head.isNotRun) connections.recordRefusal(req.requestId);
+            this.#reportLimitEnd(backend, { head, requestId: req.requestId });
+            return resume(Effect.succeed({ head, body: new HttpResponseBody(res, () => requestError) }));
+          }
+          // Only a connection with earlier requests can carry a response to one of them.
+          const isExtra = source.reusedSocket && framingOf(res) !== BodyFraming.Connection;
+          if (!isExtra) return failAsForeign();
+          skipResponse({ req: source, res, maxHeaderSize: MAX_HEAD_BYTES }, (next) => {
+            if (next === undefined) return failAsForeign();
+            readResponse(next);
+            if (isInterrupted) next.destroy();
+          });
+        });
+      };
+      readResponse(clientRequest);
       clientRequest.end(req.body);
       return Effect.sync(() => {
         clearTimeout(connectTimer);
-        clientRequest.destroy();
+        isInterrupted = true;
+        reader.destroy();
       });
     });
   }
@@ -127,19 +156,19 @@
    * Requests in progress continue.
    */
   removeBackend({ id }: IBackendEntry): void {
-    this.#agents.get(id)?.drain();
-    this.#agents.delete(id);
+    this.#connections.get(id)?.drain();
+    this.#connections.delete(id);
   }
 
   /** Closes all idle connections; those of requests in progress are not reused. */
   closeIdleConnections(): void {
-    for (const agent of this.#agents.values()) agent.drain();
-    this.#agents.clear();
+    for (const connections of this.#connections.values()) connections.drain();
+    this.#connections.clear();
   }
 
   dispose(): void {
-    for (const agent of this.#agents.values()) agent.destroy();
-    this.#agents.clear();
+    for (const connections of this.#connections.values()) connections.dispose();
+    this.#connections.clear();
   }
 
   /** Decodes the head of a response, or of an informational response before it. */
@@ -151,6 +180,11 @@
     return head;
   }
 
+  /** A response that may be that of an earlier request says nothing about this one, such as that it has not run. */
+  #belongsTo({ requestId }: IResponseHead, req: IUpstreamRequest): boolean {
+    return requestId === req.requestId || (requestId === undefined && !this.#requiresId);
+  }
+
   /** Only the addressed server's response to this very request shows that there is no limit any more. */
   #reportLimitEnd(
     backend: IBackendEntry,
@@ -160,16 +194,13 @@
     this.#onDidStateLimit.fire({ backend, limitPerSecond: undefined });
   }
 
-  #agentOf({ id }: IBackendEntry): KeepAliveAgent {
-    let agent = this.#agents.get(id);
-    if (agent === undefined) {
-      agent = new KeepAliveAgent({
-        keepAliveMsecs: KEEP_ALIVE_PROBE_DELAY_MS,
-        keepAlive: this.#reusesConnections,
-      });
-      this.#agents.set(id, agent);
+  #connectionsOf({ id }: IBackendEntry): ServerConnections {
+    let connections = this.#connections.get(id);
+    if (connections === undefined) {
+      connections = new ServerConnections({ reusesConnections: this.#reusesConnections });
+      this.#connections.set(id, connections);
     }
-    return agent;
+    return connections;
   }
 }
 
--- a/src/call/node/http_upstream_test.ts
+++ b/src/call/node/http_upstream_test.ts
@@ -2,6 +2,7 @@
 import { createServer as createTcpServer } from "node:net";
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
 import { createServer } from "node:http";
+import type { ExecutionContext } from "ava";
 import test from "ava";
 import fc from "fast-check";
 import { Deferred, Effect, Fiber, Result } from "effect";
@@ -19,14 +20,19 @@
 const CODEC: IRequestCodec = {
   readRequest: () => undefined,
   dispatchHeaders: () => [],
-  readResponse: (status, headers): IResponseHead => ({
-    status,
-    headers,
-    requestId: headers[headers.findIndex((name) => name.toLowerCase() === "x-id") + 1],
-    isNotRun: false,
-    isSigned: true,
-    isLeaving: headers.some((name) => name.toLowerCase() === "x-leaving"),
-  }),
+  readResponse: (status, headers): IResponseHead => {
+    const has = (name: string) => headers.some((text) => text.toLowerCase() === name);
+    return {
+      status,
+      headers,
+      requestId: has("x-id")
+        ? headers[headers.findIndex((name) => name.toLowerCase() === "x-id") + 1]
+        : undefined,
+      isNotRun: has("x-not-run"),
+      isSigned: true,
+      isLeaving: has("x-leaving"),
+    };
+  },
 };
 
 async function listen(serve: (req: IncomingMessage, res: ServerResponse) => void): Promise<Server> {
@@ -226,6 +232,174 @@
   upstream.dispose();
 });
 
+interface IKeptServer {
+  readonly upstream: HttpUpstream;
+  readonly backend: IBackendEntry;
+  readonly sockets: readonly Socket[];
+}
+
+/** Starts a server whose connections answer their first request, and pass each later one to a function. */
+async function startKept(
+  t: ExecutionContext,
+  react: (socket: Socket, upstream: HttpUpstream) => void,
+  first = `${HEAD}Content-Length: 0\r\n\r\n`,
+): Promise<IKeptServer> {
+  const upstream = new HttpUpstream(CODEC);
+  const sockets: Socket[] = [];
+  const server = createTcpServer((socket) => {
+    sockets.push(socket);
+    socket.on("error", () => {});
+    socket.once("data", () => {
+      socket.write(first);
+      socket.on("data", () => react(socket, upstream));
+    });
+  });
+  await new Promise<void>((resolve) => server.listen(0, "127.0.0.1", resolve));
+  t.teardown(() => {
+    server.close();
+    upstream.dispose();
+  });
+  return { upstream, backend: backendOf(server), sockets };
+}
+
+/** Sends a request and returns the status and body of its response, or how it failed. */
+async function exchange({ upstream, backend }: IKeptServer, id: string): Promise<string> {
+  const sending = Effect.flatMap(
+    upstream.send(backend, requestOf(id)),
+    (response) => Effect.map(readAll(response), (body) => `${response.head.status} ${body}`),
+  );
+  const result = await Effect.runPromise(Effect.result(sending as Effect.Effect<string, UpstreamError>));
+  return Result.isFailure(result) ? result.failure.fault : result.success;
+}
+
+/** Writes a response to an earlier request, and calls back when its head has been read. */
+function writeExtra(
+  socket: Socket,
+  { upstream, ids, onRead, body = "" }: {
+    upstream: HttpUpstream;
+    ids: string;
+    onRead: () => void;
+    body?: string;
+  },
+): void {
+  const disposable = upstream.onDidAnnounceLeaving(() => {
+    disposable.dispose();
+    // A listener that is added during an event would receive that event too.
+    queueMicrotask(onRead);
+  });
+  socket.write(
+    `HTTP/1.1 503 Full\r\n${ids}X-Not-Run: 1\r\nX-Leaving: 1\r\nContent-Length: ${body.length}\r\n\r\n${body}`,
+  );
+}
+
+const OWN = "HTTP/1.1 200 OK\r\nX-Id: 2\r\nContent-Length: 3\r\n\r\nown";
+
+test("a response to an earlier request is skipped on a kept connection, which is closed afterwards", async (t) => {
+  for (const ids of ["", "X-Id: 1\r\n", "X-Id: \r\n"]) {
+    for (const body of ["", "body"]) {
+      const server = await startKept(t, (socket, upstream) =>
+        writeExtra(socket, {
+          upstream,
+          ids,
+          body,
+          onRead: () => socket.write(OWN),
+        }));
+      t.is(await exchange(server, "1"), "200 ");
+      t.is(await exchange(server, "2"), "200 own", ids);
+      t.is(server.sockets.length, 1);
+      t.is(await exchange(server, "1"), "200 ");
+      t.is(server.sockets.length, 2);
+    }
+  }
+});
+
+test("a request without a response of its own has an unknown outcome", async (t) => {
+  const extra = (head: string) => `HTTP/1.1 503 Full\r\nX-Not-Run: 1\r\n${head}\r\n`;
+  const ends: readonly (readonly [UpstreamFault, (socket: Socket, upstream: HttpUpstream) => void])[] = [
+    [
+      UpstreamFault.Broken,
+      (socket, upstream) => writeExtra(socket, { upstream, ids: "", onRead: () => socket.end() }),
+    ],
+    [
+      UpstreamFault.Broken,
+      (socket, upstream) => writeExtra(socket, { upstream, ids: "", onRead: () => socket.resetAndDestroy() }),
+    ],
+    [
+      UpstreamFault.Invalid,
+      (socket, upstream) =>
+        writeExtra(socket, { upstream, ids: "", onRead: () => socket.write("garbage\r\n\r\n") }),
+    ],
+    [UpstreamFault.Invalid, (socket) => socket.write(extra("Connection: close\r\nContent-Length: 0\r\n"))],
+    [UpstreamFault.Invalid, (socket) => socket.write(extra(""))],
+    [UpstreamFault.Invalid, (socket) => socket.write(extra("Content-Length: 0\r\n") + OWN)],
+    [UpstreamFault.Invalid, (socket) => socket.end(`${extra("Content-Length: 9\r\n")}part`)],
+    [
+      UpstreamFault.Invalid,
+      (socket) => socket.write(`${extra("Content-Length: 99999\r\n")}${"x".repeat(99_999)}`),
+    ],
+    [UpstreamFault.Invalid, (socket, upstream) => {
+      const repeat = () => writeExtra(socket, { upstream, ids: "", onRead: repeat });
+      repeat();
+    }],
+  ];
+  for (const [index, [fault, react]] of ends.entries()) {
+    const server = await startKept(t, react);
+    t.is(await exchange(server, "1"), "200 ");
+    t.is(await exchange(server, "2"), fault, `end ${index}`);
+  }
+});
+
+test("the first response on a connection needs the id of the request", async (t) => {
+  const server = await listen((_req, res) => {
+    res.writeHead(503, { "x-not-run": "1", "content-length": "0" });
+    res.end();
+  });
+  const upstream = new HttpUpstream(CODEC);
+  const setup = { upstream, backend: backendOf(server), sockets: [] };
+  t.is(await exchange(setup, "1"), UpstreamFault.Invalid);
+  server.close();
+  upstream.dispose();
+});
+
+test("interruption closes a connection whose own response is awaited", async (t) => {
+  const closed = Deferred.makeUnsafe<void>();
+  const skipped = Deferred.makeUnsafe<void>();
+  const server = await startKept(t, (socket, upstream) => {
+    socket.on("close", () => Deferred.doneUnsafe(closed, Effect.void));
+    const onRead = () => Deferred.doneUnsafe(skipped, Effect.void);
+    writeExtra(socket, { upstream, ids: "", onRead });
+  });
+  await exchange(server, "1");
+  const sending = Effect.runFork(server.upstream.send(server.backend, requestOf("2")));
+  await Effect.runPromise(Deferred.await(skipped));
+  await Effect.runPromise(Fiber.interrupt(sending));
+  await Effect.runPromise(Deferred.await(closed));
+  t.pass();
+});
+
+test("an id that a server has refused is sent again over a new connection", async (t) => {
+  const refusal = "HTTP/1.1 503 Full\r\nX-Id: 1\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n";
+  const server = await startKept(t, (socket) => socket.write(OWN), refusal);
+  t.is(await exchange(server, "1"), "503 ");
+  t.is(await exchange(server, "1"), "503 ");
+  t.is(server.sockets.length, 2);
+  t.is(await exchange(server, "2"), "200 own");
+  t.is(server.sockets.length, 2);
+});
+
+test("data after a response that is not read yet closes the connection", async (t) => {
+  const closed = Deferred.makeUnsafe<void>();
+  const server = await startKept(t, () => {});
+  const { body } = await Effect.runPromise(server.upstream.send(server.backend, requestOf("1")));
+  const [socket] = server.sockets;
+  socket.on("close", () => Deferred.doneUnsafe(closed, Effect.void));
+  socket.write("HTTP/1.1 503");
+  await Effect.runPromise(Deferred.await(closed));
+  await Effect.runPromise(body.read(() => {}));
+  t.is(await exchange(server, "1"), "200 ");
+  t.is(server.sockets.length, 2);
+});
+
 test("arbitrary bytes in a response fail with a typed error or are a complete response", async (t) => {
   const pieces = fc.constantFrom(
     "HTTP/1.1 200 OK\r\n",
--- a/src/peer/node/forward_server_test.ts
+++ b/src/peer/node/forward_server_test.ts
@@ -6,7 +6,7 @@
 import { Context, Effect, Fiber } from "effect";
 import { UNLIMITED_PERMITS } from "../../../test/stand_ins/unlimited_permits.ts";
 import { listen } from "../../base/node/listen.ts";
-import { describeFault, describeRefusal } from "../../call/common/forward_headers.ts";
+import { describeFault, describeFraming, describeRefusal } from "../../call/common/forward_headers.ts";
 import { ForwardService } from "../../call/common/forward_service.ts";
 import { ForwardingUpstream } from "../../call/common/forwarding_upstream.ts";
 import { ForwardRefusal } from "../../call/common/forwarding.ts";
@@ -48,7 +48,7 @@
       status,
       headers,
       requestId: has("x-id") ? valueOf("x-id") : undefined,
-      isNotRun: false,
+      isNotRun: has("x-not-run"),
       isSigned: has("x-signature"),
       isLeaving: false,
       limitPerSecond: has("x-limit") ? Number(valueOf("x-limit")) : undefined,
@@ -79,7 +79,10 @@
   const logger = new NullLogger();
   const now = Date.now;
   const random = () => 0;
-  const { port } = await startServer(t, handler);
+  const { port } = await startServer(t, (req, res) => {
+    res.setHeader("X-Id", req.headers["x-id"] ?? "");
+    handler(req, res);
+  });
   const backend: IBackendEntry = {
     id: "b",
     service: "s",
@@ -252,6 +255,27 @@
   }
 });
 
+test("a refusal without the id of the request is no refusal of it", async (t) => {
+  const refuse: Handler = (_req, res) => {
+    res.removeHeader("X-Id");
+    res.writeHead(503, { "X-Not-Run": "1", "Content-Length": "0" });
+    res.end();
+  };
+  t.is(await send(await setUp(t, refuse)), "invalid");
+});
+
+test("a forwarded refusal without the id of the request is no refusal of it", async (t) => {
+  const setup = await setUp(t, (_req, res) => void res.end());
+  for (const [ids, fault] of [[[], "invalid"], [["X-Id", "r0"], "path-lost"]] as const) {
+    const framing = describeFraming({ framing: BodyFraming.Length });
+    const { port } = await startServer(t, (_req, res) => {
+      res.writeHead(503, ["X-Not-Run", "1", ...ids, ...framing, "Content-Length", "0"]);
+      res.end();
+    });
+    t.is(await send({ ...setup, address: `127.0.0.1:${port}` }), fault);
+  }
+});
+
 test("a server cannot speak for the forwarding instance", async (t) => {
   const statements = [...describeRefusal(ForwardRefusal.Stopping), ...describeFault(UpstreamFault.NotSent)];
   const setup = await setUp(t, (_req, res) => {
