--- a/src/peer/node/forward_server_test.ts
+++ b/src/peer/node/forward_server_test.ts
@@ -6,10 +6,12 @@
 import { Context, Effect, Fiber } from "effect";
 import { UNLIMITED_PERMITS } from "../../../test/stand_ins/unlimited_permits.ts";
 import { listen } from "../../base/node/listen.ts";
+import { describeFault, describeFraming, describeRefusal } from "../../call/common/forward_headers.ts";
 import { ForwardService } from "../../call/common/forward_service.ts";
 import { ForwardingUpstream } from "../../call/common/forwarding_upstream.ts";
+import { ForwardRefusal } from "../../call/common/forwarding.ts";
 import type { IRequestCodec, IUpstreamRequest } from "../../call/common/opaque_request.ts";
-import { BodyFraming } from "../../call/common/opaque_request.ts";
+import { BodyFraming, UpstreamFault } from "../../call/common/opaque_request.ts";
 import { ServerLinkMonitor } from "../../call/common/server_link_monitor.ts";
 import { HttpForwardTransport } from "../../call/node/http_forward_transport.ts";
 import { HttpUpstream } from "../../call/node/http_upstream.ts";
@@ -32,6 +34,8 @@
   readonly address: string;
   /** Closes all connections of the forwarding instance. */
   readonly killForwarder: () => void;
+  /** Number of connections that the forwarding instance has accepted. */
+  readonly countConnections: () => number;
 }
 
 const CODEC: IRequestCodec = {
@@ -44,7 +48,7 @@
       status,
       headers,
       requestId: has("x-id") ? valueOf("x-id") : undefined,
-      isNotRun: false,
+      isNotRun: has("x-not-run"),
       isSigned: has("x-signature"),
       isLeaving: false,
       limitPerSecond: has("x-limit") ? Number(valueOf("x-limit")) : undefined,
@@ -75,7 +79,10 @@
   const logger = new NullLogger();
   const now = Date.now;
   const random = () => 0;
-  const { port } = await startServer(t, handler);
+  const { port } = await startServer(t, (req, res) => {
+    res.setHeader("X-Id", req.headers["x-id"] ?? "");
+    handler(req, res);
+  });
   const backend: IBackendEntry = {
     id: "b",
     service: "s",
@@ -112,7 +119,10 @@
   });
   const address = `127.0.0.1:${forwarder.port}`;
   const killForwarder = () => forwarder.server.closeAllConnections();
-  return { transport, service, directory, backend, address, killForwarder };
+  let connections = 0;
+  forwarder.server.on("connection", () => connections += 1);
+  const countConnections = () => connections;
+  return { transport, service, directory, backend, address, killForwarder, countConnections };
 }
 
 /** Sends a request through the forwarding instance; returns the response, or the tag and kind of the error. */
@@ -236,3 +246,41 @@
   await whenClosed;
   t.pass();
 });
+
+test("each request has a connection of its own to the forwarding instance", async (t) => {
+  const setup = await setUp(t, (_req, res) => void res.end("answer"));
+  for (let sends = 1; sends <= 3; sends++) {
+    t.like(await send(setup), { text: "answer" });
+    t.is(setup.countConnections(), sends);
+  }
+});
+
+test("a refusal without the id of the request is no refusal of it", async (t) => {
+  const refuse: Handler = (_req, res) => {
+    res.removeHeader("X-Id");
+    res.writeHead(503, { "X-Not-Run": "1", "Content-Length": "0" });
+    res.end();
+  };
+  t.is(await send(await setUp(t, refuse)), "invalid");
+});
+
+test("a forwarded refusal without the id of the request is no refusal of it", async (t) => {
+  const setup = await setUp(t, (_req, res) => void res.end());
+  for (const [ids, fault] of [[[], "invalid"], [["X-Id", "r0"], "path-lost"]] as const) {
+    const framing = describeFraming({ framing: BodyFraming.Length });
+    const { port } = await startServer(t, (_req, res) => {
+      res.writeHead(503, ["X-Not-Run", "1", ...ids, ...framing, "Content-Length", "0"]);
+      res.end();
+    });
+    t.is(await send({ ...setup, address: `127.0.0.1:${port}` }), fault);
+  }
+});
+
+test("a server cannot speak for the forwarding instance", async (t) => {
+  const statements = [...describeRefusal(ForwardRefusal.Stopping), ...describeFault(UpstreamFault.NotSent)];
+  const setup = await setUp(t, (_req, res) => {
+    for (let i = 0; i < statements.length; i += 2) res.setHeader(statements[i], statements[i + 1]);
+    res.end("answer");
+  });
+  t.like(await send(setup), { text: "answer" });
+});
--- a/test/stand_ins/raw_server.ts
+++ b/test/stand_ins/raw_server.ts
@@ -25,13 +25,19 @@
   close(): void;
 }
 
+/** Makes the reply to a request; returns undefined if it writes to the connection itself. */
+export type RawReplier = (request: string, socket: Socket) => IRawReply | undefined;
+
 /** Starts a server that makes the reply to the bytes of each request, which must arrive at once. */
-export async function startRawServer(reply: (request: string) => IRawReply): Promise<IRawServer> {
+export async function startRawServer(replier: RawReplier): Promise<IRawServer> {
   const server = createServer((socket) => {
     socket.unref();
+    socket.setNoDelay(true);
     socket.on("error", () => {});
     socket.on("data", (data) => {
-      const { bytes, end } = reply(data.toString("latin1"));
+      const reply = replier(data.toString("latin1"), socket);
+      if (reply === undefined) return;
+      const { bytes, end } = reply;
       writeAll(socket, isList(bytes) ? bytes : [bytes]).then(() => endConnection(socket, end), () => {});
     });
   });
