Servers: ids that no header can hold as they are no longer end requests

Callers saw: a request to a server whose id contains characters beyond Latin-1 ends with its connection, without an answer (ERR_INVALID_CHAR, thrown while the request is created). So does one that another instance is to forward.

Cause: the id was written unchanged into the header for the expected instance and into that for forwarding. Change: both carry the id in UTF-8, as the organisation's name already is; the forwarding instance decodes it. ASCII ids, the only ones seen, are sent as before, also between builds.

--- a/src/base/common/http_headers.ts
+++ b/src/base/common/http_headers.ts
@@ -12,6 +12,16 @@
   "upgrade",
 ]);
 
+/** Encodes a text so that Node.js sends it in UTF-8. */
+export function toHeaderValue(text: string): string {
+  return Buffer.from(text, "utf8").toString("latin1");
+}
+
+/** Decodes a value that Node.js has received and whose sender encoded it in UTF-8. */
+export function fromHeaderValue(value: string): string {
+  return Buffer.from(value, "latin1").toString("utf8");
+}
+
 /** Removes the hop-by-hop headers and `Content-Length`. */
 export function endToEndHeaders(raw: readonly string[]): string[] {
   const headers: string[] = [];
--- a/src/call/common/forward_headers.ts
+++ b/src/call/common/forward_headers.ts
@@ -1,4 +1,5 @@
 /** Headers that two instances exchange when one sends a request for the other. */
+import { fromHeaderValue, toHeaderValue } from "../../base/common/http_headers.ts";
 import type { IBackendEntry } from "../../services/backends/common/backend_directory.ts";
 import type { IForwardedSend } from "./forwarding.ts";
 import { ForwardRefusal } from "./forwarding.ts";
@@ -33,7 +34,7 @@
 
 export function describeSend({ backend, req, hasPermit }: IForwardedSend): string[] {
   const { id, startedAtMs }: IBackendEntry = backend;
-  const headers = [SERVER_HEADER, id, STARTED_AT_HEADER, String(startedAtMs)];
+  const headers = [SERVER_HEADER, toHeaderValue(id), STARTED_AT_HEADER, String(startedAtMs)];
   headers.push(REQUEST_ID_HEADER, req.requestId);
   if (hasPermit) headers.push(PERMIT_HEADER, "1");
   return headers;
@@ -45,7 +46,12 @@
   const requestId = valueOf(headers, REQUEST_ID_HEADER);
   const startedAtMs = Number(valueOf(headers, STARTED_AT_HEADER));
   if (serverId === undefined || requestId === undefined || !Number.isFinite(startedAtMs)) return undefined;
-  return { serverId, startedAtMs, requestId, hasPermit: valueOf(headers, PERMIT_HEADER) === "1" };
+  return {
+    serverId: fromHeaderValue(serverId),
+    startedAtMs,
+    requestId,
+    hasPermit: valueOf(headers, PERMIT_HEADER) === "1",
+  };
 }
 
 export function describeRefusal(refusal: ForwardRefusal): string[] {
--- a/src/peer/node/forward_server_test.ts
+++ b/src/peer/node/forward_server_test.ts
@@ -220,6 +220,15 @@
   t.is(await send({ ...setup, address: `127.0.0.1:${other.port}` }), "refused: unsupported");
 });
 
+test("a server whose id no header can hold as it is receives the request", async (t) => {
+  const setup = await setUp(t, (_req, res) => void res.end("answer"));
+  for (const id of ["ключ", "é"]) {
+    const backend = { ...setup.backend, id };
+    setup.directory.put(backend);
+    t.like(await send({ ...setup, backend }), { text: "answer" });
+  }
+});
+
 test("when the sender gives up, the server's connection is closed", async (t) => {
   let closed: (() => void) | undefined;
   const whenClosed = new Promise<void>((resolve) => closed = resolve);
