--- a/src/daemon/common/gateway_core.ts
+++ b/src/daemon/common/gateway_core.ts
@@ -110,6 +110,11 @@
   readonly newWriter: () => bigint;
 }
 
+/** Longest part of an id of another writer that is logged. */
+const MAX_LOGGED_ID_CHARS = 64;
+/** Number of unusable entries that are remembered, so that each is logged only once. */
+const MAX_REMEMBERED_ENTRIES = 1000;
+
 type TurnClients = PeerRpcClients<typeof TurnService>;
 
 export class GatewayCore {
@@ -149,6 +154,8 @@
   readonly #dependencies: IGatewayDependencies;
   readonly #peers: TurnClients;
   readonly #ownerCaller: OwnerCaller;
+  /** Ids of the entries that are listed but name no server. */
+  readonly #unusableEntries = new Set<string>();
 
   constructor(settings: GatewaySettings, dependencies: IGatewayDependencies) {
     const { adapter, logger, now } = dependencies;
@@ -557,6 +564,8 @@
 
   #applyBackendUpdate({ key, value, outageMs }: IKeyedUpdate): void {
     const entry = value === undefined ? undefined : this.#dependencies.adapter.decodeBackend(key, value);
+    if (entry === undefined && value !== undefined) this.#logUnusableEntry(key, value);
+    else this.#unusableEntries.delete(key);
     if (entry === undefined) {
       const minLapseMs = MIN_LAPSE_HEARTBEATS * this.#settings.backendHeartbeatMs;
       return this.directory.remove(key, { mayBeLapsed: value === undefined && outageMs >= minLapseMs });
@@ -566,6 +575,16 @@
     if (outageMs === 0) this.crashes.serverRenewed(entry);
   }
 
+  /** Logs an entry once, though its writer may renew it with each heartbeat. */
+  #logUnusableEntry(key: string, value: Uint8Array): void {
+    if (this.#unusableEntries.has(key)) return;
+    if (this.#unusableEntries.size < MAX_REMEMBERED_ENTRIES) this.#unusableEntries.add(key);
+    this.#dependencies.logger.warn("backend-entry-unusable", {
+      id: key.slice(0, MAX_LOGGED_ID_CHARS),
+      bytes: value.length,
+    });
+  }
+
   /** Applies a peer's snapshot once after the start, and while this instance cannot read the store itself. */
   #syncFromPeers(): Effect.Effect<void> {
     let hasSynced = false;
