--- a/test/processes/odd_entries_test.ts
+++ b/test/processes/odd_entries_test.ts
@@ -361,3 +361,80 @@
   }
   t.deepEqual(wrong, []);
 });
+
+test.serial("configurations that cannot be used, and other keys beside them, do not end the following of the topic", async (t) => {
+  const log = new PartitionedLogCore();
+  const services = [MARKER_SERVICE, "s"];
+  const sound = encodeConfiguration({ services });
+  log.putKey(CONFIGURATION_TOPIC, CONFIGURATION_KEY, sound);
+  log.putKey(BACKEND_TOPIC, "b", encodeEntry("s"));
+  const gateway = await start(log);
+  t.teardown(() => gateway.stop());
+  await awaitListRead(log, gateway, "marker1");
+  t.is((await gateway.send("/s/unsafe/")).status, 200);
+  const text = Buffer.from(sound).toString().replace('"Version":1', '"Version":2');
+  const unreadable = [
+    `{"Tenants":[],"x":${nested(200_000)}}`,
+    `{"Tenants":[{"Name":"a","x":${nested(200_000)}}]}`,
+    `{"Tenants":${nested(200_000)}}`,
+    text.replace('"IdleTimeoutMs":10000', '"IdleTimeoutMs":1e999'),
+    text.replace('"IdleTimeoutMs":10000', '"IdleTimeoutMs":-1'),
+    text.replace('"HeaderTimeoutMs":5000', '"HeaderTimeoutMs":[]'),
+    text.replace('"MaxBodyBytes":1000000', '"MaxBodyBytes":null'),
+    text.replace('"PathPrefix":"', '"PathPrefix":7,"x":"'),
+    nested(200_000),
+  ];
+  const nestedOrganisation = `${text.slice(0, -1)},"Tenants":[{"Name":"a","x":${nested(200_000)}}]}`;
+  for (const [index, value] of [...unreadable, nestedOrganisation, sound].entries()) {
+    log.putKey(CONFIGURATION_TOPIC, `other${index}`, Buffer.from(value));
+  }
+  for (const value of unreadable) log.putKey(CONFIGURATION_TOPIC, CONFIGURATION_KEY, Buffer.from(value));
+  await gateway.awaitLine(
+    "configuration-unreadable",
+    () => gateway.linesOf("configuration-unreadable").length === unreadable.length,
+  );
+  t.is((await gateway.send("/s/unsafe/")).status, 200);
+  const newer = encodeConfiguration({ version: 3, services: [...services, "new"] });
+  log.putKey(CONFIGURATION_TOPIC, CONFIGURATION_KEY, newer);
+  await gateway.awaitLine("configuration", ({ version }) => version === 3);
+  t.is((await gateway.send("/new/unsafe/")).status, 503);
+  t.deepEqual(gateway.linesOf("component-failed"), []);
+  t.deepEqual(gateway.linesOf("store-change-failed"), []);
+});
+
+test.serial("a route with fields of other types leaves the others in use", async (t) => {
+  const log = new PartitionedLogCore();
+  const sound = encodeConfiguration({ services: [MARKER_SERVICE, "s"] });
+  const odd: readonly (readonly [string, string])[] = [
+    ["Name", nested(50_000)],
+    ["Kind", nested(50_000)],
+    ["Kind", '"constructor"'],
+    ["TimeoutMs", '"x"'],
+    ["TimeoutMs", "1e999"],
+    ["TargetLatencyMs", "{}"],
+    ["Priority", "[]"],
+    ["Attempts", "{}"],
+    ["Attempts", "1e999"],
+    ["Service", nested(50_000)],
+    ["Backends", `[{"Service":${nested(50_000)},"Weight":1}]`],
+    ["Backends", '[{"Service":"s","Weight":1e999}]'],
+    ["RetainS", "1e300"],
+    ["RetainS", "0.0015"],
+    ["KeepContext", nested(50_000)],
+  ];
+  const routes = odd.map(([field, json], index) =>
+    `{"Name":"odd${index}","Host":"h","PathPrefix":"/odd${index}/","Kind":"stream","Service":"s",` +
+    `"TimeoutMs":1000,"${field}":${json}}`
+  );
+  const text = Buffer.from(sound).toString().replace('"Routes":[', `"Routes":[${routes.join(",")},`);
+  log.putKey(CONFIGURATION_TOPIC, CONFIGURATION_KEY, Buffer.from(text));
+  log.putKey(BACKEND_TOPIC, "b", encodeEntry("s"));
+  const gateway = await start(log);
+  t.teardown(() => gateway.stop());
+  await awaitListRead(log, gateway, "marker1");
+  for (const [index, [field, json]] of odd.entries()) {
+    t.not((await gateway.send(`/odd${index}/`)).status, 0, `${field} ${json.slice(0, 40)}`);
+  }
+  t.is((await gateway.send("/s/unsafe/")).status, 200);
+  t.deepEqual(gateway.linesOf("internal-error"), []);
+});
