Slices: a record that cannot be read no longer keeps a slice from opening

Callers saw: turns of a slice wait 400 ms at a time until their deadline, on every instance that the slice is assigned to, once a record that is none of the instances' is in its partition; likewise for good after any unexpected error while a slice appends.

Change: such a record is skipped and counted in the log. It may have been any record, so the newest ownership counts as ended without a release: reservations are spent, and the former owner is asked for its records. Among the records after a failed append it counts as another writer's, as before. Pieces of a turn that do not follow each other are dropped.

--- a/src/turns/common/slice_journal.ts
+++ b/src/turns/common/slice_journal.ts
@@ -10,6 +10,7 @@
 } from "../../base/common/gen/ragwortcleat/v1/turns_pb.ts";
 import { Signal } from "../../base/common/signal.ts";
 import type { ILogger } from "../../services/logging/common/logger.ts";
+import { describeDefect } from "../../services/logging/common/supervision.ts";
 import type { IPartition, IPartitionedLog } from "../../services/store/common/partitioned_log.ts";
 import type { StoreError } from "../../services/store/common/partitioned_log.ts";
 import { StoreFault } from "../../services/store/common/partitioned_log.ts";
@@ -132,7 +133,17 @@
 
   /** Recovers and claims the slice, then appends until the journal is closed or the scope ends. */
   start(): Effect.Effect<void, never, Scope.Scope> {
-    return Effect.asVoid(Effect.forkScoped(Effect.andThen(this.#open(), this.#appendLoop())));
+    const work = Effect.andThen(this.#open(), this.#appendLoop());
+    // A closed journal is opened again from the log; one whose fiber has ended would hold its slice for ever.
+    return Effect.asVoid(Effect.forkScoped(
+      Effect.catchDefect(work, (defect) => Effect.sync(() => this.#closeAfterDefect(defect))),
+    ));
+  }
+
+  #closeAfterDefect(defect: unknown): void {
+    const { slice, writer, logger } = this.#opts;
+    logger.error("slice-failed", { slice, writer: String(writer), error: describeDefect(defect) });
+    this.close();
   }
 
   /** Waits until the journal is open; false when it was closed before. */
@@ -188,7 +199,7 @@
     if (this.#state === SliceJournalState.Closed) return;
     this.#state = SliceJournalState.Closed;
     Deferred.doneUnsafe(this.#opened, Effect.succeed(false));
-    for (const { done } of this.#pending.splice(0)) Deferred.doneUnsafe(done, Effect.succeed(false));
+    completeAll(this.#pending.splice(0), false);
     this.#wake.notify();
   }
 
@@ -221,7 +232,10 @@
   #tryOpen(): Effect.Effect<boolean, StoreError> {
     return Effect.gen({ self: this }, function* () {
       const state = new SliceState();
-      const end = yield* this.#readFrom(0, (record) => state.apply(record));
+      const end = yield* this.#readFrom(0, (record) => {
+        if (record === undefined) state.applyUnreadable();
+        else state.apply(record);
+      });
       const now = yield* Clock.currentTimeMillis;
       if (state.writer !== this.#opts.writer) {
         this.#formerSpending = state.isReleased ? [] : yield* this.#settleFormerOwnership(state, now);
@@ -246,6 +260,10 @@
         programs: state.ledger.size,
         turns: state.turns.size,
       });
+      const { unreadableCount } = state;
+      if (unreadableCount > 0) {
+        this.#opts.logger.warn("slice-records-unreadable", { slice, count: unreadableCount });
+      }
       Deferred.doneUnsafe(this.#opened, Effect.succeed(true));
       return true;
     });
@@ -280,8 +298,11 @@
     });
   }
 
-  /** Reads all records from an offset; returns the offset after the last. */
-  #readFrom(from: number, apply: (record: SliceRecord) => void): Effect.Effect<number, StoreError> {
+  /** Reads all records from an offset, undefined for each that cannot be read; returns the offset after the last. */
+  #readFrom(
+    from: number,
+    apply: (record: SliceRecord | undefined) => void,
+  ): Effect.Effect<number, StoreError> {
     return Effect.gen({ self: this }, function* () {
       let next = from;
       while (true) {
@@ -293,7 +314,7 @@
           next = page.failure.oldest;
           continue;
         }
-        for (const { data } of page.success.records) apply(fromBinary(SliceRecordSchema, data));
+        for (const { data } of page.success.records) apply(decodeRecord(data));
         next += page.success.records.length;
         if (next >= page.success.end) return next;
       }
@@ -322,9 +343,19 @@
   }
 
   #appendPending(): Effect.Effect<void> {
+    return Effect.suspend(() => {
+      const batch = this.#takeBatch();
+      return Effect.catchDefect(this.#appendBatch(batch), (defect) => {
+        this.close();
+        completeAll(batch, false);
+        return Effect.die(defect);
+      });
+    });
+  }
+
+  #appendBatch(batch: readonly IPending[]): Effect.Effect<void> {
     return Effect.gen({ self: this }, function* () {
       const now = yield* Clock.currentTimeMillis;
-      const batch = this.#takeBatch();
       const isRelease = batch.some(({ events }) => events.some((event) => event.case === "release"));
       const { ledger } = this.#slice;
       const records = isRelease ? ledger.settle(now) : ledger.takeDirty(now);
@@ -334,7 +365,7 @@
         ledger.markRecorded(records);
         for (const { turn } of batch) if (turn !== undefined) this.#slice.turns.put(turn);
       }
-      for (const { done } of batch) Deferred.doneUnsafe(done, Effect.succeed(isAppended));
+      completeAll(batch, isAppended);
       if (isRelease || !isAppended) this.close();
       else yield* this.#checkpointIfDue(now);
     });
@@ -390,11 +421,11 @@
    * there are none or the store does not respond.
    */
   #readOutcome(): Effect.Effect<boolean | undefined> {
-    const records: SliceRecord[] = [];
+    const records: (SliceRecord | undefined)[] = [];
     return this.#readFrom(this.#end, (record) => records.push(record)).pipe(
       Effect.map((end) => {
-        const own = records.filter(({ writer, appendNumber }) =>
-          writer === this.#opts.writer && appendNumber === this.#appendNumber
+        const own = records.filter((record) =>
+          record?.writer === this.#opts.writer && record.appendNumber === this.#appendNumber
         );
         if (records.length === 0) return undefined;
         if (own.length === records.length) {
@@ -458,3 +489,16 @@
     );
   }
 }
+
+function completeAll(appends: readonly IPending[], isAppended: boolean): void {
+  for (const { done } of appends) Deferred.doneUnsafe(done, Effect.succeed(isAppended));
+}
+
+/** Returns undefined for bytes that are no record, which another writer must have appended. */
+function decodeRecord(data: Uint8Array): SliceRecord | undefined {
+  try {
+    return fromBinary(SliceRecordSchema, data);
+  } catch {
+    return undefined;
+  }
+}
--- a/src/turns/common/slice_journal_test.ts
+++ b/src/turns/common/slice_journal_test.ts
@@ -1,10 +1,14 @@
 import test from "ava";
-import { create } from "@bufbuild/protobuf";
+import { create, toBinary } from "@bufbuild/protobuf";
 import type { Scope } from "effect";
 import { Effect, Fiber } from "effect";
 import { TestClock } from "effect/testing";
 import { LogFault, PartitionedLogCore } from "../../../test/stand_ins/partitioned_log_core.ts";
-import { KeptTurnSchema } from "../../base/common/gen/ragwortcleat/v1/turns_pb.ts";
+import {
+  KeptTurnSchema,
+  SliceRecordSchema,
+  TurnPieceSchema,
+} from "../../base/common/gen/ragwortcleat/v1/turns_pb.ts";
 import { NullLogger } from "../../services/logging/common/logger.ts";
 import { SliceJournal, SliceJournalState } from "./slice_journal.ts";
 import { GrantDecision } from "./spending_ledger.ts";
@@ -68,6 +72,73 @@
   }));
 });
 
+const GARBAGE = Buffer.from([0xff, 0xff, 0xff, 0xff, 0xff]);
+
+/** Appends records after all others, as a writer does that does not know of the ownership. */
+function appendForeign(log: PartitionedLogCore, records: readonly Uint8Array[]): Effect.Effect<unknown> {
+  return Effect.orDie(
+    Effect.flatMap(
+      log.read(PARTITION, { from: 0, waitMs: 0 }),
+      ({ end }) => log.append(PARTITION, records, end),
+    ),
+  );
+}
+
+test("a slice with records that cannot be read opens, with the turns of the others", async (t) => {
+  const log = new PartitionedLogCore();
+  await run(Effect.gen(function* () {
+    yield* appendForeign(log, [GARBAGE]);
+    const first = yield* openJournal(log, 1n);
+    t.true(yield* first.storeTurn(createTurn("a")));
+    yield* appendForeign(log, [GARBAGE]);
+    t.false(yield* first.storeTurn(createTurn("b")));
+    const second = yield* openJournal(log, 2n);
+    t.is(second.state, SliceJournalState.Open);
+    t.true(yield* second.storeTurn(createTurn("c")));
+    t.true(second.slice.turns.has(createTurn("a")));
+  }));
+});
+
+test("after records that cannot be read, a released ownership counts as one without a release", async (t) => {
+  const log = new PartitionedLogCore();
+  await run(Effect.gen(function* () {
+    yield* TestClock.adjust(1);
+    const first = yield* openJournal(log, 1n);
+    yield* first.release();
+    yield* appendForeign(log, [GARBAGE]);
+    const second = yield* openJournal(log, 2n);
+    t.true(second.slice.ledger.uncleanAtMs > 0);
+  }));
+});
+
+test("pieces of turns that cannot be put together leave the slice usable", async (t) => {
+  const log = new PartitionedLogCore();
+  const pieceOf = (index: number, count: number) => {
+    const value = create(TurnPieceSchema, { turnId: "a", index, count, data: GARBAGE });
+    const record = create(SliceRecordSchema, { writer: 9n, event: { case: "piece", value } });
+    return toBinary(SliceRecordSchema, record);
+  };
+  await run(Effect.gen(function* () {
+    yield* appendForeign(log, [pieceOf(0, 1), pieceOf(4_000_000_000, 1), pieceOf(1, 2)]);
+    const journal = yield* openJournal(log, 1n);
+    t.true(yield* journal.storeTurn(createTurn("b")));
+    t.is(journal.slice.turns.size, 1);
+  }));
+});
+
+test("a journal that fails unexpectedly closes, so that its slice can be opened again", async (t) => {
+  const log = new PartitionedLogCore();
+  await run(Effect.gen(function* () {
+    const journal = yield* openJournal(log, 1n);
+    // No record can hold a fraction of a token.
+    journal.slice.ledger.begin({ ...grantRequest("a"), maxTokens: 0.5 }, 0);
+    t.false(yield* journal.storeTurn(createTurn("b")));
+    t.is(journal.state, SliceJournalState.Closed);
+    const second = yield* openJournal(log, 2n);
+    t.true(yield* second.storeTurn(createTurn("c")));
+  }));
+});
+
 test("a former owner's appends fail", async (t) => {
   const log = new PartitionedLogCore();
   await run(Effect.gen(function* () {
--- a/src/turns/common/slice_state.ts
+++ b/src/turns/common/slice_state.ts
@@ -31,6 +31,7 @@
   #isReleased = true;
   #holder = "";
   #unrecordedPercent = FORMER_UNRECORDED_PERCENT;
+  #unreadableCount = 0;
 
   /** Id of the newest ownership; undefined before the first. */
   get writer(): bigint | undefined {
@@ -52,6 +53,20 @@
     return this.#isReleased;
   }
 
+  /** Number of records that could not be read. */
+  get unreadableCount(): number {
+    return this.#unreadableCount;
+  }
+
+  /**
+   * Notes that a record could not be read. It may have been anything but a claim that others have written after, so the
+   * newest ownership counts as ended without a release, and reservations as spent.
+   */
+  applyUnreadable(): void {
+    this.#unreadableCount += 1;
+    this.#isReleased = false;
+  }
+
   /** Applies a record; records must be applied in log order. */
   apply({ writer, event }: SliceRecord): void {
     switch (event.case) {
@@ -83,11 +98,22 @@
   #applyPiece({ turnId, index, count, data }: TurnPiece): void {
     // Pieces can span several appends, and the ownership may have ended between them: piece 0 starts over.
     const pieces = index === 0 ? [] : this.#pieces.get(turnId) ?? [];
-    pieces[index] = data;
+    if (index !== pieces.length) return;
+    pieces.push(data);
     this.#pieces.set(turnId, pieces);
     if (index < count - 1) return;
     this.#pieces.delete(turnId);
-    this.turns.put(fromBinary(KeptTurnSchema, Buffer.concat(pieces)));
+    const turn = decodeTurn(Buffer.concat(pieces));
+    if (turn === undefined) this.applyUnreadable();
+    else this.turns.put(turn);
+  }
+}
+
+function decodeTurn(bytes: Uint8Array): KeptTurn | undefined {
+  try {
+    return fromBinary(KeptTurnSchema, bytes);
+  } catch {
+    return undefined;
   }
 }
 
