Connections: an idle timeout of hundreds of digits in a server's response no longer ends the process

Callers saw: the connections of all callers of an instance break at once, and the instance is away until it has started again; so does the next one that the server responds to.

Cause: the timeout that a Keep-Alive header announces was converted without a limit. From 309 digits on it is infinite, and Node.js throws for that where the connection returns to the pool, outside of any request's fiber.

Evidence: the new test ended its process with an uncaught exception before, as run; it passes now.

--- a/src/base/node/keep_alive_agent.ts
+++ b/src/base/node/keep_alive_agent.ts
@@ -6,6 +6,8 @@
 /** Time before the server's announced idle timeout at which an idle connection is closed, in ms. */
 const IDLE_MARGIN_MS = 700;
 const MS_PER_SECOND = 1000;
+/** Longer timeouts make no difference, and Node.js throws for those that are not finite. */
+const MAX_IDLE_MS = 24 * 60 * 60 * MS_PER_SECOND;
 
 interface IPooledSocket extends Socket {
   _httpMessage?: { res?: IncomingMessage };
@@ -54,5 +56,5 @@
 function announcedIdleTimeoutMs(res: IncomingMessage | undefined): number | undefined {
   const header = res?.headers["keep-alive"];
   const seconds = /(?:^|,)\s*timeout=(\d+)/.exec(typeof header === "string" ? header : "")?.[1];
-  return seconds === undefined ? undefined : Number(seconds) * MS_PER_SECOND;
+  return seconds === undefined ? undefined : Math.min(Number(seconds) * MS_PER_SECOND, MAX_IDLE_MS);
 }
--- a/src/call/node/http_upstream_test.ts
+++ b/src/call/node/http_upstream_test.ts
@@ -251,3 +251,23 @@
   t.false(faults.has(UpstreamFault.NotSent) || faults.has(UpstreamFault.Refused));
   t.true(faults.has(UpstreamFault.Invalid) && faults.has(UpstreamFault.TooLarge));
 });
+
+test("an idle timeout of any length that a server announces leaves its connection usable", async (t) => {
+  for (const timeout of ["9".repeat(20), "9".repeat(400)]) {
+    const sockets = new Set<Socket>();
+    const server = await listen((req, res) => {
+      sockets.add(req.socket);
+      res.writeHead(200, { "x-id": req.headers["x-id"], "Keep-Alive": `timeout=${timeout}` }).end("x");
+    });
+    const upstream = new HttpUpstream(CODEC);
+    for (const id of ["1", "2"]) {
+      const sending = Effect.flatMap(upstream.send(backendOf(server), requestOf(id)), readAll);
+      t.is(await Effect.runPromise(sending), "x");
+      // The connection is kept once the response's end has been handled.
+      await new Promise((resolve) => setImmediate(resolve));
+    }
+    t.is(sockets.size, 1);
+    server.close();
+    upstream.dispose();
+  }
+});
