Sends: what Node.js refuses to create fails as not sent instead of ending the fiber

Callers saw: requests end with their connections, without an answer, if the server chosen has a port that does not exist or an id that no header can hold; while the links are checked, the check itself ends, and with it the detection of lost links.

Cause: http.request and net.connect throw for such ports, headers, targets and methods. What is thrown while an effect registers its callback is a defect, which no handler of typed failures sees. Change: the upstream reports a refused connection, so that the server is passed over for this request and backs off; the connect probe reports that the server is not reachable; the HTTP client reports that nothing was sent. Calls to peers with unusable addresses failed with typed errors already, which a test now guards.

--- a/src/base/node/http_client.ts
+++ b/src/base/node/http_client.ts
@@ -3,6 +3,7 @@
 import { request } from "node:http";
 import { Effect } from "effect";
 import VError from "verror";
+import { toError } from "../common/errors.ts";
 import { ByteBuffer } from "../common/byte_buffer.ts";
 import { StrictAgent } from "./strict_agent.ts";
 
@@ -86,7 +87,11 @@
         clearTimeout(timer);
         resume(result);
       };
-      const clientRequest = this.#request(req, (res) => collectBody(res, settle));
+      const clientRequest = this.#tryRequest(req, {
+        onResponse: (res) => collectBody(res, settle),
+        onFailure: (err) => resume(Effect.fail(err)),
+      });
+      if (clientRequest === undefined) return;
       tracker.observe(clientRequest);
       clientRequest.on("error", (err) => settle(Effect.fail(new HttpError(tracker.progress, err))));
       clientRequest.end(req.body);
@@ -108,7 +113,11 @@
   send(req: IHttpRequest): Effect.Effect<IncomingMessage, HttpError> {
     return Effect.callback<IncomingMessage, HttpError>((resume) => {
       const tracker = new SendTracker();
-      const clientRequest = this.#request(req, (res) => resume(Effect.succeed(res)));
+      const clientRequest = this.#tryRequest(req, {
+        onResponse: (res) => resume(Effect.succeed(res)),
+        onFailure: (err) => resume(Effect.fail(err)),
+      });
+      if (clientRequest === undefined) return;
       tracker.observe(clientRequest);
       clientRequest.on("error", (err) => resume(Effect.fail(new HttpError(tracker.progress, err))));
       clientRequest.end(req.body);
@@ -116,6 +125,22 @@
     });
   }
 
+  /** Node.js throws for an address or a header that cannot be sent. */
+  #tryRequest(
+    req: IHttpRequest,
+    { onResponse, onFailure }: {
+      onResponse: (res: IncomingMessage) => void;
+      onFailure: (err: HttpError) => void;
+    },
+  ): ClientRequest | undefined {
+    try {
+      return this.#request(req, onResponse);
+    } catch (err) {
+      onFailure(new HttpError(SendProgress.NotSent, toError(err)));
+      return undefined;
+    }
+  }
+
   #request(req: IHttpRequest, onResponse: (res: IncomingMessage) => void): ClientRequest {
     if (req.origin === undefined) return request(req.url, this.#options(req), onResponse);
     return request({ ...this.#options(req), ...req.origin, path: req.url }, onResponse);
--- a/src/base/node/http_client_test.ts
+++ b/src/base/node/http_client_test.ts
@@ -30,3 +30,23 @@
     }
   });
 }
+
+test("a request that Node.js refuses to create fails as not sent", async (t) => {
+  const client = new HttpClient();
+  const requests = [
+    { url: "http://127.0.0.1:65536/" },
+    { url: "no address" },
+    { url: "/", origin: { hostname: "127.0.0.1", port: "65536" } },
+    { url: "/a b", origin: { hostname: "127.0.0.1", port: "1" } },
+    { url: "http://127.0.0.1:1/", headers: { "x-a": "a\r\nb" } },
+  ];
+  for (const req of requests) {
+    const fetching = Effect.asVoid(client.fetch({ method: "GET", timeoutMs: 1000, ...req }));
+    const sending = Effect.asVoid(client.send({ method: "GET", ...req }));
+    for (const work of [fetching, sending]) {
+      const result = await Effect.runPromise(Effect.result(work));
+      t.is(Result.isFailure(result) ? result.failure.progress : undefined, SendProgress.NotSent, req.url);
+    }
+  }
+  client.dispose();
+});
--- a/src/call/common/opaque_request.ts
+++ b/src/call/common/opaque_request.ts
@@ -140,7 +140,7 @@
 export enum UpstreamFault {
   /** No connection could be established, so no byte of the request was sent and it has not run. */
   NotSent = "not-sent",
-  /** The same, found out at once: nothing listens at the server's address. */
+  /** The same, found out at once: nothing listens at the server's address, or nothing can be sent there. */
   Refused = "refused",
   /**
    * No byte was sent, and no server accepts connections from this instance any more. The next attempt, on the same
@@ -182,6 +182,9 @@
   return fault === UpstreamFault.NotSent || fault === UpstreamFault.Refused;
 }
 
+/** Maximum of any number of tokens, so that the sum of two fits the 32-bit fields of messages and records. */
+export const MAX_TOKENS = 2 ** 31 - 1;
+
 /** What shows where the body of a response ends. */
 export enum BodyFraming {
   Length = "length",
--- a/src/call/node/connect_probe.ts
+++ b/src/call/node/connect_probe.ts
@@ -1,4 +1,5 @@
 /** Tries TCP connections to backend servers. */
+import type { Socket } from "node:net";
 import { connect } from "node:net";
 import { Effect } from "effect";
 import type { IBackendEntry } from "../../services/backends/common/backend_directory.ts";
@@ -8,7 +9,13 @@
 export class ConnectProbe implements IConnectProbe {
   connect({ host, port }: IBackendEntry): Effect.Effect<boolean> {
     return Effect.callback<boolean>((resume) => {
-      const socket = connect({ host, port });
+      let socket: Socket;
+      try {
+        socket = connect({ host, port });
+      } catch {
+        // Node.js throws for a port that does not exist.
+        return resume(Effect.succeed(false));
+      }
       const finish = (isConnected: boolean) => {
         clearTimeout(timer);
         socket.destroy();
--- a/src/call/node/http_upstream.ts
+++ b/src/call/node/http_upstream.ts
@@ -1,9 +1,10 @@
 /** Sends opaque requests to backend servers through pooled HTTP/1.1 connections. */
-import type { IncomingMessage } from "node:http";
+import type { ClientRequest, IncomingMessage } from "node:http";
 import { request } from "node:http";
 import { Effect } from "effect";
 import type { Event } from "../../base/common/emitter.ts";
 import { Emitter } from "../../base/common/emitter.ts";
+import { toError } from "../../base/common/errors.ts";
 import { KeepAliveAgent } from "../../base/node/keep_alive_agent.ts";
 import type { IBackendEntry } from "../../services/backends/common/backend_directory.ts";
 import type {
@@ -67,15 +68,13 @@
       // Only the first call of `resume` takes effect, so an error after the response head is ignored here.
       const fail = (err: Error) =>
         resume(Effect.fail(new UpstreamError(isConnected ? faultOf(err) : connectFaultOf(err), err)));
-      const clientRequest = request({
-        host: backend.host,
-        port: backend.port,
-        method: req.method,
-        path: req.target,
-        headers: req.headers as string[],
-        maxHeaderSize: MAX_HEAD_BYTES,
-        agent: this.#agentOf(backend),
-      });
+      let clientRequest: ClientRequest;
+      try {
+        clientRequest = this.#createRequest(backend, req);
+      } catch (err) {
+        // Node.js throws for a port or a header that cannot be sent.
+        return resume(Effect.fail(new UpstreamError(UpstreamFault.Refused, toError(err))));
+      }
       const connectTimer = setTimeout(
         () => clientRequest.destroy(new Error(`connection timed out after ${CONNECT_TIMEOUT_MS} ms`)),
         CONNECT_TIMEOUT_MS,
@@ -142,6 +141,18 @@
     this.#agents.clear();
   }
 
+  #createRequest(backend: IBackendEntry, { method, target, headers }: IUpstreamRequest): ClientRequest {
+    return request({
+      host: backend.host,
+      port: backend.port,
+      method,
+      path: target,
+      headers: headers as string[],
+      maxHeaderSize: MAX_HEAD_BYTES,
+      agent: this.#agentOf(backend),
+    });
+  }
+
   /** Decodes the head of a response, or of an informational response before it. */
   #readHead(backend: IBackendEntry, { status, rawHeaders }: IRawHead): IResponseHead {
     const head = this.#codec.readResponse(status, rawHeaders);
--- a/src/call/node/http_upstream_test.ts
+++ b/src/call/node/http_upstream_test.ts
@@ -252,6 +252,30 @@
   t.true(faults.has(UpstreamFault.Invalid) && faults.has(UpstreamFault.TooLarge));
 });
 
+test("what Node.js refuses to send fails as not sent, and the next request is served", async (t) => {
+  const server = await listen((req, res) => res.writeHead(200, { "x-id": req.headers["x-id"] }).end("x"));
+  const upstream = new HttpUpstream(CODEC);
+  const backend = backendOf(server);
+  const request = requestOf("1");
+  const unsendable: readonly (readonly [IBackendEntry, IUpstreamRequest])[] = [
+    [{ ...backend, port: 65_536 }, request],
+    [{ ...backend, port: 1e25 }, request],
+    [{ ...backend, port: -1 }, request],
+    [{ ...backend, port: NaN }, request],
+    [backend, { ...request, headers: ["Host", "h", "X-Id", "a\r\nb"] }],
+    [backend, { ...request, headers: ["Host", "h", "X-Id", "\u0430"] }],
+    [backend, { ...request, target: "/a b" }],
+    [backend, { ...request, method: "A B" }],
+  ];
+  for (const [to, req] of unsendable) {
+    const result = await Effect.runPromise(Effect.result(upstream.send(to, req)));
+    t.is(Result.isFailure(result) ? result.failure.fault : undefined, UpstreamFault.Refused);
+  }
+  t.is(await Effect.runPromise(Effect.flatMap(upstream.send(backend, request), readAll)), "x");
+  server.close();
+  upstream.dispose();
+});
+
 test("an idle timeout of any length that a server announces leaves its connection usable", async (t) => {
   for (const timeout of ["9".repeat(20), "9".repeat(400)]) {
     const sockets = new Set<Socket>();
--- a/src/membership/common/peer_client_test.ts
+++ b/src/membership/common/peer_client_test.ts
@@ -31,3 +31,16 @@
   });
   await Effect.runPromise(Effect.provide(work, TestClock.layer()));
 });
+
+test("a call to an address that is none fails", async (t) => {
+  const get = (address: string): Transport => {
+    throw new TypeError(`invalid URL: ${address}`);
+  };
+  const clients = new PeerRpcClients(PeerService, { get, reset: () => {} });
+  const call = clients.call("no address", {
+    timeoutMs: 1000,
+    invoke: (client, signal) => client.heartbeat({}, { signal }),
+  });
+  const result = await Effect.runPromise(Effect.result(call));
+  t.is(Result.isFailure(result) ? result.failure._tag : undefined, "PeerError");
+});
