Gateway: work that fails unexpectedly is logged and started again; one change cannot stop a follower

Callers saw: an instance keeps an old list of servers or an old configuration, loses its slices, or no longer notices lost links, without a log line. Cause: an exception of a listener or of a store call ended the fiber of the follower, monitor or group, and nothing watched it. Change: followers log a change that a listener or the redaction of secrets cannot handle, and go on with the next one; what cannot be redacted is passed to peers as an empty value. All long-running fibers of the gateway are supervised: an unexpected end is logged as an error and the work is started again after 1 s.

Evidence: the two new tests of the follower and the one of the link monitor failed before, as run; they pass now.

--- a/src/call/common/server_end_detector.ts
+++ b/src/call/common/server_end_detector.ts
@@ -3,6 +3,7 @@
 import { Clock, Effect } from "effect";
 import type { BackendDirectory, IBackendEntry } from "../../services/backends/common/backend_directory.ts";
 import type { ILogger } from "../../services/logging/common/logger.ts";
+import { supervise } from "../../services/logging/common/supervision.ts";
 import type { CrashMonitor } from "./crash_monitor.ts";
 import { toServerRun } from "./observed_attempt.ts";
 import type { IConnectProbe } from "./server_link_monitor.ts";
@@ -75,7 +76,8 @@
       awaitWork: Effect.andThen(forgetWhileRead, awaitListLoss),
       work: probeUnlessRead,
     });
-    return Effect.asVoid(Effect.forkScoped(loop));
+    const { logger } = this.#opts;
+    return Effect.asVoid(Effect.forkScoped(supervise(loop, { component: "server end detector", logger })));
   }
 
   /** Tries to connect once to the servers that are due. */
--- a/src/call/common/server_link_monitor.ts
+++ b/src/call/common/server_link_monitor.ts
@@ -6,6 +6,7 @@
 import { Signal } from "../../base/common/signal.ts";
 import type { BackendDirectory, IBackendEntry } from "../../services/backends/common/backend_directory.ts";
 import type { ILogger } from "../../services/logging/common/logger.ts";
+import { supervise } from "../../services/logging/common/supervision.ts";
 
 /** Time for which a request waits, with no response from any server meanwhile, before the links are checked. */
 const SILENCE_MS = 400;
@@ -136,7 +137,8 @@
         if (this.#isDue(yield* Clock.currentTimeMillis)) yield* this.#check();
       }
     });
-    return Effect.asVoid(Effect.forkScoped(loop));
+    const { logger } = this.#opts;
+    return Effect.asVoid(Effect.forkScoped(supervise(loop, { component: "link monitor", logger })));
   }
 
   #isDue(now: number): boolean {
--- a/src/call/common/server_link_monitor_test.ts
+++ b/src/call/common/server_link_monitor_test.ts
@@ -18,6 +18,7 @@
   readonly listening = new Set(["a1", "a2", "a3", "b1", "b2", "b3"]);
   /** Time after which a connection that is not accepted is given up. */
   probeMs = PROBE_TIMEOUT_MS;
+  failsUnexpectedly = false;
   readonly probed: string[] = [];
   readonly changes: boolean[] = [];
   readonly monitor: ServerLinkMonitor;
@@ -31,6 +32,7 @@
       connect: ({ id }: IBackendEntry) =>
         Effect.suspend(() => {
           this.probed.push(id);
+          if (this.failsUnexpectedly) throw new RangeError("port");
           return this.listening.has(id) ? Effect.succeed(true) : Effect.as(Effect.sleep(this.probeMs), false);
         }),
     };
@@ -152,3 +154,19 @@
   await scenario.run(() => scenario.advance(5000));
   t.deepEqual(scenario.probed, []);
 });
+
+test("a check that fails unexpectedly does not end the monitoring", async (t) => {
+  const scenario = new Scenario();
+  scenario.failsUnexpectedly = true;
+  await scenario.run((scenario) =>
+    Effect.gen(function* () {
+      yield* hang(scenario);
+      yield* scenario.advance(3000);
+      t.deepEqual(scenario.changes, []);
+      scenario.failsUnexpectedly = false;
+      scenario.listening.clear();
+      yield* scenario.advance(5000);
+      t.deepEqual(scenario.changes, [true]);
+    })
+  );
+});
--- a/src/daemon/common/gateway_core.ts
+++ b/src/daemon/common/gateway_core.ts
@@ -49,6 +49,7 @@
 import { LeavingServers } from "../../services/backends/common/leaving_servers.ts";
 import { ServerLimits } from "../../services/backends/common/server_limits.ts";
 import type { ILogger } from "../../services/logging/common/logger.ts";
+import { supervise } from "../../services/logging/common/supervision.ts";
 import { Metrics } from "../../services/metrics/common/metrics.ts";
 import type { ICallerLimits } from "../../services/routes/common/route_table.ts";
 import { RouteTable } from "../../services/routes/common/route_table.ts";
@@ -264,7 +265,8 @@
       yield* this.#makeServerEndDetector().start();
       yield* this.#streamReplicator.start();
       yield* this.group.start();
-      yield* Effect.forkScoped(this.#syncFromPeers());
+      const { logger } = this.#dependencies;
+      yield* Effect.forkScoped(supervise(this.#syncFromPeers(), { component: "peer snapshots", logger }));
     });
   }
 
--- a/src/services/store/common/keyed_topic_follower.ts
+++ b/src/services/store/common/keyed_topic_follower.ts
@@ -4,11 +4,14 @@
 import type { Event } from "../../../base/common/emitter.ts";
 import { Emitter } from "../../../base/common/emitter.ts";
 import type { ILogger } from "../../logging/common/logger.ts";
+import { describeDefect, supervise } from "../../logging/common/supervision.ts";
 import type { IKeyedItem, IKeyedItems, IPartitionedLog, StoreError } from "./partitioned_log.ts";
 import { StoreFault } from "./partitioned_log.ts";
 
 /** Delay after a failed call, in ms: about four attempts a second while the store is unavailable. */
 const RETRY_DELAY_MS = 250;
+/** Longest part of a key that is logged. */
+const MAX_LOGGED_KEY_CHARS = 64;
 
 export interface IKeyedUpdate {
   readonly key: string;
@@ -97,7 +100,8 @@
         yield* Effect.sleep(delayMs);
       }
     });
-    return Effect.asVoid(Effect.forkScoped(follow));
+    const { topic, logger } = this.#opts;
+    return Effect.asVoid(Effect.forkScoped(supervise(follow, { component: `follower of ${topic}`, logger })));
   }
 
   /** Makes one call to the store; returns the delay before the next one, in ms. */
@@ -164,8 +168,29 @@
     const current = this.#items.get(key);
     if (current !== undefined && current.offset >= offset) return;
     if (value === undefined) this.#items.delete(key);
-    else this.#items.set(key, { key, value: this.#opts.redact?.(value) ?? value, offset });
-    this.#onDidUpdate.fire({ key, value, outageMs });
+    else this.#items.set(key, { key, value: this.#redact(key, value), offset });
+    // A change that a listener cannot handle must not hold up those after it.
+    this.#guard(key, () => this.#onDidUpdate.fire({ key, value, outageMs }));
+  }
+
+  /** Returns an empty value if the secrets cannot be removed. */
+  #redact(key: string, value: Uint8Array): Uint8Array {
+    const { redact } = this.#opts;
+    return redact === undefined ? value : this.#guard(key, () => redact(value)) ?? new Uint8Array();
+  }
+
+  #guard<T>(key: string, handle: () => T): T | undefined {
+    try {
+      return handle();
+    } catch (err) {
+      const { topic, logger } = this.#opts;
+      logger.error("store-change-failed", {
+        topic,
+        key: key.slice(0, MAX_LOGGED_KEY_CHARS),
+        error: describeDefect(err),
+      });
+      return undefined;
+    }
   }
 
   #recordFailure(now: number, error: string): void {
--- a/src/services/store/common/keyed_topic_follower_test.ts
+++ b/src/services/store/common/keyed_topic_follower_test.ts
@@ -3,7 +3,9 @@
 import { Effect } from "effect";
 import { TestClock } from "effect/testing";
 import { LogFault, PartitionedLogCore } from "../../../../test/stand_ins/partitioned_log_core.ts";
+import { LineLogger } from "../../../../test/stand_ins/line_logger.ts";
 import { NullLogger } from "../../logging/common/logger.ts";
+import type { IPartitionReadOptions } from "./partitioned_log.ts";
 import { KeyedTopicFollower } from "./keyed_topic_follower.ts";
 
 const TOPIC = "keyed.items";
@@ -76,6 +78,69 @@
   t.is(regained, 1);
 });
 
+test("a change that a listener or the redaction cannot handle is logged, and the following continues", async (t) => {
+  const log = new PartitionedLogCore();
+  const logger = new LineLogger("i");
+  const follower = new KeyedTopicFollower({
+    log,
+    topic: TOPIC,
+    waitMs: 0,
+    pauseMs: 100,
+    logger,
+    redact: (value) => {
+      if (value[0] === "r".charCodeAt(0)) throw new Error("redaction");
+      return value;
+    },
+  });
+  const updates: string[] = [];
+  follower.onDidUpdate(({ key, value }) => {
+    if (key.startsWith("odd")) throw new RangeError("x".repeat(100_000));
+    updates.push(`${key}=${value === undefined ? "-" : Buffer.from(value)}`);
+  });
+  for (const key of ["odd1", "a"]) log.putKey(TOPIC, key, Buffer.from("1"));
+  await run(Effect.gen(function* () {
+    yield* follower.start();
+    yield* TestClock.adjust(150);
+    log.putKey(TOPIC, "odd1", undefined);
+    log.putKey(TOPIC, "odd2", Buffer.from("1"));
+    log.putKey(TOPIC, "b", Buffer.from("r"));
+    yield* TestClock.adjust(150);
+    follower.updateIfNewer({ items: [{ key: "odd3", value: Buffer.from("1"), offset: 8 }], end: 9 });
+    yield* TestClock.adjust(150);
+  }));
+  t.deepEqual(updates, ["a=1", "b=r", "a=-", "b=-"]);
+  t.is(follower.snapshot()!.items.length, 1);
+  const failures = logger.lines.filter((line) => line.includes("store-change-failed"));
+  t.is(failures.length, 6);
+  t.true(failures.every((line) => line.length < 3000));
+});
+
+test("a defect of the store's client is logged, and the topic is read again", async (t) => {
+  class BrokenLog extends PartitionedLogCore {
+    isBroken = false;
+    override readKeyChanges(topic: string, opts: IPartitionReadOptions) {
+      if (this.isBroken) throw new TypeError("not a page");
+      return super.readKeyChanges(topic, opts);
+    }
+  }
+  const log = new BrokenLog();
+  const logger = new LineLogger("i");
+  const follower = new KeyedTopicFollower({ log, topic: TOPIC, waitMs: 0, pauseMs: 100, logger });
+  const updates: string[] = [];
+  follower.onDidUpdate(({ key }) => updates.push(key));
+  await run(Effect.gen(function* () {
+    yield* follower.start();
+    yield* TestClock.adjust(50);
+    log.isBroken = true;
+    yield* TestClock.adjust(200);
+    log.isBroken = false;
+    log.putKey(TOPIC, "a", Buffer.from("1"));
+    yield* TestClock.adjust(2000);
+  }));
+  t.deepEqual(updates, ["a"]);
+  t.is(logger.lines.filter((line) => line.includes("component-failed")).length, 1);
+});
+
 test("a peer's snapshot is applied only if it is more recent", async (t) => {
   const { log, follower, updates } = setUp();
   log.putKey(TOPIC, "a", Buffer.from("1"));
--- a/src/turns/common/slice_group.ts
+++ b/src/turns/common/slice_group.ts
@@ -5,6 +5,7 @@
 import { Emitter } from "../../base/common/emitter.ts";
 import { Signal } from "../../base/common/signal.ts";
 import type { ILogger } from "../../services/logging/common/logger.ts";
+import { supervise } from "../../services/logging/common/supervision.ts";
 import type { IPartition, IPartitionedLog, StoreError } from "../../services/store/common/partitioned_log.ts";
 import type { OwnedSlices } from "./owned_slices.ts";
 
@@ -88,8 +89,9 @@
   /** Renews the membership and refreshes the table periodically until the scope ends. */
   start(): Effect.Effect<void, never, Scope.Scope> {
     return Effect.gen({ self: this }, function* () {
-      yield* Effect.forkScoped(this.#renewLoop());
-      yield* Effect.forkScoped(this.#refreshLoop());
+      const { logger } = this.#opts;
+      yield* Effect.forkScoped(supervise(this.#renewLoop(), { component: "group renewal", logger }));
+      yield* Effect.forkScoped(supervise(this.#refreshLoop(), { component: "owner table", logger }));
     });
   }
 
