Strikes and streams: keys that are not UTF-8 no longer block all writes

Callers saw: after a restart of all instances, resumed streams and requests that crash servers are not recognized. Cause: replicators delete records that have expired or cannot be read. A key that is not UTF-8 is read with replacement characters and can then exceed the limit of keys, so that the call that deletes it is refused, with all other writes in it, and repeated for ever. A list of streams of 250 KB also exceeded the number of arguments of Math.max. Change: keys that the store cannot hold are not deleted. The store's stand-in refuses such keys as its client does. Both replicators are supervised.

--- a/src/call/common/stream_origin_replicator.ts
+++ b/src/call/common/stream_origin_replicator.ts
@@ -7,7 +7,9 @@
 import type { BegunStreamList } from "../../base/common/gen/ragwortcleat/v1/turns_pb.ts";
 import { BegunStreamListSchema } from "../../base/common/gen/ragwortcleat/v1/turns_pb.ts";
 import type { ILogger } from "../../services/logging/common/logger.ts";
+import { supervise } from "../../services/logging/common/supervision.ts";
 import type { IKeyedItem, IPartitionedLog, StoreError } from "../../services/store/common/partitioned_log.ts";
+import { isValidKey } from "../../services/store/common/partitioned_log.ts";
 import type { IStreamOrigin } from "./stream_origin.ts";
 import type { IBegunStream, StreamOriginRegistry } from "./stream_origin_registry.ts";
 
@@ -66,7 +68,8 @@
         work: this.#writeNew(),
       });
     });
-    return Effect.asVoid(Effect.forkScoped(replicate));
+    const { logger } = this.#opts;
+    return Effect.asVoid(Effect.forkScoped(supervise(replicate, { component: "stream origins", logger })));
   }
 
   announce(
@@ -91,7 +94,8 @@
           if (item.key === instance) registry.restore(stream);
           else registry.add(stream);
         }
-        if (item.key !== instance && this.#isAbandoned(streams)) abandoned.push(item.key);
+        const isForeign = item.key !== instance && isValidKey(item.key);
+        if (isForeign && this.#isAbandoned(streams)) abandoned.push(item.key);
       }
       if (abandoned.length > 0) {
         yield* log.writeKeys(topic, abandoned.map((key) => ({ key, value: undefined })));
@@ -107,7 +111,8 @@
   }
 
   #isAbandoned(streams: BegunStreamList["streams"]): boolean {
-    return this.#opts.now() - Math.max(0, ...streams.map(({ atMs }) => atMs)) > ABANDONED_AGE_MS;
+    const newestMs = streams.reduce((newest, { atMs }) => Math.max(newest, atMs), 0);
+    return this.#opts.now() - newestMs > ABANDONED_AGE_MS;
   }
 
   #decode({ key, value }: IKeyedItem): BegunStreamList | undefined {
--- a/src/call/common/stream_origin_replicator_test.ts
+++ b/src/call/common/stream_origin_replicator_test.ts
@@ -149,3 +149,22 @@
       t.deepEqual(["r1", "r2"].map((id) => later.find(streamOf(id))?.softwareVersion), [undefined, "v1"]);
     })
   ));
+
+test("records of other writers do not keep streams from being read and written", async (t) => {
+  await run((setup) =>
+    Effect.gen(function* () {
+      yield* setup.begin("i1", "r1");
+      for (const key of ["", "x", "\ufffd".repeat(100)]) {
+        setup.log.putKey(TOPIC, key, Buffer.from([0xff, 0xff]));
+        setup.log.putKey(
+          TOPIC,
+          `${key}2`,
+          new Uint8Array(250_000).map((_, index) => index % 2 === 0 ? 10 : 0),
+        );
+      }
+      const registry = yield* setup.begin("i2", "r2");
+      t.is(registry.list({ attemptId: "r1", contentKey: 7n }).length, 1);
+      t.true((yield* Effect.orDie(setup.keys())).includes("i2"));
+    })
+  );
+});
--- a/src/call/common/strike_replicator.ts
+++ b/src/call/common/strike_replicator.ts
@@ -7,6 +7,7 @@
 import { repeatWhenNeeded } from "../../base/common/periodic.ts";
 import { Signal } from "../../base/common/signal.ts";
 import type { ILogger } from "../../services/logging/common/logger.ts";
+import { supervise } from "../../services/logging/common/supervision.ts";
 import type { IKeyedUpdate } from "../../services/store/common/keyed_topic_follower.ts";
 import { KeyedTopicFollower } from "../../services/store/common/keyed_topic_follower.ts";
 import type {
@@ -89,9 +90,10 @@
   start(): Effect.Effect<void, never, Scope.Scope> {
     return Effect.gen({ self: this }, function* () {
       yield* this.follower.start();
-      yield* Effect.forkScoped(this.#writeLoop());
-      yield* Effect.forkScoped(this.#atRiskLoop());
-      yield* Effect.forkScoped(this.#evictionLoop());
+      const { logger } = this.#opts;
+      yield* Effect.forkScoped(supervise(this.#writeLoop(), { component: "strike writer", logger }));
+      yield* Effect.forkScoped(supervise(this.#atRiskLoop(), { component: "pending strikes", logger }));
+      yield* Effect.forkScoped(supervise(this.#evictionLoop(), { component: "strike eviction", logger }));
     });
   }
 
@@ -126,6 +128,8 @@
   }
 
   #delete(key: string): void {
+    // The store would refuse the whole call; only bytes that are not UTF-8 are read as such a key.
+    if (!isValidKey(key)) return;
     // A strike that has not been written needs no deletion.
     if (this.#pending.get(key)?.value !== undefined) {
       this.#pending.delete(key);
--- a/src/call/common/strike_replicator_test.ts
+++ b/src/call/common/strike_replicator_test.ts
@@ -179,3 +179,23 @@
       t.deepEqual(yield* setup.keys(), []);
     }))
   ));
+
+test("records of other writers do not keep strikes from being written", async (t) => {
+  const setup = new Setup();
+  // What remains of a key that is not UTF-8 can be longer than any key.
+  const keys = ["", "x", "pending/", "pending/x", `pending/${"\ufffd".repeat(100)}`, "\ufffd".repeat(100)];
+  for (const key of keys) {
+    setup.log.putKey(TOPIC, key, Buffer.from([0xff, 0xff]));
+    setup.log.putKey(TOPIC, `${key}2`, Buffer.from("[".repeat(10_000)));
+  }
+  const run = Effect.gen(function* () {
+    const { monitor, replicator } = yield* setup.start();
+    yield* setup.advance(200_000);
+    attempt(monitor, "b1");
+    yield* setup.advance(3000);
+    t.is(replicator.pendingCount, 0);
+    const stored = yield* Effect.orDie(setup.keys());
+    t.is(stored.filter((key) => key.includes("b1")).length, 1);
+  });
+  await Effect.runPromise(Effect.provide(Effect.scoped(run), TestClock.layer()));
+});
--- a/test/stand_ins/partitioned_log_core.ts
+++ b/test/stand_ins/partitioned_log_core.ts
@@ -13,7 +13,7 @@
   IPartitionPage,
   IPartitionReadOptions,
 } from "../../src/services/store/common/partitioned_log.ts";
-import { StoreError, StoreFault } from "../../src/services/store/common/partitioned_log.ts";
+import { isValidKey, StoreError, StoreFault } from "../../src/services/store/common/partitioned_log.ts";
 
 interface IPartitionState {
   first: number;
@@ -106,7 +106,8 @@
 
   writeKeys(topic: string, writes: readonly IKeyedWrite[]) {
     return Effect.suspend((): Effect.Effect<void, StoreError> => {
-      if (this.fault === LogFault.Refuse) return refusedError();
+      const isStorable = writes.every(({ key }) => isValidKey(key));
+      if (this.fault === LogFault.Refuse || !isStorable) return refusedError();
       this.appends += 1;
       const apply = () => writes.forEach(({ key, value }) => this.putKey(topic, key, value));
       if (this.fault === LogFault.Delay) this.#delayedAppends.push(apply);
