Reports: one that no message can hold no longer ends the process

Callers saw: nothing yet; a number beyond its field in a report would end the process, as reports are also sent by a timer. Change: such a report is logged and left out; those to other recipients and later ones are sent.

--- a/src/peer/node/load_reporter.ts
+++ b/src/peer/node/load_reporter.ts
@@ -6,8 +6,11 @@
 import { Effect } from "effect";
 import type { IDisposable } from "../../base/common/emitter.ts";
 import { toError } from "../../base/common/errors.ts";
+import type { LoadDigest } from "../../base/common/gen/ragwortcleat/v1/turns_pb.ts";
 import { LoadDigestSchema } from "../../base/common/gen/ragwortcleat/v1/turns_pb.ts";
 import type { ILogger } from "../../services/logging/common/logger.ts";
+import { describeDefect, supervise } from "../../services/logging/common/supervision.ts";
+import type { IOutgoingReport } from "../common/outgoing_report.ts";
 import type { ReportExchange } from "../common/report_exchange.ts";
 
 export interface ILoadReporterOptions {
@@ -53,7 +56,8 @@
         yield* Effect.sleep(Math.max(1, this.#opts.exchange.nextDueInMs));
       }
     });
-    return Effect.asVoid(Effect.forkScoped(report));
+    const { logger } = this.#opts;
+    return Effect.asVoid(Effect.forkScoped(supervise(report, { component: "reports", logger })));
   }
 
   dispose(): void {
@@ -62,14 +66,32 @@
     this.#socket.close();
   }
 
+  /** An error thrown here would end the process: it is also called by a timer. */
   #sendDue(): void {
     if (this.#isDisposed) return;
-    const { exchange, port } = this.#opts;
-    for (const { recipients, digest } of exchange.takeDue()) {
-      const message = toBinary(LoadDigestSchema, digest);
-      for (const host of recipients) {
-        this.#socket.send(message, port, host, (err) => this.#handleSendResult(err));
-      }
+    try {
+      for (const report of this.#opts.exchange.takeDue()) this.#send(report);
+    } catch (err) {
+      this.#opts.logger.error("load-report-failed", { error: describeDefect(err) });
+    }
+  }
+
+  #send({ recipients, digest }: IOutgoingReport): void {
+    const { port } = this.#opts;
+    const message = this.#encode(digest);
+    if (message === undefined) return;
+    for (const host of recipients) {
+      this.#socket.send(message, port, host, (err) => this.#handleSendResult(err));
+    }
+  }
+
+  /** Returns undefined for a report that no message can hold; those to other recipients are sent all the same. */
+  #encode(digest: LoadDigest): Uint8Array | undefined {
+    try {
+      return toBinary(LoadDigestSchema, digest);
+    } catch (err) {
+      this.#opts.logger.error("load-report-failed", { error: describeDefect(err) });
+      return undefined;
     }
   }
 
