--- a/src/call/common/gateway_relay.ts
+++ b/src/call/common/gateway_relay.ts
@@ -24,7 +24,7 @@
 } from "./gateway_refusal.ts";
 import type { IOpaqueRequest, IRawRequest, IResponseSink } from "./opaque_request.ts";
 import { AttemptOutcome, RelayedCall } from "./relayed_call.ts";
-import { UpstreamFault } from "./opaque_request.ts";
+import { MAX_TOKENS, UpstreamFault } from "./opaque_request.ts";
 import { RequestIdentity } from "./request_identity.ts";
 import type { IStreamContinuationOptions } from "./stream_continuation.ts";
 import { StreamContinuation } from "./stream_continuation.ts";
@@ -248,7 +248,8 @@
   }
 
   #deliveredTokens({ events, service }: RelayedCall): number {
-    return events * (this.#dispatcher.engineOf(service)?.tokensPerEvent ?? 0);
+    const tokens = Math.ceil(events * (this.#dispatcher.engineOf(service)?.tokensPerEvent ?? 0));
+    return Math.min(tokens, MAX_TOKENS);
   }
 
   /** Obtains the budget and the history of a turn and serves it. */
