Gateway: an unexpected error in a request's handling is answered

Callers saw: requests that the gateway has read end with their connections, without an answer or a refusal. A target that contains a tab or a form feed has the same effect, as Node.js accepts it from callers but does not send it.

Change: unless a response has been started, such a request is answered with 502 and the reason internal-error, which promises nothing; one whose response is complete is left alone. Targets that cannot be sent are refused with 400 before any server is chosen, since their failure would otherwise count against each server tried. A forwarding instance closes the connection, so that the other one need not wait until its deadline. The log line names the target.

--- a/src/call/common/gateway_refusal.ts
+++ b/src/call/common/gateway_refusal.ts
@@ -47,7 +47,11 @@
   HistoryUnavailable = "history-unavailable",
   DeadlineExceeded = "deadline-over",
   OutcomeUnknown = "outcome-unknown",
+  /** The gateway has failed unexpectedly. */
+  InternalError = "internal-error",
   BodyTooLarge = "body-too-large",
+  /** The target contains characters that a request must not contain. */
+  InvalidTarget = "invalid-target",
   /** The response of the backend server exceeds a limit. */
   ResponseTooLarge = "response-too-large",
   CrashingRequest = "crashing-request",
--- a/src/cli/common/request_causes.ts
+++ b/src/cli/common/request_causes.ts
@@ -130,6 +130,11 @@
     ...ownerCauses(evidence.beliefs),
     ...storeCauses(evidence.beliefs),
   ],
+  [RefusalReason.InvalidTarget]:
+    () => ["the request's target contained characters that no request may contain"],
+  [RefusalReason.InternalError]: () => [
+    "the instance failed unexpectedly; its line internal-error has the error. The request may have run",
+  ],
   [RefusalReason.OutcomeUnknown]: (end, { attempts }) => [
     ...denialCauses(attempts),
     ...attempts.filter(({ event }) => event !== DENIED_EVENT).map((line) =>
--- a/src/entry/node/gateway_server.ts
+++ b/src/entry/node/gateway_server.ts
@@ -5,7 +5,6 @@
 import { Server as NetServer } from "node:net";
 import type { Context } from "effect";
 import { Effect, Fiber } from "effect";
-import { toError } from "../../base/common/errors.ts";
 import { endToEndHeaders } from "../../base/common/http_headers.ts";
 import type { IListenAddress } from "../../base/node/listen.ts";
 import { listen } from "../../base/node/listen.ts";
@@ -13,6 +12,7 @@
 import { GatewayStatus, RefusalReason } from "../../call/common/gateway_refusal.ts";
 import type { IResponseSink } from "../../call/common/opaque_request.ts";
 import type { ILogger } from "../../services/logging/common/logger.ts";
+import { describeDefect } from "../../services/logging/common/supervision.ts";
 import type { ICallerLimits } from "../../services/routes/common/route_table.ts";
 import { abortResponse } from "./abort_response.ts";
 import { closeIdleConnections } from "./idle_connections.ts";
@@ -21,6 +21,10 @@
 const MAX_HEADER_BYTES = 32 * 1024;
 /** Time limit for reading the rest of a body that is too large; a caller that still sends then is reset. */
 const DISCARD_TIMEOUT_MS = 2000;
+/** Characters of a target that Node.js accepts from callers but does not send. */
+const UNSENDABLE_TARGET = /[^\u0021-\u00ff]/;
+/** Longest part of a target that is logged with an error. */
+const MAX_LOGGED_TARGET_CHARS = 200;
 
 export interface IGatewayServerOptions {
   readonly relay: GatewayRelay;
@@ -100,8 +104,9 @@
     const handling = this.#relay(req, sink).pipe(
       Effect.catchDefect((defect) =>
         Effect.sync(() => {
-          this.#opts.logger.error("internal-error", { error: toError(defect).stack });
-          sink.abort();
+          const target = req.url?.slice(0, MAX_LOGGED_TARGET_CHARS);
+          this.#opts.logger.error("internal-error", { target, error: describeDefect(defect) });
+          sink.fail();
         })
       ),
     );
@@ -117,6 +122,9 @@
       if (body === BodyError.Truncated) return Effect.sync(() => sink.abort());
       if (body === BodyError.TooLarge) return Effect.sync(() => sink.rejectBody(req));
       const { method = "", url = "", rawHeaders } = req;
+      if (UNSENDABLE_TARGET.test(url)) {
+        return Effect.sync(() => sink.refuse(GatewayStatus.BadRequest, RefusalReason.InvalidTarget));
+      }
       return this.#opts.relay.handle(
         { method, target: url, headers: endToEndHeaders(rawHeaders), body },
         sink,
@@ -182,6 +190,18 @@
     abortResponse(this.#res);
   }
 
+  /** Says that the outcome is unknown; closes the connection if a response has been started. */
+  fail(): void {
+    if (this.#res.writableEnded) return;
+    if (this.hasStarted) this.abort();
+    else this.refuse(GatewayStatus.BadGateway, RefusalReason.InternalError);
+  }
+
+  refuse(status: GatewayStatus, reason: RefusalReason): void {
+    const body = JSON.stringify({ status, title: reason });
+    this.respond(status, ["content-type", "application/problem+json"], Buffer.from(body));
+  }
+
   /**
    * Rejects a body that is too large. Closes the connection, since the unread rest would be parsed as a request, but reads
    * the rest before: closing a connection with unread bytes resets it, and the caller may lose the response.
--- a/src/entry/node/gateway_server_test.ts
+++ b/src/entry/node/gateway_server_test.ts
@@ -145,3 +145,27 @@
   });
   t.is(await call.end, ConnectionEnd.Reset);
 });
+
+test("a request whose handling fails unexpectedly is answered, unless a response has been started", async (t) => {
+  const { server, port } = await listen(({ target }, sink) =>
+    Effect.suspend(() => {
+      if (target === "/started") sink.startStream(200, []);
+      if (target === "/ended") sink.respond(200, [], Buffer.from("whole"));
+      throw new Error("defect");
+    })
+  );
+  const { status, body } = await sendRequest(port, "/early");
+  t.deepEqual([status, JSON.parse(body).title], [502, "internal-error"]);
+  await t.throwsAsync(sendRequest(port, "/started"));
+  t.is((await sendRequest(port, "/ended")).body, "whole");
+  server.dispose();
+});
+
+test("a target that cannot be sent on is refused", async (t) => {
+  const { server, port } = await listen(() => Effect.die("not to be called"));
+  for (const target of ["/a\tb", "/a\fb"]) {
+    const socket = connect(port, "127.0.0.1", () => socket.end(`GET ${target} HTTP/1.1\r\nHost: h\r\n\r\n`));
+    t.regex(await readUntilClosed(socket), /^HTTP\/1.1 400 .*invalid-target/s);
+  }
+  server.dispose();
+});
--- a/src/peer/node/forward_server.ts
+++ b/src/peer/node/forward_server.ts
@@ -18,6 +18,7 @@
 import { UpstreamFault } from "../../call/common/opaque_request.ts";
 import type { BackendDirectory } from "../../services/backends/common/backend_directory.ts";
 import type { ILogger } from "../../services/logging/common/logger.ts";
+import { describeDefect } from "../../services/logging/common/supervision.ts";
 
 /** Status of responses that say why there is none of a server; the headers say more. */
 const NO_RESPONSE_STATUS = 502;
@@ -72,6 +73,13 @@
     }).pipe(
       Effect.catchTag("ForwardRefusedError", (err) => Effect.sync(() => refuse(res, err))),
       Effect.catchTag("UpstreamError", (err) => Effect.sync(() => fail(res, err))),
+      // The other instance would wait until its deadline.
+      Effect.catchDefect((defect) =>
+        Effect.sync(() => {
+          this.#opts.logger.error("internal-error", { error: describeDefect(defect) });
+          res.destroy();
+        })
+      ),
     );
   }
 
