--- a/src/call/node/http_upstream.ts
+++ b/src/call/node/http_upstream.ts
@@ -1,9 +1,10 @@
 /** Sends opaque requests to backend servers through pooled HTTP/1.1 connections. */
-import type { ClientRequest, IncomingMessage } from "node:http";
+import type { Agent, ClientRequest, IncomingMessage } from "node:http";
 import { request } from "node:http";
 import { Effect } from "effect";
 import type { Event } from "../../base/common/emitter.ts";
 import { Emitter } from "../../base/common/emitter.ts";
+import { toError } from "../../base/common/errors.ts";
 import type { IBackendEntry } from "../../services/backends/common/backend_directory.ts";
 import type {
   ILimitStatement,
@@ -79,15 +80,13 @@
       const fail = (err: Error) =>
         resume(Effect.fail(new UpstreamError(isConnected ? faultOf(err) : connectFaultOf(err), err)));
       const connections = this.#connectionsOf(backend);
-      const clientRequest = request({
-        host: backend.host,
-        port: backend.port,
-        method: req.method,
-        path: req.target,
-        headers: req.headers as string[],
-        maxHeaderSize: MAX_HEAD_BYTES,
-        agent: connections.agentFor(req.requestId),
-      });
+      let clientRequest: ClientRequest;
+      try {
+        clientRequest = createRequest(backend, { req, agent: connections.agentFor(req.requestId) });
+      } catch (err) {
+        // Node.js throws for a port or a header that cannot be sent.
+        return resume(Effect.fail(new UpstreamError(UpstreamFault.Refused, toError(err))));
+      }
       const connectTimer = setTimeout(
         () => clientRequest.destroy(new Error(`connection timed out after ${CONNECT_TIMEOUT_MS} ms`)),
         CONNECT_TIMEOUT_MS,
@@ -204,6 +203,22 @@
   }
 }
 
+/** Throws if Node.js cannot send the request. */
+function createRequest(
+  { host, port }: IBackendEntry,
+  { req: { method, target, headers }, agent }: { req: IUpstreamRequest; agent: Agent },
+): ClientRequest {
+  return request({
+    host,
+    port,
+    method,
+    path: target,
+    headers: headers as string[],
+    maxHeaderSize: MAX_HEAD_BYTES,
+    agent,
+  });
+}
+
 function connectFaultOf({ code }: NodeJS.ErrnoException): UpstreamFault {
   return code === CONNECTION_REFUSED_CODE ? UpstreamFault.Refused : UpstreamFault.NotSent;
 }
--- a/src/turns/common/slice_journal.ts
+++ b/src/turns/common/slice_journal.ts
@@ -11,6 +11,7 @@
 import { Signal } from "../../base/common/signal.ts";
 import type { ILogger } from "../../services/logging/common/logger.ts";
 import type { Metrics } from "../../services/metrics/common/metrics.ts";
+import { describeDefect } from "../../services/logging/common/supervision.ts";
 import type { IPartition, IPartitionedLog } from "../../services/store/common/partitioned_log.ts";
 import { StoreError, StoreFault } from "../../services/store/common/partitioned_log.ts";
 import { estimateEventBytes, MAX_APPEND_BYTES, splitIntoAppends } from "./append_batching.ts";
@@ -152,7 +153,17 @@
 
   /** Recovers and claims the slice, then appends until the journal is closed or the scope ends. */
   start(): Effect.Effect<void, never, Scope.Scope> {
-    return Effect.asVoid(Effect.forkScoped(Effect.andThen(this.#open(), this.#appendLoop())));
+    const work = Effect.andThen(this.#open(), this.#appendLoop());
+    // A closed journal is opened again from the log; one whose fiber has ended would hold its slice for ever.
+    return Effect.asVoid(Effect.forkScoped(
+      Effect.catchDefect(work, (defect) => Effect.sync(() => this.#closeAfterDefect(defect))),
+    ));
+  }
+
+  #closeAfterDefect(defect: unknown): void {
+    const { slice, writer, logger } = this.#opts;
+    logger.error("slice-failed", { slice, writer: String(writer), error: describeDefect(defect) });
+    this.close();
   }
 
   /** Waits until the journal is open; false when it was closed before. */
@@ -212,7 +223,7 @@
     if (this.#state === SliceJournalState.Closed) return;
     this.#state = SliceJournalState.Closed;
     Deferred.doneUnsafe(this.#opened, Effect.succeed(false));
-    for (const { done } of this.#pending.splice(0)) Deferred.doneUnsafe(done, Effect.succeed(false));
+    completeAll(this.#pending.splice(0), false);
     this.#wake.notify();
   }
 
@@ -249,7 +260,10 @@
       const state = this.#slice;
       const cursor = this.#recovery;
       while (this.#state === SliceJournalState.Opening) {
-        yield* this.#readInto(cursor, (record) => state.apply(record));
+        yield* this.#readInto(cursor, (record) => {
+          if (record === undefined) state.applyUnreadable();
+          else state.apply(record);
+        });
         const now = yield* Clock.currentTimeMillis;
         // The claim is already in the log if an earlier attempt has appended it and its response was lost.
         if (state.writer === this.#opts.writer) {
@@ -297,6 +311,10 @@
       records,
       bytes,
     });
+    const { unreadableCount } = state;
+    if (unreadableCount > 0) {
+      this.#opts.logger.warn("slice-records-unreadable", { slice, count: unreadableCount });
+    }
     Deferred.doneUnsafe(this.#opened, Effect.succeed(true));
   }
 
@@ -332,8 +350,11 @@
     });
   }
 
-  /** Reads all records that follow a cursor, and advances it page by page. */
-  #readInto(cursor: IReadCursor, apply: (record: SliceRecord) => void): Effect.Effect<void, StoreError> {
+  /** Reads all records that follow a cursor, undefined for each that cannot be read, and advances it page by page. */
+  #readInto(
+    cursor: IReadCursor,
+    apply: (record: SliceRecord | undefined) => void,
+  ): Effect.Effect<void, StoreError> {
     return Effect.gen({ self: this }, function* () {
       while (true) {
         const page = yield* Effect.result(
@@ -357,7 +378,7 @@
         const { records, end } = page.success;
         for (const { data } of records) {
           cursor.bytes += data.length;
-          apply(fromBinary(SliceRecordSchema, data));
+          apply(decodeRecord(data));
         }
         cursor.next += records.length;
         cursor.records += records.length;
@@ -391,9 +412,19 @@
   }
 
   #appendPending(): Effect.Effect<void> {
+    return Effect.suspend(() => {
+      const batch = this.#takeBatch();
+      return Effect.catchDefect(this.#appendBatch(batch), (defect) => {
+        this.close();
+        completeAll(batch, false);
+        return Effect.die(defect);
+      });
+    });
+  }
+
+  #appendBatch(batch: readonly IPending[]): Effect.Effect<void> {
     return Effect.gen({ self: this }, function* () {
       const now = yield* Clock.currentTimeMillis;
-      const batch = this.#takeBatch();
       const isRelease = batch.some(({ events }) => events.some((event) => event.case === "release"));
       const { ledger } = this.#slice;
       const records = isRelease ? ledger.settle(now) : ledger.takeDirty(now);
@@ -403,7 +434,7 @@
         ledger.markRecorded(records);
         for (const { turn } of batch) if (turn !== undefined) this.#slice.turns.put(turn);
       }
-      for (const { done } of batch) Deferred.doneUnsafe(done, Effect.succeed(isAppended));
+      completeAll(batch, isAppended);
       if (isRelease || !isAppended) this.close();
       else yield* this.#checkpointIfDue(now);
     });
@@ -459,12 +490,12 @@
    * there are none or the store does not respond.
    */
   #readOutcome(): Effect.Effect<boolean | undefined> {
-    const records: SliceRecord[] = [];
+    const records: (SliceRecord | undefined)[] = [];
     const cursor: IReadCursor = { next: this.#end, records: 0, bytes: 0 };
     return this.#readInto(cursor, (record) => records.push(record)).pipe(
       Effect.map(() => {
-        const own = records.filter(({ writer, appendNumber }) =>
-          writer === this.#opts.writer && appendNumber === this.#appendNumber
+        const own = records.filter((record) =>
+          record?.writer === this.#opts.writer && record.appendNumber === this.#appendNumber
         );
         if (records.length === 0) return undefined;
         if (own.length === records.length) {
@@ -528,3 +559,16 @@
     );
   }
 }
+
+function completeAll(appends: readonly IPending[], isAppended: boolean): void {
+  for (const { done } of appends) Deferred.doneUnsafe(done, Effect.succeed(isAppended));
+}
+
+/** Returns undefined for bytes that are no record, which another writer must have appended. */
+function decodeRecord(data: Uint8Array): SliceRecord | undefined {
+  try {
+    return fromBinary(SliceRecordSchema, data);
+  } catch {
+    return undefined;
+  }
+}
