Gateway: report connections that end before their response is complete

A request whose connection ended early left no trace unless its relay had begun (caller-left): a body that did not arrive, a defect, an aborted stream, a connection that Node.js rejected (clientError, closed without a line) and the end of the process could not be told apart, nor could a change of the configuration during the request be seen.

Each such connection now writes a response-unfinished line with the request id, phase, cause, and the configuration versions on arrival and at the end, and counts in unfinished_responses_total by cause and phase. Connections that are rejected without a request in progress write connection-rejected. The relay describes the progress of a request on demand, so that a request that ends normally costs one closure.

--- a/src/call/common/gateway_relay.ts
+++ b/src/call/common/gateway_relay.ts
@@ -22,9 +22,9 @@
   RefusalReason,
   retryableRefusal,
 } from "./gateway_refusal.ts";
-import type { IOpaqueRequest, IRawRequest, IResponseSink } from "./opaque_request.ts";
+import type { IOpaqueRequest, IRawRequest, IRequestProgress, IResponseSink } from "./opaque_request.ts";
 import { AttemptOutcome, RelayedCall } from "./relayed_call.ts";
-import { UpstreamFault } from "./opaque_request.ts";
+import { RequestPhase, UpstreamFault } from "./opaque_request.ts";
 import { RequestIdentity } from "./request_identity.ts";
 import type { IStreamContinuationOptions } from "./stream_continuation.ts";
 import { StreamContinuation } from "./stream_continuation.ts";
@@ -82,6 +82,7 @@
       if (first === undefined) {
         return this.#refuseEarly(sink, finalRefusal(GatewayStatus.BadRequest, RefusalReason.NoIdentity));
       }
+      sink.describeProgress = () => ({ request: first.id, phase: RequestPhase.Waiting });
       yield* this.#awaitConfiguration();
       const { isConfigured: hasOrganisations } = routes.organisations;
       const req = hasOrganisations === hadOrganisations
@@ -117,6 +118,7 @@
       });
       call.origin = origin;
       call.earlierOrigin = earlierOrigin;
+      sink.describeProgress = () => progressOfCall(call, sink);
       const work = isTurn(call) ? this.#serveTurn(call, sink) : this.#serveOther(call, sink);
       const outcome = yield* Effect.raceFirst(work, this.#awaitDeadline(call)).pipe(
         Effect.ensuring(Effect.sync(() => this.#giveBackToken(call))),
@@ -486,6 +488,18 @@
   return route.kind === RouteKind.Stream && route.retainMs > 0 && req.program?.budgetTokens !== undefined;
 }
 
+function progressOfCall(call: RelayedCall, { hasStarted }: IResponseSink): IRequestProgress {
+  const { req, choice, runs, refusal } = call;
+  const phase = choice === undefined ? RequestPhase.Waiting : RequestPhase.Sent;
+  return {
+    request: req.id,
+    phase: hasStarted ? RequestPhase.Streaming : phase,
+    backend: choice?.backend.id,
+    runs,
+    reason: refusal?.reason,
+  };
+}
+
 /** Returns what is known of the request's program and of earlier sends of the request. */
 function progressOf({ runs, req }: RelayedCall): RequestProgress {
   if (runs > 0) return RequestProgress.Repeated;
--- a/src/call/common/opaque_request.ts
+++ b/src/call/common/opaque_request.ts
@@ -228,8 +228,34 @@
   send(backend: IBackendEntry, req: IUpstreamRequest): Effect.Effect<IUpstreamResponse, UpstreamError>;
 }
 
+/** How far a request has come. */
+export enum RequestPhase {
+  /** Its body has not arrived completely. */
+  Receiving = "receiving",
+  /** It waits for what it needs before it can be sent: its route, budget, history, allotment or permit. */
+  Waiting = "waiting",
+  /** A server has been selected, and no part of its response has been relayed. */
+  Sent = "sent",
+  Streaming = "streaming",
+  /** The response has been written. */
+  Answered = "answered",
+}
+
+/** What is known of a request in progress, for the log. */
+export interface IRequestProgress {
+  readonly request?: string;
+  readonly phase: RequestPhase;
+  readonly backend?: string | undefined;
+  /** Number of servers that may have run the request. */
+  readonly runs?: number;
+  /** Why the gateway refuses the request or ends its response. */
+  readonly reason?: string | undefined;
+}
+
 /** Destination of a response: the caller's connection. */
 export interface IResponseSink {
+  /** Returns the progress of the request; set once the request has been received. */
+  describeProgress?: (() => IRequestProgress) | undefined;
   /** Whether the response head has been written. */
   readonly hasStarted: boolean;
   /** Writes a complete response. */
--- a/src/daemon/node/gateway.ts
+++ b/src/daemon/node/gateway.ts
@@ -65,7 +65,13 @@
     });
     const context = yield* Effect.context<never>();
     const server: GatewayServer = yield* disposeWithScope(
-      new GatewayServer({ relay: core.relay, logger, context }),
+      new GatewayServer({
+        relay: core.relay,
+        logger,
+        context,
+        metrics: core.metrics,
+        configurationVersion: () => core.routes.version,
+      }),
     );
     registerGatewayGauges({
       core,
--- a/src/entry/node/gateway_server.ts
+++ b/src/entry/node/gateway_server.ts
@@ -11,11 +11,18 @@
 import { listen } from "../../base/node/listen.ts";
 import type { GatewayRelay } from "../../call/common/gateway_relay.ts";
 import { GatewayStatus, RefusalReason } from "../../call/common/gateway_refusal.ts";
-import type { IResponseSink } from "../../call/common/opaque_request.ts";
+import type { IRequestProgress, IResponseSink } from "../../call/common/opaque_request.ts";
 import type { ILogger } from "../../services/logging/common/logger.ts";
+import type { Metrics } from "../../services/metrics/common/metrics.ts";
 import type { ICallerLimits } from "../../services/routes/common/route_table.ts";
 import { abortResponse } from "./abort_response.ts";
 import { closeIdleConnections } from "./idle_connections.ts";
+import {
+  causeOfAbort,
+  causeOfError,
+  ConnectionEndCause,
+  UnfinishedResponses,
+} from "./unfinished_responses.ts";
 
 /** Fixed when the server is created, before the configured limits are known. */
 const MAX_HEADER_BYTES = 32 * 1024;
@@ -26,6 +33,9 @@
   readonly relay: GatewayRelay;
   readonly logger: ILogger;
   readonly context: Context.Context<never>;
+  readonly metrics?: Metrics;
+  /** Version of the configuration in force. */
+  readonly configurationVersion?: () => number;
 }
 
 export class GatewayServer {
@@ -34,22 +44,24 @@
   /** Response to the request received last on each connection. */
   readonly #latest = new WeakMap<Socket, ServerResponse>();
   #maxBodyBytes = Infinity;
+  readonly #unfinished: UnfinishedResponses;
   #isStopping = false;
-  #active = 0;
 
   constructor(opts: IGatewayServerOptions) {
     this.#opts = opts;
+    const { logger, metrics, configurationVersion = () => -1 } = opts;
+    this.#unfinished = new UnfinishedResponses({ logger, metrics, configurationVersion });
     this.#server = createServer(
       { maxHeaderSize: MAX_HEADER_BYTES, noDelay: true },
       (req, res) => this.#serve(req, res),
     );
-    this.#server.on("clientError", (_err, socket) => socket.destroy());
+    this.#server.on("clientError", (err, socket) => this.#rejectConnection(err, socket as Socket));
     closeIdleConnections(this.#server);
   }
 
   /** Number of requests in progress. */
   get activeCount(): number {
-    return this.#active;
+    return this.#unfinished.count;
   }
 
   /** Address on which the server listens; null before it does. */
@@ -87,16 +99,31 @@
   }
 
   dispose(): void {
+    this.#unfinished.reportAll();
     this.#server.close();
     this.#server.closeAllConnections();
   }
 
+  #rejectConnection({ code = "" }: NodeJS.ErrnoException, socket: Socket): void {
+    const cause = causeOfError(code);
+    if (cause !== undefined) this.#unfinished.reject(socket, { cause, code });
+    socket.destroy();
+  }
+
   #serve(req: IncomingMessage, res: ServerResponse): void {
-    this.#active += 1;
     const { socket } = req;
     this.#latest.set(socket, res);
-    // A response that closes the connection would discard requests received after its own.
-    const sink = new ResponseSink(res, () => this.#isStopping && this.#latest.get(socket) === res);
+    const sink = new ResponseSink(res, {
+      // A response that closes the connection would discard requests received after its own.
+      isLast: () => this.#isStopping && this.#latest.get(socket) === res,
+      onWillAbort: (cause) => this.#unfinished.setCause(socket, cause),
+    });
+    const open = this.#unfinished.add({
+      socket,
+      target: req.url ?? "",
+      isAnswered: () => res.writableEnded,
+      progress: () => sink.describeProgress?.(),
+    });
     const handling = this.#relay(req, sink).pipe(
       Effect.catchDefect((defect) =>
         Effect.sync(() => {
@@ -107,14 +134,15 @@
     );
     const fiber = Effect.runForkWith(this.#opts.context)(handling);
     res.on("close", () => {
-      this.#active -= 1;
-      if (!res.writableFinished) Effect.runFork(Fiber.interrupt(fiber));
+      if (res.writableFinished) return this.#unfinished.complete(open);
+      this.#unfinished.report(open);
+      Effect.runFork(Fiber.interrupt(fiber));
     });
   }
 
   #relay(req: IncomingMessage, sink: ResponseSink): Effect.Effect<void> {
     return Effect.flatMap(readBody(req, this.#maxBodyBytes), (body) => {
-      if (body === BodyError.Truncated) return Effect.sync(() => sink.abort());
+      if (body === BodyError.Truncated) return Effect.sync(() => sink.abort(ConnectionEndCause.CallerLeft));
       if (body === BodyError.TooLarge) return Effect.sync(() => sink.rejectBody(req));
       const { method = "", url = "", rawHeaders } = req;
       return this.#opts.relay.handle(
@@ -144,14 +172,21 @@
   });
 }
 
+interface IResponseSinkOptions {
+  /** Whether the connection closes after the response. */
+  readonly isLast: () => boolean;
+  readonly onWillAbort: (cause: ConnectionEndCause) => void;
+}
+
 /** Writes a response to a caller through a Node.js server response. */
 class ResponseSink implements IResponseSink {
   readonly #res: ServerResponse;
-  readonly #isLast: () => boolean;
+  readonly #opts: IResponseSinkOptions;
+  describeProgress: (() => IRequestProgress) | undefined;
 
-  constructor(res: ServerResponse, isLast: () => boolean) {
+  constructor(res: ServerResponse, opts: IResponseSinkOptions) {
     this.#res = res;
-    this.#isLast = isLast;
+    this.#opts = opts;
     // A caller may disconnect between two writes. That interrupts the request's fiber, so the error needs no
     // handling.
     res.on("error", () => {});
@@ -178,7 +213,8 @@
     this.#res.end();
   }
 
-  abort(): void {
+  abort(cause = causeOfAbort(this.describeProgress?.())): void {
+    this.#opts.onWillAbort(cause);
     abortResponse(this.#res);
   }
 
@@ -202,7 +238,7 @@
   }
 
   #writeHead(status: number, headers: string[]): void {
-    if (this.#isLast()) headers.push("Connection", "close");
+    if (this.#opts.isLast()) headers.push("Connection", "close");
     this.#res.writeHead(status, headers);
   }
 }
--- a/test/proofs/log_schema_test.ts
+++ b/test/proofs/log_schema_test.ts
@@ -22,6 +22,7 @@
   "src/daemon/common/gateway_core.ts",
   "src/daemon/node/gateway.ts",
   "src/entry/node/gateway_server.ts",
+  "src/entry/node/unfinished_responses.ts",
   "src/peer/common/aggregator_selector.ts",
   "src/peer/common/report_exchange.ts",
   "src/peer/node/forward_server.ts",
