Gateway server: notice that the caller of a pipelined request has left

A caller that pipelined requests and left (or whose connection ended with the response before) was noticed only for the request at the front: Node.js attaches a response to its connection when the responses before it have ended, and one that is not attached emits no close event. The others ran on, reached servers after their caller had left, and counted as active for the life of the process, so that a graceful shutdown waited for them until its deadline.

The new test timed out before the fix: no interruption of the second request.

Requests now end with their response or with their connection, whichever comes first.

--- a/src/entry/node/gateway_server.ts
+++ b/src/entry/node/gateway_server.ts
@@ -133,11 +133,15 @@
       ),
     );
     const fiber = Effect.runForkWith(this.#opts.context)(handling);
-    res.on("close", () => {
+    const finish = () => {
+      socket.off("close", finish);
       if (res.writableFinished) return this.#unfinished.complete(open);
       this.#unfinished.report(open);
       Effect.runFork(Fiber.interrupt(fiber));
-    });
+    };
+    res.on("close", finish);
+    // The response to a pipelined request gets its connection, and notices the end of it, only after the responses before it.
+    socket.on("close", finish);
   }
 
   #relay(req: IncomingMessage, sink: ResponseSink): Effect.Effect<void> {
--- a/src/entry/node/gateway_server_test.ts
+++ b/src/entry/node/gateway_server_test.ts
@@ -74,6 +74,29 @@
   server.dispose();
 });
 
+// Guards against requests that run on, and count as active in a graceful shutdown, after their caller has left.
+test("a caller that disconnects interrupts also its pipelined requests", async (t) => {
+  const REQUESTS = 3;
+  const interrupted = Array.from({ length: REQUESTS }, () => Deferred.makeUnsafe<void>());
+  let received = 0;
+  const { server, port } = await listen(() =>
+    Effect.suspend(() => {
+      const end = interrupted[received++];
+      return Effect.onInterrupt(Effect.never, () => Effect.sync(() => Deferred.doneUnsafe(end, Effect.void)));
+    })
+  );
+  const socket = connect(
+    port,
+    "127.0.0.1",
+    () => socket.write("GET / HTTP/1.1\r\nHost: h\r\n\r\n".repeat(REQUESTS)),
+  );
+  while (server.activeCount < REQUESTS) await new Promise((resolve) => setImmediate(resolve));
+  socket.destroy();
+  for (const end of interrupted) await Effect.runPromise(Deferred.await(end));
+  t.is(server.activeCount, 0);
+  server.dispose();
+});
+
 test("an aborted response does not appear complete to the caller", async (t) => {
   const { server, port } = await listen((_raw, sink) =>
     Effect.sync(() => {
