Stream relay: read waiting events before a stream counts as silent

After a stall, timers run before the sockets are read, so the idle timeout ended a stream whose next event had arrived long before.

The timeout now lets the event loop read what has arrived before it decides. A server that is silent is noticed as before.

--- a/src/call/common/stream_relay.ts
+++ b/src/call/common/stream_relay.ts
@@ -116,13 +116,21 @@
     return Deferred.await(this.#exceeded);
   }
 
+  get #idleTimeLeftMs(): number {
+    return this.#lastEventAtMs + STREAM_IDLE_TIMEOUT_MS - performance.now();
+  }
+
   /** Fails once no event has arrived for the idle timeout. */
   failWhenIdle(): Effect.Effect<never, UpstreamError> {
     return Effect.gen({ self: this }, function* () {
       while (true) {
-        const leftMs = this.#lastEventAtMs + STREAM_IDLE_TIMEOUT_MS - performance.now();
-        if (leftMs <= 0) return yield* Effect.fail(new UpstreamError(UpstreamFault.TimedOut));
-        yield* Effect.sleep(leftMs + 1);
+        const leftMs = this.#idleTimeLeftMs;
+        if (leftMs > 0) yield* Effect.sleep(leftMs + 1);
+        // After a stall of the event loop, timers run before waiting events are read.
+        else yield* Effect.yieldNow;
+        if (leftMs <= 0 && this.#idleTimeLeftMs <= 0) {
+          return yield* Effect.fail(new UpstreamError(UpstreamFault.TimedOut));
+        }
       }
     });
   }
--- /dev/null
+++ b/test/harness/single_gateway.ts
@@ -0,0 +1,76 @@
+/** One gateway on real sockets, in the process of the test, with a store in memory. */
+import { Effect, Exit, Scope } from "effect";
+import { RequestCodec } from "../../platform/request_codec.ts";
+import { startGateway } from "../../src/daemon/node/gateway.ts";
+import { JsonLogger } from "../../src/services/logging/common/logger.ts";
+import { parseGatewaySettings } from "../../src/services/settings/common/gateway_validation.ts";
+import { PartitionedLogCore } from "../stand_ins/partitioned_log_core.ts";
+import { adapterFor, BACKEND_TOPIC, CONFIGURATION_KEY, CONFIGURATION_TOPIC } from "./gateway_cluster.ts";
+
+export type LogLine = Readonly<Record<string, unknown>>;
+
+export interface ISingleGatewayOptions {
+  readonly host: string;
+  /** Port for callers; the gateway also uses the four ports after it. */
+  readonly callerPort: number;
+  /** Settings beside the required ones. */
+  readonly settings?: object;
+  readonly onLine?: (line: LogLine) => void;
+}
+
+export class SingleGateway {
+  readonly lines: LogLine[] = [];
+  readonly #opts: ISingleGatewayOptions;
+  readonly #log = new PartitionedLogCore();
+  #scope: Scope.Closeable | undefined;
+
+  constructor(opts: ISingleGatewayOptions) {
+    this.#opts = opts;
+  }
+
+  /** Writes a configuration as the platform's operator does. */
+  publish(configuration: object): void {
+    this.#log.putKey(CONFIGURATION_TOPIC, CONFIGURATION_KEY, Buffer.from(JSON.stringify(configuration)));
+  }
+
+  /** Writes the entry of a backend server; undefined removes it. */
+  list(id: string, entry: object | undefined): void {
+    const value = entry === undefined ? undefined : Buffer.from(JSON.stringify(entry));
+    this.#log.putKey(BACKEND_TOPIC, id, value);
+  }
+
+  async start(): Promise<void> {
+    const { host, callerPort, settings = {} } = this.#opts;
+    const all = {
+      instance: "g",
+      zone: "z",
+      callerAddress: `${host}:${callerPort}`,
+      probeAddress: `${host}:${callerPort + 1}`,
+      peerAddress: `${host}:${callerPort + 2}`,
+      datagramPort: callerPort + 3,
+      metricsPort: callerPort + 4,
+      storeAddress: "127.0.0.1:1",
+      seeds: [`${host}:${callerPort + 2}`],
+      ...settings,
+    };
+    const platform = {
+      adapter: adapterFor(this.#log),
+      codec: new RequestCodec(),
+      logger: new JsonLogger("g", "info", (line) => this.#record(line)),
+      droppedLogLines: () => 0,
+    };
+    this.#scope = await Effect.runPromise(Scope.make());
+    const gateway = startGateway(parseGatewaySettings(JSON.stringify(all), "test"), platform);
+    await Effect.runPromise(Scope.provide(gateway, this.#scope));
+  }
+
+  async stop(): Promise<void> {
+    if (this.#scope !== undefined) await Effect.runPromise(Scope.close(this.#scope, Exit.void));
+  }
+
+  #record(text: string): void {
+    const line = JSON.parse(text) as LogLine;
+    this.lines.push(line);
+    this.#opts.onLine?.(line);
+  }
+}
