Gateway server: end a rejected connection with an answer, after the responses that are due on it

Whatever Node.js rejects on a connection (clientError) closed it at once. Callers then got neither an answer nor a refusal - for a request in progress, if bytes behind it were no request or took longer than the header timeout; - for a request whose headers exceed 32 KiB, take too long, or are malformed; - for a request that had arrived, if the event loop had stalled for the header timeout: the periodic check of connections is a timer, which runs before waiting bytes are read. A configuration that lowers the header timeout makes this likelier, from its version on.

The responses that are due on the connection are now completed first; then the caller gets 400, 408 (which states that the request has not run) or 431, and the connection is closed. An expired header timeout is decided after the event loop has read what has arrived, and the connection gets a timer of its own, since Node.js checks it only once. A connection's timer never ends one whose response is in progress.

--- a/src/entry/node/connection_reuse_test.ts
+++ b/src/entry/node/connection_reuse_test.ts
@@ -24,9 +24,14 @@
 const respond: Handler = ({ target }, sink) =>
   Effect.sync(() => sink.respond(200, [], Buffer.from(`answer to ${target}`)));
 
-async function startGateway(handle: Handler = respond) {
+async function startGateway(handle: Handler = respond, connectionCheckIntervalMs = 30_000) {
   const relay = { handle } as unknown as GatewayRelay;
-  const server = new GatewayServer({ relay, logger: new NullLogger(), context: Context.empty() });
+  const server = new GatewayServer({
+    relay,
+    logger: new NullLogger(),
+    context: Context.empty(),
+    connectionCheckIntervalMs,
+  });
   server.applyLimits(LIMITS);
   await server.listen({ host: "127.0.0.1", port: 0 });
   return server;
@@ -55,6 +60,7 @@
       this.#text += chunk.toString("latin1");
       this.#onChange();
     });
+    this.#socket.on("connect", () => this.#onChange());
     this.#socket.on("error", (err) => this.error = err);
     this.#socket.on("close", () => {
       this.isClosed = true;
@@ -81,6 +87,10 @@
     }
   }
 
+  async awaitConnected(): Promise<void> {
+    while (this.#socket.connecting) await this.#nextChange();
+  }
+
   async awaitClosed(): Promise<void> {
     while (!this.isClosed) await this.#nextChange();
   }
@@ -231,3 +241,72 @@
   t.regex(caller.text, /^HTTP\/1\.1 413/);
   t.is(caller.error, undefined);
 });
+
+// Guards against a reset of a connection whose request waits to be read when its header timeout expires.
+test.serial("a request that arrives before the header timeout is answered although the timeout expires before it is read", async (t) => {
+  const server = await startGateway(respond, 10);
+  server.applyLimits({ ...LIMITS, headerTimeoutMs: 1000 });
+  const caller = new CallerConnection(portOf(server));
+  t.teardown(() => {
+    caller.destroy();
+    server.dispose();
+  });
+  await caller.awaitConnected();
+  for (let turn = 0; turn < 5; turn++) await new Promise((resolve) => setImmediate(resolve));
+  await caller.write(requestFor("/1"));
+  stall(STALL_MS);
+  await caller.receive(1);
+  t.is(caller.error, undefined);
+  t.regex(caller.text, /answer to \/1$/);
+});
+
+test.serial("a request whose headers take too long is refused as not run", async (t) => {
+  const server = await startGateway(respond, 10);
+  server.applyLimits({ ...LIMITS, headerTimeoutMs: 50 });
+  const caller = new CallerConnection(portOf(server));
+  t.teardown(() => server.dispose());
+  await caller.write("GET /1 HTTP/1.1\r\nHo");
+  await caller.awaitClosed();
+  t.regex(caller.text, /^HTTP\/1\.1 408 /);
+});
+
+// Guards against a response that is cut because of what follows its request.
+test.serial("a request is answered although the bytes behind it are no request", async (t) => {
+  const isReleased = Deferred.makeUnsafe<void>();
+  const server = await startGateway((raw, sink) =>
+    Effect.andThen(Deferred.await(isReleased), respond(raw, sink))
+  );
+  const caller = new CallerConnection(portOf(server));
+  t.teardown(() => server.dispose());
+  await caller.write(requestFor("/1"));
+  while (server.activeCount === 0) await new Promise((resolve) => setImmediate(resolve));
+  await caller.write("no request\r\n\r\n");
+  for (let turn = 0; turn < 5; turn++) await new Promise((resolve) => setImmediate(resolve));
+  Deferred.doneUnsafe(isReleased, Effect.void);
+  await caller.awaitClosed();
+  t.regex(caller.text, /answer to \/1HTTP\/1\.1 400 /);
+});
+
+test.serial("a request whose headers are too long gets a refusal", async (t) => {
+  const server = await startGateway();
+  const caller = new CallerConnection(portOf(server));
+  t.teardown(() => server.dispose());
+  await caller.write(requestFor("/1", `X-Long: ${"x".repeat(33 * 1024)}\r\n`));
+  await caller.awaitClosed();
+  t.regex(caller.text, /^HTTP\/1\.1 431 /);
+});
+
+test.serial("a malformed body is refused after the requests before it have been answered", async (t) => {
+  const isReleased = Deferred.makeUnsafe<void>();
+  const server = await startGateway((raw, sink) =>
+    Effect.andThen(Deferred.await(isReleased), respond(raw, sink))
+  );
+  const caller = new CallerConnection(portOf(server));
+  t.teardown(() => server.dispose());
+  const malformed = "POST /2 HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\nno length\r\n";
+  await caller.write(requestFor("/1") + malformed);
+  while (server.activeCount < 2) await new Promise((resolve) => setImmediate(resolve));
+  Deferred.doneUnsafe(isReleased, Effect.void);
+  await caller.awaitClosed();
+  t.regex(caller.text, /answer to \/1HTTP\/1\.1 400 /);
+});
--- a/src/entry/node/gateway_server.ts
+++ b/src/entry/node/gateway_server.ts
@@ -1,7 +1,7 @@
 /** HTTP server of the gateway for callers' requests, and the server for its readiness probe and metrics. */
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
 import type { AddressInfo, Socket } from "node:net";
-import { createServer } from "node:http";
+import { createServer, STATUS_CODES } from "node:http";
 import { Server as NetServer } from "node:net";
 import type { Context } from "effect";
 import { Effect, Fiber } from "effect";
@@ -26,6 +26,7 @@
 
 /** Fixed when the server is created, before the configured limits are known. */
 const MAX_HEADER_BYTES = 32 * 1024;
+const CONNECTION_CHECK_INTERVAL_MS = 30_000;
 /** Time limit for reading the rest of a body that is too large; a caller that still sends then is reset. */
 const DISCARD_TIMEOUT_MS = 2000;
 
@@ -36,6 +37,8 @@
   readonly metrics?: Metrics;
   /** Version of the configuration in force. */
   readonly configurationVersion?: () => number;
+  /** Interval at which connections are checked for headers that take too long; 30 s by default. */
+  readonly connectionCheckIntervalMs?: number;
 }
 
 export class GatewayServer {
@@ -52,7 +55,11 @@
     const { logger, metrics, configurationVersion = () => -1 } = opts;
     this.#unfinished = new UnfinishedResponses({ logger, metrics, configurationVersion });
     this.#server = createServer(
-      { maxHeaderSize: MAX_HEADER_BYTES, noDelay: true },
+      {
+        maxHeaderSize: MAX_HEADER_BYTES,
+        noDelay: true,
+        connectionsCheckingInterval: opts.connectionCheckIntervalMs ?? CONNECTION_CHECK_INTERVAL_MS,
+      },
       (req, res) => this.#serve(req, res),
     );
     this.#server.on("clientError", (err, socket) => this.#rejectConnection(err, socket as Socket));
@@ -106,8 +113,35 @@
 
   #rejectConnection({ code = "" }: NodeJS.ErrnoException, socket: Socket): void {
     const cause = causeOfError(code);
-    if (cause !== undefined) this.#unfinished.reject(socket, { cause, code });
-    socket.destroy();
+    if (cause === undefined) return void socket.destroy();
+    if (cause !== ConnectionEndCause.HeaderTimeout) return this.#endRejected(socket, { cause, code });
+    const { bytesRead } = socket;
+    // After a stall of the event loop, timers run before waiting bytes are read.
+    setImmediate(() => {
+      if (socket.bytesRead === bytesRead) return this.#endRejected(socket, { cause, code });
+      // Node.js does not check the connection again before its next request.
+      socket.setTimeout(this.#server.headersTimeout);
+    });
+  }
+
+  /** Ends a connection after the responses to the requests that have been received on it. */
+  #endRejected(socket: Socket, { cause, code }: { cause: ConnectionEndCause; code: string }): void {
+    if (!this.#unfinished.reject(socket, { cause, code })) return;
+    const { status, title } = REJECTIONS.get(code) ?? MALFORMED;
+    const last = this.#latest.get(socket);
+    if (last !== undefined && !last.req.complete) {
+      if (last.headersSent) return void socket.destroy();
+      const body = problemOf(status, title);
+      last.writeHead(status, { ...PROBLEM_HEADERS, "content-length": body.length });
+      return void last.end(body);
+    }
+    const end = () => {
+      // A caller that has sent nothing does not wait for an answer.
+      if (socket.writable && socket.bytesRead > 0) socket.write(encodeRejection(status, title));
+      socket.destroySoon();
+    };
+    if (last === undefined || last.writableFinished) end();
+    else last.on("close", end);
   }
 
   #serve(req: IncomingMessage, res: ServerResponse): void {
@@ -157,6 +191,31 @@
   }
 }
 
+interface IRejection {
+  readonly status: number;
+  readonly title: string;
+}
+
+const MALFORMED: IRejection = { status: 400, title: "malformed-request" };
+/** Rejections of bytes that the HTTP parser of Node.js does not accept, by its error code. */
+const REJECTIONS: ReadonlyMap<string, IRejection> = new Map([
+  ["ERR_HTTP_REQUEST_TIMEOUT", { status: 408, title: "request-timeout" }],
+  ["HPE_HEADER_OVERFLOW", { status: 431, title: "headers-too-large" }],
+]);
+const PROBLEM_HEADERS = { "content-type": "application/problem+json", connection: "close" };
+
+function problemOf(status: number, title: string): Buffer {
+  return Buffer.from(JSON.stringify({ status, title }));
+}
+
+/** Encodes a response for a connection on which no request can be read. */
+function encodeRejection(status: number, title: string): string {
+  const body = problemOf(status, title);
+  const headers = Object.entries({ ...PROBLEM_HEADERS, "content-length": body.length });
+  const lines = headers.map(([name, value]) => `${name}: ${value}\r\n`).join("");
+  return `HTTP/1.1 ${status} ${STATUS_CODES[status]}\r\n${lines}\r\n${body}`;
+}
+
 enum BodyError {
   Truncated = "cut-off",
   TooLarge = "too-large",
@@ -227,14 +286,8 @@
    * the rest before: closing a connection with unread bytes resets it, and the caller may lose the response.
    */
   rejectBody(req: IncomingMessage): void {
-    const body = Buffer.from(
-      JSON.stringify({ status: GatewayStatus.BodyTooLarge, title: RefusalReason.BodyTooLarge }),
-    );
-    this.#res.writeHead(GatewayStatus.BodyTooLarge, {
-      "content-type": "application/problem+json",
-      "content-length": body.length,
-      connection: "close",
-    });
+    const body = problemOf(GatewayStatus.BodyTooLarge, RefusalReason.BodyTooLarge);
+    this.#res.writeHead(GatewayStatus.BodyTooLarge, { ...PROBLEM_HEADERS, "content-length": body.length });
     this.#res.write(body);
     const timer = setTimeout(() => this.#res.end(), DISCARD_TIMEOUT_MS);
     this.#res.on("close", () => clearTimeout(timer));
--- a/src/entry/node/idle_connections.ts
+++ b/src/entry/node/idle_connections.ts
@@ -1,5 +1,5 @@
 /** Closes idle connections of an HTTP server without losing a request that is on its way. */
-import type { Server } from "node:http";
+import type { Server, ServerResponse } from "node:http";
 import type { Socket } from "node:net";
 
 /**
@@ -15,7 +15,11 @@
 export function closeIdleConnections(server: Server): void {
   /** Bytes that had been received when the timer of a connection ran. */
   const received = new WeakMap<Socket, number>();
+  /** Response to the request received last on a connection. */
+  const latest = new WeakMap<Socket, ServerResponse>();
+  server.on("request", (req, res) => latest.set(req.socket, res));
   server.on("timeout", (socket: Socket) => {
+    if (latest.get(socket)?.writableFinished === false) return;
     const isUnchanged = received.get(socket) === socket.bytesRead;
     received.set(socket, socket.bytesRead);
     if (!isUnchanged) {
--- a/src/entry/node/unfinished_responses.ts
+++ b/src/entry/node/unfinished_responses.ts
@@ -107,19 +107,23 @@
     }
   }
 
-  /** Records that a connection is rejected, and reports it unless a request on it is in progress. */
-  reject(socket: Socket, { cause, code }: { cause: ConnectionEndCause; code: string }): void {
-    if (this.#causes.has(socket)) return;
+  /**
+   * Records that a connection is rejected, and reports it unless a request on it is in progress. Returns false if it is
+   * being ended already.
+   */
+  reject(socket: Socket, { cause, code }: { cause: ConnectionEndCause; code: string }): boolean {
+    if (this.#causes.has(socket)) return false;
     this.#causes.set(socket, cause);
     const { logger, metrics, configurationVersion } = this.#opts;
     metrics?.incrementCounter("rejected_connections", { cause });
-    if ([...this.#open].some((req) => req.socket === socket)) return;
+    if ([...this.#open].some((req) => req.socket === socket)) return true;
     logger.info("connection-rejected", {
       cause,
       code,
       bytes: socket.bytesRead,
       version: configurationVersion(),
     });
+    return true;
   }
 }
 
