--- a/src/entry/node/connection_reuse_test.ts
+++ b/src/entry/node/connection_reuse_test.ts
@@ -1,4 +1,6 @@
 /** Callers that reuse connections get a response to each request that they send, on real sockets. */
+import { subscribe, unsubscribe } from "node:diagnostics_channel";
+import { once } from "node:events";
 import type { AddressInfo, Socket } from "node:net";
 import { connect } from "node:net";
 import test from "ava";
@@ -159,6 +161,59 @@
   t.is(caller.responses, 2);
 });
 
+/** Returns the server's end of the connection on which the next response ends. */
+function awaitResponseEnd(): Promise<Socket> {
+  const channel = "http.server.response.finish";
+  return new Promise((resolve) => {
+    const onFinish = (message: unknown) => {
+      unsubscribe(channel, onFinish);
+      resolve((message as { socket: Socket }).socket);
+    };
+    subscribe(channel, onFinish);
+  });
+}
+
+// Guards against a connection that is closed sooner than its caller was told, because the idle timeout was lowered meanwhile.
+test.serial("a connection stays open as long as announced although the idle timeout is lowered during the response", async (t) => {
+  const ANNOUNCED_MS = 60_000;
+  const isReleased = Deferred.makeUnsafe<void>();
+  const server = await startGateway((raw, sink) =>
+    Effect.andThen(Deferred.await(isReleased), respond(raw, sink))
+  );
+  server.applyLimits({ ...LIMITS, idleTimeoutMs: ANNOUNCED_MS });
+  const caller = new CallerConnection(portOf(server));
+  t.teardown(() => {
+    caller.destroy();
+    server.dispose();
+  });
+  const ended = awaitResponseEnd();
+  await caller.write(requestFor("/1"));
+  while (server.activeCount === 0) await new Promise((resolve) => setImmediate(resolve));
+  server.applyLimits({ ...LIMITS, idleTimeoutMs: 10 });
+  Deferred.doneUnsafe(isReleased, Effect.void);
+  await caller.receive(1);
+  t.regex(caller.text, /Keep-Alive: timeout=60\r\n/);
+  t.true((await ended).timeout! >= ANNOUNCED_MS);
+});
+
+// Callers reuse connections by the idle timeout in force, which may have been raised since the last response.
+test.serial("a connection stays open for a longer idle timeout that comes into force while it is idle", async (t) => {
+  const RAISED_MS = 60_000;
+  const server = await startGateway();
+  server.applyLimits({ ...LIMITS, idleTimeoutMs: 10 });
+  const caller = new CallerConnection(portOf(server));
+  t.teardown(() => {
+    caller.destroy();
+    server.dispose();
+  });
+  const ended = awaitResponseEnd();
+  await caller.write(requestFor("/1"));
+  const socket = await ended;
+  server.applyLimits({ ...LIMITS, idleTimeoutMs: RAISED_MS });
+  await once(socket, "timeout");
+  t.true(socket.timeout! >= RAISED_MS);
+});
+
 for (const [name, start] of [["gateway", startGateway], ["http", startHttpServer]] as const) {
   // Guards against a reset by a server that takes a connection for idle because its next request is not read yet.
   test.serial(`a ${name} server that stops answers a request that it has not read yet`, async (t) => {
