Store: follow a topic on after an update that cannot be applied

An unexpected error while a change of a keyed topic was applied ended the fiber that follows it, without a log line: the instance kept its configuration, list of servers or strikes as they were until its next start. A configuration with two routes of one host without a path prefix has this effect, for example; the platform's store accepts none such, as far as its pages tell.

The error is logged (update-not-applied, with topic and key), and the following changes are applied. The new test failed before the fix, as run: no update after the failing one was reported.

--- a/src/services/store/common/keyed_topic_follower.ts
+++ b/src/services/store/common/keyed_topic_follower.ts
@@ -3,6 +3,7 @@
 import { Clock, Effect, Latch } from "effect";
 import type { Event } from "../../../base/common/emitter.ts";
 import { Emitter } from "../../../base/common/emitter.ts";
+import { toError } from "../../../base/common/errors.ts";
 import type { ILogger } from "../../logging/common/logger.ts";
 import type { IKeyedItem, IKeyedItems, IPartitionedLog, StoreError } from "./partitioned_log.ts";
 import { StoreFault } from "./partitioned_log.ts";
@@ -165,7 +166,17 @@
     if (current !== undefined && current.offset >= offset) return;
     if (value === undefined) this.#items.delete(key);
     else this.#items.set(key, { key, value: this.#opts.redact?.(value) ?? value, offset });
-    this.#onDidUpdate.fire({ key, value, outageMs });
+    this.#notify({ key, value, outageMs });
+  }
+
+  /** An update that cannot be applied must not end the following of the topic. */
+  #notify(update: IKeyedUpdate): void {
+    try {
+      this.#onDidUpdate.fire(update);
+    } catch (err) {
+      const { topic, logger } = this.#opts;
+      logger.error("update-not-applied", { topic, key: update.key, error: toError(err).stack });
+    }
   }
 
   #recordFailure(now: number, error: string): void {
--- a/src/services/store/common/keyed_topic_follower_test.ts
+++ b/src/services/store/common/keyed_topic_follower_test.ts
@@ -42,6 +42,24 @@
   t.deepEqual(updates, ["a=2", "b=3", "a=-"]);
 });
 
+// Guards against an instance that keeps its configuration or list of servers for good after one update that it cannot apply.
+test("updates are reported although a listener has failed at an earlier one", async (t) => {
+  const { log, follower, updates } = setUp();
+  follower.onDidUpdate(({ key }) => {
+    if (key === "bad") throw new Error("cannot be applied");
+  });
+  await run(Effect.gen(function* () {
+    yield* follower.start();
+    yield* TestClock.adjust(150);
+    log.putKey(TOPIC, "bad", Buffer.from("1"));
+    log.putKey(TOPIC, "a", Buffer.from("2"));
+    yield* TestClock.adjust(150);
+    log.putKey(TOPIC, "b", Buffer.from("3"));
+    yield* TestClock.adjust(150);
+  }));
+  t.deepEqual(updates, ["bad=1", "a=2", "b=3"]);
+});
+
 test("a snapshot is read after compaction, and deleted keys are reported", async (t) => {
   const { log, follower, updates } = setUp();
   log.putKey(TOPIC, "a", Buffer.from("1"));
