--- a/src/call/common/gateway_relay.ts
+++ b/src/call/common/gateway_relay.ts
@@ -23,9 +23,9 @@
   RefusalReason,
   retryableRefusal,
 } from "./gateway_refusal.ts";
-import type { IOpaqueRequest, IRawRequest, IResponseSink } from "./opaque_request.ts";
+import type { IOpaqueRequest, IRawRequest, IRequestProgress, IResponseSink } from "./opaque_request.ts";
 import { AttemptOutcome, RelayedCall } from "./relayed_call.ts";
-import { MAX_TOKENS, UpstreamFault } from "./opaque_request.ts";
+import { MAX_TOKENS, RequestPhase, UpstreamFault } from "./opaque_request.ts";
 import { RequestIdentity } from "./request_identity.ts";
 import type { IStreamContinuationOptions } from "./stream_continuation.ts";
 import { StreamContinuation } from "./stream_continuation.ts";
@@ -92,6 +92,7 @@
       if (first === undefined) {
         return this.#refuseEarly(sink, finalRefusal(GatewayStatus.BadRequest, RefusalReason.NoIdentity));
       }
+      sink.describeProgress = () => ({ request: first.id, phase: RequestPhase.Waiting });
       yield* this.#awaitConfiguration();
       const { isConfigured: hasOrganisations } = routes.organisations;
       const req = hasOrganisations === hadOrganisations
@@ -131,6 +132,8 @@
       });
       call.origin = origin;
       call.earlierOrigin = earlierOrigin;
+      call.engine = this.#dispatcher.engineOf(call.service);
+      sink.describeProgress = () => progressOfCall(call, sink);
       const work = isTurn(call) ? this.#serveTurn(call, sink) : this.#serveOther(call, sink);
       const outcome = yield* Effect.raceFirst(work, this.#awaitDeadline(call)).pipe(
         Effect.ensuring(Effect.sync(() => this.#giveBackToken(call))),
@@ -268,9 +271,9 @@
     });
   }
 
-  #deliveredTokens({ events, service }: RelayedCall): number {
-    const tokens = Math.ceil(events * (this.#dispatcher.engineOf(service)?.tokensPerEvent ?? 0));
-    return Math.min(tokens, MAX_TOKENS);
+  #deliveredTokens({ events, engine, service }: RelayedCall): number {
+    const { tokensPerEvent = 0 } = engine ?? this.#dispatcher.engineOf(service) ?? {};
+    return Math.min(Math.ceil(events * tokensPerEvent), MAX_TOKENS);
   }
 
   /** Obtains the budget and the history of a turn and serves it. */
@@ -544,6 +547,18 @@
   return route.kind === RouteKind.Stream && route.retainMs > 0 && req.program?.budgetTokens !== undefined;
 }
 
+function progressOfCall(call: RelayedCall, { hasStarted }: IResponseSink): IRequestProgress {
+  const { req, choice, runs, refusal } = call;
+  const phase = choice === undefined ? RequestPhase.Waiting : RequestPhase.Sent;
+  return {
+    request: req.id,
+    phase: hasStarted ? RequestPhase.Streaming : phase,
+    backend: choice?.backend.id,
+    runs,
+    reason: refusal?.reason,
+  };
+}
+
 /** Returns what is known of the request's program and of earlier sends of the request. */
 function progressOf({ runs, req }: RelayedCall): RequestProgress {
   if (runs > 0) return RequestProgress.Repeated;
--- a/src/entry/node/gateway_server.ts
+++ b/src/entry/node/gateway_server.ts
@@ -1,7 +1,7 @@
 /** HTTP server of the gateway for callers' requests, and the server for its readiness probe and metrics. */
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
 import type { AddressInfo, Socket } from "node:net";
-import { createServer } from "node:http";
+import { createServer, STATUS_CODES } from "node:http";
 import { Server as NetServer } from "node:net";
 import type { Context } from "effect";
 import { Effect, Fiber } from "effect";
@@ -10,15 +10,23 @@
 import { listen } from "../../base/node/listen.ts";
 import type { GatewayRelay } from "../../call/common/gateway_relay.ts";
 import { GatewayStatus, RefusalReason } from "../../call/common/gateway_refusal.ts";
-import type { IResponseSink } from "../../call/common/opaque_request.ts";
+import type { IRequestProgress, IResponseSink } from "../../call/common/opaque_request.ts";
 import type { ILogger } from "../../services/logging/common/logger.ts";
 import { describeDefect } from "../../services/logging/common/supervision.ts";
+import type { Metrics } from "../../services/metrics/common/metrics.ts";
 import type { ICallerLimits } from "../../services/routes/common/route_table.ts";
 import { abortResponse } from "./abort_response.ts";
 import { closeIdleConnections } from "./idle_connections.ts";
+import {
+  causeOfAbort,
+  causeOfError,
+  ConnectionEndCause,
+  UnfinishedResponses,
+} from "./unfinished_responses.ts";
 
 /** Fixed when the server is created, before the configured limits are known. */
 const MAX_HEADER_BYTES = 32 * 1024;
+const CONNECTION_CHECK_INTERVAL_MS = 30_000;
 /** Time limit for reading the rest of a body that is too large; a caller that still sends then is reset. */
 const DISCARD_TIMEOUT_MS = 2000;
 /** Characters of a target that Node.js accepts from callers but does not send. */
@@ -30,6 +38,11 @@
   readonly relay: GatewayRelay;
   readonly logger: ILogger;
   readonly context: Context.Context<never>;
+  readonly metrics?: Metrics;
+  /** Version of the configuration in force. */
+  readonly configurationVersion?: () => number;
+  /** Interval at which connections are checked for headers that take too long; 30 s by default. */
+  readonly connectionCheckIntervalMs?: number;
 }
 
 export class GatewayServer {
@@ -38,22 +51,28 @@
   /** Response to the request received last on each connection. */
   readonly #latest = new WeakMap<Socket, ServerResponse>();
   #maxBodyBytes = Infinity;
+  readonly #unfinished: UnfinishedResponses;
   #isStopping = false;
-  #active = 0;
 
   constructor(opts: IGatewayServerOptions) {
     this.#opts = opts;
+    const { logger, metrics, configurationVersion = () => -1 } = opts;
+    this.#unfinished = new UnfinishedResponses({ logger, metrics, configurationVersion });
     this.#server = createServer(
-      { maxHeaderSize: MAX_HEADER_BYTES, noDelay: true },
+      {
+        maxHeaderSize: MAX_HEADER_BYTES,
+        noDelay: true,
+        connectionsCheckingInterval: opts.connectionCheckIntervalMs ?? CONNECTION_CHECK_INTERVAL_MS,
+      },
       (req, res) => this.#serve(req, res),
     );
-    this.#server.on("clientError", (_err, socket) => socket.destroy());
+    this.#server.on("clientError", (err, socket) => this.#rejectConnection(err, socket as Socket));
     closeIdleConnections(this.#server);
   }
 
   /** Number of requests in progress. */
   get activeCount(): number {
-    return this.#active;
+    return this.#unfinished.count;
   }
 
   /** Address on which the server listens; null before it does. */
@@ -91,16 +110,58 @@
   }
 
   dispose(): void {
+    this.#unfinished.reportAll();
     this.#server.close();
     this.#server.closeAllConnections();
   }
 
+  #rejectConnection({ code = "" }: NodeJS.ErrnoException, socket: Socket): void {
+    const cause = causeOfError(code);
+    if (cause === undefined) return void socket.destroy();
+    if (cause !== ConnectionEndCause.HeaderTimeout) return this.#endRejected(socket, { cause, code });
+    const { bytesRead } = socket;
+    // After a stall of the event loop, timers run before waiting bytes are read.
+    setImmediate(() => {
+      if (socket.bytesRead === bytesRead) return this.#endRejected(socket, { cause, code });
+      // Node.js does not check the connection again before its next request.
+      socket.setTimeout(this.#server.headersTimeout);
+    });
+  }
+
+  /** Ends a connection after the responses to the requests that have been received on it. */
+  #endRejected(socket: Socket, { cause, code }: { cause: ConnectionEndCause; code: string }): void {
+    if (!this.#unfinished.reject(socket, { cause, code })) return;
+    const { status, title } = REJECTIONS.get(code) ?? MALFORMED;
+    const last = this.#latest.get(socket);
+    if (last !== undefined && !last.req.complete) {
+      if (last.headersSent) return void socket.destroy();
+      const body = problemOf(status, title);
+      last.writeHead(status, { ...PROBLEM_HEADERS, "content-length": body.length });
+      return void last.end(body);
+    }
+    const end = () => {
+      // A caller that has sent nothing does not wait for an answer.
+      if (socket.writable && socket.bytesRead > 0) socket.write(encodeRejection(status, title));
+      socket.destroySoon();
+    };
+    if (last === undefined || last.writableFinished) end();
+    else last.on("close", end);
+  }
+
   #serve(req: IncomingMessage, res: ServerResponse): void {
-    this.#active += 1;
     const { socket } = req;
     this.#latest.set(socket, res);
-    // A response that closes the connection would discard requests received after its own.
-    const sink = new ResponseSink(res, () => this.#isStopping && this.#latest.get(socket) === res);
+    const sink = new ResponseSink(res, {
+      // A response that closes the connection would discard requests received after its own.
+      isLast: () => this.#isStopping && this.#latest.get(socket) === res,
+      onWillAbort: (cause) => this.#unfinished.setCause(socket, cause),
+    });
+    const open = this.#unfinished.add({
+      socket,
+      target: req.url ?? "",
+      isAnswered: () => res.writableEnded,
+      progress: () => sink.describeProgress?.(),
+    });
     const handling = this.#relay(req, sink).pipe(
       Effect.catchDefect((defect) =>
         Effect.sync(() => {
@@ -111,15 +172,20 @@
       ),
     );
     const fiber = Effect.runForkWith(this.#opts.context)(handling);
-    res.on("close", () => {
-      this.#active -= 1;
-      if (!res.writableFinished) Effect.runFork(Fiber.interrupt(fiber));
-    });
+    const finish = () => {
+      socket.off("close", finish);
+      if (res.writableFinished) return this.#unfinished.complete(open);
+      this.#unfinished.report(open);
+      Effect.runFork(Fiber.interrupt(fiber));
+    };
+    res.on("close", finish);
+    // The response to a pipelined request gets its connection, and notices the end of it, only after the responses before it.
+    socket.on("close", finish);
   }
 
   #relay(req: IncomingMessage, sink: ResponseSink): Effect.Effect<void> {
     return Effect.flatMap(readBody(req, this.#maxBodyBytes), (body) => {
-      if (body === BodyError.Truncated) return Effect.sync(() => sink.abort());
+      if (body === BodyError.Truncated) return Effect.sync(() => sink.abort(ConnectionEndCause.CallerLeft));
       if (body === BodyError.TooLarge) return Effect.sync(() => sink.rejectBody(req));
       const { method = "", url = "", rawHeaders } = req;
       if (UNSENDABLE_TARGET.test(url)) {
@@ -133,6 +199,31 @@
   }
 }
 
+interface IRejection {
+  readonly status: number;
+  readonly title: string;
+}
+
+const MALFORMED: IRejection = { status: 400, title: "malformed-request" };
+/** Rejections of bytes that the HTTP parser of Node.js does not accept, by its error code. */
+const REJECTIONS: ReadonlyMap<string, IRejection> = new Map([
+  ["ERR_HTTP_REQUEST_TIMEOUT", { status: 408, title: "request-timeout" }],
+  ["HPE_HEADER_OVERFLOW", { status: 431, title: "headers-too-large" }],
+]);
+const PROBLEM_HEADERS = { "content-type": "application/problem+json", connection: "close" };
+
+function problemOf(status: number, title: string): Buffer {
+  return Buffer.from(JSON.stringify({ status, title }));
+}
+
+/** Encodes a response for a connection on which no request can be read. */
+function encodeRejection(status: number, title: string): string {
+  const body = problemOf(status, title);
+  const headers = Object.entries({ ...PROBLEM_HEADERS, "content-length": body.length });
+  const lines = headers.map(([name, value]) => `${name}: ${value}\r\n`).join("");
+  return `HTTP/1.1 ${status} ${STATUS_CODES[status]}\r\n${lines}\r\n${body}`;
+}
+
 enum BodyError {
   Truncated = "cut-off",
   TooLarge = "too-large",
@@ -152,14 +243,21 @@
   });
 }
 
+interface IResponseSinkOptions {
+  /** Whether the connection closes after the response. */
+  readonly isLast: () => boolean;
+  readonly onWillAbort: (cause: ConnectionEndCause) => void;
+}
+
 /** Writes a response to a caller through a Node.js server response. */
 class ResponseSink implements IResponseSink {
   readonly #res: ServerResponse;
-  readonly #isLast: () => boolean;
+  readonly #opts: IResponseSinkOptions;
+  describeProgress: (() => IRequestProgress) | undefined;
 
-  constructor(res: ServerResponse, isLast: () => boolean) {
+  constructor(res: ServerResponse, opts: IResponseSinkOptions) {
     this.#res = res;
-    this.#isLast = isLast;
+    this.#opts = opts;
     // A caller may disconnect between two writes. That interrupts the request's fiber, so the error needs no
     // handling.
     res.on("error", () => {});
@@ -186,7 +284,8 @@
     this.#res.end();
   }
 
-  abort(): void {
+  abort(cause = causeOfAbort(this.describeProgress?.())): void {
+    this.#opts.onWillAbort(cause);
     abortResponse(this.#res);
   }
 
@@ -207,14 +306,8 @@
    * the rest before: closing a connection with unread bytes resets it, and the caller may lose the response.
    */
   rejectBody(req: IncomingMessage): void {
-    const body = Buffer.from(
-      JSON.stringify({ status: GatewayStatus.BodyTooLarge, title: RefusalReason.BodyTooLarge }),
-    );
-    this.#res.writeHead(GatewayStatus.BodyTooLarge, {
-      "content-type": "application/problem+json",
-      "content-length": body.length,
-      connection: "close",
-    });
+    const body = problemOf(GatewayStatus.BodyTooLarge, RefusalReason.BodyTooLarge);
+    this.#res.writeHead(GatewayStatus.BodyTooLarge, { ...PROBLEM_HEADERS, "content-length": body.length });
     this.#res.write(body);
     const timer = setTimeout(() => this.#res.end(), DISCARD_TIMEOUT_MS);
     this.#res.on("close", () => clearTimeout(timer));
@@ -222,7 +315,7 @@
   }
 
   #writeHead(status: number, headers: string[]): void {
-    if (this.#isLast()) headers.push("Connection", "close");
+    if (this.#opts.isLast()) headers.push("Connection", "close");
     this.#res.writeHead(status, headers);
   }
 }
--- a/src/services/store/common/keyed_topic_follower_test.ts
+++ b/src/services/store/common/keyed_topic_follower_test.ts
@@ -10,7 +10,7 @@
 
 const TOPIC = "keyed.items";
 
-function setUp() {
+function setUp({ skipsSuperseded = false } = {}) {
   const log = new PartitionedLogCore();
   const follower = new KeyedTopicFollower({
     log,
@@ -18,6 +18,7 @@
     waitMs: 0,
     pauseMs: 100,
     logger: new NullLogger(),
+    skipsSuperseded,
   });
   const updates: string[] = [];
   follower.onDidUpdate(({ key, value, outageMs }) =>
@@ -44,6 +45,24 @@
   t.deepEqual(updates, ["a=2", "b=3", "a=-"]);
 });
 
+// Guards against an instance that keeps its configuration or list of servers for good after one update that it cannot apply.
+test("updates are reported although a listener has failed at an earlier one", async (t) => {
+  const { log, follower, updates } = setUp();
+  follower.onDidUpdate(({ key }) => {
+    if (key === "bad") throw new Error("cannot be applied");
+  });
+  await run(Effect.gen(function* () {
+    yield* follower.start();
+    yield* TestClock.adjust(150);
+    log.putKey(TOPIC, "bad", Buffer.from("1"));
+    log.putKey(TOPIC, "a", Buffer.from("2"));
+    yield* TestClock.adjust(150);
+    log.putKey(TOPIC, "b", Buffer.from("3"));
+    yield* TestClock.adjust(150);
+  }));
+  t.deepEqual(updates, ["bad=1", "a=2", "b=3"]);
+});
+
 test("a snapshot is read after compaction, and deleted keys are reported", async (t) => {
   const { log, follower, updates } = setUp();
   log.putKey(TOPIC, "a", Buffer.from("1"));
@@ -59,6 +78,23 @@
   t.deepEqual(updates, ["a=1", "b=1", "a=-", "c=2"]);
 });
 
+// Guards against an event loop that stalls while versions are decoded that later ones of the same read replace.
+test("of several changes of a key in one read only the last is reported, if asked for", async (t) => {
+  const { log, follower, updates } = setUp({ skipsSuperseded: true });
+  await run(Effect.gen(function* () {
+    yield* follower.start();
+    yield* TestClock.adjust(150);
+    for (const value of ["1", "2", "3"]) log.putKey(TOPIC, "a", Buffer.from(value));
+    log.putKey(TOPIC, "b", Buffer.from("1"));
+    log.putKey(TOPIC, "a", Buffer.from("4"));
+    yield* TestClock.adjust(150);
+    log.putKey(TOPIC, "a", Buffer.from("5"));
+    yield* TestClock.adjust(150);
+  }));
+  t.deepEqual(updates, ["a=4", "b=1", "a=5"]);
+  t.deepEqual(follower.snapshot()?.items.map(({ offset }) => offset).sort(), [3, 5]);
+});
+
 test("changes read after an outage are marked as such", async (t) => {
   const { log, follower, updates } = setUp();
   log.putKey(TOPIC, "a", Buffer.from("1"));
