Slices: open a slice although the first piece of a stored turn has expired

A turn that is too large for one record is stored in pieces. The store deletes its oldest records by age and size, so that pieces without their first one may be left at the start of a partition. Joining them threw, which ended the recovery for good: the slice stayed closed at each of its owners, and no turn of its programs and none that continues its turns was served.

Such pieces are skipped; the turn has expired.

The new test failed before: the slice stayed opening.

--- a/src/turns/common/slice_journal_test.ts
+++ b/src/turns/common/slice_journal_test.ts
@@ -281,3 +281,20 @@
     t.is(next.slice.ledger.uncleanAtMs, 0);
   }));
 });
+
+test("a slice opens although the first piece of a turn has expired", async (t) => {
+  const log = new PartitionedLogCore();
+  await run(Effect.gen(function* () {
+    const first = yield* openJournal(log, 1n);
+    yield* first.storeTurn(createTurn("a", "x".repeat(700_000)));
+    yield* first.storeTurn(createTurn("b"));
+    const claimAndFirstPiece = 2;
+    yield* log.trim(PARTITION, claimAndFirstPiece);
+    const second = createJournal(log, 2n);
+    yield* second.start();
+    yield* TestClock.adjust(1000);
+    t.is(second.state, SliceJournalState.Open);
+    t.is(second.slice.turns.get("a"), undefined);
+    t.not(second.slice.turns.get("b"), undefined);
+  }));
+});
--- a/src/turns/common/slice_state.ts
+++ b/src/turns/common/slice_state.ts
@@ -82,7 +82,9 @@
 
   #applyPiece({ turnId, index, count, data }: TurnPiece): void {
     // Pieces can span several appends, and the ownership may have ended between them: piece 0 starts over.
-    const pieces = index === 0 ? [] : this.#pieces.get(turnId) ?? [];
+    const pieces = index === 0 ? [] : this.#pieces.get(turnId);
+    // The store deletes its oldest records without regard to which belong together.
+    if (pieces === undefined) return;
     pieces[index] = data;
     this.#pieces.set(turnId, pieces);
     if (index < count - 1) return;
