Streams: bound the wait for the record of a stream's origin

A stream that begins at another software version than its earlier tries is announced in the store first. Writes are serialized and take up to a second each, so that such a request could wait until its deadline. It now waits for at most half of its time and is refused as not run.

The new test failed before: refused after 2850 ms of 3000.

--- a/src/call/common/gateway_relay_test.ts
+++ b/src/call/common/gateway_relay_test.ts
@@ -28,6 +28,7 @@
 import { CrashMonitor } from "./crash_monitor.ts";
 import { GatewayRelay } from "./gateway_relay.ts";
 import { ResponseMemoryPool } from "./response_limits.ts";
+import type { IStreamOrigin } from "./stream_origin.ts";
 import { StreamOriginRegistry } from "./stream_origin_registry.ts";
 import type {
   ILimitStatement,
@@ -249,6 +250,8 @@
   readonly softwareVersions?: readonly string[];
   /** Attempt, service and software version of streams that have begun earlier. */
   readonly begun?: readonly (readonly [string, string, string])[];
+  /** Origin of earlier tries of the request; the store then does not respond to the announcement of another one. */
+  readonly earlierOrigin?: IStreamOrigin;
   /** Last event id and attempt that the caller's request resumes. */
   readonly resume?: { readonly lastEventId: string; readonly resumes?: string };
 }
@@ -306,8 +309,13 @@
     turns,
     crashes: setup.crashes ?? createCrashMonitor(),
     streams,
-    streamAnnouncer: { announce: () => Effect.succeed(true) },
-    streamFinder: { findEarlier: () => undefined, find: (resumed) => Effect.succeed(streams.find(resumed)) },
+    streamAnnouncer: {
+      announce: () => setup.earlierOrigin === undefined ? Effect.succeed(true) : Effect.never,
+    },
+    streamFinder: {
+      findEarlier: () => setup.earlierOrigin,
+      find: (resumed) => Effect.succeed(streams.find(resumed)),
+    },
     admission: setup.admission ?? new UtilizationAdmission(),
     permits: UNLIMITED_PERMITS,
     allotments: setup.allotments ?? UNLIMITED_ALLOTMENTS,
@@ -774,3 +782,13 @@
   t.is(sink.status, 503);
   t.true(answeredAtMs < 3000, String(answeredAtMs));
 });
+
+test("a stream whose change of software version is not recorded in time is refused while its caller can try again", async (t) => {
+  const { sink, sent, answeredAtMs } = await relay({
+    route: { ...STREAM, isResumable: true },
+    earlierOrigin: { service: "s", softwareVersion: "v0" },
+  });
+  t.is(sink.status, 503);
+  t.is(sent.length, 0);
+  t.true(answeredAtMs <= 1500, String(answeredAtMs));
+});
--- a/src/call/common/stream_continuation.ts
+++ b/src/call/common/stream_continuation.ts
@@ -1,5 +1,5 @@
 /** Keeps all parts of a stream, and all tries of its request, at servers of one software version. */
-import { Effect } from "effect";
+import { Clock, Effect } from "effect";
 import type { IBackendChoice } from "../../routing/common/backend_chooser.ts";
 import type { IOrganisation } from "../../services/organisations/common/organisation.ts";
 import { scopedId } from "../../services/organisations/common/organisation_scope.ts";
@@ -13,6 +13,9 @@
 import type { IStreamOriginFinder } from "./stream_origin_finder.ts";
 import type { IStreamOriginAnnouncer } from "./stream_origin_replicator.ts";
 
+/** Share of the time left that the record of a stream's origin may take, so that the caller has time for another try. */
+const ANNOUNCE_SHARE = 0.5;
+
 /** What identifies the stream that a request begins or resumes, beside the request itself. */
 export interface IStreamContext {
   readonly identity: RequestIdentity;
@@ -61,16 +64,18 @@
    * were known after a loss of instances, the stream would go on at their version. Returns whether the stream may begin.
    */
   announceVersionChange(call: RelayedCall, { backend }: IBackendChoice): Effect.Effect<boolean> {
-    return Effect.suspend(() => {
-      const { earlierOrigin } = call;
+    return Effect.gen({ self: this }, function* () {
+      const { earlierOrigin, deadlineAtMs } = call;
       const { service, softwareVersion } = backend;
-      if (call.origin !== undefined || earlierOrigin === undefined) return Effect.succeed(true);
-      if (earlierOrigin.softwareVersion === softwareVersion) return Effect.succeed(true);
+      if (call.origin !== undefined || earlierOrigin === undefined) return true;
+      if (earlierOrigin.softwareVersion === softwareVersion) return true;
       const origin = { service, softwareVersion };
-      return Effect.map(this.#opts.streamAnnouncer.announce(call.streamKey, origin), (isRecorded) => {
-        if (isRecorded) call.origin = origin;
-        return isRecorded;
-      });
+      const announced = this.#opts.streamAnnouncer.announce(call.streamKey, origin);
+      const timeoutMs = (deadlineAtMs - (yield* Clock.currentTimeMillis)) * ANNOUNCE_SHARE;
+      const isRecorded = yield* Effect.timeoutOption(announced, timeoutMs);
+      if (isRecorded._tag === "None" || !isRecorded.value) return false;
+      call.origin = origin;
+      return true;
     });
   }
 }
