Relay: give back a token that is granted after its turn was refused

Since a turn is refused by the first of grant, history and token that refuses it, the request for the token of its organisation's allotment may still be in flight. Its owner had then counted a token that no server used.

The request for the token is completed, and the token is given back, whatever becomes of the turn.

The new test failed before: no token was given back.

--- a/src/call/common/gateway_relay.ts
+++ b/src/call/common/gateway_relay.ts
@@ -1,5 +1,5 @@
 /** Relays opaque requests to backend servers and their responses to callers. */
-import { Clock, Effect } from "effect";
+import { Clock, Effect, Fiber } from "effect";
 import { TurnVerdict } from "../../base/common/gen/ragwortcleat/v1/turns_pb.ts";
 import { RequestProgress } from "../../routing/common/allotment_limiter.ts";
 import type { IProgramAdmission } from "../../routing/common/program_admission.ts";
@@ -315,10 +315,14 @@
 
   /** Acquires the token for the next send; fails if the allotment does not cover the request. */
   #requireToken(call: RelayedCall): Effect.Effect<void, IRefusal> {
-    return Effect.flatMap(
-      this.#acquireToken(call),
-      (refusal) => refusal === undefined ? Effect.void : Effect.fail(refusal),
-    );
+    if (call.organisation?.allotment === undefined) return Effect.void;
+    return Effect.gen({ self: this }, function* () {
+      // The owner may already have granted the token when the turn is refused for another reason.
+      const acquiring = yield* Effect.forkDetach(this.#acquireToken(call));
+      const giveBack = Effect.andThen(Fiber.await(acquiring), Effect.sync(() => this.#giveBackToken(call)));
+      const refusal = yield* Effect.onInterrupt(Fiber.join(acquiring), () => Effect.forkDetach(giveBack));
+      if (refusal !== undefined) yield* Effect.fail(refusal);
+    });
   }
 
   /**
--- a/src/call/common/gateway_relay_test.ts
+++ b/src/call/common/gateway_relay_test.ts
@@ -140,6 +140,13 @@
   }
 }
 
+/** Turns of which the previous ones are not known after 100 ms. */
+class TurnsWithSlowHistory extends FakeTurns {
+  override load() {
+    return Effect.delay(Effect.succeed({ state: ChainLookupStatus.Unknown as const }), 100);
+  }
+}
+
 /** Reads the fields of a resumed request, which the test passes in a header. */
 function resumeOf(headers: readonly string[]): object {
   const index = headers.indexOf("resume");
@@ -233,6 +240,13 @@
   }
 }
 
+/** Decides at once; the response takes a second. */
+class SlowAllotments extends FakeAllotments {
+  override acquire(request: IAllotmentRequest) {
+    return Effect.tap(super.acquire(request), () => Effect.sleep(1000));
+  }
+}
+
 interface ISetup {
   /** Decides on the requests of an organisation with an allotment; undefined without organisations. */
   readonly allotments?: FakeAllotments;
@@ -792,3 +806,16 @@
   t.is(sent.length, 0);
   t.true(answeredAtMs <= 1500, String(answeredAtMs));
 });
+
+test("a token that is granted after its turn was refused is given back", async (t) => {
+  const allotments = new SlowAllotments(1);
+  const { sink, answeredAtMs } = await relay({
+    turns: new TurnsWithSlowHistory(),
+    allotments,
+    route: KEPT_TURN,
+    headers: ["key", "previous", "gone"],
+  });
+  t.is(sink.status, 503);
+  t.is(answeredAtMs, 100);
+  t.deepEqual([allotments.asked.length, allotments.returned], [1, 1]);
+});
