--- a/src/call/common/gateway_relay_test.ts
+++ b/src/call/common/gateway_relay_test.ts
@@ -28,6 +28,7 @@
 import { CrashMonitor } from "./crash_monitor.ts";
 import { GatewayRelay } from "./gateway_relay.ts";
 import { ResponseMemoryPool } from "./response_limits.ts";
+import type { IStreamOrigin } from "./stream_origin.ts";
 import { StreamOriginRegistry } from "./stream_origin_registry.ts";
 import type {
   ILimitStatement,
@@ -153,6 +154,13 @@
   }
 }
 
+/** Turns of which the previous ones are not known after 100 ms. */
+class TurnsWithSlowHistory extends FakeTurns {
+  override load() {
+    return Effect.delay(Effect.succeed({ state: ChainLookupStatus.Unknown as const }), 100);
+  }
+}
+
 /** Reads the fields of a resumed request, which the test passes in a header. */
 function resumeOf(headers: readonly string[]): object {
   const index = headers.indexOf("resume");
@@ -246,6 +254,13 @@
   }
 }
 
+/** Decides at once; the response takes a second. */
+class SlowAllotments extends FakeAllotments {
+  override acquire(request: IAllotmentRequest) {
+    return Effect.tap(super.acquire(request), () => Effect.sleep(1000));
+  }
+}
+
 interface ISetup {
   /** Decides on the requests of an organisation with an allotment; undefined without organisations. */
   readonly allotments?: FakeAllotments;
@@ -263,6 +278,8 @@
   readonly softwareVersions?: readonly string[];
   /** Attempt, service and software version of streams that have begun earlier. */
   readonly begun?: readonly (readonly [string, string, string])[];
+  /** Origin of earlier tries of the request; the store then does not respond to the announcement of another one. */
+  readonly earlierOrigin?: IStreamOrigin;
   /** Last event id and attempt that the caller's request resumes. */
   readonly resume?: { readonly lastEventId: string; readonly resumes?: string };
   /** How long the caller waits, in ms; 3000 by default. */
@@ -322,8 +339,13 @@
     turns,
     crashes: setup.crashes ?? createCrashMonitor(),
     streams,
-    streamAnnouncer: { announce: () => Effect.succeed(true) },
-    streamFinder: { findEarlier: () => undefined, find: (resumed) => Effect.succeed(streams.find(resumed)) },
+    streamAnnouncer: {
+      announce: () => setup.earlierOrigin === undefined ? Effect.succeed(true) : Effect.never,
+    },
+    streamFinder: {
+      findEarlier: () => setup.earlierOrigin,
+      find: (resumed) => Effect.succeed(streams.find(resumed)),
+    },
     admission: setup.admission ?? new UtilizationAdmission(),
     permits: UNLIMITED_PERMITS,
     allotments: setup.allotments ?? UNLIMITED_ALLOTMENTS,
@@ -855,3 +877,26 @@
   const { sink, sent } = await relay({ route: SAFE, allotments, headers: ["key", ""], script });
   t.deepEqual([sent.length, sink.status, sink.text], [1, 200, "a"]);
 });
+
+test("a stream whose change of software version is not recorded in time is refused while its caller can try again", async (t) => {
+  const { sink, sent, answeredAtMs } = await relay({
+    route: { ...STREAM, isResumable: true },
+    earlierOrigin: { service: "s", softwareVersion: "v0" },
+  });
+  t.is(sink.status, 503);
+  t.is(sent.length, 0);
+  t.true(answeredAtMs <= 1500, String(answeredAtMs));
+});
+
+test("a token that is granted after its turn was refused is given back", async (t) => {
+  const allotments = new SlowAllotments(1);
+  const { sink, answeredAtMs } = await relay({
+    turns: new TurnsWithSlowHistory(),
+    allotments,
+    route: KEPT_TURN,
+    headers: ["key", "previous", "gone"],
+  });
+  t.is(sink.status, 503);
+  t.is(answeredAtMs, 100);
+  t.deepEqual([allotments.asked.length, allotments.returned], [1, 1]);
+});
--- a/src/turns/common/slice_state.ts
+++ b/src/turns/common/slice_state.ts
@@ -97,6 +97,7 @@
 
   #applyPiece({ turnId, index, count, data }: TurnPiece): void {
     // Pieces can span several appends, and the ownership may have ended between them: piece 0 starts over.
+    // The store deletes its oldest records without regard to which belong together.
     const pieces = index === 0 ? [] : this.#pieces.get(turnId) ?? [];
     if (index !== pieces.length) return;
     pieces.push(data);
