--- a/src/call/common/gateway_relay_test.ts
+++ b/src/call/common/gateway_relay_test.ts
@@ -43,6 +43,8 @@
   readonly status?: number;
   readonly isNotRun?: boolean;
   readonly isSigned?: boolean;
+  /** Further headers, as alternating names and values. */
+  readonly headers?: readonly string[];
   /** Chunks of the body, and numbers for silences between them, in ms. */
   readonly chunks?: readonly (string | number)[];
   /** Time until the head, in ms. */
@@ -75,6 +77,7 @@
       if (behavior.isUnresponsive) return Effect.never;
       if (behavior.fault !== undefined) return Effect.fail(new UpstreamError(behavior.fault));
       const {
+        headers = [],
         headMs = 0,
         status = 200,
         isNotRun = false,
@@ -85,7 +88,7 @@
       } = behavior;
       const head = {
         status,
-        headers: ["x-from", id],
+        headers: ["x-from", id, ...headers],
         requestId: req.requestId,
         isNotRun,
         isSigned,
@@ -825,3 +828,13 @@
   const { sink, sent } = await relay({ route: SAFE, allotments, headers: ["key", ""], script });
   t.deepEqual([sent.length, sink.status, sink.text], [1, 200, "a"]);
 });
+
+test("a successful response with an encoded body is not relayed", async (t) => {
+  const encoded = (encoding: string) => ({ headers: ["Content-Encoding", encoding], chunks: ["a"] });
+  for (const kind of [RouteKind.Unsafe, RouteKind.Stream]) {
+    const { sink, sent } = await relay({ route: { kind }, script: [encoded("gzip")] });
+    t.deepEqual([sent.length, sink.status], [1, 502]);
+  }
+  const { sink } = await relay({ route: SAFE, script: [encoded("br"), encoded("Identity")] });
+  t.deepEqual([sink.status, sink.text], [200, "a"]);
+});
