--- a/src/call/common/gateway_relay_test.ts
+++ b/src/call/common/gateway_relay_test.ts
@@ -44,6 +44,8 @@
   readonly status?: number;
   readonly isNotRun?: boolean;
   readonly isSigned?: boolean;
+  /** Further headers, as alternating names and values. */
+  readonly headers?: readonly string[];
   /** Chunks of the body, and numbers for silences between them, in ms. */
   readonly chunks?: readonly (string | number)[];
   /** Time until the head, in ms. */
@@ -76,6 +78,7 @@
       if (behavior.isUnresponsive) return Effect.never;
       if (behavior.fault !== undefined) return Effect.fail(new UpstreamError(behavior.fault));
       const {
+        headers = [],
         headMs = 0,
         status = 200,
         isNotRun = false,
@@ -86,7 +89,7 @@
       } = behavior;
       const head = {
         status,
-        headers: ["x-from", id],
+        headers: ["x-from", id, ...headers],
         requestId: req.requestId,
         isNotRun,
         isSigned,
@@ -900,3 +903,13 @@
   t.is(answeredAtMs, 100);
   t.deepEqual([allotments.asked.length, allotments.returned], [1, 1]);
 });
+
+test("a successful response with an encoded body is not relayed", async (t) => {
+  const encoded = (encoding: string) => ({ headers: ["Content-Encoding", encoding], chunks: ["a"] });
+  for (const kind of [RouteKind.Unsafe, RouteKind.Stream]) {
+    const { sink, sent } = await relay({ route: { kind }, script: [encoded("gzip")] });
+    t.deepEqual([sent.length, sink.status], [1, 502]);
+  }
+  const { sink } = await relay({ route: SAFE, script: [encoded("br"), encoded("Identity")] });
+  t.deepEqual([sink.status, sink.text], [200, "a"]);
+});
