Turns: charge a turn at the cost that its service had when it began

A turn that ran while a new version removed its service (its route moved to another one, say) was completed, but charged nothing: the number of tokens of an event was looked up at its end, in the configuration in force then. Its program could spend more than its budget.

The engine's data are now those in force when the request arrived.

--- a/src/call/common/gateway_relay.ts
+++ b/src/call/common/gateway_relay.ts
@@ -118,6 +118,7 @@
       });
       call.origin = origin;
       call.earlierOrigin = earlierOrigin;
+      call.engine = this.#dispatcher.engineOf(call.service);
       sink.describeProgress = () => progressOfCall(call, sink);
       const work = isTurn(call) ? this.#serveTurn(call, sink) : this.#serveOther(call, sink);
       const outcome = yield* Effect.raceFirst(work, this.#awaitDeadline(call)).pipe(
@@ -249,8 +250,8 @@
     });
   }
 
-  #deliveredTokens({ events, service }: RelayedCall): number {
-    return events * (this.#dispatcher.engineOf(service)?.tokensPerEvent ?? 0);
+  #deliveredTokens({ events, engine, service }: RelayedCall): number {
+    return events * ((engine ?? this.#dispatcher.engineOf(service))?.tokensPerEvent ?? 0);
   }
 
   /** Obtains the budget and the history of a turn and serves it. */
--- a/src/call/common/relayed_call.ts
+++ b/src/call/common/relayed_call.ts
@@ -3,7 +3,7 @@
 import type { IOrganisation } from "../../services/organisations/common/organisation.ts";
 import { scopedId } from "../../services/organisations/common/organisation_scope.ts";
 import { digestPrefixOf } from "../../services/organisations/common/organisation_table.ts";
-import type { IRoute } from "../../services/routes/common/route_table.ts";
+import type { IEngineInfo, IRoute } from "../../services/routes/common/route_table.ts";
 import { AttemptState } from "./attempt_state.ts";
 import type { IAllotmentDecision } from "./allotment_client.ts";
 import type { GatewayStatus, IRefusal, RefusalReason } from "./gateway_refusal.ts";
@@ -54,6 +54,8 @@
    * organisations.
    */
   readonly ownerName: string | undefined;
+  /** Engine of the service when the request arrived, since a later configuration may not have the service any more. */
+  engine: IEngineInfo | undefined;
   /** Servers that refused the request or failed during it. */
   readonly excluded = new Set<string>();
   /** Number of attempts in which the server may have run the request. */
--- a/test/harness/gateway_cluster.ts
+++ b/test/harness/gateway_cluster.ts
@@ -128,6 +128,8 @@
   readonly publicRoutes?: readonly RoutePath[];
   /** Time limit of all routes, in ms; 3000 by default. */
   readonly routeTimeoutMs?: number;
+  /** Services that the configuration no longer has, with their routes; none by default. */
+  readonly removedServices?: readonly string[];
 }
 
 export interface IGatewayClusterOptions extends IClusterConfiguration {
@@ -201,13 +203,16 @@
 
   /** Writes a configuration with the next version to the store; the instances apply it as the clock advances. */
   publishConfiguration(
-    { organisations, publicRoutes = [], routeTimeoutMs = 3000 }: IClusterConfiguration,
+    { organisations, publicRoutes = [], routeTimeoutMs = 3000, removedServices = [] }: IClusterConfiguration,
   ): void {
     this.#configurationVersion += 1;
     const configuration = {
       ...CONFIGURATION,
       Version: this.#configurationVersion,
-      Routes: CONFIGURATION.Routes.map((route) => ({
+      Services: CONFIGURATION.Services.filter(({ Name }) => !removedServices.includes(Name)),
+      Routes: CONFIGURATION.Routes.filter(({ Service }) => !removedServices.includes(Service)).map((
+        route,
+      ) => ({
         ...route,
         TimeoutMs: routeTimeoutMs,
         ...(publicRoutes.includes(route.PathPrefix) ? { Public: true } : {}),
