Configuration: decode only the last of several versions that one read returns

Decoding a version blocks the event loop in proportion to its routes, and a read returns all versions written since the last one, so that a series of large versions stalled an instance for as long as all of them take together. Requests wait meanwhile, and timers expire.

If the last version of a read cannot be decoded, earlier ones of the same read are not applied either, as after a start.

--- a/src/daemon/common/gateway_core.ts
+++ b/src/daemon/common/gateway_core.ts
@@ -174,6 +174,7 @@
       topic: adapter.configurationTopic,
       waitMs: CONFIGURATION_POLL_TIMEOUT_MS,
       pauseMs: CONFIGURATION_PAUSE_MS,
+      skipsSuperseded: true,
       redact: adapter.withoutApiKeys,
     });
     this.backends = new KeyedTopicFollower({
--- a/src/services/store/common/keyed_topic_follower.ts
+++ b/src/services/store/common/keyed_topic_follower.ts
@@ -4,7 +4,13 @@
 import type { Event } from "../../../base/common/emitter.ts";
 import { Emitter } from "../../../base/common/emitter.ts";
 import type { ILogger } from "../../logging/common/logger.ts";
-import type { IKeyedItem, IKeyedItems, IPartitionedLog, StoreError } from "./partitioned_log.ts";
+import type {
+  IKeyedChange,
+  IKeyedItem,
+  IKeyedItems,
+  IPartitionedLog,
+  StoreError,
+} from "./partitioned_log.ts";
 import { StoreFault } from "./partitioned_log.ts";
 
 /** Delay after a failed call, in ms: about four attempts a second while the store is unavailable. */
@@ -29,6 +35,8 @@
   /** Delay between two reads, in ms; limits the rate of calls to the store when changes are frequent. */
   readonly pauseMs: number;
   readonly logger: ILogger;
+  /** Whether only the last change of a key in one read is reported, because applying a value is expensive; false by default. */
+  readonly skipsSuperseded?: boolean;
   /** Removes secrets from the values that are kept and passed to peers; listeners receive the values as read. */
   readonly redact?: (value: Uint8Array) => Uint8Array;
 }
@@ -138,7 +146,8 @@
       const waitMs = this.isFailing ? 0 : this.#opts.waitMs;
       const { changes, end } = yield* this.#opts.log.readKeyChanges(this.#opts.topic, { from, waitMs });
       const outageMs = yield* this.#recordSuccess();
-      for (const change of changes) this.#apply(change, outageMs);
+      const reported = this.#opts.skipsSuperseded === true ? lastOfEachKey(changes) : changes;
+      for (const change of reported) this.#apply(change, outageMs);
       this.#nextOffset = changes.length > 0 ? changes[changes.length - 1].offset + 1 : Math.max(from, end);
       this.#endOffset = Math.max(this.#endOffset, this.#nextOffset);
       if (outageMs > 0) this.#onDidRegain.fire();
@@ -191,3 +200,7 @@
     });
   }
 }
+
+function lastOfEachKey(changes: readonly IKeyedChange[]): IKeyedChange[] {
+  return [...new Map(changes.map((change) => [change.key, change])).values()];
+}
--- a/src/services/store/common/keyed_topic_follower_test.ts
+++ b/src/services/store/common/keyed_topic_follower_test.ts
@@ -8,7 +8,7 @@
 
 const TOPIC = "keyed.items";
 
-function setUp() {
+function setUp({ skipsSuperseded = false } = {}) {
   const log = new PartitionedLogCore();
   const follower = new KeyedTopicFollower({
     log,
@@ -16,6 +16,7 @@
     waitMs: 0,
     pauseMs: 100,
     logger: new NullLogger(),
+    skipsSuperseded,
   });
   const updates: string[] = [];
   follower.onDidUpdate(({ key, value, outageMs }) =>
@@ -57,6 +58,23 @@
   t.deepEqual(updates, ["a=1", "b=1", "a=-", "c=2"]);
 });
 
+// Guards against an event loop that stalls while versions are decoded that later ones of the same read replace.
+test("of several changes of a key in one read only the last is reported, if asked for", async (t) => {
+  const { log, follower, updates } = setUp({ skipsSuperseded: true });
+  await run(Effect.gen(function* () {
+    yield* follower.start();
+    yield* TestClock.adjust(150);
+    for (const value of ["1", "2", "3"]) log.putKey(TOPIC, "a", Buffer.from(value));
+    log.putKey(TOPIC, "b", Buffer.from("1"));
+    log.putKey(TOPIC, "a", Buffer.from("4"));
+    yield* TestClock.adjust(150);
+    log.putKey(TOPIC, "a", Buffer.from("5"));
+    yield* TestClock.adjust(150);
+  }));
+  t.deepEqual(updates, ["a=4", "b=1", "a=5"]);
+  t.deepEqual(follower.snapshot()?.items.map(({ offset }) => offset).sort(), [3, 5]);
+});
+
 test("changes read after an outage are marked as such", async (t) => {
   const { log, follower, updates } = setUp();
   log.putKey(TOPIC, "a", Buffer.from("1"));
