Test: configurations with unusual values in the fuzz test of changes

Routes without attempts, targets or weights, engines without slots or not stated, low rates and extreme priorities now occur among the versions.

--- a/test/processes/configuration_changes_test.ts
+++ b/test/processes/configuration_changes_test.ts
@@ -54,6 +54,10 @@
 
 const KINDS: readonly IKind[] = [
   { prefix: "/without-services/", route: { Kind: "safe", Backends: [] } },
+  {
+    prefix: "/split/",
+    route: { Kind: "safe", Backends: [{ Service: "plain", Weight: 0 }, { Service: "none", Weight: 0 }] },
+  },
   { prefix: "/safe/", route: { Kind: "safe", Service: "plain" } },
   { prefix: "/unsafe/", route: { Kind: "unsafe", Service: "plain" } },
   { prefix: "/stream/", route: { Kind: "stream", Service: "engines" }, isStream: true },
@@ -245,8 +249,9 @@
       Host: "h",
       PathPrefix: prefix,
       TimeoutMs: LONG_DEADLINE_MS,
-      TargetLatencyMs: LONG_DEADLINE_MS,
-      Attempts: 2,
+      TargetLatencyMs: this.#pick([LONG_DEADLINE_MS, LONG_DEADLINE_MS, 100, 0]),
+      Attempts: this.#pick([2, 2, 1, 0]),
+      Priority: this.#pick([0, 5, 1_000_000]),
       Public: this.#random.nextInt(4) === 0,
       ...route,
     }));
@@ -259,8 +264,15 @@
       TimeoutMs: 1000,
     }));
     const plain = { Name: "plain", MaxConns: this.#pick([10, 100]) };
-    const engines = { Name: "engines", MaxConns: 100, Engine: ENGINE };
-    const limited = this.#pick([{}, {}, { RatePerS: 50, Burst: 50 }]);
+    const engines = { Name: "engines", MaxConns: 100, Engine: this.#pick(ENGINES) };
+    const limited = this.#pick([
+      {},
+      {},
+      {},
+      { Priority: 3 },
+      { RatePerS: 50, Burst: 50 },
+      { RatePerS: 0.5, Priority: 1e9 },
+    ]);
     const known = { Name: this.#pick(["a", "a", "a", "b"]), ApiKeys: [KEY], ...limited };
     this.#gateway.publish({
       Version: this.versions,
@@ -372,7 +384,12 @@
   }
 }
 
-const ENGINE = { Slots: 16, KvCapacity: 100_000, TokensPerEvent: 22 };
+const ENGINES = [
+  { Slots: 16, KvCapacity: 100_000, TokensPerEvent: 22 },
+  { Slots: 1, KvCapacity: 1, TokensPerEvent: 1 },
+  { Slots: 0, KvCapacity: 0, TokensPerEvent: 0 },
+  undefined,
+];
 
 for (let seed = FIRST_SEED; seed < FIRST_SEED + SEEDS; seed++) {
   test.serial(`each request gets one complete response while configurations change (seed ${seed})`, async (t) => {
