Gateway server: test pipelined requests beside early, late and aborted responses

No fault was found: responses keep the order of their requests, late writes to an ended response reach no other one, and after an aborted response its connection carries nothing more. All three tests pass on the code as it was.

--- a/src/entry/node/connection_reuse_test.ts
+++ b/src/entry/node/connection_reuse_test.ts
@@ -1,6 +1,7 @@
 /** Callers that reuse connections get a response to each request that they send, on real sockets. */
 import type { AddressInfo, Socket } from "node:net";
 import { connect } from "node:net";
+import type { ExecutionContext } from "ava";
 import test from "ava";
 import { Context, Deferred, Effect } from "effect";
 import type { GatewayRelay } from "../../call/common/gateway_relay.ts";
@@ -81,6 +82,11 @@
     }
   }
 
+  /** Waits until what was received ends with a text, or the connection is closed. */
+  async receiveText(end: string): Promise<void> {
+    while (!this.isClosed && !this.#text.endsWith(end)) await this.#nextChange();
+  }
+
   async awaitClosed(): Promise<void> {
     while (!this.isClosed) await this.#nextChange();
   }
@@ -231,3 +237,59 @@
   t.regex(caller.text, /^HTTP\/1\.1 413/);
   t.is(caller.error, undefined);
 });
+
+/** Sends two requests at once; returns the connection and the sinks of their responses when both are being handled. */
+async function sendPipelined(t: ExecutionContext) {
+  const sinks: IResponseSink[] = [];
+  const arrived = Deferred.makeUnsafe<void>();
+  const server = await startGateway((_raw, sink) =>
+    Effect.suspend(() => {
+      if (sinks.push(sink) === 2) Deferred.doneUnsafe(arrived, Effect.void);
+      return Effect.never;
+    })
+  );
+  const caller = new CallerConnection(portOf(server));
+  t.teardown(() => {
+    caller.destroy();
+    server.dispose();
+  });
+  await caller.write(requestFor("/1") + requestFor("/2"));
+  await Effect.runPromise(Deferred.await(arrived));
+  return { caller, sinks };
+}
+
+test.serial("pipelined requests get their responses in order, whichever is ready first", async (t) => {
+  const { caller, sinks: [first, second] } = await sendPipelined(t);
+  second.respond(200, [], Buffer.from("answer 2"));
+  first.respond(503, [], Buffer.from("answer 1"));
+  await caller.receive(2);
+  t.regex(caller.text, /^HTTP\/1\.1 503 [^]*answer 1HTTP\/1\.1 200 [^]*answer 2$/);
+});
+
+test.serial("what is written late to an ended response does not reach the next one", async (t) => {
+  const { caller, sinks: [first, second] } = await sendPipelined(t);
+  first.respond(503, [], Buffer.from("answer 1"));
+  await caller.receive(1);
+  first.write(Buffer.from("late"));
+  first.end();
+  second.startStream(200, []);
+  first.write(Buffer.from("late"));
+  second.write(Buffer.from("answer 2"));
+  first.write(Buffer.from("late"));
+  second.end();
+  await caller.receiveText("\r\n0\r\n\r\n");
+  t.regex(caller.text, /answer 1HTTP\/1\.1 200 /);
+  t.true(caller.text.endsWith("8\r\nanswer 2\r\n0\r\n\r\n"), caller.text);
+  t.notRegex(caller.text, /late/);
+});
+
+test.serial("after an aborted response, no other one reaches its caller", async (t) => {
+  for (const hasHead of [false, true]) {
+    const { caller, sinks: [first, second] } = await sendPipelined(t);
+    second.respond(503, [], Buffer.from("answer 2"));
+    if (hasHead) first.startStream(200, []);
+    first.abort();
+    await caller.awaitClosed();
+    t.notRegex(caller.text, /503|answer 2/);
+  }
+});
