--- a/test/proofs/log_schema_test.ts
+++ b/test/proofs/log_schema_test.ts
@@ -27,6 +27,7 @@
   "src/peer/node/forward_server.ts",
   "src/peer/node/load_reporter.ts",
   "src/services/backends",
+  "src/services/logging/common/supervision.ts",
   "src/services/store",
   "src/turns",
 ];
