Slices: an append that is under way when the ownership ends completes

What callers saw: a complete stream broke off at the deadline when the slice of its turn moved to another instance while the former owner, which had served the caller itself, was appending the turn: the store waited for its whole time limit and never asked the next owner.

Cause: ending an ownership completes the appends that wait, but the batch that is being written is interrupted with its fiber, and its waiters were left. A turn that is stored again while it is being appended joins that append, instead of adding a second one behind it.

Both new tests failed before (no result; two appends). The waiters are completed with 'not appended', after which they look up the owner.

--- a/src/turns/common/slice_journal.ts
+++ b/src/turns/common/slice_journal.ts
@@ -101,6 +101,8 @@
   readonly #wake = new Signal();
   readonly #opened = Deferred.makeUnsafe<boolean>();
   #pending: IPending[] = [];
+  /** Appends that are being written. */
+  #appending: readonly IPending[] = [];
   readonly #slice = new SliceState();
   #state = SliceJournalState.Opening;
   #end = 0;
@@ -175,7 +177,13 @@
   storeTurn(turn: KeptTurn): Effect.Effect<boolean> {
     return Effect.suspend(() => {
       if (this.#slice.turns.has(turn)) return Effect.succeed(true);
-      return this.#enqueue({ events: toTurnEvents(turn), turn });
+      const { turnId, organisation } = turn;
+      const known = [...this.#appending, ...this.#pending].find(({ turn: other }) =>
+        other?.turnId === turnId && other.organisation === organisation
+      );
+      return known === undefined
+        ? this.#enqueue({ events: toTurnEvents(turn), turn })
+        : Deferred.await(known.done);
     });
   }
 
@@ -414,11 +422,16 @@
   #appendPending(): Effect.Effect<void> {
     return Effect.suspend(() => {
       const batch = this.#takeBatch();
-      return Effect.catchDefect(this.#appendBatch(batch), (defect) => {
-        this.close();
-        completeAll(batch, false);
-        return Effect.die(defect);
-      });
+      this.#appending = batch;
+      const abandon = Effect.sync(() => completeAll(batch, false));
+      return this.#appendBatch(batch).pipe(
+        Effect.catchDefect((defect) => {
+          this.close();
+          return Effect.andThen(abandon, Effect.die(defect));
+        }),
+        // The ownership has ended; whoever waits can ask the next owner.
+        Effect.onInterrupt(() => abandon),
+      );
     });
   }
 
@@ -434,6 +447,7 @@
         ledger.markRecorded(records);
         for (const { turn } of batch) if (turn !== undefined) this.#slice.turns.put(turn);
       }
+      this.#appending = [];
       completeAll(batch, isAppended);
       if (isRelease || !isAppended) this.close();
       else yield* this.#checkpointIfDue(now);
--- a/src/turns/common/slice_journal_test.ts
+++ b/src/turns/common/slice_journal_test.ts
@@ -1,7 +1,6 @@
 import test from "ava";
 import { create, toBinary } from "@bufbuild/protobuf";
-import type { Scope } from "effect";
-import { Effect, Fiber } from "effect";
+import { Effect, Exit, Fiber, Option, Scope } from "effect";
 import { TestClock } from "effect/testing";
 import { LogFault, PartitionedLogCore } from "../../../test/stand_ins/partitioned_log_core.ts";
 import { SlowReadLog } from "../../../test/stand_ins/slow_read_log.ts";
@@ -369,3 +368,45 @@
     t.not(second.slice.turns.get("b"), undefined);
   }));
 });
+
+/** Log whose appends take 1.5 s. */
+class SlowAppendLog extends PartitionedLogCore {
+  isSlow = false;
+
+  override append(...args: Parameters<PartitionedLogCore["append"]>) {
+    const append = Effect.suspend(() => super.append(...args));
+    return this.isSlow ? Effect.delay(append, 1500) : append;
+  }
+}
+
+// Guards against a store of a turn that waits for its whole time limit although the slice has moved.
+test("an append that is under way when the ownership ends completes as not appended", async (t) => {
+  const log = new SlowAppendLog();
+  await run(Effect.gen(function* () {
+    const scope = yield* Scope.make();
+    const journal = yield* Scope.provide(openJournal(log, 1n), scope);
+    log.isSlow = true;
+    const storing = yield* Effect.forkChild(Effect.timeoutOption(journal.storeTurn(createTurn("a")), 1000));
+    yield* TestClock.adjust(100);
+    journal.handOver(1);
+    yield* Scope.close(scope, Exit.void);
+    yield* TestClock.adjust(1000);
+    const stored = yield* Fiber.join(storing);
+    t.deepEqual(Option.getOrUndefined(stored), false);
+  }));
+});
+
+test("a turn that is stored again while its append is under way is appended once", async (t) => {
+  const log = new SlowAppendLog();
+  await run(Effect.gen(function* () {
+    const journal = yield* openJournal(log, 1n);
+    log.isSlow = true;
+    log.appends = 0;
+    const store = Effect.forkChild(journal.storeTurn(createTurn("a")));
+    const first = yield* store;
+    yield* TestClock.adjust(100);
+    const second = yield* store;
+    for (let i = 0; i < 80; i++) yield* TestClock.adjust(50);
+    t.deepEqual([yield* Fiber.join(first), yield* Fiber.join(second), log.appends], [true, true, 1]);
+  }));
+});
