Upstream: limit the wait for the own response after a skipped one

What callers saw: a response without the request's id on a kept connection, such as a 500 without an id, gave no outcome before the caller's deadline. A skipped response whose body never completes waited in the same way.

Cause: HttpUpstream skips a response that may belong to an earlier request, and waited for the next one without a limit.

From the first skipped response on, the head of the request's own response must now arrive within EXTRA_RESPONSE_TIMEOUT_MS. Otherwise the connection is closed and the outcome is unknown, so that a repeatable request goes on elsewhere. The limit is an option of HttpUpstream. The response, a failure and an interruption clear its timer. The other tests that skip a response set a long limit: their outcomes do not depend on the speed of the machine.

--- a/src/call/node/http_upstream.ts
+++ b/src/call/node/http_upstream.ts
@@ -21,6 +21,8 @@
 
 /** Time limit for establishing a connection. A running server accepts one within a few milliseconds. */
 const CONNECT_TIMEOUT_MS = 500;
+/** Time limit for the head of a request's own response after a response to an earlier request. */
+const EXTRA_RESPONSE_TIMEOUT_MS = 1000;
 /** Maximum size of a response's head, and of its trailers. */
 const MAX_HEAD_BYTES = 16 * 1024;
 /** Maximum number of informational responses before a response. */
@@ -51,12 +53,14 @@
   readonly reusesConnections?: boolean;
   /** Whether a response must have the id of its request. True by default. */
   readonly requiresId?: boolean;
+  readonly extraResponseTimeoutMs?: number;
 }
 
 export class HttpUpstream implements IUpstream {
   readonly #codec: IRequestCodec;
   readonly #reusesConnections: boolean;
   readonly #requiresId: boolean;
+  readonly #extraResponseTimeoutMs: number;
   readonly #connections = new Map<string, ServerConnections>();
   readonly #onDidAnnounceLeaving = new Emitter<IBackendEntry>();
   readonly onDidAnnounceLeaving: Event<IBackendEntry> = this.#onDidAnnounceLeaving.event;
@@ -65,20 +69,35 @@
 
   constructor(
     codec: IRequestCodec,
-    { reusesConnections = true, requiresId = true }: IHttpUpstreamOptions = {},
+    {
+      reusesConnections = true,
+      requiresId = true,
+      extraResponseTimeoutMs = EXTRA_RESPONSE_TIMEOUT_MS,
+    }: IHttpUpstreamOptions = {},
   ) {
     this.#codec = codec;
     this.#reusesConnections = reusesConnections;
     this.#requiresId = requiresId;
+    this.#extraResponseTimeoutMs = extraResponseTimeoutMs;
   }
 
   send(backend: IBackendEntry, req: IUpstreamRequest): Effect.Effect<IUpstreamResponse, UpstreamError> {
     return Effect.callback<IUpstreamResponse, UpstreamError>((resume) => {
       let isConnected = false;
+      let isSettled = false;
       let requestError: Error | undefined;
-      // Only the first call of `resume` takes effect, so an error after the response head is ignored here.
-      const fail = (err: Error) =>
-        resume(Effect.fail(new UpstreamError(isConnected ? faultOf(err) : connectFaultOf(err), err)));
+      let extraResponseTimer: NodeJS.Timeout | undefined;
+      const settle = () => {
+        isSettled = true;
+        clearTimeout(extraResponseTimer);
+      };
+      // An error after the response head is reported by the body.
+      const failWith = (fault: UpstreamFault, err: Error) => {
+        if (isSettled) return;
+        settle();
+        resume(Effect.fail(new UpstreamError(fault, err)));
+      };
+      const fail = (err: Error) => failWith(isConnected ? faultOf(err) : connectFaultOf(err), err);
       const connections = this.#connectionsOf(backend);
       let clientRequest: ClientRequest;
       try {
@@ -101,11 +120,9 @@
         (socket) => socket.connecting ? socket.once("connect", onConnected) : onConnected(),
       );
       let reader = clientRequest;
-      let isInterrupted = false;
       let informationalHeads = 0;
       const failAsForeign = () => {
-        const err = new Error("response belongs to a different request");
-        resume(Effect.fail(new UpstreamError(UpstreamFault.Invalid, err)));
+        failWith(UpstreamFault.Invalid, new Error("response belongs to a different request"));
         reader.destroy();
       };
       const readResponse = (source: ClientRequest) => {
@@ -120,23 +137,25 @@
           informationalHeads += 1;
           if (informationalHeads <= MAX_INFORMATIONAL_HEADS) return;
           const err = new Error(`more than ${MAX_INFORMATIONAL_HEADS} informational responses`);
-          resume(Effect.fail(new UpstreamError(UpstreamFault.TooLarge, err)));
+          failWith(UpstreamFault.TooLarge, err);
           source.destroy();
         });
         source.on("response", (res) => {
           const head = this.#readHead(backend, { status: res.statusCode ?? 0, rawHeaders: res.rawHeaders });
           if (this.#belongsTo(head, req)) {
+            settle();
             if (head.isNotRun) connections.recordRefusal(req.requestId);
             this.#reportLimitEnd(backend, { head, requestId: req.requestId });
             return resume(Effect.succeed({ head, body: new HttpResponseBody(res, () => requestError) }));
           }
           // Only a connection with earlier requests can carry a response to one of them.
           const isExtra = source.reusedSocket && framingOf(res) !== BodyFraming.Connection;
-          if (!isExtra) return failAsForeign();
+          if (isSettled || !isExtra) return failAsForeign();
+          extraResponseTimer = setTimeout(failAsForeign, this.#extraResponseTimeoutMs);
           skipResponse({ req: source, res, maxHeaderSize: MAX_HEAD_BYTES }, (next) => {
             if (next === undefined) return failAsForeign();
             readResponse(next);
-            if (isInterrupted) next.destroy();
+            if (isSettled) next.destroy();
           });
         });
       };
@@ -144,7 +163,7 @@
       clientRequest.end(req.body);
       return Effect.sync(() => {
         clearTimeout(connectTimer);
-        isInterrupted = true;
+        settle();
         reader.destroy();
       });
     });
--- a/src/call/node/http_upstream_test.ts
+++ b/src/call/node/http_upstream_test.ts
@@ -15,6 +15,7 @@
 } from "../common/opaque_request.ts";
 import type { UpstreamError } from "../common/opaque_request.ts";
 import { UpstreamFault } from "../common/opaque_request.ts";
+import type { IHttpUpstreamOptions } from "./http_upstream.ts";
 import { HttpUpstream } from "./http_upstream.ts";
 
 const CODEC: IRequestCodec = {
@@ -238,13 +239,21 @@
   readonly sockets: readonly Socket[];
 }
 
+/** Long enough that no outcome depends on the speed of the machine. */
+const LONG_TIMEOUT_MS = 60_000;
+
+interface IKeptOptions extends IHttpUpstreamOptions {
+  /** Response to the first request on a connection. */
+  readonly first?: string;
+}
+
 /** Starts a server whose connections answer their first request, and pass each later one to a function. */
 async function startKept(
   t: ExecutionContext,
   react: (socket: Socket, upstream: HttpUpstream) => void,
-  first = `${HEAD}Content-Length: 0\r\n\r\n`,
+  { first = `${HEAD}Content-Length: 0\r\n\r\n`, ...options }: IKeptOptions = {},
 ): Promise<IKeptServer> {
-  const upstream = new HttpUpstream(CODEC);
+  const upstream = new HttpUpstream(CODEC, { extraResponseTimeoutMs: LONG_TIMEOUT_MS, ...options });
   const sockets: Socket[] = [];
   const server = createTcpServer((socket) => {
     sockets.push(socket);
@@ -349,6 +358,25 @@
   }
 });
 
+test("a request whose own response does not begin after a skipped one has an unknown outcome", async (t) => {
+  const extra = "HTTP/1.1 500 Internal Server Error\r\n";
+  const writes = [
+    `${extra}Content-Length: 0\r\n\r\n`,
+    `${extra}Content-Length: 9\r\n\r\npart`,
+    `${extra}Transfer-Encoding: chunked\r\n\r\n1\r\nx\r\n`,
+  ];
+  for (const bytes of writes) {
+    const closed = Deferred.makeUnsafe<void>();
+    const server = await startKept(t, (socket) => {
+      socket.on("close", () => Deferred.doneUnsafe(closed, Effect.void));
+      socket.write(bytes);
+    }, { extraResponseTimeoutMs: 1 });
+    t.is(await exchange(server, "1"), "200 ");
+    t.is(await exchange(server, "2"), UpstreamFault.Invalid, bytes);
+    await Effect.runPromise(Deferred.await(closed));
+  }
+});
+
 test("the first response on a connection needs the id of the request", async (t) => {
   const server = await listen((_req, res) => {
     res.writeHead(503, { "x-not-run": "1", "content-length": "0" });
@@ -379,7 +407,7 @@
 
 test("an id that a server has refused is sent again over a new connection", async (t) => {
   const refusal = "HTTP/1.1 503 Full\r\nX-Id: 1\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n";
-  const server = await startKept(t, (socket) => socket.write(OWN), refusal);
+  const server = await startKept(t, (socket) => socket.write(OWN), { first: refusal });
   t.is(await exchange(server, "1"), "503 ");
   t.is(await exchange(server, "1"), "503 ");
   t.is(server.sockets.length, 2);
