Upstream: every end of a request has an outcome

What callers saw: a server's `101 Switching Protocols` with `Connection: Upgrade` gave no outcome before the caller's deadline; neither did a successful response to a CONNECT request.

Cause: Node.js closes the connection of such a response if nobody listens for `upgrade` or `connect`, and then emits neither `response` nor `error`, but only `close`.

A change of protocol now closes the connection and is an invalid response, with an unknown outcome. A request that closes without any outcome is broken, except while a response is skipped, when the next request object takes over the connection.

--- a/src/call/node/http_upstream.ts
+++ b/src/call/node/http_upstream.ts
@@ -127,6 +127,7 @@
       };
       const readResponse = (source: ClientRequest) => {
         reader = source;
+        let isSkipping = false;
         source.on("error", (err) => {
           clearTimeout(connectTimer);
           requestError = err;
@@ -140,6 +141,18 @@
           failWith(UpstreamFault.TooLarge, err);
           source.destroy();
         });
+        // Without this listener, Node.js closes the connection and reports neither a response nor an error.
+        source.on("upgrade", ({ statusCode = 0, rawHeaders }, socket) => {
+          this.#readHead(backend, { status: statusCode, rawHeaders });
+          failWith(UpstreamFault.Invalid, new Error("unexpected change of protocol"));
+          socket.destroy();
+        });
+        source.on("close", () => {
+          // The next reader goes on with the connection of a skipped response.
+          if (isSettled || isSkipping) return;
+          clearTimeout(connectTimer);
+          fail(new Error("request closed without a response"));
+        });
         source.on("response", (res) => {
           const head = this.#readHead(backend, { status: res.statusCode ?? 0, rawHeaders: res.rawHeaders });
           if (this.#belongsTo(head, req)) {
@@ -151,6 +164,7 @@
           // Only a connection with earlier requests can carry a response to one of them.
           const isExtra = source.reusedSocket && framingOf(res) !== BodyFraming.Connection;
           if (isSettled || !isExtra) return failAsForeign();
+          isSkipping = true;
           extraResponseTimer = setTimeout(failAsForeign, this.#extraResponseTimeoutMs);
           skipResponse({ req: source, res, maxHeaderSize: MAX_HEAD_BYTES }, (next) => {
             if (next === undefined) return failAsForeign();
--- a/src/call/node/http_upstream_test.ts
+++ b/src/call/node/http_upstream_test.ts
@@ -209,6 +209,32 @@
   upstream.dispose();
 });
 
+test("a change of protocol is invalid, on a new and on a kept connection", async (t) => {
+  const upgrade = "HTTP/1.1 101 Switching Protocols\r\nConnection: Upgrade\r\nUpgrade: x\r\nX-Id: 1\r\n\r\n";
+  t.is(await faultOfSocket((socket) => socket.write(upgrade)), UpstreamFault.Invalid);
+  const server = await startKept(t, (socket) => socket.write(upgrade));
+  t.is(await exchange(server, "1"), "200 ");
+  t.is(await exchange(server, "1"), UpstreamFault.Invalid);
+});
+
+test("a request that ends without a response or an error has an unknown outcome", async (t) => {
+  const closed = Deferred.makeUnsafe<void>();
+  const server = createTcpServer((socket) => {
+    socket.on("error", () => {});
+    socket.on("close", () => Deferred.doneUnsafe(closed, Effect.void));
+    socket.once("data", () => socket.write(`${HEAD}\r\n`));
+  });
+  await new Promise<void>((resolve) => server.listen(0, "127.0.0.1", resolve));
+  const upstream = new HttpUpstream(CODEC);
+  // Node.js closes the connection of a successful CONNECT request if nobody takes it over.
+  const sending = upstream.send(backendOf(server), { ...requestOf("1"), method: "CONNECT", target: "h:1" });
+  const result = await Effect.runPromise(Effect.result(sending));
+  t.is(Result.isFailure(result) ? result.failure.fault : undefined, UpstreamFault.Broken);
+  await Effect.runPromise(Deferred.await(closed));
+  server.close();
+  upstream.dispose();
+});
+
 test("bytes that are not a response are invalid, on a connection that stays open", async (t) => {
   for (const bytes of ["garbage\r\n\r\n", `${HEAD}Transfer-Encoding: chunked\r\n\r\nzz\r\n`]) {
     t.is(await faultOfSocket((socket) => socket.write(bytes)), UpstreamFault.Invalid, bytes);
