Upstream: a stall of the event loop is no connection timeout

What callers saw: after a stall of an instance's event loop of at least CONNECT_TIMEOUT_MS, requests failed as not sent, as if the server accepted no connection, although the connection was established.

Cause: after a stall, timers run before the events that wait on sockets, such as a socket's `connect`.

StallTolerantTimer calls back after these events were handled; they clear the timer. The wait for the own response after a skipped one uses it too.

--- a/src/call/node/http_upstream.ts
+++ b/src/call/node/http_upstream.ts
@@ -18,6 +18,7 @@
 import { BodyFraming, UpstreamError, UpstreamFault } from "../common/opaque_request.ts";
 import { ServerConnections } from "./server_connections.ts";
 import { skipResponse } from "./skip_response.ts";
+import { StallTolerantTimer } from "./stall_tolerant_timer.ts";
 
 /** Time limit for establishing a connection. A running server accepts one within a few milliseconds. */
 const CONNECT_TIMEOUT_MS = 500;
@@ -53,6 +54,7 @@
   readonly reusesConnections?: boolean;
   /** Whether a response must have the id of its request. True by default. */
   readonly requiresId?: boolean;
+  readonly connectTimeoutMs?: number;
   readonly extraResponseTimeoutMs?: number;
 }
 
@@ -60,6 +62,7 @@
   readonly #codec: IRequestCodec;
   readonly #reusesConnections: boolean;
   readonly #requiresId: boolean;
+  readonly #connectTimeoutMs: number;
   readonly #extraResponseTimeoutMs: number;
   readonly #connections = new Map<string, ServerConnections>();
   readonly #onDidAnnounceLeaving = new Emitter<IBackendEntry>();
@@ -72,12 +75,14 @@
     {
       reusesConnections = true,
       requiresId = true,
+      connectTimeoutMs = CONNECT_TIMEOUT_MS,
       extraResponseTimeoutMs = EXTRA_RESPONSE_TIMEOUT_MS,
     }: IHttpUpstreamOptions = {},
   ) {
     this.#codec = codec;
     this.#reusesConnections = reusesConnections;
     this.#requiresId = requiresId;
+    this.#connectTimeoutMs = connectTimeoutMs;
     this.#extraResponseTimeoutMs = extraResponseTimeoutMs;
   }
 
@@ -86,10 +91,10 @@
       let isConnected = false;
       let isSettled = false;
       let requestError: Error | undefined;
-      let extraResponseTimer: NodeJS.Timeout | undefined;
+      let extraResponseTimer: StallTolerantTimer | undefined;
       const settle = () => {
         isSettled = true;
-        clearTimeout(extraResponseTimer);
+        extraResponseTimer?.clear();
       };
       // An error after the response head is reported by the body.
       const failWith = (fault: UpstreamFault, err: Error) => {
@@ -106,14 +111,14 @@
         // Node.js throws for a port or a header that cannot be sent.
         return resume(Effect.fail(new UpstreamError(UpstreamFault.Refused, toError(err))));
       }
-      const connectTimer = setTimeout(
-        () => clientRequest.destroy(new Error(`connection timed out after ${CONNECT_TIMEOUT_MS} ms`)),
-        CONNECT_TIMEOUT_MS,
+      const connectTimer = new StallTolerantTimer(
+        () => clientRequest.destroy(new Error(`connection timed out after ${this.#connectTimeoutMs} ms`)),
+        this.#connectTimeoutMs,
       );
       const onConnected = () => {
         // From here on, bytes of the request may have reached the server.
         isConnected = true;
-        clearTimeout(connectTimer);
+        connectTimer.clear();
       };
       clientRequest.on(
         "socket",
@@ -129,7 +134,7 @@
         reader = source;
         let isSkipping = false;
         source.on("error", (err) => {
-          clearTimeout(connectTimer);
+          connectTimer.clear();
           requestError = err;
           fail(err);
         });
@@ -150,7 +155,7 @@
         source.on("close", () => {
           // The next reader goes on with the connection of a skipped response.
           if (isSettled || isSkipping) return;
-          clearTimeout(connectTimer);
+          connectTimer.clear();
           fail(new Error("request closed without a response"));
         });
         source.on("response", (res) => {
@@ -165,7 +170,7 @@
           const isExtra = source.reusedSocket && framingOf(res) !== BodyFraming.Connection;
           if (isSettled || !isExtra) return failAsForeign();
           isSkipping = true;
-          extraResponseTimer = setTimeout(failAsForeign, this.#extraResponseTimeoutMs);
+          extraResponseTimer = new StallTolerantTimer(failAsForeign, this.#extraResponseTimeoutMs);
           skipResponse({ req: source, res, maxHeaderSize: MAX_HEAD_BYTES }, (next) => {
             if (next === undefined) return failAsForeign();
             readResponse(next);
@@ -176,7 +181,7 @@
       readResponse(clientRequest);
       clientRequest.end(req.body);
       return Effect.sync(() => {
-        clearTimeout(connectTimer);
+        connectTimer.clear();
         settle();
         reader.destroy();
       });
--- a/src/call/node/http_upstream_test.ts
+++ b/src/call/node/http_upstream_test.ts
@@ -165,6 +165,8 @@
   return Result.isFailure(result) ? result.failure.fault : undefined;
 }
 
+/** Longer than the time limit for connections in the test that stalls the event loop. */
+const STALL_MS = 20;
 const HEAD = "HTTP/1.1 200 OK\r\nX-Id: 1\r\n";
 
 test("a connection that ends or is reset at any point of the response is broken", async (t) => {
@@ -235,6 +237,16 @@
   upstream.dispose();
 });
 
+test("a connection that is established during a stall of the event loop is in time", async (t) => {
+  const server = await listen((req, res) => res.writeHead(200, { "x-id": req.headers["x-id"] }).end("x"));
+  const upstream = new HttpUpstream(CODEC, { connectTimeoutMs: 1 });
+  const reply = Effect.runPromise(Effect.flatMap(upstream.send(backendOf(server), requestOf("1")), readAll));
+  Atomics.wait(new Int32Array(new SharedArrayBuffer(4)), 0, 0, STALL_MS);
+  t.is(await reply, "x");
+  server.close();
+  upstream.dispose();
+});
+
 test("bytes that are not a response are invalid, on a connection that stays open", async (t) => {
   for (const bytes of ["garbage\r\n\r\n", `${HEAD}Transfer-Encoding: chunked\r\n\r\nzz\r\n`]) {
     t.is(await faultOfSocket((socket) => socket.write(bytes)), UpstreamFault.Invalid, bytes);
