Connect probe: a stall of the event loop is no unreachable server

What operators saw: a probe of a running server failed if the instance's event loop stalled for PROBE_TIMEOUT_MS.

Cause: after a stall, the probe's timer ran before the socket's `connect` event. It is a StallTolerantTimer now.

Evidence: "a server is reachable although the event loop stalls while the connection is established" failed before the change and passes after it, in three runs of the tests of the folder.

--- a/src/call/node/connect_probe.ts
+++ b/src/call/node/connect_probe.ts
@@ -5,6 +5,7 @@
 import type { IBackendEntry } from "../../services/backends/common/backend_directory.ts";
 import type { IConnectProbe } from "../common/server_link_monitor.ts";
 import { PROBE_TIMEOUT_MS } from "../common/server_link_monitor.ts";
+import { StallTolerantTimer } from "./stall_tolerant_timer.ts";
 
 export class ConnectProbe implements IConnectProbe {
   connect({ host, port }: IBackendEntry): Effect.Effect<boolean> {
@@ -17,11 +18,11 @@
         return resume(Effect.succeed(false));
       }
       const finish = (isConnected: boolean) => {
-        clearTimeout(timer);
+        timer.clear();
         socket.destroy();
         resume(Effect.succeed(isConnected));
       };
-      const timer = setTimeout(() => finish(false), PROBE_TIMEOUT_MS);
+      const timer = new StallTolerantTimer(() => finish(false), PROBE_TIMEOUT_MS);
       socket.on("connect", () => finish(true));
       socket.on("error", () => finish(false));
       return Effect.sync(() => finish(false));
