--- a/src/call/node/http_upstream.ts
+++ b/src/call/node/http_upstream.ts
@@ -18,9 +18,12 @@
 import { BodyFraming, UpstreamError, UpstreamFault } from "../common/opaque_request.ts";
 import { ServerConnections } from "./server_connections.ts";
 import { skipResponse } from "./skip_response.ts";
+import { StallTolerantTimer } from "./stall_tolerant_timer.ts";
 
 /** Time limit for establishing a connection. A running server accepts one within a few milliseconds. */
 const CONNECT_TIMEOUT_MS = 500;
+/** Time limit for the head of a request's own response after a response to an earlier request. */
+const EXTRA_RESPONSE_TIMEOUT_MS = 1000;
 /** Maximum size of a response's head, and of its trailers. */
 const MAX_HEAD_BYTES = 16 * 1024;
 /** Maximum number of informational responses before a response. */
@@ -51,12 +54,16 @@
   readonly reusesConnections?: boolean;
   /** Whether a response must have the id of its request. True by default. */
   readonly requiresId?: boolean;
+  readonly connectTimeoutMs?: number;
+  readonly extraResponseTimeoutMs?: number;
 }
 
 export class HttpUpstream implements IUpstream {
   readonly #codec: IRequestCodec;
   readonly #reusesConnections: boolean;
   readonly #requiresId: boolean;
+  readonly #connectTimeoutMs: number;
+  readonly #extraResponseTimeoutMs: number;
   readonly #connections = new Map<string, ServerConnections>();
   readonly #onDidAnnounceLeaving = new Emitter<IBackendEntry>();
   readonly onDidAnnounceLeaving: Event<IBackendEntry> = this.#onDidAnnounceLeaving.event;
@@ -65,20 +72,37 @@
 
   constructor(
     codec: IRequestCodec,
-    { reusesConnections = true, requiresId = true }: IHttpUpstreamOptions = {},
+    {
+      reusesConnections = true,
+      requiresId = true,
+      connectTimeoutMs = CONNECT_TIMEOUT_MS,
+      extraResponseTimeoutMs = EXTRA_RESPONSE_TIMEOUT_MS,
+    }: IHttpUpstreamOptions = {},
   ) {
     this.#codec = codec;
     this.#reusesConnections = reusesConnections;
     this.#requiresId = requiresId;
+    this.#connectTimeoutMs = connectTimeoutMs;
+    this.#extraResponseTimeoutMs = extraResponseTimeoutMs;
   }
 
   send(backend: IBackendEntry, req: IUpstreamRequest): Effect.Effect<IUpstreamResponse, UpstreamError> {
     return Effect.callback<IUpstreamResponse, UpstreamError>((resume) => {
       let isConnected = false;
+      let isSettled = false;
       let requestError: Error | undefined;
-      // Only the first call of `resume` takes effect, so an error after the response head is ignored here.
-      const fail = (err: Error) =>
-        resume(Effect.fail(new UpstreamError(isConnected ? faultOf(err) : connectFaultOf(err), err)));
+      let extraResponseTimer: StallTolerantTimer | undefined;
+      const settle = () => {
+        isSettled = true;
+        extraResponseTimer?.clear();
+      };
+      // An error after the response head is reported by the body.
+      const failWith = (fault: UpstreamFault, err: Error) => {
+        if (isSettled) return;
+        settle();
+        resume(Effect.fail(new UpstreamError(fault, err)));
+      };
+      const fail = (err: Error) => failWith(isConnected ? faultOf(err) : connectFaultOf(err), err);
       const connections = this.#connectionsOf(backend);
       let clientRequest: ClientRequest;
       try {
@@ -87,31 +111,30 @@
         // Node.js throws for a port or a header that cannot be sent.
         return resume(Effect.fail(new UpstreamError(UpstreamFault.Refused, toError(err))));
       }
-      const connectTimer = setTimeout(
-        () => clientRequest.destroy(new Error(`connection timed out after ${CONNECT_TIMEOUT_MS} ms`)),
-        CONNECT_TIMEOUT_MS,
+      const connectTimer = new StallTolerantTimer(
+        () => clientRequest.destroy(new Error(`connection timed out after ${this.#connectTimeoutMs} ms`)),
+        this.#connectTimeoutMs,
       );
       const onConnected = () => {
         // From here on, bytes of the request may have reached the server.
         isConnected = true;
-        clearTimeout(connectTimer);
+        connectTimer.clear();
       };
       clientRequest.on(
         "socket",
         (socket) => socket.connecting ? socket.once("connect", onConnected) : onConnected(),
       );
       let reader = clientRequest;
-      let isInterrupted = false;
       let informationalHeads = 0;
       const failAsForeign = () => {
-        const err = new Error("response belongs to a different request");
-        resume(Effect.fail(new UpstreamError(UpstreamFault.Invalid, err)));
+        failWith(UpstreamFault.Invalid, new Error("response belongs to a different request"));
         reader.destroy();
       };
       const readResponse = (source: ClientRequest) => {
         reader = source;
+        let isSkipping = false;
         source.on("error", (err) => {
-          clearTimeout(connectTimer);
+          connectTimer.clear();
           requestError = err;
           fail(err);
         });
@@ -120,31 +143,46 @@
           informationalHeads += 1;
           if (informationalHeads <= MAX_INFORMATIONAL_HEADS) return;
           const err = new Error(`more than ${MAX_INFORMATIONAL_HEADS} informational responses`);
-          resume(Effect.fail(new UpstreamError(UpstreamFault.TooLarge, err)));
+          failWith(UpstreamFault.TooLarge, err);
           source.destroy();
         });
+        // Without this listener, Node.js closes the connection and reports neither a response nor an error.
+        source.on("upgrade", ({ statusCode = 0, rawHeaders }, socket) => {
+          this.#readHead(backend, { status: statusCode, rawHeaders });
+          failWith(UpstreamFault.Invalid, new Error("unexpected change of protocol"));
+          socket.destroy();
+        });
+        source.on("close", () => {
+          // The next reader goes on with the connection of a skipped response.
+          if (isSettled || isSkipping) return;
+          connectTimer.clear();
+          fail(new Error("request closed without a response"));
+        });
         source.on("response", (res) => {
           const head = this.#readHead(backend, { status: res.statusCode ?? 0, rawHeaders: res.rawHeaders });
           if (this.#belongsTo(head, req)) {
+            settle();
             if (head.isNotRun) connections.recordRefusal(req.requestId);
             this.#reportLimitEnd(backend, { head, requestId: req.requestId });
             return resume(Effect.succeed({ head, body: new HttpResponseBody(res, () => requestError) }));
           }
           // Only a connection with earlier requests can carry a response to one of them.
           const isExtra = source.reusedSocket && framingOf(res) !== BodyFraming.Connection;
-          if (!isExtra) return failAsForeign();
+          if (isSettled || !isExtra) return failAsForeign();
+          isSkipping = true;
+          extraResponseTimer = new StallTolerantTimer(failAsForeign, this.#extraResponseTimeoutMs);
           skipResponse({ req: source, res, maxHeaderSize: MAX_HEAD_BYTES }, (next) => {
             if (next === undefined) return failAsForeign();
             readResponse(next);
-            if (isInterrupted) next.destroy();
+            if (isSettled) next.destroy();
           });
         });
       };
       readResponse(clientRequest);
       clientRequest.end(req.body);
       return Effect.sync(() => {
-        clearTimeout(connectTimer);
-        isInterrupted = true;
+        connectTimer.clear();
+        settle();
         reader.destroy();
       });
     });
