Store: keep a usable change that unusable ones follow in the same read

Of several changes of a key in one read only the last was applied, so a version of the configuration was lost if a value that cannot be decoded followed it, and the unusable ones before the last were not logged.

Changes are left out only if a later one of the same key in the read can be applied.

--- a/src/daemon/common/gateway_core.ts
+++ b/src/daemon/common/gateway_core.ts
@@ -51,7 +51,7 @@
 import type { ILogger } from "../../services/logging/common/logger.ts";
 import { supervise } from "../../services/logging/common/supervision.ts";
 import { Metrics } from "../../services/metrics/common/metrics.ts";
-import type { ICallerLimits } from "../../services/routes/common/route_table.ts";
+import type { ICallerLimits, IRoutingConfiguration } from "../../services/routes/common/route_table.ts";
 import { RouteTable } from "../../services/routes/common/route_table.ts";
 import type { GatewaySettings } from "../../services/settings/common/gen/gateway_settings.ts";
 import type { IKeyedUpdate } from "../../services/store/common/keyed_topic_follower.ts";
@@ -151,6 +151,8 @@
   readonly owned: OwnedSlices;
   readonly group: SliceGroup;
   readonly relay: GatewayRelay;
+  /** Decoded configurations, by the values that were read. */
+  readonly #decoded = new WeakMap<Uint8Array, IRoutingConfiguration | undefined>();
   readonly #settings: GatewaySettings;
   readonly #dependencies: IGatewayDependencies;
   readonly #peers: TurnClients;
@@ -182,7 +184,8 @@
       topic: adapter.configurationTopic,
       waitMs: CONFIGURATION_POLL_TIMEOUT_MS,
       pauseMs: CONFIGURATION_PAUSE_MS,
-      skipsSuperseded: true,
+      isUsable: ({ key, value }) =>
+        key !== adapter.configurationKey || (value !== undefined && this.#decode(value) !== undefined),
       redact: adapter.withoutApiKeys,
     });
     this.backends = new KeyedTopicFollower({
@@ -560,10 +563,17 @@
     this.backends.onDidUpdate((update) => this.#applyBackendUpdate(update));
   }
 
+  #decode(value: Uint8Array): IRoutingConfiguration | undefined {
+    if (!this.#decoded.has(value)) {
+      this.#decoded.set(value, this.#dependencies.adapter.decodeConfiguration(value));
+    }
+    return this.#decoded.get(value);
+  }
+
   #applyConfiguration({ key, value }: IKeyedUpdate): void {
     const { adapter, logger, applyCallerLimits } = this.#dependencies;
     if (key !== adapter.configurationKey || value === undefined) return;
-    const configuration = adapter.decodeConfiguration(value);
+    const configuration = this.#decode(value);
     if (configuration === undefined) return logger.warn("configuration-unreadable", { bytes: value.length });
     const isAdopted = this.routes.updateIfNewer(configuration);
     logger.info("configuration", {
--- a/src/services/store/common/keyed_topic_follower.ts
+++ b/src/services/store/common/keyed_topic_follower.ts
@@ -38,8 +38,11 @@
   /** Delay between two reads, in ms; limits the rate of calls to the store when changes are frequent. */
   readonly pauseMs: number;
   readonly logger: ILogger;
-  /** Whether only the last change of a key in one read is reported, because applying a value is expensive; false by default. */
-  readonly skipsSuperseded?: boolean;
+  /**
+   * Whether a value can be applied. If given, changes that a later usable one of the same read replaces are not reported,
+   * because applying a value is expensive.
+   */
+  readonly isUsable?: (change: IKeyedChange) => boolean;
   /** Removes secrets from the values that are kept and passed to peers; listeners receive the values as read. */
   readonly redact?: (value: Uint8Array) => Uint8Array;
 }
@@ -150,7 +153,8 @@
       const waitMs = this.isFailing ? 0 : this.#opts.waitMs;
       const { changes, end } = yield* this.#opts.log.readKeyChanges(this.#opts.topic, { from, waitMs });
       const outageMs = yield* this.#recordSuccess();
-      const reported = this.#opts.skipsSuperseded === true ? lastOfEachKey(changes) : changes;
+      const { isUsable } = this.#opts;
+      const reported = isUsable === undefined ? changes : withoutSuperseded(changes, isUsable);
       for (const change of reported) this.#apply(change, outageMs);
       this.#nextOffset = changes.length > 0 ? changes[changes.length - 1].offset + 1 : Math.max(from, end);
       this.#endOffset = Math.max(this.#endOffset, this.#nextOffset);
@@ -226,6 +230,18 @@
   }
 }
 
-function lastOfEachKey(changes: readonly IKeyedChange[]): IKeyedChange[] {
-  return [...new Map(changes.map((change) => [change.key, change])).values()];
+/** Removes the changes that a later usable one of the same key replaces. */
+function withoutSuperseded(
+  changes: readonly IKeyedChange[],
+  isUsable: (change: IKeyedChange) => boolean,
+): IKeyedChange[] {
+  if (changes.length < 2) return [...changes];
+  const replaced = new Set<string>();
+  const reported: IKeyedChange[] = [];
+  for (const change of changes.toReversed()) {
+    if (replaced.has(change.key)) continue;
+    reported.push(change);
+    if (isUsable(change)) replaced.add(change.key);
+  }
+  return reported.reverse();
 }
