--- a/src/call/node/http_upstream_test.ts
+++ b/src/call/node/http_upstream_test.ts
@@ -15,6 +15,7 @@
 } from "../common/opaque_request.ts";
 import type { UpstreamError } from "../common/opaque_request.ts";
 import { UpstreamFault } from "../common/opaque_request.ts";
+import type { IHttpUpstreamOptions } from "./http_upstream.ts";
 import { HttpUpstream } from "./http_upstream.ts";
 
 const CODEC: IRequestCodec = {
@@ -164,6 +165,8 @@
   return Result.isFailure(result) ? result.failure.fault : undefined;
 }
 
+/** Longer than the time limit for connections in the test that stalls the event loop. */
+const STALL_MS = 20;
 const HEAD = "HTTP/1.1 200 OK\r\nX-Id: 1\r\n";
 
 test("a connection that ends or is reset at any point of the response is broken", async (t) => {
@@ -208,6 +211,42 @@
   upstream.dispose();
 });
 
+test("a change of protocol is invalid, on a new and on a kept connection", async (t) => {
+  const upgrade = "HTTP/1.1 101 Switching Protocols\r\nConnection: Upgrade\r\nUpgrade: x\r\nX-Id: 1\r\n\r\n";
+  t.is(await faultOfSocket((socket) => socket.write(upgrade)), UpstreamFault.Invalid);
+  const server = await startKept(t, (socket) => socket.write(upgrade));
+  t.is(await exchange(server, "1"), "200 ");
+  t.is(await exchange(server, "1"), UpstreamFault.Invalid);
+});
+
+test("a request that ends without a response or an error has an unknown outcome", async (t) => {
+  const closed = Deferred.makeUnsafe<void>();
+  const server = createTcpServer((socket) => {
+    socket.on("error", () => {});
+    socket.on("close", () => Deferred.doneUnsafe(closed, Effect.void));
+    socket.once("data", () => socket.write(`${HEAD}\r\n`));
+  });
+  await new Promise<void>((resolve) => server.listen(0, "127.0.0.1", resolve));
+  const upstream = new HttpUpstream(CODEC);
+  // Node.js closes the connection of a successful CONNECT request if nobody takes it over.
+  const sending = upstream.send(backendOf(server), { ...requestOf("1"), method: "CONNECT", target: "h:1" });
+  const result = await Effect.runPromise(Effect.result(sending));
+  t.is(Result.isFailure(result) ? result.failure.fault : undefined, UpstreamFault.Broken);
+  await Effect.runPromise(Deferred.await(closed));
+  server.close();
+  upstream.dispose();
+});
+
+test("a connection that is established during a stall of the event loop is in time", async (t) => {
+  const server = await listen((req, res) => res.writeHead(200, { "x-id": req.headers["x-id"] }).end("x"));
+  const upstream = new HttpUpstream(CODEC, { connectTimeoutMs: 1 });
+  const reply = Effect.runPromise(Effect.flatMap(upstream.send(backendOf(server), requestOf("1")), readAll));
+  Atomics.wait(new Int32Array(new SharedArrayBuffer(4)), 0, 0, STALL_MS);
+  t.is(await reply, "x");
+  server.close();
+  upstream.dispose();
+});
+
 test("bytes that are not a response are invalid, on a connection that stays open", async (t) => {
   for (const bytes of ["garbage\r\n\r\n", `${HEAD}Transfer-Encoding: chunked\r\n\r\nzz\r\n`]) {
     t.is(await faultOfSocket((socket) => socket.write(bytes)), UpstreamFault.Invalid, bytes);
@@ -238,13 +277,21 @@
   readonly sockets: readonly Socket[];
 }
 
+/** Long enough that no outcome depends on the speed of the machine. */
+const LONG_TIMEOUT_MS = 60_000;
+
+interface IKeptOptions extends IHttpUpstreamOptions {
+  /** Response to the first request on a connection. */
+  readonly first?: string;
+}
+
 /** Starts a server whose connections answer their first request, and pass each later one to a function. */
 async function startKept(
   t: ExecutionContext,
   react: (socket: Socket, upstream: HttpUpstream) => void,
-  first = `${HEAD}Content-Length: 0\r\n\r\n`,
+  { first = `${HEAD}Content-Length: 0\r\n\r\n`, ...options }: IKeptOptions = {},
 ): Promise<IKeptServer> {
-  const upstream = new HttpUpstream(CODEC);
+  const upstream = new HttpUpstream(CODEC, { extraResponseTimeoutMs: LONG_TIMEOUT_MS, ...options });
   const sockets: Socket[] = [];
   const server = createTcpServer((socket) => {
     sockets.push(socket);
@@ -349,6 +396,25 @@
   }
 });
 
+test("a request whose own response does not begin after a skipped one has an unknown outcome", async (t) => {
+  const extra = "HTTP/1.1 500 Internal Server Error\r\n";
+  const writes = [
+    `${extra}Content-Length: 0\r\n\r\n`,
+    `${extra}Content-Length: 9\r\n\r\npart`,
+    `${extra}Transfer-Encoding: chunked\r\n\r\n1\r\nx\r\n`,
+  ];
+  for (const bytes of writes) {
+    const closed = Deferred.makeUnsafe<void>();
+    const server = await startKept(t, (socket) => {
+      socket.on("close", () => Deferred.doneUnsafe(closed, Effect.void));
+      socket.write(bytes);
+    }, { extraResponseTimeoutMs: 1 });
+    t.is(await exchange(server, "1"), "200 ");
+    t.is(await exchange(server, "2"), UpstreamFault.Invalid, bytes);
+    await Effect.runPromise(Deferred.await(closed));
+  }
+});
+
 test("the first response on a connection needs the id of the request", async (t) => {
   const server = await listen((_req, res) => {
     res.writeHead(503, { "x-not-run": "1", "content-length": "0" });
@@ -379,7 +445,7 @@
 
 test("an id that a server has refused is sent again over a new connection", async (t) => {
   const refusal = "HTTP/1.1 503 Full\r\nX-Id: 1\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n";
-  const server = await startKept(t, (socket) => socket.write(OWN), refusal);
+  const server = await startKept(t, (socket) => socket.write(OWN), { first: refusal });
   t.is(await exchange(server, "1"), "503 ");
   t.is(await exchange(server, "1"), "503 ");
   t.is(server.sockets.length, 2);
