--- a/test/harness/single_gateway.ts
+++ b/test/harness/single_gateway.ts
@@ -39,6 +39,57 @@
     this.#log.putKey(BACKEND_TOPIC, id, value);
   }
 
+  /** Writes the entries of servers of the service `s`, which all have a good entry. */
+  listServers(addresses: readonly string[]): void {
+    addresses.forEach((address, index) => {
+      this.list(`b${index}`, {
+        Service: "s",
+        Addr: address,
+        Zone: "z",
+        Slots: 16,
+        State: "ready",
+        Version: "1",
+        born: 1,
+      });
+    });
+  }
+
+  /** Writes a configuration with routes to the engines of the service `s`; each has the prefix of its kind. */
+  publishRoutes(
+    routes: readonly { readonly kind: string }[],
+    { timeoutMs, tokensPerEvent = 22 }: { timeoutMs: number; tokensPerEvent?: number },
+  ): void {
+    this.publish({
+      Version: 1,
+      Routes: routes.map(({ kind, ...route }) => ({
+        Name: kind,
+        Host: "h",
+        PathPrefix: `/${kind}/`,
+        Service: "s",
+        TimeoutMs: timeoutMs,
+        TargetLatencyMs: timeoutMs,
+        Attempts: 2,
+        ...route,
+      })),
+      Services: [{
+        Name: "s",
+        MaxConns: 100,
+        Engine: { Slots: 16, KvCapacity: 100_000, TokensPerEvent: tokensPerEvent },
+      }],
+      Limits: {
+        MaxHeaderBytes: 30_000,
+        MaxBodyBytes: 1_000_000,
+        HeaderTimeoutMs: 5000,
+        IdleTimeoutMs: 10_000,
+      },
+    });
+  }
+
+  /** Returns the log lines of an event. */
+  linesOf(event: string): LogLine[] {
+    return this.lines.filter((line) => line.event === event);
+  }
+
   async start(): Promise<void> {
     const { host, callerPort, settings = {} } = this.#opts;
     const all = {
--- a/test/processes/broken_response_test.ts
+++ b/test/processes/broken_response_test.ts
@@ -5,18 +5,8 @@
 import type { IncomingMessage } from "node:http";
 import { request } from "node:http";
 import test from "ava";
-import { Effect, Exit, Scope } from "effect";
-import { RequestCodec } from "../../platform/request_codec.ts";
-import { startGateway } from "../../src/daemon/node/gateway.ts";
-import { JsonLogger } from "../../src/services/logging/common/logger.ts";
-import { parseGatewaySettings } from "../../src/services/settings/common/gateway_validation.ts";
-import {
-  adapterFor,
-  BACKEND_TOPIC,
-  CONFIGURATION_KEY,
-  CONFIGURATION_TOPIC,
-} from "../harness/gateway_cluster.ts";
-import { PartitionedLogCore } from "../stand_ins/partitioned_log_core.ts";
+import type { LogLine } from "../harness/single_gateway.ts";
+import { SingleGateway } from "../harness/single_gateway.ts";
 import type { IRawReply, IRawServer } from "../stand_ins/raw_server.ts";
 import { ConnectionEnd, startRawServer } from "../stand_ins/raw_server.ts";
 
@@ -98,75 +88,25 @@
 interface IRunningGateway {
   /** Path and name of each request that a server received, in order. */
   readonly seen: readonly string[];
-  linesOf(event: string): Record<string, unknown>[];
+  linesOf(event: string): readonly LogLine[];
   stop(): Promise<void>;
 }
 
 async function start(): Promise<IRunningGateway> {
   const seen: string[] = [];
   const servers: IRawServer[] = [];
-  const log = new PartitionedLogCore();
   for (let index = 0; index < 8; index++) {
-    const server = await startRawServer((req) => replyTo(req, seen));
-    servers.push(server);
-    const entry = {
-      Service: "s",
-      Addr: server.address,
-      Zone: "z",
-      Slots: 16,
-      State: "ready",
-      Version: "1",
-      born: 1,
-    };
-    log.putKey(BACKEND_TOPIC, `b${index}`, Buffer.from(JSON.stringify(entry)));
+    servers.push(await startRawServer((req) => replyTo(req, seen)));
   }
-  const configuration = {
-    Version: 1,
-    Routes: ROUTES.map(({ kind, ...route }) => ({
-      Name: kind,
-      Host: "h",
-      PathPrefix: `/${kind}/`,
-      Service: "s",
-      TimeoutMs: TIMEOUT_MS,
-      TargetLatencyMs: TIMEOUT_MS,
-      Attempts: 2,
-      ...route,
-    })),
-    Services: [{
-      Name: "s",
-      MaxConns: 100,
-      Engine: { Slots: 16, KvCapacity: 100_000, TokensPerEvent: TOKENS_PER_EVENT },
-    }],
-    Limits: { MaxHeaderBytes: 30_000, MaxBodyBytes: 1_000_000, HeaderTimeoutMs: 5000, IdleTimeoutMs: 10_000 },
-  };
-  log.putKey(CONFIGURATION_TOPIC, CONFIGURATION_KEY, Buffer.from(JSON.stringify(configuration)));
-  const settings = {
-    instance: "g",
-    zone: "z",
-    callerAddress: `${HOST}:${CALLER_PORT}`,
-    probeAddress: `${HOST}:7442`,
-    peerAddress: `${HOST}:7443`,
-    datagramPort: 7444,
-    metricsPort: 7445,
-    storeAddress: "127.0.0.1:1",
-    seeds: [`${HOST}:7443`],
-  };
-  const lines: string[] = [];
-  const platform = {
-    adapter: adapterFor(log),
-    codec: new RequestCodec(),
-    logger: new JsonLogger("g", "info", (line) => lines.push(line)),
-    droppedLogLines: () => 0,
-  };
-  const scope = await Effect.runPromise(Scope.make());
-  const gateway = startGateway(parseGatewaySettings(JSON.stringify(settings), "test"), platform);
-  await Effect.runPromise(Scope.provide(gateway, scope));
+  const gateway = new SingleGateway({ host: HOST, callerPort: CALLER_PORT });
+  gateway.listServers(servers.map(({ address }) => address));
+  gateway.publishRoutes(ROUTES, { timeoutMs: TIMEOUT_MS, tokensPerEvent: TOKENS_PER_EVENT });
+  await gateway.start();
   return {
     seen,
-    linesOf: (event) =>
-      lines.map((line) => JSON.parse(line) as Record<string, unknown>).filter((line) => line.event === event),
+    linesOf: (event) => gateway.linesOf(event),
     stop: async () => {
-      await Effect.runPromise(Scope.close(scope, Exit.void));
+      await gateway.stop();
       for (const server of servers) server.close();
     },
   };
@@ -244,7 +184,7 @@
   const ofPath = gateway.linesOf("backend-failed").filter(({ target }) => target === path);
   t.true(ofPath.length >= 3);
   const { fingerprint } = ofPath[0];
-  const isSame = (line: Record<string, unknown>) => line.fingerprint === fingerprint;
+  const isSame = (line: LogLine) => line.fingerprint === fingerprint;
   t.is(gateway.linesOf("strike-added").filter(isSame).length, ofPath.length);
   t.is(gateway.linesOf("strike-withdrawn").filter(isSame).length, 0);
 });
--- a/test/processes/extra_response_test.ts
+++ b/test/processes/extra_response_test.ts
@@ -6,18 +6,7 @@
 import type { Socket } from "node:net";
 import { request } from "node:http";
 import test from "ava";
-import { Effect, Exit, Scope } from "effect";
-import { RequestCodec } from "../../platform/request_codec.ts";
-import { startGateway } from "../../src/daemon/node/gateway.ts";
-import { NullLogger } from "../../src/services/logging/common/logger.ts";
-import { parseGatewaySettings } from "../../src/services/settings/common/gateway_validation.ts";
-import {
-  adapterFor,
-  BACKEND_TOPIC,
-  CONFIGURATION_KEY,
-  CONFIGURATION_TOPIC,
-} from "../harness/gateway_cluster.ts";
-import { PartitionedLogCore } from "../stand_ins/partitioned_log_core.ts";
+import { SingleGateway } from "../harness/single_gateway.ts";
 import type { IRawReply, IRawServer } from "../stand_ins/raw_server.ts";
 import { startRawServer } from "../stand_ins/raw_server.ts";
 
@@ -220,62 +209,13 @@
 let stop: () => Promise<void>;
 
 async function start(): Promise<() => Promise<void>> {
-  const log = new PartitionedLogCore();
   await servers.start();
-  servers.addresses.forEach((address, index) => {
-    const entry = {
-      Service: "s",
-      Addr: address,
-      Zone: "z",
-      Slots: 16,
-      State: "ready",
-      Version: "1",
-      born: 1,
-    };
-    log.putKey(BACKEND_TOPIC, `b${index}`, Buffer.from(JSON.stringify(entry)));
-  });
-  const configuration = {
-    Version: 1,
-    Routes: ROUTES.map(({ kind, ...route }) => ({
-      Name: kind,
-      Host: "h",
-      PathPrefix: `/${kind}/`,
-      Service: "s",
-      TimeoutMs: TIMEOUT_MS,
-      TargetLatencyMs: TIMEOUT_MS,
-      Attempts: 2,
-      ...route,
-    })),
-    Services: [{
-      Name: "s",
-      MaxConns: 100,
-      Engine: { Slots: 16, KvCapacity: 100_000, TokensPerEvent: 22 },
-    }],
-    Limits: { MaxHeaderBytes: 30_000, MaxBodyBytes: 1_000_000, HeaderTimeoutMs: 5000, IdleTimeoutMs: 10_000 },
-  };
-  log.putKey(CONFIGURATION_TOPIC, CONFIGURATION_KEY, Buffer.from(JSON.stringify(configuration)));
-  const settings = {
-    instance: "g",
-    zone: "z",
-    callerAddress: `${HOST}:${CALLER_PORT}`,
-    probeAddress: `${HOST}:7472`,
-    peerAddress: `${HOST}:7473`,
-    datagramPort: 7474,
-    metricsPort: 7475,
-    storeAddress: "127.0.0.1:1",
-    seeds: [`${HOST}:7473`],
-  };
-  const platform = {
-    adapter: adapterFor(log),
-    codec: new RequestCodec(),
-    logger: new NullLogger(),
-    droppedLogLines: () => 0,
-  };
-  const scope = await Effect.runPromise(Scope.make());
-  const gateway = startGateway(parseGatewaySettings(JSON.stringify(settings), "test"), platform);
-  await Effect.runPromise(Scope.provide(gateway, scope));
+  const gateway = new SingleGateway({ host: HOST, callerPort: CALLER_PORT });
+  gateway.listServers(servers.addresses);
+  gateway.publishRoutes(ROUTES, { timeoutMs: TIMEOUT_MS });
+  await gateway.start();
   return async () => {
-    await Effect.runPromise(Scope.close(scope, Exit.void));
+    await gateway.stop();
     servers.close();
   };
 }
