Peers: a call that had little time closes no other connections

Each that timed out closed the idle connections to its peer, which was sound, so that the next calls opened new ones.

Unused connections are closed only after a call that waited for 200 ms or more. The new test failed before (one reset).

--- a/src/membership/common/peer_client.ts
+++ b/src/membership/common/peer_client.ts
@@ -6,6 +6,9 @@
 import { PeerError, toError } from "../../base/common/errors.ts";
 import type { PeerService } from "../../base/common/gen/ragwortcleat/v1/peer_pb.ts";
 
+/** Time limit from which a call without a response shows that its connection may be lost, and not only that it was slow. */
+const MIN_LOSS_TIMEOUT_MS = 200;
+
 /** Connect client for the peer service of one instance. */
 export type PeerClient = Client<typeof PeerService>;
 
@@ -39,8 +42,8 @@
   }
 
   /**
-   * Makes one call with a timeout. A call that times out also closes its connection, and unused ones: an intermediary
-   * between the two ends may have dropped its state for them while new connections still work.
+   * Makes one call with a timeout. A call that times out closes its connection and, unless it had little time, the unused
+   * ones: an intermediary between the two ends may have dropped its state for them while new connections still work.
    */
   call<T>(address: string, opts: IPeerCall<S, T>): Effect.Effect<T, PeerError> {
     const attempt = Effect.tryPromise({
@@ -51,7 +54,7 @@
       duration: opts.timeoutMs,
       orElse: () =>
         Effect.suspend(() => {
-          this.reset(address);
+          if (opts.timeoutMs >= MIN_LOSS_TIMEOUT_MS) this.reset(address);
           return Effect.fail(new PeerError(`call to peer ${address} timed out after ${opts.timeoutMs} ms`));
         }),
     });
--- a/src/membership/common/peer_client_test.ts
+++ b/src/membership/common/peer_client_test.ts
@@ -32,6 +32,24 @@
   await Effect.runPromise(Effect.provide(work, TestClock.layer()));
 });
 
+// Guards against requests that are nearly over and close the connections of a sound peer.
+test("a call that has little time closes no other connections when it times out", async (t) => {
+  let resets = 0;
+  const clients = new PeerRpcClients(PeerService, { get: () => UNRESPONSIVE, reset: () => resets += 1 });
+  const call = clients.call("peer", {
+    timeoutMs: 5,
+    invoke: (client, signal) => client.heartbeat({}, { signal }),
+  });
+  const work = Effect.gen(function* () {
+    const fiber = yield* Effect.forkChild(Effect.result(call));
+    yield* Effect.yieldNow;
+    yield* TestClock.adjust(5);
+    t.true(Result.isFailure(yield* Fiber.join(fiber)));
+  });
+  await Effect.runPromise(Effect.provide(work, TestClock.layer()));
+  t.is(resets, 0);
+});
+
 test("a call to an address that is none fails", async (t) => {
   const get = (address: string): Transport => {
     throw new TypeError(`invalid URL: ${address}`);
