--- a/src/turns/common/turn_client.ts
+++ b/src/turns/common/turn_client.ts
@@ -321,6 +321,10 @@
             yield* Effect.timeoutOption(group.refresh(), deadlineMs - now - RETRY_DELAY_MS);
           }
           leftMs = deadlineMs - (yield* Clock.currentTimeMillis);
+          if (leftMs <= 0) {
+            record(deadlineMs);
+            return undefined;
+          }
         }
       });
       return yield* Effect.onInterrupt(askRepeatedly, () => Effect.map(Clock.currentTimeMillis, record));
--- a/src/turns/common/turn_client_test.ts
+++ b/src/turns/common/turn_client_test.ts
@@ -22,6 +22,8 @@
 const GRANT = { programId: "p", turnId: "t", maxTokens: 5, budget: 50, retainMs: 60_000, partIds: [] };
 
 interface IPeer {
+  /** How long a refresh takes, in ms. */
+  readonly refreshMs?: number;
   readonly load?: (req: LoadTurnRequest) => Promise<MessageInitShape<typeof LoadTurnResponseSchema>>;
   readonly store?: () => Promise<MessageInitShape<typeof StoreTurnResponseSchema>>;
   /** Owner of all slices, as the last refresh has shown it. */
@@ -31,7 +33,7 @@
 /** Client whose slices are all owned by one peer; calls to begin a turn are never answered. */
 function createClient(
   t: { readonly refreshes: number[] },
-  { load, store, ownerOf = () => "peer:1" }: IPeer = {},
+  { load, store, ownerOf = () => "peer:1", refreshMs = 0 }: IPeer = {},
 ): TurnClient {
   const logger = new NullLogger();
   const owned = new OwnedSlices({
@@ -45,7 +47,11 @@
   });
   const group = {
     ownerOf,
-    refresh: () => Effect.map(Clock.currentTimeMillis, (now) => void t.refreshes.push(now)),
+    refresh: () =>
+      Effect.andThen(
+        Effect.map(Clock.currentTimeMillis, (now) => void t.refreshes.push(now)),
+        refreshMs === 0 ? Effect.void : Effect.sleep(refreshMs),
+      ),
   } as unknown as SliceGroup;
   const never = () => new Promise<never>(() => {});
   const transport = createRouterTransport((router) =>
@@ -154,3 +160,17 @@
   t.is(result.state, ChainLookupStatus.Found);
   t.true(tookMs <= 1000, String(tookMs));
 });
+
+test("no call to an owner is made when the time is over", async (t) => {
+  let calls = 0;
+  const client = createClient({ refreshes: [] }, {
+    load: () => {
+      calls += 1;
+      return Promise.resolve({ isOwner: false });
+    },
+    refreshMs: 10_000,
+  });
+  const { result } = await measure(client.load("t", { timeoutMs: 500 }));
+  t.is(result.state, ChainLookupStatus.Unavailable);
+  t.is(calls, 1);
+});
