--- a/src/services/logging/node/line_writer_loss_test.ts
+++ b/src/services/logging/node/line_writer_loss_test.ts
@@ -1,5 +1,3 @@
-// In a separate file because the blocked write in line_writer_test.ts occupies a thread, which would keep
-// this test's process from exiting.
 import { execFileSync, spawn } from "node:child_process";
 import { mkdtempSync, openSync } from "node:fs";
 import { tmpdir } from "node:os";
