Tests: keep the logs of a deployment that fails

KNOWN-RED.txt lists failures of deployment_test that could not be traced, since the harness removes the directory with the daemons' logs. It is kept now if the start or a test fails, and its path is printed.

--- a/test/harness/processes.ts
+++ b/test/harness/processes.ts
@@ -53,7 +53,9 @@
   readonly engines: IManagedProcess[] = [];
   readonly services: IManagedProcess[] = [];
   platformUrl = "";
-  readonly #dir = mkdtempSync(join(tmpdir(), "ragwortcleat-"));
+  /** Directory of the settings and logs of the daemons. */
+  readonly dir = mkdtempSync(join(tmpdir(), "ragwortcleat-"));
+  #keepsFiles = false;
   readonly #leaving = new Set<string>();
   #platformProcess: ChildProcess | undefined;
 
@@ -63,8 +65,17 @@
     process.on("exit", () => this.daemons.forEach(({ child }) => child.kill("SIGKILL")));
   }
 
-  /** Starts all processes and waits until the daemons are ready. */
+  /** Starts all processes and waits until the daemons are ready. The logs of a failed start are kept. */
   async start(): Promise<void> {
+    try {
+      await this.#start();
+    } catch (err) {
+      this.keepFiles();
+      throw err;
+    }
+  }
+
+  async #start(): Promise<void> {
     const { plan } = this;
     const platformPort = await findFreePort();
     this.platformUrl = `http://${HOST}:${platformPort}`;
@@ -132,9 +143,9 @@
 
   /** Starts a daemon. It joins the deployment once {@link publishInstanceList} has listed it. */
   startDaemon(settings: DaemonSettings): IDaemonProcess {
-    const path = join(this.#dir, `${settings.instanceId}.jsonc`);
+    const path = join(this.dir, `${settings.instanceId}.jsonc`);
     writeFileSync(path, JSON.stringify(settings, undefined, 2));
-    const log = openSync(join(this.#dir, `${settings.instanceId}.log`), "a");
+    const log = openSync(join(this.dir, `${settings.instanceId}.log`), "a");
     const child = fork(DAEMON_URL, ["--config", path], { stdio: ["ignore", log, log, "ipc"] });
     return {
       id: settings.instanceId,
@@ -155,15 +166,21 @@
       if (response?.status === 200) return;
       await sleep(READY_POLL_MS);
     }
-    throw new Error(`${id} was not ready in time; see ${this.#dir}`);
+    throw new Error(`${id} was not ready in time; see ${this.dir}`);
+  }
+
+  /** Makes {@link stop} keep the files of the daemons, among them their logs. */
+  keepFiles(): void {
+    this.#keepsFiles = true;
   }
 
-  /** Kills all processes and removes their files. */
+  /** Kills all processes and removes their files, unless these are kept. */
   async stop(): Promise<void> {
     const all = [...this.daemons, ...this.engines, ...this.services].map(({ child }) => child);
     if (this.#platformProcess !== undefined) all.push(this.#platformProcess);
     await Promise.all(all.map(killProcess));
-    rmSync(this.#dir, { recursive: true, force: true });
+    if (this.#keepsFiles) console.error(`the logs are kept in ${this.dir}`);
+    else rmSync(this.dir, { recursive: true, force: true });
   }
 
   async #makeDaemonSettings(index: number): Promise<DaemonSettings> {
@@ -183,8 +200,8 @@
 
   #writeKeys(): void {
     const customers = this.plan.customers.map((customer) => `${customer} ${apiKeyOf(customer)}`);
-    writeFileSync(join(this.#dir, "customers.keys"), customers.join("\n"));
-    writeFileSync(join(this.#dir, "operators.keys"), `operator ${OPERATOR_KEY}\n`);
+    writeFileSync(join(this.dir, "customers.keys"), customers.join("\n"));
+    writeFileSync(join(this.dir, "operators.keys"), `operator ${OPERATOR_KEY}\n`);
   }
 
   async #startBackend(program: string, opts: { id: string; models?: string }): Promise<IManagedProcess> {
--- a/test/processes/deployment_test.ts
+++ b/test/processes/deployment_test.ts
@@ -26,6 +26,9 @@
 });
 
 test.before(() => deployment.start());
+test.afterEach.always((t) => {
+  if (!t.passed) deployment.keepFiles();
+});
 test.after.always(() => deployment.stop());
 
 interface IProblem {
