--- a/scripts/observed_ava.config.mjs
+++ b/scripts/observed_ava.config.mjs
@@ -6,8 +6,10 @@
 
 const { ava } = JSON.parse(readFileSync("package.json", "utf8"));
 
-function toLine({ type, testFile, title, skip, todo, err, nonZeroExitCode, signal, pendingTests }) {
-  const event = { type, testFile, title, skip, todo, nonZeroExitCode, signal };
+function toLine(
+  { type, testFile, title, skip, todo, err, forcedExit, nonZeroExitCode, signal, pendingTests },
+) {
+  const event = { type, testFile, title, skip, todo, forcedExit, nonZeroExitCode, signal };
   const pendingFiles = pendingTests && [...pendingTests.keys()];
   return `${JSON.stringify({ ...event, pendingFiles, error: err && describeError(err) })}\n`;
 }
--- a/scripts/run_tests.mjs
+++ b/scripts/run_tests.mjs
@@ -42,6 +42,7 @@
   /** Whether ava has reported the end of the run. */
   isComplete = false;
   #knownFailures;
+  #filesWithTests = new Set();
   /** Titles of the tests without a result, by file. */
   #pending = new Map();
 
@@ -52,6 +53,8 @@
   handle(event) {
     const { type, testFile, title, skip, todo, error } = event;
     switch (type) {
+      case "declared-test":
+        return void this.#filesWithTests.add(testFile);
       case "selected-test":
         if (skip) return this.#pass(testFile, title);
         if (todo) return this.#fail(testFile, { title, reason: "is not written" });
@@ -68,6 +71,9 @@
         return this.#failFile(testFile, "does not import ava");
       case "process-exit":
         return this.#failFile(testFile, "calls process.exit()");
+      case "worker-finished":
+        if (event.forcedExit || this.#filesWithTests.has(testFile)) return;
+        return this.#failFile(testFile, "contains no tests");
       case "worker-failed":
         return this.#failFile(testFile, `exited with ${event.nonZeroExitCode ?? event.signal ?? error}`);
       case "internal-error":
--- a/scripts/run_tests_test.ts
+++ b/scripts/run_tests_test.ts
@@ -38,6 +38,9 @@
   t.is(crashed.status, 1);
   t.true(crashed.lines.includes("FAILED: b_test › crashes"));
   t.true(crashed.lines.includes("FAILED: dist/b_test.js exited with SIGKILL"));
+  const empty = runTests(t, { "a_test.js": PASSING + KNOWN, "b_test.js": "" });
+  t.is(empty.status, 1);
+  t.true(empty.lines.includes("FAILED: dist/b_test.js contains no tests"));
   t.is(runTests(t, {}).status, 1);
 });
 
