--- a/test/harness/processes.ts
+++ b/test/harness/processes.ts
@@ -70,8 +70,8 @@
     try {
       await this.#start();
     } catch (err) {
-      this.keepFiles();
-      throw err;
+      this.#keepsFiles = true;
+      throw new Error(`${(err as Error).message}; see the logs in ${this.dir}`, { cause: err });
     }
   }
 
@@ -166,12 +166,13 @@
       if (response?.status === 200) return;
       await sleep(READY_POLL_MS);
     }
-    throw new Error(`${id} was not ready in time; see ${this.dir}`);
+    throw new Error(`${id} was not ready in time`);
   }
 
   /** Makes {@link stop} keep the files of the daemons, among them their logs. */
   keepFiles(): void {
     this.#keepsFiles = true;
+    console.error(`the logs are kept in ${this.dir}`);
   }
 
   /** Kills all processes and removes their files, unless these are kept. */
@@ -179,8 +180,7 @@
     const all = [...this.daemons, ...this.engines, ...this.services].map(({ child }) => child);
     if (this.#platformProcess !== undefined) all.push(this.#platformProcess);
     await Promise.all(all.map(killProcess));
-    if (this.#keepsFiles) console.error(`the logs are kept in ${this.dir}`);
-    else rmSync(this.dir, { recursive: true, force: true });
+    if (!this.#keepsFiles) rmSync(this.dir, { recursive: true, force: true });
   }
 
   async #makeDaemonSettings(index: number): Promise<DaemonSettings> {
