Turns: an instance that the store refuses learns of slices that move within a generation

Callers of such an instance were refused every turn of some slices (`budget-unavailable`, `history-unavailable`, 13 tries in 1.5 s, each answered "not-owned"), with no end while the store refused it and no instance came or went.

Cause: the store moves a partition to its new holder once the former one has joined with the generation that took it away, so that the owners change within a generation. A peer's table was accepted only if its generation was higher. One that was fetched before the last partitions had moved stayed.

While the store cannot be read, a table of the same generation replaces the own one, too. A table that was read from the store itself is replaced only by a newer generation, as before.

--- a/src/turns/common/slice_group.ts
+++ b/src/turns/common/slice_group.ts
@@ -56,6 +56,8 @@
   #generation = 0;
   #isLeaving = false;
   #isFailing = false;
+  /** Whether the last read of the owners from the store failed. */
+  #isReadFailing = false;
   #lastRefreshMs = 0;
 
   constructor(opts: ISliceGroupOptions) {
@@ -127,9 +129,13 @@
     });
   }
 
-  /** Replaces the table with a peer's if that has a newer generation. */
+  /**
+   * Replaces the table with a peer's if that has a newer generation. Partitions also move within a generation, once their former
+   * owners have joined with it. So while the store cannot be read, a table of the same generation replaces the own one, too.
+   */
   updateIfNewer(table: IOwnerTable): void {
-    if (table.generation > this.#table.generation) this.#setTable(table);
+    const minGeneration = this.#isReadFailing ? this.#table.generation : this.#table.generation + 1;
+    if (table.generation >= minGeneration) this.#setTable(table);
   }
 
   #renewLoop(): Effect.Effect<void> {
@@ -184,6 +190,7 @@
       this.#lastRefreshMs = yield* Clock.currentTimeMillis;
       const generation = this.#generation;
       const owners = yield* Effect.result(this.#opts.log.owners(GROUP));
+      this.#isReadFailing = owners._tag === "Failure";
       if (owners._tag === "Failure") return yield* this.#refreshFromPeer();
       const addresses = this.#opts.partitions.map(() => "");
       for (const { partition, member } of owners.success) {
