Store: a call that times out closes the idle connections, too

When open connections to the store go silent while new ones work, every idle connection of an instance's pool cost one call its whole time limit of 1 s: the next call took the next silent connection. An instance that has just read its slices has as many idle connections as it had calls at once. Renewals of the membership (lost after 2 s), claims and grants failed for seconds; callers saw `budget-unavailable` and `history-unavailable`.

Connections between instances have closed their idle ones after a timeout before; those to the store did not.

The new test, on real sockets, failed before: the second request timed out on a connection that had gone silent with the first. Idle connections to other servers and requests in progress are left alone.

--- a/src/base/node/http_client.ts
+++ b/src/base/node/http_client.ts
@@ -9,6 +9,7 @@
 
 const KEEP_ALIVE_PROBE_MS = 1000;
 const MAX_SOCKETS_PER_HOST = 256;
+const DEFAULT_PORT = 80;
 /** Maximum size of a response body that is read as a whole. */
 const MAX_BODY_BYTES = 16 * 1024 * 1024;
 
@@ -77,7 +78,10 @@
     this.#unpooledAgent.destroy();
   }
 
-  /** Sends a request and reads the complete response. */
+  /**
+   * Sends a request and reads the complete response. A request that times out closes the unused connections to its server as
+   * well: an intermediary may have dropped its state for all of them while new ones work.
+   */
   fetch(req: IHttpRequest): Effect.Effect<IHttpResponse, HttpError> {
     // One callback instead of one effect for each step: the calls to the store are most of an idle instance's work.
     return Effect.callback<IHttpResponse, HttpError>((resume) => {
@@ -100,6 +104,7 @@
         timer = setTimeout(() => {
           resume(Effect.fail(new HttpError(tracker.progress, new RequestTimeoutError(timeoutMs))));
           clientRequest.destroy();
+          this.#closeIdle(req);
         }, timeoutMs);
       }
       return Effect.sync(() => {
@@ -125,6 +130,12 @@
     });
   }
 
+  #closeIdle({ url, origin = new URL(url) }: IHttpRequest): void {
+    const { hostname: host, port } = origin;
+    const key = this.#agent.getName({ host, port: Number(port === "" ? DEFAULT_PORT : port) });
+    for (const socket of this.#agent.freeSockets[key] ?? []) socket.destroy();
+  }
+
   /** Node.js throws for an address or a header that cannot be sent. */
   #tryRequest(
     req: IHttpRequest,
--- a/src/base/node/http_client_test.ts
+++ b/src/base/node/http_client_test.ts
@@ -76,3 +76,41 @@
   }
   client.dispose();
 });
+
+// Guards against one lost call after the other while connections that have gone silent are left in the pool.
+test("after a request that timed out, idle connections to its server are not used again", async (t) => {
+  const silent = new Set<Socket>();
+  const connections = new Set<Socket>();
+  const waiting: (() => void)[] = [];
+  const reply = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+  const server = await startRawServer((_req, socket) => {
+    connections.add(socket);
+    if (silent.has(socket)) return undefined;
+    if (silent.size > 0) return { bytes: reply, end: undefined };
+    waiting.push(() => socket.write(reply));
+    // The first requests need a connection each.
+    if (waiting.length === 4) waiting.forEach((answer) => answer());
+    return undefined;
+  });
+  const other = await startRawServer(() => ({ bytes: reply, end: undefined }));
+  const client = new HttpClient();
+  t.teardown(() => {
+    client.dispose();
+    server.close();
+    other.close();
+  });
+  const [hostname, port] = server.address.split(":");
+  const fetch = async (timeoutMs: number) => {
+    const fetching = client.fetch({ method: "GET", url: "/", origin: { hostname, port }, timeoutMs });
+    return Result.isSuccess(await Effect.runPromise(Effect.result(fetching)));
+  };
+  const fetchOther = () =>
+    Effect.runPromise(client.fetch({ method: "GET", url: `http://${other.address}/` }));
+  t.deepEqual(await Promise.all([1, 2, 3, 4].map(() => fetch(10_000))), [true, true, true, true]);
+  await fetchOther();
+  for (const socket of connections) silent.add(socket);
+  t.false(await fetch(100));
+  t.true(await fetch(10_000));
+  t.is(connections.size, 5);
+  t.is((await fetchOther()).status, 200);
+});
