Turns: an instance renews its membership soon after a renewal that was not answered

Turns were refused or waited while slices changed their owners, although no instance had come or gone.

Cause: a renewal that does not arrive takes 1 s until it is given up, and the next one followed 500 ms later. With the 500 ms before it, the membership had not been renewed for 2 s, which is its timeout: one lost call took all slices from its instance, and their new owners had to read them.

The next renewal now follows after 150 ms, so that one lost call leaves 350 ms. After a refusal, which arrives at once, the interval stays at 500 ms.

--- a/src/turns/common/slice_group.ts
+++ b/src/turns/common/slice_group.ts
@@ -7,13 +7,16 @@
 import type { ILogger } from "../../services/logging/common/logger.ts";
 import { supervise } from "../../services/logging/common/supervision.ts";
 import type { IPartition, IPartitionedLog, StoreError } from "../../services/store/common/partitioned_log.ts";
+import { StoreFault } from "../../services/store/common/partitioned_log.ts";
 import type { OwnedSlices } from "./owned_slices.ts";
 
 const GROUP = "slices";
-/** Membership timeout: an instance loses its slices after four missed renewals. */
+/** Membership timeout: an instance loses its slices after four refused renewals, or two that were not answered. */
 const TTL_MS = 2000;
 /** Interval between membership renewals: a quarter of {@link TTL_MS}. */
 const RENEWAL_INTERVAL_MS = 500;
+/** Delay after a renewal that was not answered: it may have taken half of {@link TTL_MS}. */
+const RETRY_DELAY_MS = 150;
 /** Delay before the renewal that confirms a new generation. */
 const CONFIRM_DELAY_MS = 20;
 /** Interval between reads of all owners: a refusal by a former owner also triggers a read. */
@@ -141,11 +144,11 @@
   #renewLoop(): Effect.Effect<void> {
     return Effect.gen({ self: this }, function* () {
       while (!this.#isLeaving) {
-        const hasChanged = yield* this.#renewMembership().pipe(
-          Effect.catchTag("StoreError", (err) => Effect.as(this.#logFirstFailure(err), false)),
+        const delayMs = yield* this.#renewMembership().pipe(
+          // The platform reassigns a slice only after its former owner has joined with the new generation.
+          Effect.map((hasChanged) => hasChanged ? CONFIRM_DELAY_MS : RENEWAL_INTERVAL_MS),
+          Effect.catchTag("StoreError", (err) => Effect.as(this.#logFirstFailure(err), delayAfter(err))),
         );
-        // The platform reassigns a slice only after its former owner has joined with the new generation.
-        const delayMs = hasChanged ? CONFIRM_DELAY_MS : RENEWAL_INTERVAL_MS;
         yield* Effect.raceFirst(this.#renewSignal.wait(), Effect.sleep(delayMs));
       }
     });
@@ -237,6 +240,11 @@
   }
 }
 
+/** Returns the delay before the renewal that follows a failed one. */
+function delayAfter({ fault }: StoreError): number {
+  return fault === StoreFault.NoResponse ? RETRY_DELAY_MS : RENEWAL_INTERVAL_MS;
+}
+
 function keyOf({ topic, part }: IPartition): string {
   return `${topic}/${part}`;
 }
