Crashes: strikes of lost instances are withdrawn once their servers prove to be alive

After a loss of power of all instances, turns whose prompt shares a part with some that had lost their connections shortly before were refused as `crashing-request` through every instance, although no server had crashed. Other turns were served.

Cause: a strike for a lost connection is withdrawn when the server proves to be alive, two heartbeats 3 s later or more, but only by the instance that added it. If that is lost before, the strike counts for its half hour, or until a trial request completes, which is made ever more rarely.

Each instance now applies the same evidence to the strikes of others, counted from the time of the crash, and withdraws them for itself: nothing is written, since all see the same heartbeats. Two of them are still needed, as the first one after a start may be older than the crash. The new test failed before: three strikes remained instead of two after the heartbeats of one server.

--- a/src/call/common/crash_monitor.ts
+++ b/src/call/common/crash_monitor.ts
@@ -15,7 +15,13 @@
 import { formatParts } from "./request_keys.ts";
 import type { ISharedCause } from "./shared_part_ledger.ts";
 import type { IStrike } from "./strike_ledger.ts";
-import { formatFingerprint, serverKey, strikeKey, StrikeLedger } from "./strike_ledger.ts";
+import {
+  CLOCK_TOLERANCE_MS,
+  formatFingerprint,
+  serverKey,
+  strikeKey,
+  StrikeLedger,
+} from "./strike_ledger.ts";
 import { SurvivalTracker } from "./survival_tracker.ts";
 
 /** How long a change is repeated in the reports to other instances, in ms: datagrams may be lost. */
@@ -91,6 +97,8 @@
   readonly #unresolved: SurvivalTracker<IEndedAttempt>;
   /** Strikes of this instance, which later heartbeats of the same server run refute. */
   readonly #refutableStrikes: SurvivalTracker<IStrike>;
+  /** Strikes of other instances, which may be lost before they see such a heartbeat. */
+  readonly #reportedStrikes: SurvivalTracker<IStrike>;
   /** Unix time in ms at which other instances' attempts with an unknown end became known, by strike. */
   readonly #reportedPending = new Map<string, number>();
   /** Attempts of this instance that were struck because their connections were lost a moment ago. */
@@ -110,6 +118,7 @@
     this.#ledger = new StrikeLedger(opts.now, opts.spread);
     this.#unresolved = new SurvivalTracker(opts.now);
     this.#refutableStrikes = new SurvivalTracker(opts.now);
+    this.#reportedStrikes = new SurvivalTracker(opts.now);
   }
 
   /** Number of requests that are refused because they crash servers. */
@@ -326,6 +335,11 @@
     for (const strike of this.#refutableStrikes.recordHeartbeat(server)) {
       this.#withdraw(strike, WithdrawalReason.ServerAlive);
     }
+    // All other instances see the same heartbeats, so that nothing needs to be published.
+    for (const strike of this.#reportedStrikes.recordHeartbeat(server)) {
+      const isCounted = this.#ledger.withdraw(strikeKey(strike)) !== undefined;
+      if (isCounted) this.#logWithdrawal(strike, WithdrawalReason.ServerAlive);
+    }
   }
 
   /** Waits until this instance has attempts that {@link reportAtRisk} may have to report. */
@@ -363,7 +377,10 @@
   merge({ strike, isWithdrawn, isPending }: IStrikeChange): boolean {
     if (isPending) return this.#mergePending(strike);
     if (isWithdrawn) return this.#ledger.withdraw(strikeKey(strike)) !== undefined;
-    return this.#ledger.add(strike);
+    const isKnown = this.#ledger.has(strikeKey(strike));
+    if (!this.#ledger.add(strike)) return false;
+    if (!isKnown) this.#reportedStrikes.add(strike, strike, strike.atMs + CLOCK_TOLERANCE_MS);
+    return true;
   }
 
   /** Observes the server of an attempt that another instance has reported. */
@@ -427,6 +444,7 @@
     const oldestMs = this.#opts.now() - PENDING_RETENTION_MS;
     for (const [key, atMs] of this.#reportedPending) if (atMs < oldestMs) this.#reportedPending.delete(key);
     this.#refutableStrikes.evict();
+    this.#reportedStrikes.evict();
     for (const strike of this.#ledger.evict()) this.#recordWithdrawal(strike, WithdrawalReason.Expired);
   }
 
@@ -477,13 +495,17 @@
   }
 
   #recordWithdrawal(strike: IStrike, reason: WithdrawalReason): void {
+    this.#logWithdrawal(strike, reason);
+    this.#publish({ strike, isWithdrawn: true, isPending: false });
+  }
+
+  #logWithdrawal(strike: IStrike, reason: WithdrawalReason): void {
     this.#loggedQuarantines.delete(strike.fingerprint);
     this.#opts.logger.info("strike-withdrawn", {
       fingerprint: formatFingerprint(strike.fingerprint),
       backend: strike.backendId,
       reason,
     });
-    this.#publish({ strike, isWithdrawn: true, isPending: false });
   }
 
   #publish(change: IStrikeChange): void {
--- a/src/call/common/crash_monitor_test.ts
+++ b/src/call/common/crash_monitor_test.ts
@@ -184,6 +184,36 @@
   ]);
 });
 
+// Guards against requests that are refused for half an hour because all instances have lost power after false strikes.
+test("strikes of an instance that is lost do not count once their servers prove to be alive", (t) => {
+  const { clock, instances: [lost, next] } = setUp(2);
+  lost.crash(identityOf("lost"), "s1", "s2", "s3");
+  clock.now = 120_000;
+  for (const change of lost.monitor.listChanges()) next.monitor.merge(change);
+  next.monitor.evict();
+  t.true(next.monitor.isQuarantined(identityOf("lost")));
+  // The first heartbeat that an instance sees after its start may be older than the crash.
+  next.monitor.serverRenewed(entryOf("s1"));
+  next.monitor.serverRenewed(entryOf("s2", 2));
+  next.monitor.serverRenewed(entryOf("s2", 2));
+  t.is(next.monitor.strikeCount, 3);
+  next.monitor.serverRenewed(entryOf("s1"));
+  t.is(next.monitor.strikeCount, 2);
+  for (let heartbeats = 0; heartbeats < 2; heartbeats++) next.monitor.serverRenewed(entryOf("s3"));
+  t.false(next.monitor.isQuarantined(identityOf("lost")));
+  t.deepEqual(next.changes, []);
+  for (const change of lost.monitor.listChanges()) next.monitor.merge(change);
+  t.is(next.monitor.strikeCount, 1);
+});
+
+test("a strike that was reported right after a crash is not withdrawn for earlier heartbeats", (t) => {
+  const { clock, instances: [a, b] } = setUp(2);
+  a.crash(identityOf("bad"), "s1");
+  for (const change of a.monitor.recentChanges()) b.monitor.merge(change);
+  for (clock.now = 0; clock.now < 3000; clock.now += 500) b.monitor.serverRenewed(entryOf("s1"));
+  t.is(b.monitor.strikeCount, 1);
+});
+
 test("heartbeats of a restarted server prove nothing about its earlier run", (t) => {
   const { clock, instances: [a] } = setUp();
   a.crash(identityOf("bad"), "s1");
--- a/src/call/common/survival_tracker.ts
+++ b/src/call/common/survival_tracker.ts
@@ -33,10 +33,14 @@
     this.#now = now;
   }
 
-  add(server: IServerRun, value: T): void {
+  /** Adds an event of now, or of an earlier Unix time in ms. */
+  add(server: IServerRun, value: T, atMs = Infinity): void {
     const key = serverKey(server);
     const events = this.#events.get(key)?.events ?? [];
-    events.push({ value, atMs: this.#now(), heartbeats: 0 });
+    const now = this.#now();
+    // An older event would be forgotten before the next heartbeats.
+    const countedAtMs = Math.max(now - PROOF_OF_LIFE_DELAY_MS, Math.min(atMs, now));
+    events.push({ value, atMs: countedAtMs, heartbeats: 0 });
     if (events.length > MAX_EVENTS) events.shift();
     this.#events.set(key, { server, events });
   }
