--- a/test/harness/gateway_cluster.ts
+++ b/test/harness/gateway_cluster.ts
@@ -111,6 +111,21 @@
   losesPeerResponses: boolean;
 }
 
+/** How an instance reaches another one. */
+export enum PeerReach {
+  Open = "open",
+  /** Calls are not answered, as by a machine without power. */
+  Hangs = "hangs",
+}
+
+/** A call of an instance to the store. */
+export interface IStoreCall {
+  readonly instance: string;
+  readonly method: keyof IPartitionedLog;
+  readonly args: readonly unknown[];
+  readonly run: Effect.Effect<unknown, StoreError>;
+}
+
 /** An organisation as the platform's operator writes it. */
 export interface IWireOrganisation {
   readonly Name: string;
@@ -155,6 +170,10 @@
   losesAnswers = false;
   /** Receives what instances send each other and the store, as messages and arguments of calls. */
   recordTraffic: (traffic: unknown) => void = () => {};
+  /** Makes a call to the store, or has it fail. */
+  callStore: (call: IStoreCall) => Effect.Effect<unknown, StoreError> = ({ run }) => run;
+  /** How one instance reaches another, whether that runs or not. */
+  reachPeer: (from: string, to: string) => PeerReach = () => PeerReach.Open;
   /** Whether a report from one instance to another is lost. */
   isReportLost: (from: string, to: string) => boolean = () => false;
   #nextId = 0;
@@ -367,7 +386,8 @@
           Effect.suspend(() => {
             if (isRefused()) return Effect.fail(new StoreError(StoreFault.Refused, "refused"));
             this.recordTraffic(args);
-            return method.apply(store, args);
+            const run = method.apply(store, args);
+            return this.callStore({ instance: name, method: member as keyof IPartitionedLog, args, run });
           });
       },
     });
@@ -403,6 +423,9 @@
     };
     return {
       unary: async (...args) => {
+        if (this.reachPeer(from, address.split(":")[0]) === PeerReach.Hangs) {
+          return await new Promise(() => {});
+        }
         const target = connect();
         const response = await target.transport.unary(...args);
         this.recordTraffic([args[4], response.message]);
