Upstream: a connection that fails at once has not sent the request

What callers saw: while this instance has no route to a server, or no free port (ENETUNREACH, EADDRNOTAVAIL, EINVAL), a non-repeatable request was answered 502 with an unknown outcome, and a repeatable one used up an attempt, although nothing had been sent.

Cause: connect() then fails within the system call. Node.js destroys the socket before it hands it to the request, where it is no longer connecting and was taken for an established connection.

Evidence: the new test failed before with 'broken' instead of 'not-sent'.

Fix: a destroyed socket sends nothing, so that the error that follows is that of the connection.

--- a/src/call/node/http_upstream.ts
+++ b/src/call/node/http_upstream.ts
@@ -120,10 +120,10 @@
         isConnected = true;
         connectTimer.clear();
       };
-      clientRequest.on(
-        "socket",
-        (socket) => socket.connecting ? socket.once("connect", onConnected) : onConnected(),
-      );
+      clientRequest.on("socket", (socket) => {
+        if (socket.connecting) socket.once("connect", onConnected);
+        else if (!socket.destroyed) onConnected();
+      });
       let reader = clientRequest;
       let informationalHeads = 0;
       const failAsForeign = () => {
--- a/src/call/node/http_upstream_test.ts
+++ b/src/call/node/http_upstream_test.ts
@@ -42,10 +42,11 @@
   return server;
 }
 
+const SERVER = { id: "b", service: "s", zone: "z", slots: 1, isDraining: false, startedAtMs: 0 };
+
 function backendOf(server: TcpServer): IBackendEntry {
   const { port } = server.address() as AddressInfo;
-  const rest = { service: "s", zone: "z", slots: 1, isDraining: false, startedAtMs: 0 };
-  return { id: "b", host: "127.0.0.1", port, ...rest };
+  return { ...SERVER, host: "127.0.0.1", port };
 }
 
 function requestOf(requestId: string): IUpstreamRequest {
@@ -516,6 +517,17 @@
   upstream.dispose();
 });
 
+test("a connection that fails at once is not sent", async (t) => {
+  const upstream = new HttpUpstream(CODEC);
+  // The system rejects a link-local address without an interface before anything is sent.
+  const backend = { ...SERVER, host: "fe80::1", port: 1 };
+  for (let attempt = 0; attempt < 2; attempt++) {
+    const { fault } = await Effect.runPromise(Effect.flip(upstream.send(backend, requestOf("1"))));
+    t.is(fault, UpstreamFault.NotSent);
+  }
+  upstream.dispose();
+});
+
 test("an idle timeout of any length that a server announces leaves its connection usable", async (t) => {
   for (const timeout of ["9".repeat(20), "9".repeat(400)]) {
     const sockets = new Set<Socket>();
