Upstream: a request whose connection hangs at its deadline is refused as not run

What callers saw: a request whose connection to a server was still being established at the deadline (limit of the connection: 500 ms, after it up to 750 ms for a check of the links) was answered 504, which promises nothing, although nothing had been sent. One that left such a server as silent counted as a run, so that the refusal after it was 502 instead of 503; and its interrupted attempt was observed like one that the server may still run, for which it is struck if the server ends.

Cause: everything between the choice of a server and its outcome counted as sent.

Fix: each send has a delivery, which the upstream marks as waiting for a connection and, before the first byte, as begun. At the margin before its deadline a request that has not begun is withdrawn in the same step as it is refused, so that a connection that is established afterwards closes without a byte. An upstream that says nothing counts as sent. The loser of a hedged request counts as a run only if it was sent. Between instances, a send counts as begun once the connection to the forwarding instance is established, and as not begun again if that refuses.

Evidence: the two new tests of gateway_relay_test failed before with 504 and 502 instead of 503. The new tests of http_upstream_test use a server with a full backlog, one that accepts and never reads, and a withdrawn request; they are for the new interface and were not run on the code before.

--- a/src/call/common/backend_dispatcher.ts
+++ b/src/call/common/backend_dispatcher.ts
@@ -20,6 +20,7 @@
 import { BufferedBody } from "./buffered_body.ts";
 import { CallAuthorizer } from "./call_authorizer.ts";
 import type { CrashMonitor } from "./crash_monitor.ts";
+import type { IDelivery } from "./delivery.ts";
 import type { IObservedAttempt } from "./observed_attempt.ts";
 import { AttemptResult } from "./observed_attempt.ts";
 import { finalRefusal, GatewayStatus, RefusalReason } from "./gateway_refusal.ts";
@@ -106,6 +107,7 @@
 
 interface IObservedSend extends IAttempt {
   readonly observed: IObservedAttempt;
+  readonly delivery: IDelivery;
   /** Since when the server and the caller have been waiting at the time of the send. */
   readonly silence: ISilence;
   /** Time in ms of a clock that does not jump. */
@@ -261,18 +263,33 @@
       const serverSinceMs = now();
       const callerSinceMs = call.lastEventAtMs ??
         serverSinceMs - (clock.currentTimeMillisUnsafe() - call.startedAtMs);
-      const send: IObservedSend = { ...attempt, observed, silence: { serverSinceMs, callerSinceMs }, now };
+      const delivery = call.deliveries.start();
+      call.delivery = delivery;
+      const send: IObservedSend = {
+        ...attempt,
+        observed,
+        delivery,
+        silence: { serverSinceMs, callerSinceMs },
+        now,
+      };
       return this.#send(send, choice).pipe(
         Effect.catchTag("UpstreamError", (err) => Effect.sync(() => this.#recordFault(send, err))),
-        Effect.onInterrupt(() => this.#recordDeadline(call, choice)),
+        Effect.onInterrupt(() => this.#recordInterrupt(send, choice)),
         Effect.ensuring(Effect.sync(() => crashes.finish(observed))),
       );
     }).pipe(Effect.ensuring(Effect.sync(() => loads.recordRequestEnd(backend.id))));
   }
 
   /** Counts an attempt that was interrupted because the request's time was over. A full server owed no answer yet. */
-  #recordDeadline(call: RelayedCall, { backend, running }: IBackendChoice): Effect.Effect<void> {
+  #recordInterrupt(
+    { call, observed, delivery }: IObservedSend,
+    { backend, running }: IBackendChoice,
+  ): Effect.Effect<void> {
     return Effect.map(Clock.currentTimeMillis, (now) => {
+      if (!delivery.mayHaveArrived) {
+        observed.result = AttemptResult.NotStarted;
+        return;
+      }
       if (now < call.deadlineAtMs || running >= backend.slots) return;
       this.#opts.loads.failureRates.recordAnswer(backend, { isFailed: true });
     });
@@ -285,8 +302,11 @@
     return this.#opts.loads.recordSilence(call.choice!.backend.id, sinceMs);
   }
 
-  #recordFault(send: IObservedSend, { fault, message }: UpstreamError): AttemptOutcome {
-    const { call, observed } = send;
+  #recordFault(send: IObservedSend, { fault: stated, message }: UpstreamError): AttemptOutcome {
+    const { call, observed, delivery } = send;
+    const fault = delivery.mayHaveArrived || stated !== UpstreamFault.TimedOut
+      ? stated
+      : UpstreamFault.NotSent;
     const id = call.choice!.backend.id;
     call.fault = fault;
     const isServerFailure = !LINK_FAULTS.has(fault) &&
@@ -321,7 +341,7 @@
 
   #send(attempt: IObservedSend, choice: IBackendChoice): Effect.Effect<AttemptOutcome, UpstreamError> {
     return Effect.gen({ self: this }, function* () {
-      const { call, body, observed } = attempt;
+      const { call, body, observed, delivery } = attempt;
       const { req } = call;
       if (!this.#opts.directory.isAvailable(choice.backend)) {
         observed.result = AttemptResult.NotStarted;
@@ -356,6 +376,7 @@
         target: req.target,
         headers,
         body,
+        delivery,
       });
       const response = yield* this.#leaveIfSilent(request, attempt);
       this.#opts.loads.recordResponse(choice.backend.id);
--- a/src/call/common/forwarding_upstream.ts
+++ b/src/call/common/forwarding_upstream.ts
@@ -134,6 +134,7 @@
   #forward(backend: IBackendEntry, req: IUpstreamRequest): Effect.Effect<IUpstreamResponse, UpstreamError> {
     return Effect.gen({ self: this }, function* () {
       const asked = new Set<string>();
+      req.delivery?.awaitConnection();
       const startedAtMs = yield* Clock.currentTimeMillis;
       const others = yield* this.#opts.finder.find();
       while (asked.size < MAX_FORWARDERS) {
@@ -185,6 +186,7 @@
       "ForwardRefusedError",
       ({ reason }) =>
         Effect.map(Clock.currentTimeMillis, (now) => {
+          req.delivery?.awaitConnection();
           this.#refusedUntilMs.set(address, now + REFUSAL_TTL_MS);
           metrics.incrementCounter("forwards", { outcome: reason });
           logger.info("forward-refused", { request: req.requestId, forwarder: address, reason });
--- a/src/call/common/gateway_relay.ts
+++ b/src/call/common/gateway_relay.ts
@@ -204,11 +204,11 @@
       const marginMs = Math.min(MAX_REFUSAL_MARGIN_MS, (deadlineAtMs - startedAtMs) * REFUSAL_MARGIN_SHARE);
       const now = yield* Clock.currentTimeMillis;
       yield* Effect.sleep(Math.max(0, deadlineAtMs - marginMs - now));
-      if (call.runs === 0 && !call.isSending) {
+      if (call.runs === 0 && call.deliveries.tryWithdraw()) {
         return retryableRefusal(RefusalReason.DeadlineExceeded, UNAVAILABLE_RETRY_AFTER_MS);
       }
       yield* Effect.sleep(Math.max(0, deadlineAtMs - (yield* Clock.currentTimeMillis)));
-      if (call.runs === 0 && !call.isSending) {
+      if (call.runs === 0 && call.deliveries.tryWithdraw()) {
         return retryableRefusal(RefusalReason.DeadlineExceeded, UNAVAILABLE_RETRY_AFTER_MS);
       }
       return finalRefusal(GatewayStatus.Timeout, RefusalReason.DeadlineExceeded);
@@ -392,9 +392,8 @@
         }
         const { holdsToken } = call;
         call.holdsToken = false;
-        call.isSending = true;
         const outcome = yield* this.#hedged.run(attempt, choice);
-        call.isSending = false;
+        call.deliveries.settle();
         if (outcome === AttemptOutcome.Done) return undefined;
         // A server that did not run the request leaves the token for the next attempt.
         if (outcome !== AttemptOutcome.Failed) call.holdsToken = holdsToken;
--- a/src/call/common/gateway_relay_test.ts
+++ b/src/call/common/gateway_relay_test.ts
@@ -27,6 +27,8 @@
 import type { IAllotmentClient, IAllotmentRequest } from "./allotment_client.ts";
 import { CrashMonitor } from "./crash_monitor.ts";
 import { GatewayRelay } from "./gateway_relay.ts";
+import type { IObservedAttempt } from "./observed_attempt.ts";
+import { AttemptResult } from "./observed_attempt.ts";
 import { ResponseMemoryPool } from "./response_limits.ts";
 import type { IStreamOrigin } from "./stream_origin.ts";
 import { StreamOriginRegistry } from "./stream_origin_registry.ts";
@@ -56,6 +58,8 @@
   readonly isTruncated?: boolean;
   /** Never responds. */
   readonly isUnresponsive?: boolean;
+  /** Accepts no connection for this long, in ms. */
+  readonly hangsForMs?: number;
   readonly framing?: BodyFraming;
 }
 
@@ -76,6 +80,11 @@
       this.sent.push({ ...req, backendId: id });
       const behavior = this.#script.shift() ?? {};
       if (behavior.isUnresponsive) return Effect.never;
+      if (behavior.hangsForMs !== undefined) {
+        req.delivery?.awaitConnection();
+        const failure = Effect.fail(new UpstreamError(UpstreamFault.NotSent));
+        return Effect.andThen(Effect.sleep(behavior.hangsForMs), failure);
+      }
       if (behavior.fault !== undefined) return Effect.fail(new UpstreamError(behavior.fault));
       const {
         headers = [],
@@ -406,6 +415,36 @@
   }
 });
 
+/** Crash monitor that remembers how the attempts ended. */
+class RecordingCrashMonitor extends CrashMonitor {
+  readonly results: AttemptResult[] = [];
+
+  override finish(attempt: IObservedAttempt): void {
+    this.results.push(attempt.result);
+    super.finish(attempt);
+  }
+}
+
+test("a request whose connection is being established at its deadline is refused as not run before it", async (t) => {
+  const crashes = new RecordingCrashMonitor({
+    logger: new NullLogger(),
+    metrics: new Metrics(),
+    now: () => 0,
+  });
+  const { sink, answeredAtMs } = await relay({ script: [{ hangsForMs: 500 }], timeoutMs: 400, crashes });
+  t.is(sink.status, 503);
+  t.true(sink.headers.includes("retry-after"));
+  t.true(answeredAtMs < 400);
+  t.deepEqual(crashes.results, [AttemptResult.NotStarted]);
+});
+
+test("a request that left a server before it accepted the connection has not run there", async (t) => {
+  const route = { kind: RouteKind.Safe, attempts: 2 };
+  const full = { status: 503, isNotRun: true };
+  const { sink } = await relay({ route, script: [{ hangsForMs: 1000 }, full, full], backends: 3 });
+  t.is(sink.status, 503);
+});
+
 test("does not relay an unproven statement that the request has not run", async (t) => {
   const { sink, sent } = await relay({ script: [{ status: 503 }] });
   t.is(sink.status, 502);
--- a/src/call/common/hedge_race.ts
+++ b/src/call/common/hedge_race.ts
@@ -27,6 +27,8 @@
   readonly #runsBefore: number;
   readonly #cancelled = Deferred.makeUnsafe<void>();
   #isCancelled = false;
+  /** Whether the request was not sent when the attempt was cancelled. */
+  #isWithdrawn = false;
   #held: IHeldResponse | undefined;
 
   constructor(call: RelayedCall, { race, sink }: { race: HedgeRace; sink: IResponseSink }) {
@@ -47,7 +49,8 @@
 
   /** Number of servers, 0 or 1, that may have run the request in this attempt. */
   get runs(): number {
-    return this.#isCancelled ? 1 : this.call.runs - this.#runsBefore;
+    if (this.#isCancelled) return this.#isWithdrawn ? 0 : 1;
+    return this.call.runs - this.#runsBefore;
   }
 
   get hasStarted(): boolean {
@@ -90,6 +93,7 @@
 
   cancel(): void {
     this.#isCancelled = true;
+    this.#isWithdrawn = this.call.delivery?.tryWithdraw() === true;
     Deferred.doneUnsafe(this.#cancelled, Effect.void);
   }
 
--- a/src/call/common/opaque_request.ts
+++ b/src/call/common/opaque_request.ts
@@ -9,6 +9,7 @@
 import VError from "verror";
 import type { Event } from "../../base/common/emitter.ts";
 import type { IBackendEntry } from "../../services/backends/common/backend_directory.ts";
+import type { IDelivery } from "./delivery.ts";
 
 /** Part of a prompt that several requests can share. */
 export interface IPromptPart {
@@ -219,6 +220,7 @@
   readonly target: string;
   readonly headers: readonly string[];
   readonly body: Uint8Array;
+  readonly delivery?: IDelivery | undefined;
 }
 
 /** Sends requests to backend servers. */
--- a/src/call/common/relayed_call.ts
+++ b/src/call/common/relayed_call.ts
@@ -7,6 +7,8 @@
 import { OwnerWaits } from "../../turns/common/owner_waits.ts";
 import { AttemptState } from "./attempt_state.ts";
 import type { IAllotmentDecision } from "./allotment_client.ts";
+import type { IDelivery } from "./delivery.ts";
+import { Deliveries } from "./delivery.ts";
 import type { EventOrder } from "./event_order.ts";
 import type { GatewayStatus, IRefusal, RefusalReason } from "./gateway_refusal.ts";
 import type { BodyFraming, IOpaqueRequest, UpstreamFault } from "./opaque_request.ts";
@@ -64,8 +66,10 @@
   runs = 0;
   /** Number of attempts in which the server did not run the request. */
   refusals = 0;
-  /** Whether the request is being sent to a server, which may have received it. */
-  isSending = false;
+  /** Sends without outcome, which the copies of the call share. */
+  deliveries = new Deliveries();
+  /** The last send; undefined before it. */
+  delivery: IDelivery | undefined;
   /** What the turn waited for at the owners of slices. */
   readonly ownerWaits = new OwnerWaits();
   /** Whether the budget's owner has refused the turn, so that its end need not be reported. */
@@ -128,6 +132,7 @@
     const opts = { identity, route, service, now, configurationVersion, deadlineAtMs };
     const copy = new RelayedCall(req, { ...opts, organisation, hasOrganisations });
     copy.choice = choice;
+    copy.deliveries = this.deliveries;
     copy.earlierOrigin = this.origin ?? this.earlierOrigin;
     copy.runs = runs;
     return copy;
--- a/src/call/node/http_upstream.ts
+++ b/src/call/node/http_upstream.ts
@@ -105,6 +105,7 @@
       const fail = (err: Error) => failWith(isConnected ? faultOf(err) : connectFaultOf(err), err);
       const connections = this.#connectionsOf(backend);
       let clientRequest: ClientRequest;
+      req.delivery?.awaitConnection();
       try {
         clientRequest = createRequest(backend, { req, agent: connections.agentFor(req.requestId) });
       } catch (err) {
@@ -116,6 +117,9 @@
         this.#connectTimeoutMs,
       );
       const onConnected = () => {
+        if (req.delivery?.begin() === false) {
+          return void clientRequest.destroy(new Error("request was withdrawn"));
+        }
         // From here on, bytes of the request may have reached the server.
         isConnected = true;
         connectTimer.clear();
--- a/src/call/node/http_upstream_test.ts
+++ b/src/call/node/http_upstream_test.ts
@@ -15,6 +15,8 @@
 } from "../common/opaque_request.ts";
 import type { UpstreamError } from "../common/opaque_request.ts";
 import { UpstreamFault } from "../common/opaque_request.ts";
+import { UnacceptingServer } from "../../../test/stand_ins/unaccepting_server.ts";
+import { Deliveries } from "../common/delivery.ts";
 import type { IHttpUpstreamOptions } from "./http_upstream.ts";
 import { HttpUpstream } from "./http_upstream.ts";
 
@@ -49,6 +51,10 @@
   return { ...SERVER, host: "127.0.0.1", port };
 }
 
+async function waitUntil(condition: () => boolean): Promise<void> {
+  while (!condition()) await new Promise((resolve) => setImmediate(resolve));
+}
+
 function requestOf(requestId: string): IUpstreamRequest {
   const headers = ["Host", "h", "X-Id", requestId];
   return { requestId, method: "GET", target: "/a/../b?c", headers, body: new Uint8Array() };
@@ -528,6 +534,46 @@
   upstream.dispose();
 });
 
+test("a request is not sent while its connection hangs, and may have arrived at a server that accepts and never reads", async (t) => {
+  const server = await UnacceptingServer.start();
+  const upstream = new HttpUpstream(CODEC);
+  const backend = { ...SERVER, host: "127.0.0.1", port: server.port };
+  const accepted = new Deliveries().start();
+  const sending = Effect.runFork(upstream.send(backend, { ...requestOf("1"), delivery: accepted }));
+  await waitUntil(() => !accepted.mayHaveArrived);
+  await waitUntil(() => accepted.mayHaveArrived);
+  t.false(accepted.tryWithdraw());
+  await server.fill(1);
+  const hanging = new Deliveries().start();
+  const failed = upstream.send(backend, { ...requestOf("2"), delivery: hanging });
+  t.is((await Effect.runPromise(Effect.flip(failed))).fault, UpstreamFault.NotSent);
+  t.false(hanging.mayHaveArrived);
+  await Effect.runPromise(Fiber.interrupt(sending));
+  await server.close();
+  upstream.dispose();
+});
+
+test("a request that was withdrawn while it waited for a connection is not sent", async (t) => {
+  let connections = 0;
+  let bytes = 0;
+  const server = createTcpServer((socket) => {
+    connections += 1;
+    socket.on("data", (data) => bytes += data.length);
+  });
+  await new Promise<void>((resolve) => server.listen(0, "127.0.0.1", resolve));
+  const upstream = new HttpUpstream(CODEC);
+  const delivery = new Deliveries().start();
+  const failed = Effect.runPromise(
+    Effect.flip(upstream.send(backendOf(server), { ...requestOf("1"), delivery })),
+  );
+  t.true(delivery.tryWithdraw());
+  t.is((await failed).fault, UpstreamFault.NotSent);
+  await waitUntil(() => connections === 1);
+  await new Promise<void>((resolve) => server.close(() => resolve()));
+  t.is(bytes, 0);
+  upstream.dispose();
+});
+
 test("an idle timeout of any length that a server announces leaves its connection usable", async (t) => {
   for (const timeout of ["9".repeat(20), "9".repeat(400)]) {
     const sockets = new Set<Socket>();
--- a/test/harness/gateway_cluster.ts
+++ b/test/harness/gateway_cluster.ts
@@ -385,7 +385,9 @@
         Effect.fail(new UpstreamError(UpstreamFault.PathLost)),
       );
       this.recordTraffic(send);
-      const response = Effect.raceFirst(target.core.forwardService.send(send), lost);
+      send.req.delivery?.begin();
+      const received = { ...send, req: { ...send.req, delivery: undefined } };
+      const response = Effect.raceFirst(target.core.forwardService.send(received), lost);
       return Effect.map(response, ({ head, body }) => ({
         head,
         body: makeResponseBody((onChunk) => Effect.raceFirst(body.read(onChunk), lost), body.framing),
--- a/test/harness/server_links.ts
+++ b/test/harness/server_links.ts
@@ -71,6 +71,7 @@
       const hasConnection = this.#open.delete(backend.id);
       if (this.#cut === LinkCut.Hang) {
         if (hasConnection) return Effect.never;
+        req.delivery?.awaitConnection();
         const failure = Effect.fail(new UpstreamError(UpstreamFault.NotSent));
         return Effect.andThen(Effect.sleep(CONNECT_TIMEOUT_MS), failure);
       }
