--- a/src/call/common/gateway_relay.ts
+++ b/src/call/common/gateway_relay.ts
@@ -224,8 +224,20 @@
     });
   }
 
-  /** Acquires the token for the next send from the allotment of the request's organisation, if that has one. */
+  /**
+   * Acquires the token for the next send from the allotment of the request's organisation, if that has one. A token that is
+   * granted after the request has ended is given back.
+   */
   #acquireToken(call: RelayedCall): Effect.Effect<IRefusal | undefined> {
+    if (call.organisation?.allotment === undefined) return Effect.succeed(undefined);
+    return Effect.gen({ self: this }, function* () {
+      const acquiring = yield* Effect.forkDetach(this.#askForToken(call));
+      const giveBack = Effect.andThen(Fiber.await(acquiring), Effect.sync(() => this.#giveBackToken(call)));
+      return yield* Effect.onInterrupt(Fiber.join(acquiring), () => Effect.forkDetach(giveBack));
+    });
+  }
+
+  #askForToken(call: RelayedCall): Effect.Effect<IRefusal | undefined> {
     const { organisation, req, configurationVersion: version } = call;
     if (organisation?.allotment === undefined) return Effect.succeed(undefined);
     const token = this.#opts.allotments.acquire({
@@ -324,14 +336,10 @@
 
   /** Acquires the token for the next send; fails if the allotment does not cover the request. */
   #requireToken(call: RelayedCall): Effect.Effect<void, IRefusal> {
-    if (call.organisation?.allotment === undefined) return Effect.void;
-    return Effect.gen({ self: this }, function* () {
-      // The owner may already have granted the token when the turn is refused for another reason.
-      const acquiring = yield* Effect.forkDetach(this.#acquireToken(call));
-      const giveBack = Effect.andThen(Fiber.await(acquiring), Effect.sync(() => this.#giveBackToken(call)));
-      const refusal = yield* Effect.onInterrupt(Fiber.join(acquiring), () => Effect.forkDetach(giveBack));
-      if (refusal !== undefined) yield* Effect.fail(refusal);
-    });
+    return Effect.flatMap(
+      this.#acquireToken(call),
+      (refusal) => refusal === undefined ? Effect.void : Effect.fail(refusal),
+    );
   }
 
   /**
--- a/src/call/common/gateway_relay_test.ts
+++ b/src/call/common/gateway_relay_test.ts
@@ -415,6 +415,14 @@
   }
 });
 
+test("a token that is granted after the request's deadline is given back", async (t) => {
+  const allotments = new SlowAllotments(1);
+  const { sink, sent } = await relay({ allotments, headers: ["key"], timeoutMs: 500 });
+  t.is(sink.status, 503);
+  t.is(sent.length, 0);
+  t.is(allotments.returned, 1);
+});
+
 /** Crash monitor that remembers how the attempts ended. */
 class RecordingCrashMonitor extends CrashMonitor {
   readonly results: AttemptResult[] = [];
