--- a/src/call/node/http_upstream.ts
+++ b/src/call/node/http_upstream.ts
@@ -105,6 +105,7 @@
       const fail = (err: Error) => failWith(isConnected ? faultOf(err) : connectFaultOf(err), err);
       const connections = this.#connectionsOf(backend);
       let clientRequest: ClientRequest;
+      req.delivery?.awaitConnection();
       try {
         clientRequest = createRequest(backend, { req, agent: connections.agentFor(req.requestId) });
       } catch (err) {
@@ -116,14 +117,17 @@
         this.#connectTimeoutMs,
       );
       const onConnected = () => {
+        if (req.delivery?.begin() === false) {
+          return void clientRequest.destroy(new Error("request was withdrawn"));
+        }
         // From here on, bytes of the request may have reached the server.
         isConnected = true;
         connectTimer.clear();
       };
-      clientRequest.on(
-        "socket",
-        (socket) => socket.connecting ? socket.once("connect", onConnected) : onConnected(),
-      );
+      clientRequest.on("socket", (socket) => {
+        if (socket.connecting) socket.once("connect", onConnected);
+        else if (!socket.destroyed) onConnected();
+      });
       let reader = clientRequest;
       let informationalHeads = 0;
       const failAsForeign = () => {
--- a/src/call/node/http_upstream_test.ts
+++ b/src/call/node/http_upstream_test.ts
@@ -15,6 +15,8 @@
 } from "../common/opaque_request.ts";
 import type { UpstreamError } from "../common/opaque_request.ts";
 import { UpstreamFault } from "../common/opaque_request.ts";
+import { UnacceptingServer } from "../../../test/stand_ins/unaccepting_server.ts";
+import { Deliveries } from "../common/delivery.ts";
 import type { IHttpUpstreamOptions } from "./http_upstream.ts";
 import { HttpUpstream } from "./http_upstream.ts";
 
@@ -42,10 +44,15 @@
   return server;
 }
 
+const SERVER = { id: "b", service: "s", zone: "z", slots: 1, isDraining: false, startedAtMs: 0 };
+
 function backendOf(server: TcpServer): IBackendEntry {
   const { port } = server.address() as AddressInfo;
-  const rest = { service: "s", zone: "z", slots: 1, isDraining: false, startedAtMs: 0 };
-  return { id: "b", host: "127.0.0.1", port, ...rest };
+  return { ...SERVER, host: "127.0.0.1", port };
+}
+
+async function waitUntil(condition: () => boolean): Promise<void> {
+  while (!condition()) await new Promise((resolve) => setImmediate(resolve));
 }
 
 function requestOf(requestId: string): IUpstreamRequest {
@@ -516,6 +523,57 @@
   upstream.dispose();
 });
 
+test("a connection that fails at once is not sent", async (t) => {
+  const upstream = new HttpUpstream(CODEC);
+  // The system rejects a link-local address without an interface before anything is sent.
+  const backend = { ...SERVER, host: "fe80::1", port: 1 };
+  for (let attempt = 0; attempt < 2; attempt++) {
+    const { fault } = await Effect.runPromise(Effect.flip(upstream.send(backend, requestOf("1"))));
+    t.is(fault, UpstreamFault.NotSent);
+  }
+  upstream.dispose();
+});
+
+test("a request is not sent while its connection hangs, and may have arrived at a server that accepts and never reads", async (t) => {
+  const server = await UnacceptingServer.start();
+  const upstream = new HttpUpstream(CODEC);
+  const backend = { ...SERVER, host: "127.0.0.1", port: server.port };
+  const accepted = new Deliveries().start();
+  const sending = Effect.runFork(upstream.send(backend, { ...requestOf("1"), delivery: accepted }));
+  await waitUntil(() => !accepted.mayHaveArrived);
+  await waitUntil(() => accepted.mayHaveArrived);
+  t.false(accepted.tryWithdraw());
+  await server.fill(1);
+  const hanging = new Deliveries().start();
+  const failed = upstream.send(backend, { ...requestOf("2"), delivery: hanging });
+  t.is((await Effect.runPromise(Effect.flip(failed))).fault, UpstreamFault.NotSent);
+  t.false(hanging.mayHaveArrived);
+  await Effect.runPromise(Fiber.interrupt(sending));
+  await server.close();
+  upstream.dispose();
+});
+
+test("a request that was withdrawn while it waited for a connection is not sent", async (t) => {
+  let connections = 0;
+  let bytes = 0;
+  const server = createTcpServer((socket) => {
+    connections += 1;
+    socket.on("data", (data) => bytes += data.length);
+  });
+  await new Promise<void>((resolve) => server.listen(0, "127.0.0.1", resolve));
+  const upstream = new HttpUpstream(CODEC);
+  const delivery = new Deliveries().start();
+  const failed = Effect.runPromise(
+    Effect.flip(upstream.send(backendOf(server), { ...requestOf("1"), delivery })),
+  );
+  t.true(delivery.tryWithdraw());
+  t.is((await failed).fault, UpstreamFault.NotSent);
+  await waitUntil(() => connections === 1);
+  await new Promise<void>((resolve) => server.close(() => resolve()));
+  t.is(bytes, 0);
+  upstream.dispose();
+});
+
 test("an idle timeout of any length that a server announces leaves its connection usable", async (t) => {
   for (const timeout of ["9".repeat(20), "9".repeat(400)]) {
     const sockets = new Set<Socket>();
