Turns: a stored turn with an odd time or a long retention period keeps no others in memory

Cause: eviction stopped at the first turn that is not expired. A record of another writer whose time lies far in the future, is infinite, or whose retention period is long, stood before all later turns for good, which were kept in memory and repeated in each checkpoint.

--- a/src/turns/common/kept_turn_map.ts
+++ b/src/turns/common/kept_turn_map.ts
@@ -4,6 +4,8 @@
 
 /** Multiplier on the retention period before a turn is evicted: allows for clock skew between instances. */
 const RETENTION_FACTOR = 1.5;
+/** Time by which the clock of another instance may be ahead, in ms. */
+const MAX_CLOCK_LEAD_MS = 24 * 60 * 60_000;
 
 /** Turns by id and organisation, until their retention period has passed. */
 export class KeptTurnMap {
@@ -48,10 +50,14 @@
     return this.#turns.values();
   }
 
-  /** Removes expired turns, up to the first that is not: turns are added in the order of time. */
+  /**
+   * Removes expired turns. Retention periods differ, and a record of another writer may have any time: one far in the future counts
+   * as expired, as it would otherwise be kept for good.
+   */
   evictExpired(now: number): void {
     for (const [key, turn] of this.#turns) {
-      if (now - turn.storedAtMs <= turn.retainMs * RETENTION_FACTOR) return;
+      const ageMs = now - turn.storedAtMs;
+      if (ageMs >= -MAX_CLOCK_LEAD_MS && ageMs <= turn.retainMs * RETENTION_FACTOR) continue;
       this.#bytes -= turn.content.length;
       this.#turns.delete(key);
       const others = this.#byId.get(turn.turnId)!.filter((other) => other !== turn);
