Turns: an odd spending record or claim does not keep a slice from being written

Cause: what a record reserves is added to what it states as spent; the sum could exceed the 32 bits of the next record, whose encoding then threw: at the program's next turn, at a release and at each checkpoint, after which the slice was closed and opened again. A claim that states more than 100 % had 42 million times the budget of each new program count as spent, with the same effect or a refusal. Programs whose time is no number or far in the future were repeated in all checkpoints.

Sums are cut to what a record holds, which is at least any budget, so that such a program is refused as before.

--- a/src/turns/common/spending_ledger.ts
+++ b/src/turns/common/spending_ledger.ts
@@ -19,10 +19,14 @@
  * its turn beyond the budget: another unclean end would count the reservation as spent.
  */
 const MIN_TURNS_FOR_RESERVATION = 4;
+/** Largest number in the fields of a record. */
+const MAX_UINT32 = 2 ** 32 - 1;
 /** Maximum number of ended turns that are remembered, so that a late request to begin one of them is refused. */
 const MAX_ENDED_TURNS = 2000;
 /** Multiplier on the retention period before spending is evicted: allows for clock skew and long turns. */
 const RETENTION_FACTOR = 2;
+/** Time by which the clock of another instance may be ahead, in ms. */
+const MAX_CLOCK_LEAD_MS = 24 * 60 * 60_000;
 
 /** Whether a turn fits its program's budget. */
 export enum GrantDecision {
@@ -297,7 +301,10 @@
   /** Removes idle programs whose retention period has passed; turns of lost instances do not keep them. */
   #evictExpired(now: number): void {
     for (const [programId, { running, inherited, lastUsedMs, retainMs }] of this.#programs) {
-      if (running.size === inherited.size && now - lastUsedMs > retainMs * RETENTION_FACTOR) {
+      // The time of another writer's record may lie far in the future, or be no number.
+      const idleMs = now - lastUsedMs;
+      const isRetained = idleMs >= -MAX_CLOCK_LEAD_MS && idleMs <= retainMs * RETENTION_FACTOR;
+      if (running.size === inherited.size && !isRetained) {
         this.#programs.delete(programId);
       }
     }
@@ -355,7 +362,17 @@
     const running = [...program.running].map(([turnId, maxTokens]) => {
       return { turnId, maxTokens, isInherited: program.inherited.has(turnId) };
     });
-    const record = { programId, spent, running, ahead, uncertain, isComplete, atMs: now, retainMs };
+    const record = {
+      programId,
+      // Records of other writers may add up to more than a message holds.
+      spent: Math.min(spent, MAX_UINT32),
+      running,
+      ahead: Math.min(ahead, MAX_UINT32),
+      uncertain: Math.min(uncertain, MAX_UINT32),
+      isComplete,
+      atMs: now,
+      retainMs,
+    };
     if (program.recordedLimit !== undefined) {
       program.recordedLimit = Math.min(program.recordedLimit, recordLimit(record));
     }
@@ -370,7 +387,9 @@
 
 /** Percentage of a budget that an owner may have granted without a record, if that is more than one turn; by what its claim states. */
 function grantedPercent(statedPercent: number): number {
-  if (statedPercent === FORMER_UNRECORDED_PERCENT) return ANY_TURN_PERCENT;
+  if (statedPercent === FORMER_UNRECORDED_PERCENT || statedPercent > ANY_TURN_PERCENT) {
+    return ANY_TURN_PERCENT;
+  }
   return statedPercent === EARLIER_STATED_PERCENT ? EARLIER_UNRECORDED_PERCENT : statedPercent;
 }
 
--- a/src/turns/common/spending_ledger_test.ts
+++ b/src/turns/common/spending_ledger_test.ts
@@ -469,3 +469,31 @@
   const delivered = deliverAll(recover(log, 1), { prefix: "after", budget, limit: MAX_TOKENS });
   t.is(delivered, budget - reserved * MAX_TOKENS);
 });
+
+const MAX_UINT32 = 2 ** 32 - 1;
+
+// Guards against a slice that cannot append, hand over or write its checkpoint because of one record of another writer.
+test("records of another writer add up to no more than a message holds", (t) => {
+  const ledger = new SpendingLedger();
+  const odd = { spent: MAX_UINT32, ahead: MAX_UINT32, uncertain: MAX_UINT32, running: [], isComplete: true };
+  ledger.restore({ ...odd, programId: "odd", atMs: 0, retainMs: RETAIN_MS });
+  for (const record of [...ledger.snapshot(1), ...ledger.settle(1)]) {
+    t.deepEqual([record.spent, record.uncertain], [MAX_UINT32, MAX_UINT32]);
+  }
+});
+
+// Guards against programs that are refused for good because of one claim of another writer.
+test("a program is granted its first turn after a claim that states more than all of a budget", (t) => {
+  const ledger = new SpendingLedger();
+  ledger.markUnclean(1, MAX_UINT32);
+  t.is(ledger.begin(grantRequest("1"), 2), GrantDecision.GrantedWhenRecorded);
+  t.true(ledger.takeDirty(2).every(({ spent }) => spent <= 2700));
+});
+
+test("a program with an odd time is forgotten", (t) => {
+  const ledger = new SpendingLedger();
+  const record = { spent: 1, ahead: 0, uncertain: 0, running: [], isComplete: true, retainMs: RETAIN_MS };
+  for (const atMs of [NaN, Infinity, 1e300]) ledger.restore({ ...record, programId: `odd ${atMs}`, atMs });
+  ledger.restore({ ...record, programId: "p", atMs: 1 });
+  t.deepEqual(ledger.snapshot(2).map(({ programId }) => programId), ["p"]);
+});
