--- a/src/call/common/forwarder_finder.ts
+++ b/src/call/common/forwarder_finder.ts
@@ -4,6 +4,7 @@
 import type { PeerRpcClients } from "../../membership/common/peer_client.ts";
 import type { IForwarderFinder } from "./forwarding_upstream.ts";
 import type { ILogger } from "../../services/logging/common/logger.ts";
+import { isUsablePeerAddress } from "./usable_messages.ts";
 
 /** Interval between two questions for forwarders. */
 const ASK_INTERVAL_MS = 1000;
@@ -59,7 +60,7 @@
     });
     const recorded = Effect.flatMap(call, ({ addresses }) =>
       Effect.map(Clock.currentTimeMillis, (now) => {
-        this.#named = addresses;
+        this.#named = addresses.filter(isUsablePeerAddress);
         this.#namedAtMs = now;
       }));
     return recorded.pipe(
--- a/src/call/common/permit_client.ts
+++ b/src/call/common/permit_client.ts
@@ -9,8 +9,9 @@
 import type { IServerRun } from "../../services/backends/common/leaving_servers.ts";
 import type { IServerLimit, ServerLimits } from "../../services/backends/common/server_limits.ts";
 import type { Metrics } from "../../services/metrics/common/metrics.ts";
-import { fromLimitMessage, toLimitMessage } from "./limit_message.ts";
+import { toLimitMessage } from "./limit_message.ts";
 import type { OwnerCaller, TurnServiceClient } from "./owner_caller.ts";
+import { toUsableLimit } from "./usable_messages.ts";
 
 /** Time after which a permit that was not used, because the instance stood still, is void. */
 const PERMIT_TTL_MS = 300;
@@ -178,7 +179,7 @@
     const req = create(AcquirePermitRequestSchema, { instance, limit: toLimitMessage(limit), maxWaitMs });
     const res = await client.acquirePermit(req, { signal });
     if (!res.isOwner) return undefined;
-    const newest = fromLimitMessage(res.limit);
+    const newest = toUsableLimit(res.limit, this.#opts.now());
     if (newest !== undefined) limits.merge(newest);
     this.#askers.set(limit.run.backendId, res.askers);
     return res;
--- a/src/call/common/stream_origin_registry.ts
+++ b/src/call/common/stream_origin_registry.ts
@@ -2,6 +2,7 @@
 import type { Event } from "../../base/common/emitter.ts";
 import { Emitter } from "../../base/common/emitter.ts";
 import type { IResumedStream, IStreamOrigin } from "./stream_origin.ts";
+import { isUsableTime } from "./usable_messages.ts";
 
 /** How long a stream can be resumed, in ms: longer than the deadline of any caller. */
 const RETENTION_MS = 30_000;
@@ -80,7 +81,7 @@
 
   /** Adds a stream that another instance, or this one before a restart, has begun. */
   add(stream: IBegunStream): void {
-    if (this.#isExpired(stream) || this.#streams.has(stream.attemptId)) return;
+    if (!this.#isUsable(stream) || this.#streams.has(stream.attemptId)) return;
     this.#streams.set(stream.attemptId, stream);
     const sameContent = this.#byContent.get(stream.contentKey) ?? [];
     this.#byContent.set(stream.contentKey, [...sameContent, stream]);
@@ -89,6 +90,7 @@
 
   /** Adds a stream that this instance has begun before a restart. */
   restore(stream: IBegunStream): void {
+    if (!this.#isUsable(stream)) return;
     this.add(stream);
     this.#own.push(stream);
   }
@@ -141,6 +143,11 @@
     }
   }
 
+  /** One that never expires would keep all those after it. */
+  #isUsable(stream: IBegunStream): boolean {
+    return isUsableTime(stream.atMs, this.#now()) && !this.#isExpired(stream);
+  }
+
   readonly #isCurrent = (stream: IBegunStream) => !this.#isExpired(stream);
 
   #isExpired({ atMs }: IBegunStream): boolean {
--- a/src/call/common/stream_origin_replicator.ts
+++ b/src/call/common/stream_origin_replicator.ts
@@ -4,7 +4,6 @@
 import { Effect, Latch, Semaphore } from "effect";
 import { toError } from "../../base/common/errors.ts";
 import { repeatWhenNeeded } from "../../base/common/periodic.ts";
-import type { BegunStreamList } from "../../base/common/gen/ragwortcleat/v1/turns_pb.ts";
 import { BegunStreamListSchema } from "../../base/common/gen/ragwortcleat/v1/turns_pb.ts";
 import type { ILogger } from "../../services/logging/common/logger.ts";
 import { supervise } from "../../services/logging/common/supervision.ts";
@@ -12,6 +11,7 @@
 import { isValidKey } from "../../services/store/common/partitioned_log.ts";
 import type { IStreamOrigin } from "./stream_origin.ts";
 import type { IBegunStream, StreamOriginRegistry } from "./stream_origin_registry.ts";
+import { isUsableStream } from "./usable_messages.ts";
 
 /** Interval between two writes; the streams begun within it are lost if all instances are killed at once. */
 const WRITE_INTERVAL_MS = 1000;
@@ -89,7 +89,7 @@
       const { items } = yield* log.readLatestValues(topic);
       const abandoned: string[] = [];
       for (const item of items) {
-        const streams = this.#decode(item)?.streams ?? [];
+        const streams = this.#decode(item);
         for (const stream of streams) {
           if (item.key === instance) registry.restore(stream);
           else registry.add(stream);
@@ -110,17 +110,23 @@
     });
   }
 
-  #isAbandoned(streams: BegunStreamList["streams"]): boolean {
+  #isAbandoned(streams: readonly IBegunStream[]): boolean {
     const newestMs = streams.reduce((newest, { atMs }) => Math.max(newest, atMs), 0);
     return this.#opts.now() - newestMs > ABANDONED_AGE_MS;
   }
 
-  #decode({ key, value }: IKeyedItem): BegunStreamList | undefined {
+  /** Returns the usable streams of a list. */
+  #decode({ key, value }: IKeyedItem): readonly IBegunStream[] {
+    const { logger, now } = this.#opts;
     try {
-      return fromBinary(BegunStreamListSchema, value);
+      const { streams } = fromBinary(BegunStreamListSchema, value);
+      const usable = streams.filter((stream) => isUsableStream(stream, now()));
+      const unusable = streams.length - usable.length;
+      if (unusable > 0) logger.warn("streams-unusable", { key, unusable });
+      return usable;
     } catch (err) {
-      this.#opts.logger.warn("streams-unreadable", { key, error: toError(err).message });
-      return undefined;
+      logger.warn("streams-unreadable", { key, error: toError(err).message });
+      return [];
     }
   }
 
--- a/src/call/common/strike_replicator.ts
+++ b/src/call/common/strike_replicator.ts
@@ -20,6 +20,7 @@
 import type { IStrike } from "./strike_ledger.ts";
 import { strikeKey } from "./strike_ledger.ts";
 import { toStrikeMessage } from "./strike_message.ts";
+import { isUsableStrike } from "./usable_messages.ts";
 
 const POLL_TIMEOUT_MS = 3000;
 /** Limits the calls to the store after a crash, when all instances write strikes of its victims. */
@@ -98,11 +99,14 @@
   }
 
   #apply({ key, value }: IKeyedUpdate): void {
-    const { monitor, logger } = this.#opts;
+    const { monitor, logger, now } = this.#opts;
     const isPending = key.startsWith(PENDING_KEY_PREFIX);
     if (value === undefined) return isPending ? undefined : monitor.mergeWithdrawal(key);
     try {
       const strike = fromBinary(StrikeSchema, value);
+      if (!isUsableStrike(strike, now())) {
+        return logger.warn("strike-unusable", { key, bytes: value.length });
+      }
       if (isPending) return void monitor.merge({ strike, isWithdrawn: false, isPending });
       if (monitor.isObsolete(strike)) this.#delete(key);
       else monitor.merge({ strike, isWithdrawn: false, isPending: false });
--- a/src/daemon/common/gateway_core.ts
+++ b/src/daemon/common/gateway_core.ts
@@ -7,7 +7,7 @@
 import { Effect } from "effect";
 import { hostOf } from "../../base/common/address.ts";
 import { TurnService } from "../../base/common/gen/ragwortcleat/v1/turns_pb.ts";
-import type { GetSnapshotResponse, KeyedSnapshot } from "../../base/common/gen/ragwortcleat/v1/turns_pb.ts";
+import type { GetSnapshotResponse } from "../../base/common/gen/ragwortcleat/v1/turns_pb.ts";
 import { ForwarderFinder } from "../../call/common/forwarder_finder.ts";
 import { KnownInstances } from "../../call/common/known_instances.ts";
 import { CrashMonitor } from "../../call/common/crash_monitor.ts";
@@ -30,6 +30,12 @@
 import { GatewayRelay } from "../../call/common/gateway_relay.ts";
 import type { RelayedCall } from "../../call/common/relayed_call.ts";
 import type { IRequestCodec, IUpstream } from "../../call/common/opaque_request.ts";
+import {
+  isUsablePeerAddress,
+  isUsableRun,
+  isUsableStrike,
+  toUsableItems,
+} from "../../call/common/usable_messages.ts";
 import type { IPeerTransports } from "../../membership/common/peer_client.ts";
 import { PeerRpcClients } from "../../membership/common/peer_client.ts";
 import { repeatWhenNeeded } from "../../base/common/periodic.ts";
@@ -56,7 +62,7 @@
 import type { GatewaySettings } from "../../services/settings/common/gen/gateway_settings.ts";
 import type { IKeyedUpdate } from "../../services/store/common/keyed_topic_follower.ts";
 import { KeyedTopicFollower } from "../../services/store/common/keyed_topic_follower.ts";
-import type { IKeyedItems, IPartition } from "../../services/store/common/partitioned_log.ts";
+import type { IPartition } from "../../services/store/common/partitioned_log.ts";
 import type { IPlatformAdapter } from "../../services/store/common/platform_adapter.ts";
 import type { ISliceOwnership } from "../../turns/common/slice_journal.ts";
 import type { ISpendingRecord } from "../../turns/common/spending_ledger.ts";
@@ -627,10 +633,11 @@
         );
         if (snapshot === undefined) return;
         if (this.#isStoreFailing) this.#applySnapshot(snapshot);
+        const now = this.#dependencies.now();
         for (const { strike, isWithdrawn, isPending } of snapshot.strikeChanges) {
-          if (strike !== undefined) this.crashes.merge({ strike, isWithdrawn, isPending });
+          if (isUsableStrike(strike, now)) this.crashes.merge({ strike, isWithdrawn, isPending });
         }
-        for (const run of snapshot.leaving) this.leaving.merge(run);
+        for (const run of snapshot.leaving) if (isUsableRun(run, now)) this.leaving.merge(run);
         hasSynced = true;
       }),
     });
@@ -647,11 +654,13 @@
   }
 
   #applySnapshot(snapshot: GetSnapshotResponse): void {
-    const { configuration, backends, strikes, owners } = snapshot;
-    if (configuration !== undefined) this.configuration.updateIfNewer(toKeyedItems(configuration));
-    if (backends !== undefined) this.backends.updateIfNewer(toKeyedItems(backends));
-    if (strikes !== undefined) this.strikes.follower.updateIfNewer(toKeyedItems(strikes));
-    if (owners.length > 0) this.group.updateIfNewer(toOwnerTable(snapshot));
+    const configuration = toUsableItems(snapshot.configuration);
+    const backends = toUsableItems(snapshot.backends);
+    const strikes = toUsableItems(snapshot.strikes);
+    if (configuration !== undefined) this.configuration.updateIfNewer(configuration);
+    if (backends !== undefined) this.backends.updateIfNewer(backends);
+    if (strikes !== undefined) this.strikes.follower.updateIfNewer(strikes);
+    if (snapshot.owners.length > 0) this.group.updateIfNewer(this.#toOwnerTable(snapshot));
   }
 
   #fetchSnapshot(peer: string) {
@@ -668,10 +677,19 @@
   #fetchTable(peer: string): Effect.Effect<IOwnerTable | undefined> {
     return Effect.map(
       this.#fetchSnapshot(peer),
-      (snapshot) => snapshot === undefined ? undefined : toOwnerTable(snapshot),
+      (snapshot) => snapshot === undefined ? undefined : this.#toOwnerTable(snapshot),
     );
   }
 
+  /** Slices that this instance does not have, and owners that cannot be called, are left out. */
+  #toOwnerTable({ generation, owners }: GetSnapshotResponse): IOwnerTable {
+    const addresses = Array.from({ length: this.owned.sliceCount }, () => "");
+    for (const { slice, address } of owners) {
+      if (slice < addresses.length && isUsablePeerAddress(address)) addresses[slice] = address;
+    }
+    return { generation, addresses };
+  }
+
   #requestRelease(
     { slice, writer, holder }: ISliceOwnership,
   ): Effect.Effect<readonly ISpendingRecord[] | undefined> {
@@ -707,15 +725,3 @@
     part: slice % storeParts,
   }));
 }
-
-function toOwnerTable(
-  { generation, owners }: { generation: number; owners: readonly { slice: number; address: string }[] },
-): IOwnerTable {
-  const addresses: string[] = [];
-  for (const { slice, address } of owners) addresses[slice] = address;
-  return { generation, addresses };
-}
-
-function toKeyedItems({ items, end }: KeyedSnapshot): IKeyedItems {
-  return { items, end };
-}
--- a/src/daemon/node/gateway.ts
+++ b/src/daemon/node/gateway.ts
@@ -107,7 +107,7 @@
     const peer = parseAddress(settings.peerAddress);
     const turnServer = yield* disposeWithScope(
       new TurnServer(
-        makeTurnService({ ...turnServiceParts(core), address: settings.peerAddress, context }),
+        makeTurnService({ ...turnServiceParts(core), address: settings.peerAddress, now: Date.now, context }),
         new ForwardServer({ service: core.forwardService, directory: core.directory, logger, context }),
       ),
     );
--- a/src/peer/common/report_exchange.ts
+++ b/src/peer/common/report_exchange.ts
@@ -20,6 +20,7 @@
 import { ReportGroup } from "./report_group.ts";
 import { ReportTopology } from "./report_topology.ts";
 import { SendPacer } from "./send_pacer.ts";
+import { toUsableReport } from "./usable_report.ts";
 
 /** Interval between reports to all owners, of which there are few; short compared with the duration of a request. */
 const DIRECT_INTERVAL_MS = 100;
@@ -33,6 +34,8 @@
 const INSTANCE_COUNT_TTL_MS = 10_000;
 /** Time after which the loads of a summary are out of date. */
 const SUMMARY_TTL_MS = 1500;
+/** Number of hosts that are remembered, so that each is logged only once. */
+const MAX_REMEMBERED_SENDERS = 1000;
 /** Name under which the loads of a summary are recorded. */
 const SUMMARY = "summary";
 
@@ -80,6 +83,8 @@
   #nextAtMs = -Infinity;
   #urgentAtMs = Infinity;
   #farewells: IOutgoingReport[] = [];
+  /** Hosts of which an unusable report has been logged. */
+  readonly #unusableSenders = new Set<string>();
   #instanceCount = 0;
   #instanceCountAtMs = -Infinity;
 
@@ -139,8 +144,12 @@
   }
 
   /** Evaluates a message of another instance. */
-  receive(digest: LoadDigest, sender: string): void {
-    const { contents, metrics } = this.#opts;
+  receive(received: LoadDigest, sender: string): void {
+    const { contents, metrics, now } = this.#opts;
+    const report = toUsableReport(received, now());
+    if (report === undefined || report.unusable > 0) this.#logUnusable(sender, report?.unusable);
+    if (report === undefined) return;
+    const { digest } = report;
     metrics.incrementCounter("reports_received", { kind: ReportKind[digest.kind] ?? "unknown" });
     contents.mergeEvents(digest);
     if (digest.kind === ReportKind.SUMMARY) this.#receiveSummary(digest, sender);
@@ -148,6 +157,13 @@
     this.#relay(digest, sender);
   }
 
+  /** Logs the first of the unusable reports of a sender, which may send one several times a second. */
+  #logUnusable(sender: string, unusable: number | undefined): void {
+    if (this.#unusableSenders.has(sender) || this.#unusableSenders.size >= MAX_REMEMBERED_SENDERS) return;
+    this.#unusableSenders.add(sender);
+    this.#opts.logger.warn("report-unusable", { sender, unusable });
+  }
+
   get #isDirect(): boolean {
     return !this.#topology.isAggregated && this.#role === ReportRole.Direct;
   }
--- a/src/peer/common/turn_service.ts
+++ b/src/peer/common/turn_service.ts
@@ -18,8 +18,9 @@
 import type { HedgeLimitOwner } from "../../call/common/hedge_limit_client.ts";
 import type { CrashMonitor, IStrikeChange } from "../../call/common/crash_monitor.ts";
 import type { StreamOriginRegistry } from "../../call/common/stream_origin_registry.ts";
-import { fromLimitMessage, toLimitMessage } from "../../call/common/limit_message.ts";
+import { toLimitMessage } from "../../call/common/limit_message.ts";
 import { toStrikeMessage } from "../../call/common/strike_message.ts";
+import { toUsableLimit } from "../../call/common/usable_messages.ts";
 import type { SendRateLimiter } from "../../routing/common/send_rate_limiter.ts";
 import type { LeavingServers } from "../../services/backends/common/leaving_servers.ts";
 import type { ServerLimits } from "../../services/backends/common/server_limits.ts";
@@ -48,6 +49,8 @@
   readonly forwarders: () => string[];
   /** Address at which peers reach this instance. */
   readonly address: string;
+  /** Unix time in ms. */
+  readonly now: () => number;
   readonly context: Context.Context<never>;
 }
 
@@ -95,9 +98,9 @@
 /** Grants a permit of a server that this instance owns. A limit that has ended meanwhile needs none. */
 function acquirePermit(
   { instance, limit, maxWaitMs }: AcquirePermitRequest,
-  { owned, group, limits, limiter, address }: ITurnServiceOptions,
+  { owned, group, limits, limiter, address, now }: ITurnServiceOptions,
 ): Partial<Omit<AcquirePermitResponse, "$typeName">> {
-  const asked = fromLimitMessage(limit);
+  const asked = toUsableLimit(limit, now());
   if (asked === undefined) return { isOwner: false };
   const { run } = asked;
   if (group.ownerOf(owned.sliceOf(run.backendId)) !== address) return { isOwner: false };
--- a/test/harness/gateway_cluster.ts
+++ b/test/harness/gateway_cluster.ts
@@ -37,7 +37,7 @@
 export const CONFIGURATION_KEY = "config";
 export const BACKEND_TOPIC = "keyed.servers";
 export const STRIKE_TOPIC = "keyed.strikes";
-const STREAM_TOPIC = "keyed.streams";
+export const STREAM_TOPIC = "keyed.streams";
 /** Marks the target of a request that crashes servers. */
 const CRASHING_MARK = "crashing";
 /** Marks the target of a request whose response is lost. */
@@ -258,6 +258,7 @@
         hedgeLimit: core.hedgeLimit,
         forwarders: core.forwarders,
         address: `${name}:3`,
+        now: () => this.nowMs,
         context: yield* Effect.context<never>(),
       });
       const transport = createRouterTransport((router) => router.service(TurnService, service));
--- a/test/harness/single_gateway.ts
+++ b/test/harness/single_gateway.ts
@@ -15,17 +15,20 @@
   readonly callerPort: number;
   /** Settings beside the required ones. */
   readonly settings?: object;
+  /** Store that it shares with other gateways; its own one by default. */
+  readonly log?: PartitionedLogCore;
   readonly onLine?: (line: LogLine) => void;
 }
 
 export class SingleGateway {
   readonly lines: LogLine[] = [];
   readonly #opts: ISingleGatewayOptions;
-  readonly #log = new PartitionedLogCore();
+  readonly #log: PartitionedLogCore;
   #scope: Scope.Closeable | undefined;
 
   constructor(opts: ISingleGatewayOptions) {
     this.#opts = opts;
+    this.#log = opts.log ?? new PartitionedLogCore();
   }
 
   /** Writes a configuration as the platform's operator does. */
@@ -107,7 +110,7 @@
     const platform = {
       adapter: adapterFor(this.#log),
       codec: new RequestCodec(),
-      logger: new JsonLogger("g", "info", (line) => this.#record(line)),
+      logger: new JsonLogger(`g ${host}`, "info", (line) => this.#record(line)),
       droppedLogLines: () => 0,
     };
     this.#scope = await Effect.runPromise(Scope.make());
