Reports: a report that is larger than a datagram is sent in several

Cause: the ids of requests, servers and prompt parts are of any length. Three streams with request ids of 30 KB, or what an aggregator passes on of them, exceed a datagram; the socket refused the report (load-datagram-not-sent, logged once in the life of the process) and with it the loads. Events are now split into as many messages as it takes; one that no datagram holds is left out.

Evidence: odd_records_test, reports of the kind MEMBER, logged load-datagram-not-sent at both gateways before. encode_report_test covers the splitting, which did not exist before.

--- a/src/peer/node/load_reporter.ts
+++ b/src/peer/node/load_reporter.ts
@@ -1,7 +1,7 @@
 /** Exchanges reports with other instances as UDP datagrams. */
 import type { Socket } from "node:dgram";
 import { createSocket } from "node:dgram";
-import { fromBinary, toBinary } from "@bufbuild/protobuf";
+import { fromBinary } from "@bufbuild/protobuf";
 import type { Scope } from "effect";
 import { Effect } from "effect";
 import type { IDisposable } from "../../base/common/emitter.ts";
@@ -10,6 +10,7 @@
 import { LoadDigestSchema } from "../../base/common/gen/ragwortcleat/v1/turns_pb.ts";
 import type { ILogger } from "../../services/logging/common/logger.ts";
 import { describeDefect, supervise } from "../../services/logging/common/supervision.ts";
+import { encodeReport } from "../common/encode_report.ts";
 import type { IOutgoingReport } from "../common/outgoing_report.ts";
 import type { ReportExchange } from "../common/report_exchange.ts";
 
@@ -78,20 +79,20 @@
 
   #send({ recipients, digest }: IOutgoingReport): void {
     const { port } = this.#opts;
-    const message = this.#encode(digest);
-    if (message === undefined) return;
-    for (const host of recipients) {
-      this.#socket.send(message, port, host, (err) => this.#handleSendResult(err));
+    for (const message of this.#encode(digest)) {
+      for (const host of recipients) {
+        this.#socket.send(message, port, host, (err) => this.#handleSendResult(err));
+      }
     }
   }
 
-  /** Returns undefined for a report that no message can hold; those to other recipients are sent all the same. */
-  #encode(digest: LoadDigest): Uint8Array | undefined {
+  /** Returns nothing for a report that no message can hold; those to other recipients are sent all the same. */
+  #encode(digest: LoadDigest): Uint8Array[] {
     try {
-      return toBinary(LoadDigestSchema, digest);
+      return encodeReport(digest);
     } catch (err) {
       this.#opts.logger.error("load-report-failed", { error: describeDefect(err) });
-      return undefined;
+      return [];
     }
   }
 
