--- a/src/services/store/common/keyed_topic_follower.ts
+++ b/src/services/store/common/keyed_topic_follower.ts
@@ -141,8 +141,9 @@
     return Effect.gen({ self: this }, function* () {
       const { items, end } = yield* this.#opts.log.readLatestValues(this.#opts.topic);
       const outageMs = yield* this.#recordSuccess();
-      this.#applyAll({ items, end }, outageMs);
-      this.#nextOffset = end;
+      // A peer's snapshot may have been applied meanwhile. What it deleted must not come back.
+      if (end >= this.#endOffset) this.#applyAll({ items, end }, outageMs);
+      this.#nextOffset = Math.max(end, this.#endOffset);
       if (outageMs > 0) this.#onDidRegain.fire();
     });
   }
@@ -154,14 +155,29 @@
       const { changes, end } = yield* this.#opts.log.readKeyChanges(this.#opts.topic, { from, waitMs });
       const outageMs = yield* this.#recordSuccess();
       const { isUsable } = this.#opts;
-      const reported = isUsable === undefined ? changes : withoutSuperseded(changes, isUsable);
-      for (const change of reported) this.#apply(change, outageMs);
-      this.#nextOffset = changes.length > 0 ? changes[changes.length - 1].offset + 1 : Math.max(from, end);
-      this.#endOffset = Math.max(this.#endOffset, this.#nextOffset);
+      if (end < from) this.#forgetOffsets(end);
+      else {
+        // A peer's snapshot may have been applied meanwhile.
+        const newer = changes.filter(({ offset }) => offset >= this.#endOffset);
+        const reported = isUsable === undefined ? newer : withoutSuperseded(newer, isUsable);
+        for (const change of reported) this.#apply(change, outageMs);
+        const next = changes.length > 0 ? changes[changes.length - 1].offset + 1 : end;
+        this.#endOffset = Math.max(this.#endOffset, next);
+        this.#nextOffset = this.#endOffset;
+      }
       if (outageMs > 0) this.#onDidRegain.fire();
     });
   }
 
+  /** Has all values read anew: the store never ends before what it has reported, so that a peer's offset was wrong. */
+  #forgetOffsets(end: number): void {
+    const { topic, logger } = this.#opts;
+    logger.warn("store-offset-unusable", { topic, offset: this.#endOffset, end });
+    this.#nextOffset = undefined;
+    this.#endOffset = -1;
+    for (const [key, item] of this.#items) this.#items.set(key, { ...item, offset: -1 });
+  }
+
   #applyAll({ items, end }: IKeyedItems, outageMs: number): void {
     const present = new Set(items.map(({ key }) => key));
     for (const { key, offset } of [...this.#items.values()]) {
--- a/src/services/store/common/keyed_topic_follower_test.ts
+++ b/src/services/store/common/keyed_topic_follower_test.ts
@@ -224,3 +224,60 @@
     t.deepEqual(losses, ["unread", "lost", "away"]);
   }));
 });
+
+// Guards against an instance that never reads a change again after one odd snapshot.
+test("a peer's snapshot with an offset that the store has not reached does not end the following", async (t) => {
+  const { log, follower, updates } = setUp();
+  log.putKey(TOPIC, "a", Buffer.from("1"));
+  await run(Effect.gen(function* () {
+    yield* follower.start();
+    yield* TestClock.adjust(150);
+    const offset = Number.MAX_SAFE_INTEGER;
+    const items = ["a", "odd"].map((key) => ({ key, value: Buffer.from("odd"), offset: offset - 1 }));
+    follower.updateIfNewer({ items, end: offset });
+    log.putKey(TOPIC, "b", Buffer.from("2"));
+    yield* TestClock.adjust(500);
+    log.putKey(TOPIC, "c", Buffer.from("3"));
+    yield* TestClock.adjust(500);
+  }));
+  t.deepEqual(updates, ["a=1", "a=odd!", "odd=odd!", "odd=-", "a=1", "b=2", "c=3"]);
+});
+
+// Guards against a server that is listed again although it has gone.
+test("a read that was in flight while a newer snapshot of a peer was applied brings no deleted key back", async (t) => {
+  for (const isFirstRead of [true, false]) {
+    class SlowLog extends PartitionedLogCore {
+      delayMs = 0;
+      override readLatestValues(topic: string) {
+        return Effect.tap(super.readLatestValues(topic), () => Effect.sleep(this.delayMs));
+      }
+      override readKeyChanges(topic: string, opts: IPartitionReadOptions) {
+        return Effect.tap(super.readKeyChanges(topic, opts), () => Effect.sleep(this.delayMs));
+      }
+    }
+    const log = new SlowLog();
+    const follower = new KeyedTopicFollower({
+      log,
+      topic: TOPIC,
+      waitMs: 0,
+      pauseMs: 100,
+      logger: new NullLogger(),
+    });
+    const updates: string[] = [];
+    follower.onDidUpdate(({ key, value }) => updates.push(`${key}${value === undefined ? "-" : "+"}`));
+    await run(Effect.gen(function* () {
+      if (isFirstRead) log.delayMs = 500;
+      else yield* follower.start();
+      yield* TestClock.adjust(isFirstRead ? 0 : 150);
+      log.delayMs = 500;
+      log.putKey(TOPIC, "a", Buffer.from("1"));
+      if (isFirstRead) yield* follower.start();
+      yield* TestClock.adjust(200);
+      log.putKey(TOPIC, "a", undefined);
+      follower.updateIfNewer({ items: [], end: 2 });
+      log.fault = LogFault.Refuse;
+      yield* TestClock.adjust(2000);
+    }));
+    t.deepEqual(updates, [], `first read: ${isFirstRead}`);
+  }
+});
