Allotments: questions with odd numbers get no answer, and long names are cut in the log

Cause: an allotment of NaN, infinite or negative numbers in another instance's question was adopted by the owner, and a name of any length went into the log line.

The check of the numbers is by reading only.

--- a/src/call/common/allotment_owner.ts
+++ b/src/call/common/allotment_owner.ts
@@ -13,6 +13,7 @@
 import type { Metrics } from "../../services/metrics/common/metrics.ts";
 import type { IOrganisation } from "../../services/organisations/common/organisation.ts";
 import { fromProgressMessage } from "./allotment_message.ts";
+import { isUsableAllotment } from "./usable_messages.ts";
 
 /** Share of the rate that an instance grants in place of an owner that does not respond, but may still grant. */
 const FALLBACK_SHARE = 0.5;
@@ -27,6 +28,9 @@
 /** Number of organisations that have their own metrics; further ones are counted together. */
 const MAX_COUNTED_ORGANISATIONS = 256;
 
+/** Longest part of a name that is logged; callers and other instances may send longer ones. */
+const MAX_LOGGED_CHARS = 255;
+
 export interface IAllotmentOwnerOptions {
   /** Time since which this instance owns an organisation's allotment, in ms of the clock; undefined if it does not. */
   readonly ownedSinceMs: (organisation: string) => number | undefined;
@@ -82,7 +86,7 @@
   /** Answers the question of another instance. */
   answer(req: AcquireAllotmentRequest): Partial<Omit<AcquireAllotmentResponse, "$typeName">> {
     const { organisation, allotment, programId, count, returned, isFallback } = req;
-    if (allotment === undefined) return { isOwner: false };
+    if (!isUsableAllotment(allotment)) return { isOwner: false };
     const grant = this.decide({
       organisation,
       allotment,
@@ -173,7 +177,7 @@
     this.#loggedAtMs.set(organisation, now);
     const { allotment, version, level, activePrograms, retryAfterMs } = grant;
     this.#opts.logger.info("allotment-exhausted", {
-      organisation,
+      organisation: organisation.slice(0, MAX_LOGGED_CHARS),
       owner: this.#opts.address,
       isFallback: !isOwner,
       perSecond: allotment.perSecond,
@@ -181,7 +185,7 @@
       version,
       level: Math.round(level * 100) / 100,
       activePrograms,
-      program: programId,
+      program: programId?.slice(0, MAX_LOGGED_CHARS),
       progress,
       retryAfterMs: Math.round(retryAfterMs),
     });
--- a/src/call/common/usable_messages.ts
+++ b/src/call/common/usable_messages.ts
@@ -3,6 +3,7 @@
  * however it got there. What is accepted is compared, summed up, stored and passed on.
  */
 import type {
+  Allotment,
   BegunStream,
   KeyedSnapshot,
   ServerLimit,
@@ -63,6 +64,13 @@
   return isUsable ? fromLimitMessage(message) : undefined;
 }
 
+export function isUsableAllotment(allotment: Allotment | undefined): allotment is Allotment {
+  if (allotment === undefined) return false;
+  const { perSecond, burst, version } = allotment;
+  return [perSecond, burst].every((value) => Number.isFinite(value) && value >= 0) &&
+    Number.isSafeInteger(version);
+}
+
 /** Whether an address is a host and a port at which an instance can be called. */
 export function isUsablePeerAddress(address: string): boolean {
   const [, port] = PEER_ADDRESS.exec(address) ?? [];
--- a/test/processes/odd_records_test.ts
+++ b/test/processes/odd_records_test.ts
@@ -12,6 +12,7 @@
   LoadDigestSchema,
   ReportKind,
   StrikeSchema,
+  TurnService,
 } from "../../src/base/common/gen/ragwortcleat/v1/turns_pb.ts";
 import { STREAM_TOPIC, STRIKE_TOPIC } from "../harness/gateway_cluster.ts";
 import { GatewayPair } from "../harness/gateway_pair.ts";
@@ -162,3 +163,56 @@
     t.true(pair.linesOf("report-unusable").length <= pair.hosts.length);
   });
 }
+
+/** Messages of the calls between instances; those of the other calls are empty. */
+const CALLS: Readonly<Record<string, Record<string, unknown>>> = {
+  beginTurn: { programId: "other", turnId: "x", maxTokens: 1, budget: 10, retainMs: 1000, partIds: ["a"] },
+  endTurn: {
+    programId: "other",
+    turnId: "x",
+    tokens: 1,
+    home: { partId: "a", backendId: "b0", tokens: 1 },
+  },
+  storeTurn: {
+    turn: {
+      turnId: "x",
+      content: Buffer.from("a"),
+      ancestors: [{ turnId: "y", storedAtMs: NOW }],
+      storedAtMs: NOW,
+      retainMs: 1000,
+      programId: "other",
+      tokens: 1,
+    },
+  },
+  loadTurn: { turnId: "x" },
+  releaseSlice: { slice: 0, writer: 1n },
+  findStream: { attemptId: "x", contentKey: 1n },
+  acquirePermit: { instance: "other", limit: { run: RUN, perSecond: 1000, ageMs: 0 }, maxWaitMs: 0 },
+  acquireAllotment: {
+    instance: "127.0.0.99:1",
+    organisation: "o",
+    allotment: { perSecond: 1, burst: 1, version: 1 },
+    programId: "other",
+    count: 1,
+  },
+  acquireHedge: { instance: "127.0.0.99:1", startedAtMs: NOW, service: "s", sends: 10, answeredSends: 1 },
+};
+
+test.serial("odd calls of other instances, over both protocols", async (t) => {
+  const pair = await start(t);
+  const unanswered: string[] = [];
+  for (const method of TurnService.methods) {
+    const path = `/${TurnService.typeName}/${method.name}`;
+    const message = create(method.input, CALLS[method.localName] ?? {});
+    for (const { name, bytes } of variantsOf(method.input, message)) {
+      for (const host of pair.hosts) {
+        for (const headers of [{}, { "Connect-Timeout-Ms": "5000" }]) {
+          const { status } = await pair.callPeer(host, path, bytes, headers);
+          if (status === 0) unanswered.push(`${method.name}, ${name}`);
+        }
+      }
+    }
+  }
+  t.deepEqual(unanswered, []);
+  await checkSound(t, pair);
+});
