Hedging: a question with odd numbers does not spoil a service's tokens

Cause: the counts of an asking instance went into the sums of the service as they came; NaN stayed there, and an infinite count earned the full bucket.

Evidence: the test failed before: a question with NaN was granted.

--- a/src/routing/common/hedge_limiter.ts
+++ b/src/routing/common/hedge_limiter.ts
@@ -46,6 +46,11 @@
 
   /** Takes a token for one hedged request; returns false if the limit is used up. */
   acquire(question: IHedgeQuestion): boolean {
+    const { startedAtMs, sends, answeredSends } = question;
+    // What is no number would stay in the sums of the service.
+    if (![startedAtMs, sends, answeredSends].every((value) => Number.isFinite(value) && value >= 0)) {
+      return false;
+    }
     const state = this.#stateOf(question);
     const earned = takeNewSends(state.counts, question) * this.#maxExtraSends;
     state.tokens = Math.min(MAX_TOKENS, state.tokens + earned + question.returned);
--- a/src/routing/common/hedge_limiter_test.ts
+++ b/src/routing/common/hedge_limiter_test.ts
@@ -88,3 +88,24 @@
   asker.sends += 50;
   t.true(asker.ask({ ownedSinceMs: 2 }));
 });
+
+// Guards against a service that is never hedged again after one odd question.
+test("a question with odd numbers changes nothing", (t) => {
+  const limiter = new HedgeLimiter(0.1);
+  const question = {
+    service: "s",
+    asker: "odd",
+    startedAtMs: 1,
+    sends: 0,
+    answeredSends: 0,
+    returned: 0,
+    ownedSinceMs: 1,
+  };
+  for (const odd of [NaN, Infinity, -Infinity, -1]) {
+    t.false(limiter.acquire({ ...question, sends: odd }));
+    t.false(limiter.acquire({ ...question, answeredSends: odd, sends: 0 }));
+  }
+  t.true(limiter.acquire({ ...question, asker: "a", sends: 20 }));
+  t.true(limiter.acquire({ ...question, asker: "a", sends: 20 }));
+  t.false(limiter.acquire({ ...question, asker: "a", sends: 20 }));
+});
