Turns: a claim that names no address is not asked, and odd records of slices are played through two gateways

Cause: the address of a foreign claim went into a call and, at any length, into the log line about it.

Evidence: odd_records_test, 'odd records in the slices before the start', failed before at the length of slice-not-released (50,000 characters) alone: all 32 slices were opened, and turns were served at both gateways.

--- a/src/daemon/common/gateway_core.ts
+++ b/src/daemon/common/gateway_core.ts
@@ -693,6 +693,11 @@
   #requestRelease(
     { slice, writer, holder }: ISliceOwnership,
   ): Effect.Effect<readonly ISpendingRecord[] | undefined> {
+    if (!isUsablePeerAddress(holder)) {
+      const error = "the claim names no address";
+      this.#dependencies.logger.info("slice-not-released", { slice, holder: "", error });
+      return Effect.succeed(undefined);
+    }
     const call = this.#peers.call(holder, {
       timeoutMs: PEER_TIMEOUT_MS,
       invoke: (client, signal) => client.releaseSlice({ slice, writer }, { signal }),
--- a/test/processes/odd_records_test.ts
+++ b/test/processes/odd_records_test.ts
@@ -6,11 +6,14 @@
 import { create, toBinary } from "@bufbuild/protobuf";
 import type { ExecutionContext } from "ava";
 import test from "ava";
+import { Effect } from "effect";
+import type { SliceRecord } from "../../src/base/common/gen/ragwortcleat/v1/turns_pb.ts";
 import {
   BegunStreamListSchema,
   BegunStreamSchema,
   LoadDigestSchema,
   ReportKind,
+  SliceRecordSchema,
   StrikeSchema,
   TurnService,
 } from "../../src/base/common/gen/ragwortcleat/v1/turns_pb.ts";
@@ -216,3 +219,54 @@
   t.deepEqual(unanswered, []);
   await checkSound(t, pair);
 });
+
+const SLICE_EVENTS: readonly SliceRecord["event"][] = [
+  create(SliceRecordSchema, {
+    event: {
+      case: "claim",
+      value: {
+        instance: "other",
+        address: "127.0.0.1:1",
+        atMs: NOW,
+        uncleanAtMs: NOW,
+        unrecordedPercent: 25,
+      },
+    },
+  }).event,
+  create(SliceRecordSchema, { event: { case: "release", value: {} } }).event,
+  create(SliceRecordSchema, {
+    event: {
+      case: "spending",
+      value: { programId: "x", spent: 1, running: [{ turnId: "x", maxTokens: 1 }], ahead: 1, atMs: NOW },
+    },
+  }).event,
+  create(SliceRecordSchema, {
+    event: {
+      case: "turn",
+      value: { turnId: "x", content: Buffer.from("a"), ancestors: [{ turnId: "y" }], storedAtMs: NOW },
+    },
+  }).event,
+  create(SliceRecordSchema, {
+    event: { case: "piece", value: { turnId: "x", index: 0, count: 1, data: Buffer.from("a") } },
+  }).event,
+];
+
+/** Number of slices of a deployment with the settings of these tests. */
+const SLICES = 32;
+const PARTS = 8;
+
+test.serial("odd records in the slices before the start", async (t) => {
+  const records = SLICE_EVENTS.flatMap((event) =>
+    variantsOf(SliceRecordSchema, create(SliceRecordSchema, { writer: 5n, appendNumber: 1, event }))
+  ).map(({ bytes }) => bytes);
+  const pair = await start(t, ({ log }) => {
+    for (let slice = 0; slice < SLICES; slice++) {
+      const partition = { topic: `slices-${Math.floor(slice / PARTS)}`, part: slice % PARTS };
+      const mine = records.filter((_, index) => index % SLICES === slice);
+      Effect.runSync(Effect.orDie(log.append(partition, mine, 0)));
+    }
+  });
+  const countOpened = () => new Set(pair.linesOf("slice-opened").map(({ slice }) => slice)).size;
+  await pair.awaitLines(() => countOpened() === SLICES);
+  await checkSound(t, pair);
+});
