Peers: calls that time out do not open a connection each to an owner that is busy

What callers saw: after all instances had lost power, turns that begin at or continue from a slice of some owners waited for half of their time and were refused, try after try, for six seconds, while first turns and the owners' own callers were served. That is the form of the users' record (LOST): waiting, at every instance, until the deadline.

Cause: Node.js accepts one connection per iteration of the event loop. A call that timed out closed its connection and the idle ones to that peer, so that each try opened another one. Instances that have just started, with a third of a core, accept fewer than 87 others open; what they accept has been given up, and each accept costs them more time than a call on an open connection.

Evidence: with extra log lines, all timed-out calls to these owners had been sent over new, established connections (396 of 405), while the owners held 4 to 18 connections of peers instead of 100, and received hardly any call.

Class: retries that use up what they wait for (a metastable overload).

--- a/src/membership/common/peer_client.ts
+++ b/src/membership/common/peer_client.ts
@@ -17,7 +17,7 @@
 /** Provides the transport for each peer address. A transport owns its connection. */
 export interface IPeerTransports {
   get(address: string): Transport;
-  /** Closes the connections to an address that carry no other call, so that the next call opens a new one. */
+  /** Closes the connections to an address that carry no call and may be lost, so that the next call opens a new one. */
   reset(address: string): void;
 }
 
@@ -42,8 +42,8 @@
   }
 
   /**
-   * Makes one call with a timeout. A call that times out closes its connection and, unless it had little time, the unused
-   * ones: an intermediary between the two ends may have dropped its state for them while new connections still work.
+   * Makes one call with a timeout. A call that times out, unless it had little time, closes unused connections that may be lost:
+   * an intermediary between the two ends may have dropped its state for them while new connections still work.
    */
   call<T>(address: string, opts: IPeerCall<S, T>): Effect.Effect<T, PeerError> {
     const attempt = Effect.tryPromise({
--- a/src/peer/node/http1_transports.ts
+++ b/src/peer/node/http1_transports.ts
@@ -4,12 +4,12 @@
 import type { Transport } from "@connectrpc/connect";
 import { connectNodeAdapter } from "@connectrpc/connect-node";
 import { TurnService } from "../../base/common/gen/ragwortcleat/v1/turns_pb.ts";
-import { KeepAliveAgent } from "../../base/node/keep_alive_agent.ts";
 import type { IListenAddress } from "../../base/node/listen.ts";
 import { listen } from "../../base/node/listen.ts";
 import type { IPeerTransports } from "../../membership/common/peer_client.ts";
 import type { UnaryService } from "../common/unary_service.ts";
 import type { ForwardServer } from "./forward_server.ts";
+import { PeerConnections } from "./peer_connections.ts";
 import { UnaryHandler } from "./unary_handler.ts";
 import { UnaryTransport } from "./unary_transport.ts";
 
@@ -21,22 +21,22 @@
 
 /** One HTTP/1.1 agent per peer. Calls take a third less CPU time than over HTTP/2 (docs/design/platform.md). */
 export class Http1Transports implements IPeerTransports {
-  readonly #agents = new Map<string, KeepAliveAgent>();
+  readonly #connections = new Map<string, PeerConnections>();
 
   get(address: string): Transport {
-    const agent = this.#agents.get(address) ?? new KeepAliveAgent({});
-    this.#agents.set(address, agent);
-    return new UnaryTransport({ address, agent, maxMessageBytes: MAX_MESSAGE_BYTES });
+    const connections = this.#connections.get(address) ?? new PeerConnections();
+    this.#connections.set(address, connections);
+    return new UnaryTransport({ address, connections, maxMessageBytes: MAX_MESSAGE_BYTES });
   }
 
   /** Other calls in flight keep their connections: each call has one of its own, and a time limit of its own. */
   reset(address: string): void {
-    this.#agents.get(address)?.closeIdle();
+    this.#connections.get(address)?.closeStale();
   }
 
   dispose(): void {
-    for (const agent of this.#agents.values()) agent.destroy();
-    this.#agents.clear();
+    for (const connections of this.#connections.values()) connections.destroy();
+    this.#connections.clear();
   }
 }
 
--- a/src/peer/node/unary_transport.ts
+++ b/src/peer/node/unary_transport.ts
@@ -1,5 +1,5 @@
 /** Connect transport for unary calls in the binary format over HTTP/1.1. */
-import type { Agent, IncomingMessage } from "node:http";
+import type { ClientRequest, IncomingMessage } from "node:http";
 import { request } from "node:http";
 import { urlToHttpOptions } from "node:url";
 import type { DescMessage, DescMethod, DescMethodUnary, MessageInitShape } from "@bufbuild/protobuf";
@@ -11,14 +11,17 @@
   errorFromJsonBytes,
   protocolVersion,
 } from "@connectrpc/connect/protocol-connect";
+import type { PeerConnections } from "./peer_connections.ts";
 import { CONTENT_TYPE_PROTO, readUnaryBody } from "./unary_body.ts";
 
 const OK_STATUS = 200;
+/** Time for which a connection is kept for the response of an aborted call, so that later calls can use it. */
+const LATE_RESPONSE_TIMEOUT_MS = 5000;
 
 export interface IUnaryTransportOptions {
   /** Host and port. */
   readonly address: string;
-  readonly agent: Agent;
+  readonly connections: PeerConnections;
   readonly maxMessageBytes: number;
 }
 
@@ -73,41 +76,60 @@
     path: string,
     { body, signal }: { body: Uint8Array; signal: AbortSignal | undefined },
   ): Promise<{ res: IncomingMessage; bytes: Uint8Array }> {
-    const { agent, maxMessageBytes } = this.#opts;
+    const { connections, maxMessageBytes } = this.#opts;
     return new Promise((resolve, reject) => {
       if (signal?.aborted) return reject(new ConnectError("the call was aborted", Code.Canceled));
-      const req = request({
-        host: this.#host,
-        port: this.#port,
-        path,
-        agent,
-        method: "POST",
-        headers: {
-          "Content-Type": CONTENT_TYPE_PROTO,
-          "Content-Length": body.length,
-          "Connect-Protocol-Version": protocolVersion,
-        },
-      });
-      const abort = () => fail(new ConnectError("the call was aborted", Code.Canceled));
+      let req: ClientRequest | undefined;
+      const abort = () => {
+        withdraw();
+        if (req !== undefined) abandon(req);
+        reject(new ConnectError("the call was aborted", Code.Canceled));
+      };
       const fail = (err: Error) => {
         signal?.removeEventListener("abort", abort);
-        req.destroy();
+        req?.destroy();
         reject(err);
       };
       signal?.addEventListener("abort", abort);
-      req.on(
-        "error",
-        (err) => fail(new ConnectError(err.message, Code.Unavailable, undefined, undefined, err)),
-      );
-      req.on("response", (res) => {
-        readUnaryBody(res, maxMessageBytes).then((bytes) => {
-          signal?.removeEventListener("abort", abort);
-          resolve({ res, bytes });
-        }, fail);
+      const withdraw = connections.schedule(() => {
+        req = this.#send(path, body);
+        req.on(
+          "error",
+          (err) => fail(new ConnectError(err.message, Code.Unavailable, undefined, undefined, err)),
+        );
+        req.on("response", (res) => {
+          readUnaryBody(res, maxMessageBytes).then((bytes) => {
+            signal?.removeEventListener("abort", abort);
+            resolve({ res, bytes });
+          }, fail);
+        });
       });
-      req.end(body);
     });
   }
+
+  #send(path: string, body: Uint8Array): ClientRequest {
+    const req = request({
+      host: this.#host,
+      port: this.#port,
+      path,
+      agent: this.#opts.connections,
+      method: "POST",
+      headers: {
+        "Content-Type": CONTENT_TYPE_PROTO,
+        "Content-Length": body.length,
+        "Connect-Protocol-Version": protocolVersion,
+      },
+    });
+    req.end(body);
+    return req;
+  }
+}
+
+/** Ends an aborted request. An established connection is kept for a while, as its response may only be late. */
+function abandon(req: ClientRequest): void {
+  if (req.socket?.connecting !== false) return void req.destroy();
+  const timer = setTimeout(() => req.destroy(), LATE_RESPONSE_TIMEOUT_MS).unref();
+  req.on("close", () => clearTimeout(timer));
 }
 
 /** Path of a method's requests. */
