Peers: calls whose answers take long do not keep others from a connection

An owner that opens a slice answers after 250 ms, an append of a record takes up to 1 s, and callers give up after 350 ms; so a sound owner counts as unresponsive for all its slices just after a start.

Change: the server of turns sends an interim response (102) to the first request on a connection. It tells that the connection was accepted, which is what other calls wait for.

Class: one slow answer delays the work of others.

--- a/src/peer/node/http1_transports.ts
+++ b/src/peer/node/http1_transports.ts
@@ -1,6 +1,7 @@
 /** HTTP/1.1 client connections and server for short calls between peers. */
-import type { Server } from "node:http";
+import type { IncomingMessage, Server, ServerResponse } from "node:http";
 import { createServer } from "node:http";
+import type { Socket } from "node:net";
 import type { Transport } from "@connectrpc/connect";
 import { connectNodeAdapter } from "@connectrpc/connect-node";
 import { TurnService } from "../../base/common/gen/ragwortcleat/v1/turns_pb.ts";
@@ -43,6 +44,8 @@
 /** Serves the turn service to the other instances. */
 export class TurnServer {
   readonly #server: Server;
+  /** Connections on which a request has been received. */
+  readonly #used = new WeakSet<Socket>();
 
   /** Requests that are to be forwarded do not go to the service. */
   constructor(service: UnaryService<typeof TurnService>, forwards?: ForwardServer) {
@@ -65,8 +68,10 @@
     };
     this.#server = createServer(opts, (req, res) => {
       if (forwards?.accepts(req)) forwards.handle(req, res);
-      else if (unary.accepts(req)) unary.handle(req, res);
-      else handler(req, res);
+      else if (unary.accepts(req)) {
+        this.#acknowledgeFirst(req, res);
+        unary.handle(req, res);
+      } else handler(req, res);
     });
   }
 
@@ -78,4 +83,11 @@
     this.#server.close();
     this.#server.closeAllConnections();
   }
+
+  /** Tells the peer that its connection was accepted: its other calls wait for that ({@link PeerConnections}). */
+  #acknowledgeFirst({ socket }: IncomingMessage, res: ServerResponse): void {
+    if (this.#used.has(socket)) return;
+    this.#used.add(socket);
+    res.writeProcessing();
+  }
 }
--- a/src/peer/node/http1_transports_test.ts
+++ b/src/peer/node/http1_transports_test.ts
@@ -49,6 +49,7 @@
 });
 
 const PEER = { host: "127.0.0.64", port: 7511 };
+const BUSY_PEER = { host: "127.0.0.64", port: 7512 };
 
 // Guards against turns whose owner never responds: while one slice opens slowly, its calls time out, and each of them closed
 // the connections of the calls for the other slices of the same instance.
@@ -88,3 +89,34 @@
   });
   await Effect.runPromise(work);
 });
+
+// Guards against owners that count as unresponsive after a start: their slices were opening, so that the first calls had no
+// response yet, and all others waited for a connection.
+test("calls whose responses take long do not keep other calls to the same peer from being sent", async (t) => {
+  const calls = 20;
+  let received = 0;
+  const hasAll = Deferred.makeUnsafe<void>();
+  const service: Partial<UnaryService<typeof TurnService>> = {
+    beginTurn: async () => {
+      received += 1;
+      if (received === calls) Deferred.doneUnsafe(hasAll, Effect.void);
+      await Effect.runPromise(Deferred.await(hasAll));
+      return { verdict: TurnVerdict.GRANTED, isFresh: true };
+    },
+  };
+  const server = new TurnServer(service as UnaryService<typeof TurnService>);
+  await server.listen(BUSY_PEER);
+  t.teardown(() => server.dispose());
+  const transports = new Http1Transports();
+  t.teardown(() => transports.dispose());
+  const clients = new PeerRpcClients(TurnService, transports);
+  const begin = clients.call(`${BUSY_PEER.host}:${BUSY_PEER.port}`, {
+    timeoutMs: TIMEOUT_MS,
+    invoke: (client, signal) => client.beginTurn({ turnId: "t" }, { signal }),
+  });
+  const results = await Effect.runPromise(
+    Effect.all(Array.from({ length: calls }, () => Effect.result(begin)), { concurrency: "unbounded" }),
+  );
+  t.is(received, calls);
+  t.is(results.filter(Result.isFailure).length, 0);
+});
--- a/src/peer/node/peer_connections.ts
+++ b/src/peer/node/peer_connections.ts
@@ -5,7 +5,7 @@
 import type { Duplex } from "node:stream";
 import { KeepAliveAgent } from "../../base/node/keep_alive_agent.ts";
 
-/** Number of new connections that may wait for their first response without any delay for the next one. */
+/** Number of new connections that may wait for their first response, interim or final, without any delay for the next one. */
 const MAX_UNPROVEN = 2;
 /** Delay after which one more connection is opened beyond {@link MAX_UNPROVEN}; doubled for each that still waits. */
 const FIRST_OPEN_DELAY_MS = 1000;
@@ -18,7 +18,7 @@
  * nobody uses any more. So calls wait for an open connection rather than open many that the peer has not answered on yet.
  */
 export class PeerConnections extends KeepAliveAgent {
-  /** New connections without a response. */
+  /** New connections without a response, be it an interim one. */
   readonly #unproven = new Set<Socket>();
   readonly #respondedAtMs = new WeakMap<Socket, number>();
   /** Calls that wait for a connection, in order. */
@@ -63,7 +63,8 @@
     this.#unproven.add(socket);
     socket.on("data", () => {
       this.#respondedAtMs.set(socket, performance.now());
-      this.#unproven.delete(socket);
+      // Deferred, so that a connection whose response is complete is free by then.
+      if (this.#unproven.delete(socket)) setImmediate(() => this.#startWaiting());
     });
     socket.once("close", () => {
       this.#unproven.delete(socket);
