--- /dev/null
+++ b/review/lib/config.mjs
@@ -0,0 +1,70 @@
+// The configuration of the cases, with the figures that `fleetbench wire` and the sheet show for ammtd-ajan.
+const stream = {
+  Host: "h.example",
+  Kind: "stream",
+  TimeoutMs: 3000,
+  TargetLatencyMs: 200,
+  Service: "engine",
+  RetainS: 60,
+  Sticky: true,
+  GapAimMs: 250,
+};
+
+export const CONFIG = {
+  Version: 7,
+  Routes: [
+    { ...stream, Name: "chat", PathPrefix: "/chat/", Priority: 0, Attempts: 2, KeepContext: true, Resumable: false },
+    {
+      ...stream,
+      Name: "answer",
+      PathPrefix: "/answer/",
+      Priority: 1,
+      Attempts: 1,
+      KeepContext: false,
+      Resumable: true,
+    },
+    {
+      Name: "order",
+      Host: "h.example",
+      PathPrefix: "/order/",
+      Kind: "unsafe",
+      TimeoutMs: 3000,
+      TargetLatencyMs: 500,
+      Priority: 2,
+      Service: "plain",
+      Attempts: 1,
+      RetainS: 60,
+    },
+    {
+      Name: "price",
+      Host: "h.example",
+      PathPrefix: "/price/",
+      Kind: "safe",
+      TimeoutMs: 1200,
+      TargetLatencyMs: 150,
+      Priority: 2,
+      Service: "plain",
+      Attempts: 2,
+      RetainS: 60,
+    },
+  ],
+  Services: [
+    {
+      Name: "engine",
+      HealthPath: "/health",
+      MaxConns: 170,
+      Protocol: "h1",
+      Tls: false,
+      Engine: {
+        Slots: 16,
+        KvCapacity: 585539,
+        KvTokenBytes: 18432,
+        LinkMbps: 1100000,
+        TokensPerEvent: 22,
+        Models: [{ Name: "m" }],
+      },
+    },
+    { Name: "plain", HealthPath: "/health", MaxConns: 100, Protocol: "h1", Tls: false },
+  ],
+  Limits: { MaxHeaderBytes: 16384, MaxBodyBytes: 4194304, HeaderTimeoutMs: 3000, IdleTimeoutMs: 15000 },
+};
