Planned stop: requests that cannot end before the process does are refused as not run

Cause: a stopping instance accepted every request on an open connection until its end, whatever time the request might take, and ended the connections of all that were not complete by then.

From SIGTERM on a request is refused with 503 "stopping", Retry-After 0.01 and Connection: close, if neither its deadline nor what its route's requests usually take lies before the end. It is asked when the request arrives and again just before each send, so that retries and hedged sends are covered. A send for another instance states its deadline (x-forward-timeout) and is refused if that is too late; the other instance asks a third one. 50 ms before the end, requests that have reached no server are refused as not run, those that a server may be running are answered with 502 instead of a closed connection, and requests whose bodies are still being received are refused.

Why not by the deadline alone: requests of 60 ms with a deadline of 3 s would be refused for the last 3 s although they are served now.

Evidence: planned_stop_test (whole process, real connections) failed before: four requests of 2.4 s and four streams of 2.6 s of 14 each cut, a pipelined and a half-read request without an answer.

--- a/src/call/common/backend_dispatcher.ts
+++ b/src/call/common/backend_dispatcher.ts
@@ -21,6 +21,7 @@
 import { CallAuthorizer } from "./call_authorizer.ts";
 import type { CrashMonitor } from "./crash_monitor.ts";
 import type { IDelivery } from "./delivery.ts";
+import type { IDrainAdmission } from "./drain_admission.ts";
 import type { IObservedAttempt } from "./observed_attempt.ts";
 import { AttemptResult } from "./observed_attempt.ts";
 import { finalRefusal, GatewayStatus, RefusalReason } from "./gateway_refusal.ts";
@@ -86,6 +87,8 @@
   readonly responseMemory: ResponseMemoryPool;
   readonly logger: ILogger;
   readonly metrics: Metrics;
+  /** Refuses what cannot end before this instance stops. Undefined if it never stops gracefully. */
+  readonly drain?: IDrainAdmission;
   /** Whether the configuration may be stale because the store does not respond. */
   readonly isConfigurationStale: () => boolean;
   /** Availability zone of this instance. */
@@ -360,6 +363,11 @@
         return AttemptOutcome.Denied;
       }
       const now = yield* Clock.currentTimeMillis;
+      if (!attempt.sink.hasStarted && this.#opts.drain?.canComplete(call, now) === false) {
+        observed.result = AttemptResult.NotStarted;
+        this.#opts.logger.info("send-too-late", { request: req.id, route: call.route.name });
+        return AttemptOutcome.Stopping;
+      }
       const hasOrganisations = this.#opts.routes.organisations.isConfigured;
       const headers = this.#opts.codec.dispatchHeaders(req, {
         timeoutMs: Math.max(1, Math.floor(call.deadlineAtMs - now)),
@@ -376,6 +384,7 @@
         target: req.target,
         headers,
         body,
+        deadlineAtMs: call.deadlineAtMs,
         delivery,
       });
       const response = yield* this.#leaveIfSilent(request, attempt);
--- a/src/call/common/forward_headers.ts
+++ b/src/call/common/forward_headers.ts
@@ -12,6 +12,8 @@
 const STARTED_AT_HEADER = `${PREFIX}server-started-at`;
 const REQUEST_ID_HEADER = `${PREFIX}request-id`;
 const PERMIT_HEADER = `${PREFIX}permit`;
+/** Time until the sender gives the request up, in ms. */
+const TIMEOUT_HEADER = `${PREFIX}timeout`;
 const FRAMING_HEADER = `${PREFIX}framing`;
 const REFUSED_HEADER = `${PREFIX}refused`;
 /** In a response's head or trailers: how the request failed at the server. */
@@ -23,6 +25,8 @@
   readonly startedAtMs: number;
   readonly requestId: string;
   readonly hasPermit: boolean;
+  /** Undefined if the sender does not state it, as old builds do not. */
+  readonly timeoutMs: number | undefined;
 }
 
 /** What the response of a forwarding instance says beside the server's response. */
@@ -32,11 +36,14 @@
   readonly framing: BodyFraming | undefined;
 }
 
-export function describeSend({ backend, req, hasPermit }: IForwardedSend): string[] {
+export function describeSend({ backend, req, hasPermit }: IForwardedSend, now: number): string[] {
   const { id, startedAtMs }: IBackendEntry = backend;
   const headers = [SERVER_HEADER, toHeaderValue(id), STARTED_AT_HEADER, String(startedAtMs)];
   headers.push(REQUEST_ID_HEADER, req.requestId);
   if (hasPermit) headers.push(PERMIT_HEADER, "1");
+  if (req.deadlineAtMs !== undefined) {
+    headers.push(TIMEOUT_HEADER, String(Math.round(req.deadlineAtMs - now)));
+  }
   return headers;
 }
 
@@ -45,12 +52,14 @@
   const serverId = valueOf(headers, SERVER_HEADER);
   const requestId = valueOf(headers, REQUEST_ID_HEADER);
   const startedAtMs = Number(valueOf(headers, STARTED_AT_HEADER));
+  const timeoutMs = Number(valueOf(headers, TIMEOUT_HEADER) ?? NaN);
   if (serverId === undefined || requestId === undefined || !Number.isFinite(startedAtMs)) return undefined;
   return {
     serverId: fromHeaderValue(serverId),
     startedAtMs,
     requestId,
     hasPermit: valueOf(headers, PERMIT_HEADER) === "1",
+    timeoutMs: Number.isFinite(timeoutMs) ? timeoutMs : undefined,
   };
 }
 
--- a/src/call/common/forward_service.ts
+++ b/src/call/common/forward_service.ts
@@ -1,6 +1,7 @@
 /** Sends requests to backend servers for other instances, which do not reach them. */
 import { Effect } from "effect";
 import type { BackendDirectory } from "../../services/backends/common/backend_directory.ts";
+import type { IDrainAdmission } from "./drain_admission.ts";
 import type { ForwardingUpstream } from "./forwarding_upstream.ts";
 import type { ForwardResult, IForwardedSend } from "./forwarding.ts";
 import { ForwardRefusal, ForwardRefusedError } from "./forwarding.ts";
@@ -13,6 +14,8 @@
   readonly links: ServerLinkMonitor;
   readonly directory: BackendDirectory;
   readonly permits: IPermitClient;
+  /** Undefined if this instance never stops gracefully. */
+  readonly drain?: IDrainAdmission;
 }
 
 export class ForwardService {
@@ -53,8 +56,11 @@
    */
   send({ backend, req, hasPermit }: IForwardedSend): ForwardResult {
     return Effect.gen({ self: this }, function* () {
-      const { upstream, links, directory, permits } = this.#opts;
-      if (this.#isStopping) return yield* Effect.fail(new ForwardRefusedError(ForwardRefusal.Stopping));
+      const { upstream, links, directory, permits, drain } = this.#opts;
+      const isTooLate = req.deadlineAtMs !== undefined && drain?.endsInTime(req.deadlineAtMs) === false;
+      if (this.#isStopping || isTooLate) {
+        return yield* Effect.fail(new ForwardRefusedError(ForwardRefusal.Stopping));
+      }
       if (links.isCutOff) return yield* Effect.fail(new ForwardRefusedError(ForwardRefusal.CutOff));
       const isPermitted = hasPermit || (yield* permits.acquire(backend, 0)).isGranted;
       if (!isPermitted || !directory.isAvailable(backend)) {
--- a/src/call/common/gateway_refusal.ts
+++ b/src/call/common/gateway_refusal.ts
@@ -47,6 +47,8 @@
   HistoryUnavailable = "history-unavailable",
   DeadlineExceeded = "deadline-over",
   OutcomeUnknown = "outcome-unknown",
+  /** The instance stops before the request could end; other instances serve it. */
+  Stopping = "stopping",
   /** The gateway has failed unexpectedly. */
   InternalError = "internal-error",
   BodyTooLarge = "body-too-large",
--- a/src/call/common/gateway_relay.ts
+++ b/src/call/common/gateway_relay.ts
@@ -42,6 +42,8 @@
 const STREAM_RETRY_AFTER_MS = 300;
 /** Retry delay for a request that crashes servers: its caller need not return soon. */
 const CRASHING_RETRY_AFTER_MS = 60_000;
+/** Retry delay of a request that this instance cannot end before it stops: others serve it at once. */
+const STOPPING_RETRY_AFTER_MS = 10;
 /** Time limit for reaching the owner of a budget or a stored turn. A slice handover takes less time. */
 const OWNER_TIMEOUT_MS = 1500;
 /** Share of the time left that a turn may wait for owners, so that its caller has time for another try. */
@@ -134,8 +136,12 @@
       call.earlierOrigin = earlierOrigin;
       call.engine = this.#dispatcher.engineOf(call.service);
       sink.describeProgress = () => progressOfCall(call, sink);
+      if (this.#opts.drain?.canComplete(call, arrivedAtMs) === false) {
+        this.#refuse(call, { sink, refusal: stoppingRefusal() });
+        return yield* this.#log(call, "request");
+      }
       const work = isTurn(call) ? this.#serveTurn(call, sink) : this.#serveOther(call, sink);
-      const outcome = yield* Effect.raceFirst(work, this.#awaitDeadline(call)).pipe(
+      const outcome = yield* Effect.raceFirst(work, this.#awaitEnd(call, sink)).pipe(
         Effect.ensuring(Effect.sync(() => this.#giveBackToken(call))),
         Effect.onInterrupt(() => {
           this.#addCrashEvidence(call);
@@ -143,6 +149,7 @@
         }),
       );
       if (outcome !== undefined) this.#refuse(call, { sink, refusal: outcome });
+      else this.#opts.drain?.recordDuration(route.name, (yield* Clock.currentTimeMillis) - arrivedAtMs);
       if (outcome?.status === GatewayStatus.Timeout) this.#addCrashEvidence(call);
       yield* this.#log(call, "request");
     });
@@ -197,6 +204,22 @@
     else writeRefusal(sink, refusal);
   }
 
+  /** Waits until a request must be refused because of its deadline or because this instance stops. */
+  #awaitEnd(call: RelayedCall, sink: IResponseSink): Effect.Effect<IRefusal> {
+    const { drain } = this.#opts;
+    const atDeadline = this.#awaitDeadline(call);
+    if (drain === undefined) return atDeadline;
+    const atStop = Effect.flatMap(drain.awaitEnd, () =>
+      // A response that has begun goes on until the process ends.
+      sink.hasStarted ? Effect.never : Effect.sync(() => {
+        const isSent = call.runs > 0 || !call.deliveries.tryWithdraw();
+        return isSent
+          ? finalRefusal(GatewayStatus.BadGateway, unknownOutcomeReason(call))
+          : stoppingRefusal();
+      }));
+    return Effect.raceFirst(atDeadline, atStop);
+  }
+
   /** Waits until a request must be refused: shortly before its deadline if no server has received it, and at the deadline otherwise. */
   #awaitDeadline(call: RelayedCall): Effect.Effect<IRefusal> {
     return Effect.gen(function* () {
@@ -406,6 +429,7 @@
         // A server that did not run the request leaves the token for the next attempt.
         if (outcome !== AttemptOutcome.Failed) call.holdsToken = holdsToken;
         if (outcome === AttemptOutcome.Denied) return this.#deniedRefusal(call);
+        if (outcome === AttemptOutcome.Stopping) return this.#stoppingRefusal(call);
         if (outcome === AttemptOutcome.NotSent) continue;
         if (outcome === AttemptOutcome.Unreachable) return this.#unreachableRefusal(call);
         call.excluded.add(choice.backend.id);
@@ -468,6 +492,12 @@
       : call.denial;
   }
 
+  #stoppingRefusal(call: RelayedCall): IRefusal {
+    return call.runs > 0
+      ? finalRefusal(GatewayStatus.BadGateway, unknownOutcomeReason(call))
+      : stoppingRefusal();
+  }
+
   #unreachableRefusal(call: RelayedCall): IRefusal {
     return call.runs > 0
       ? finalRefusal(GatewayStatus.BadGateway, unknownOutcomeReason(call))
@@ -581,6 +611,10 @@
   return fault === UpstreamFault.TooLarge ? RefusalReason.ResponseTooLarge : RefusalReason.OutcomeUnknown;
 }
 
+function stoppingRefusal(): IRefusal {
+  return retryableRefusal(RefusalReason.Stopping, STOPPING_RETRY_AFTER_MS);
+}
+
 function writeRefusal(sink: IResponseSink, { status, reason, retryAfterMs }: IRefusal): void {
   const headers = ["content-type", "application/problem+json"];
   if (retryAfterMs !== undefined) headers.push("retry-after", (retryAfterMs / 1000).toFixed(2));
--- a/src/call/common/opaque_request.ts
+++ b/src/call/common/opaque_request.ts
@@ -220,6 +220,8 @@
   readonly target: string;
   readonly headers: readonly string[];
   readonly body: Uint8Array;
+  /** Unix time in ms at which the sender gives the request up; undefined if it does not say. */
+  readonly deadlineAtMs?: number | undefined;
   readonly delivery?: IDelivery | undefined;
 }
 
--- a/src/call/common/relayed_call.ts
+++ b/src/call/common/relayed_call.ts
@@ -30,6 +30,8 @@
   Unreachable = "unreachable",
   /** The request was not sent, because its API key is no longer valid. */
   Denied = "denied",
+  /** The request was not sent, because it could not end before this instance stops. */
+  Stopping = "stopping",
   /** The server may have run the request, but no complete response arrived. */
   Failed = "failed",
 }
--- a/src/call/node/http_forward_transport.ts
+++ b/src/call/node/http_forward_transport.ts
@@ -22,7 +22,7 @@
 
   send(address: string, send: IForwardedSend): ForwardResult {
     const { req } = send;
-    const headers = [...req.headers, ...describeSend(send)];
+    const headers = [...req.headers, ...describeSend(send, Date.now())];
     const response = Effect.catchTag(
       this.#upstream.send(toEntry(address), { ...req, headers }),
       "UpstreamError",
--- a/src/cli/common/request_causes.ts
+++ b/src/cli/common/request_causes.ts
@@ -33,6 +33,9 @@
     }`,
     ...storeCauses(beliefs),
   ],
+  [RefusalReason.Stopping]: () => [
+    "the instance was stopping, and requests of the route usually take longer than was left; it has not run",
+  ],
   [RefusalReason.KeyMissing]: (end, { beliefs }) => [
     `the request carried no API key, and its route is not public in configuration ${versionOf(end)}`,
     ...storeCauses(beliefs),
--- a/src/daemon/common/gateway_core.ts
+++ b/src/daemon/common/gateway_core.ts
@@ -27,6 +27,7 @@
 import { StreamOriginReplicator } from "../../call/common/stream_origin_replicator.ts";
 import { ResponseMemoryPool } from "../../call/common/response_limits.ts";
 import { StrikeReplicator } from "../../call/common/strike_replicator.ts";
+import { DrainAdmission } from "../../call/common/drain_admission.ts";
 import { GatewayRelay } from "../../call/common/gateway_relay.ts";
 import type { RelayedCall } from "../../call/common/relayed_call.ts";
 import type { IRequestCodec, IUpstream } from "../../call/common/opaque_request.ts";
@@ -144,6 +145,7 @@
   /** Other instances from which reports arrive. */
   readonly instances: KnownInstances;
   readonly upstream: ForwardingUpstream;
+  readonly drain = new DrainAdmission();
   readonly forwardService: ForwardService;
   readonly directory: BackendDirectory;
   readonly loads: BackendLoadTracker;
@@ -241,6 +243,7 @@
       links: this.links,
       directory: this.directory,
       permits: this.permits,
+      drain: this.drain,
     });
     this.relay = this.#makeRelay();
     this.#subscribe();
@@ -528,6 +531,7 @@
       },
       responseLimits: { maxResponseBytes, maxEventBytes },
       responseMemory: new ResponseMemoryPool(responseMemoryBytes),
+      drain: this.drain,
       logger,
       metrics: this.metrics,
       zone,
--- a/src/daemon/node/gateway.ts
+++ b/src/daemon/node/gateway.ts
@@ -23,6 +23,8 @@
 const READINESS_DELAY_MS = 2500;
 /** Part of the grace period reserved for exiting after the handover of slices and the last requests. */
 const EXIT_MARGIN_MS = 600;
+/** Time before the exit at which requests without a response are refused, in ms: the refusals must reach their callers. */
+const REFUSAL_MARGIN_MS = 50;
 /** Interval at which a draining gateway checks for remaining requests. */
 const DRAIN_POLL_MS = 25;
 
@@ -163,16 +165,21 @@
   return Effect.gen(function* () {
     const startedAt = yield* Clock.currentTimeMillis;
     const activeCount = () => server.activeCount + core.forwardService.activeCount;
-    logger.info("stopping", { active: activeCount() });
+    const exitAtMs = startedAt + settings.stopGraceS * MS_PER_SECOND - EXIT_MARGIN_MS;
+    logger.info("stopping", { active: activeCount(), exitAtMs });
     server.disableKeepAlive();
+    core.drain.begin(exitAtMs - REFUSAL_MARGIN_MS);
     yield* core.leave();
     yield* Effect.sleep(READINESS_DELAY_MS);
     server.stopAccepting();
     core.forwardService.stopAccepting();
-    const deadline = startedAt + settings.stopGraceS * MS_PER_SECOND - EXIT_MARGIN_MS;
     // Closing a connection with an unread request would reset it.
     yield* Effect.promise(() => server.readArrived());
-    while (activeCount() > 0 && (yield* Clock.currentTimeMillis) < deadline) {
+    for (let now = startedAt; activeCount() > 0 && now < exitAtMs; now = yield* Clock.currentTimeMillis) {
+      if (now >= exitAtMs - REFUSAL_MARGIN_MS) {
+        core.drain.endIfDue(now);
+        server.refuseUnread();
+      }
       yield* Effect.sleep(DRAIN_POLL_MS);
       yield* Effect.promise(() => server.readArrived());
     }
--- a/src/entry/node/gateway_server.ts
+++ b/src/entry/node/gateway_server.ts
@@ -52,6 +52,8 @@
   readonly #latest = new WeakMap<Socket, ServerResponse>();
   #maxBodyBytes = Infinity;
   readonly #unfinished: UnfinishedResponses;
+  /** Requests whose bodies have not been received completely. */
+  readonly #receiving = new Map<IncomingMessage, ResponseSink>();
   #isStopping = false;
 
   constructor(opts: IGatewayServerOptions) {
@@ -109,6 +111,14 @@
     for (let turn = 0; turn < 2; turn++) await new Promise((resolve) => setImmediate(resolve));
   }
 
+  /** Refuses the requests whose bodies have not been received completely; none of them has been relayed. */
+  refuseUnread(): void {
+    for (const [req, sink] of this.#receiving) {
+      this.#receiving.delete(req);
+      sink.rejectBody(req, { status: GatewayStatus.Unavailable, reason: RefusalReason.Stopping });
+    }
+  }
+
   dispose(): void {
     this.#unfinished.reportAll();
     this.#server.close();
@@ -174,6 +184,7 @@
     const fiber = Effect.runForkWith(this.#opts.context)(handling);
     const finish = () => {
       socket.off("close", finish);
+      this.#receiving.delete(req);
       if (res.writableFinished) return this.#unfinished.complete(open);
       this.#unfinished.report(open);
       Effect.runFork(Fiber.interrupt(fiber));
@@ -184,9 +195,12 @@
   }
 
   #relay(req: IncomingMessage, sink: ResponseSink): Effect.Effect<void> {
+    this.#receiving.set(req, sink);
     return Effect.flatMap(readBody(req, this.#maxBodyBytes), (body) => {
+      // The request has been refused while its body was being received.
+      if (!this.#receiving.delete(req)) return Effect.void;
       if (body === BodyError.Truncated) return Effect.sync(() => sink.abort(ConnectionEndCause.CallerLeft));
-      if (body === BodyError.TooLarge) return Effect.sync(() => sink.rejectBody(req));
+      if (body === BodyError.TooLarge) return Effect.sync(() => sink.rejectBody(req, BODY_TOO_LARGE));
       const { method = "", url = "", rawHeaders } = req;
       if (UNSENDABLE_TARGET.test(url)) {
         return Effect.sync(() => sink.refuse(GatewayStatus.BadRequest, RefusalReason.InvalidTarget));
@@ -210,6 +224,16 @@
   ["ERR_HTTP_REQUEST_TIMEOUT", { status: 408, title: "request-timeout" }],
   ["HPE_HEADER_OVERFLOW", { status: 431, title: "headers-too-large" }],
 ]);
+/** Why a request is refused before its body has been received completely. */
+interface IBodyRejection {
+  readonly status: GatewayStatus;
+  readonly reason: RefusalReason;
+}
+
+const BODY_TOO_LARGE: IBodyRejection = {
+  status: GatewayStatus.BodyTooLarge,
+  reason: RefusalReason.BodyTooLarge,
+};
 const PROBLEM_HEADERS = { "content-type": "application/problem+json", connection: "close" };
 
 function problemOf(status: number, title: string): Buffer {
@@ -302,12 +326,12 @@
   }
 
   /**
-   * Rejects a body that is too large. Closes the connection, since the unread rest would be parsed as a request, but reads
+   * Rejects a request whose body has not been received completely. Closes the connection, since the unread rest would be parsed as a request, but reads
    * the rest before: closing a connection with unread bytes resets it, and the caller may lose the response.
    */
-  rejectBody(req: IncomingMessage): void {
-    const body = problemOf(GatewayStatus.BodyTooLarge, RefusalReason.BodyTooLarge);
-    this.#res.writeHead(GatewayStatus.BodyTooLarge, { ...PROBLEM_HEADERS, "content-length": body.length });
+  rejectBody(req: IncomingMessage, { status, reason }: IBodyRejection): void {
+    const body = problemOf(status, reason);
+    this.#res.writeHead(status, { ...PROBLEM_HEADERS, "content-length": body.length });
     this.#res.write(body);
     const timer = setTimeout(() => this.#res.end(), DISCARD_TIMEOUT_MS);
     this.#res.on("close", () => clearTimeout(timer));
--- a/src/peer/node/forward_server.ts
+++ b/src/peer/node/forward_server.ts
@@ -89,12 +89,14 @@
   ): IForwardedSend | ServerLookup | undefined {
     const description = readDescription(rawHeaders);
     if (description === undefined) return undefined;
-    const { serverId, startedAtMs, requestId, hasPermit } = description;
+    const { serverId, startedAtMs, requestId, hasPermit, timeoutMs } = description;
     const backend = this.#opts.directory.get(serverId);
     if (backend?.startedAtMs !== startedAtMs) return ServerLookup.Unknown;
     const relayed = withoutForwardHeaders(endToEndHeaders(rawHeaders));
     if (headers["content-length"] !== undefined) relayed.push("Content-Length", String(body.length));
-    return { backend, req: { requestId, method, target: url, headers: relayed, body }, hasPermit };
+    const deadlineAtMs = timeoutMs === undefined ? undefined : Date.now() + timeoutMs;
+    const relayedReq = { requestId, method, target: url, headers: relayed, body, deadlineAtMs };
+    return { backend, req: relayedReq, hasPermit };
   }
 }
 
--- a/test/harness/gateway_main.ts
+++ b/test/harness/gateway_main.ts
@@ -1,9 +1,10 @@
 /**
  * Runs one gateway as a process of its own, with an in-memory store. Receives its settings, the configuration and the
- * backend servers' entries in one message, confirms that it listens, and reports its peak memory on the next message.
+ * backend servers' entries in one message, confirms that it listens, and reports its peak memory on the next message. SIGTERM
+ * stops it gracefully.
  */
 import process from "node:process";
-import { Effect, Scope } from "effect";
+import { Effect, Exit, Scope } from "effect";
 import { RequestCodec } from "../../platform/request_codec.ts";
 import { startGateway } from "../../src/daemon/node/gateway.ts";
 import { NullLogger } from "../../src/services/logging/common/logger.ts";
@@ -31,8 +32,12 @@
     droppedLogLines: () => 0,
   };
   const scope = await Effect.runPromise(Scope.make());
-  const gateway = startGateway(parseGatewaySettings(JSON.stringify(settings), "test"), platform);
-  await Effect.runPromise(Scope.provide(gateway, scope));
+  const starting = startGateway(parseGatewaySettings(JSON.stringify(settings), "test"), platform);
+  const gateway = await Effect.runPromise(Scope.provide(starting, scope));
+  process.once("SIGTERM", () => {
+    const stopping = Effect.andThen(gateway.drain, Scope.close(scope, Exit.void));
+    void Effect.runPromise(stopping).then(() => process.exit());
+  });
 }
 
 process.once("message", (message) => {
