Forwarding: a response without end does not fill the memory of the instance that passes it on

What happens: an instance without links to servers has another one send its requests. If a server sends bytes without end and the first instance stands still, the forwarding instance keeps all that the server sends, until its heap is full and the process ends with all other requests on it.

Cause: responses to an instance's own callers are limited in size and share a memory pool; forwarded bodies were written to the connection whatever it took, and the limits applied only at the instance that reads them.

Change: a forwarded body has the same limit (maxResponseBytes) and is charged to the same pool (responseMemoryBytes) until its connection has been closed or all of it sent. The limit is in LimitedBody, which BufferedBody uses as well.

The first test of the file now runs before the second one instead of beside it, as both use the same ports.

--- a/src/call/common/buffered_body.ts
+++ b/src/call/common/buffered_body.ts
@@ -1,38 +1,29 @@
 /** Receives a response body as a whole before it is relayed. */
-import { Deferred, Effect } from "effect";
+import type { Effect } from "effect";
 import { ByteBuffer } from "../../base/common/byte_buffer.ts";
-import { UpstreamError, UpstreamFault } from "./opaque_request.ts";
+import { LimitedBody } from "./limited_body.ts";
+import type { UpstreamError } from "./opaque_request.ts";
 import type { ILimitedReceiver, IResponseLimits, ResponseMemoryPool } from "./response_limits.ts";
 
 export class BufferedBody implements ILimitedReceiver {
-  readonly #limits: IResponseLimits;
-  readonly #pool: ResponseMemoryPool;
-  readonly #exceeded = Deferred.makeUnsafe<never, UpstreamError>();
   readonly #buffer = new ByteBuffer();
-  #isExceeded = false;
+  readonly #received: LimitedBody;
 
   constructor(limits: IResponseLimits, pool: ResponseMemoryPool) {
-    this.#limits = limits;
-    this.#pool = pool;
+    const onChunk = (chunk: Uint8Array) => this.#buffer.append(chunk);
+    this.#received = new LimitedBody({ limits, pool, onChunk });
   }
 
   get isExceeded(): boolean {
-    return this.#isExceeded;
+    return this.#received.isExceeded;
   }
 
   push(chunk: Uint8Array): void {
-    if (this.#isExceeded) return;
-    const bytes = this.#buffer.length + chunk.length;
-    if (bytes > this.#limits.maxResponseBytes || !this.#pool.tryGrow(this.#buffer.length, bytes)) {
-      this.#isExceeded = true;
-      Deferred.doneUnsafe(this.#exceeded, Effect.fail(new UpstreamError(UpstreamFault.TooLarge)));
-      return;
-    }
-    this.#buffer.append(chunk);
+    this.#received.push(chunk);
   }
 
   failWhenExceeded(): Effect.Effect<never, UpstreamError> {
-    return Deferred.await(this.#exceeded);
+    return this.#received.failWhenExceeded();
   }
 
   /** The bytes received so far. */
@@ -42,7 +33,7 @@
 
   /** Releases the memory; further chunks are ignored. */
   dispose(): void {
-    this.#isExceeded = true;
-    this.#pool.release(this.#buffer.take().length);
+    this.#received.dispose();
+    this.#buffer.take();
   }
 }
--- a/src/daemon/common/gateway_core.ts
+++ b/src/daemon/common/gateway_core.ts
@@ -147,6 +147,8 @@
   readonly upstream: ForwardingUpstream;
   readonly drain = new DrainAdmission();
   readonly forwardService: ForwardService;
+  /** Memory for all responses that are being received. */
+  readonly responseMemory: ResponseMemoryPool;
   readonly directory: BackendDirectory;
   readonly loads: BackendLoadTracker;
   readonly caches = new PromptCacheIndex();
@@ -245,6 +247,7 @@
       permits: this.permits,
       drain: this.drain,
     });
+    this.responseMemory = new ResponseMemoryPool(settings.responseMemoryBytes);
     this.relay = this.#makeRelay();
     this.#subscribe();
   }
@@ -489,7 +492,7 @@
   #makeRelay(): GatewayRelay {
     const { codec, logger, now, random } = this.#dependencies;
     const { hedging, hedgeLimit } = this;
-    const { peerAddress, zone, maxResponseBytes, maxEventBytes, responseMemoryBytes } = this.#settings;
+    const { peerAddress, zone, maxResponseBytes, maxEventBytes } = this.#settings;
     const turns = new TurnClient({
       owned: this.owned,
       group: this.group,
@@ -530,7 +533,7 @@
         acquireExtraSend: (call) => this.#acquireExtraSend(call),
       },
       responseLimits: { maxResponseBytes, maxEventBytes },
-      responseMemory: new ResponseMemoryPool(responseMemoryBytes),
+      responseMemory: this.responseMemory,
       drain: this.drain,
       logger,
       metrics: this.metrics,
--- a/src/daemon/node/gateway.ts
+++ b/src/daemon/node/gateway.ts
@@ -110,7 +110,14 @@
     const turnServer = yield* disposeWithScope(
       new TurnServer(
         makeTurnService({ ...turnServiceParts(core), address: settings.peerAddress, now: Date.now, context }),
-        new ForwardServer({ service: core.forwardService, directory: core.directory, logger, context }),
+        new ForwardServer({
+          service: core.forwardService,
+          directory: core.directory,
+          responseLimits: settings,
+          responseMemory: core.responseMemory,
+          logger,
+          context,
+        }),
       ),
     );
     const probe = yield* disposeWithScope(
--- a/src/peer/node/forward_server.ts
+++ b/src/peer/node/forward_server.ts
@@ -14,8 +14,11 @@
 } from "../../call/common/forward_headers.ts";
 import type { ForwardService } from "../../call/common/forward_service.ts";
 import type { ForwardRefusedError, IForwardedSend } from "../../call/common/forwarding.ts";
+import { LimitedBody } from "../../call/common/limited_body.ts";
 import type { IUpstreamResponse, UpstreamError } from "../../call/common/opaque_request.ts";
 import { UpstreamFault } from "../../call/common/opaque_request.ts";
+import type { IResponseLimits, ResponseMemoryPool } from "../../call/common/response_limits.ts";
+import { readInto } from "../../call/common/response_limits.ts";
 import type { BackendDirectory } from "../../services/backends/common/backend_directory.ts";
 import type { ILogger } from "../../services/logging/common/logger.ts";
 import { describeDefect } from "../../services/logging/common/supervision.ts";
@@ -28,6 +31,9 @@
 export interface IForwardServerOptions {
   readonly service: ForwardService;
   readonly directory: BackendDirectory;
+  readonly responseLimits: Pick<IResponseLimits, "maxResponseBytes">;
+  /** Shared with the responses to this instance's own callers. */
+  readonly responseMemory: ResponseMemoryPool;
   readonly logger: ILogger;
   readonly context: Context.Context<never>;
 }
@@ -69,7 +75,7 @@
         backend: id,
         status: response.head.status,
       });
-      yield* relayResponse(res, response);
+      yield* this.#relayResponse(res, response);
     }).pipe(
       Effect.catchTag("ForwardRefusedError", (err) => Effect.sync(() => refuse(res, err))),
       Effect.catchTag("UpstreamError", (err) => Effect.sync(() => fail(res, err))),
@@ -83,6 +89,26 @@
     );
   }
 
+  #relayResponse(
+    res: ServerResponse,
+    { head, body }: IUpstreamResponse,
+  ): Effect.Effect<void, UpstreamError> {
+    return Effect.suspend(() => {
+      // A server must not speak for this instance.
+      const headers = [...withoutForwardHeaders(endToEndHeaders(head.headers)), ...describeFraming(body)];
+      // Only a body in chunks can be followed by trailers.
+      const hasBody = res.req.method !== "HEAD" && !BODILESS_STATUSES.has(head.status);
+      if (hasBody) headers.push(...announceFaultTrailer(), "Transfer-Encoding", "chunked");
+      res.writeHead(head.status, headers);
+      res.flushHeaders();
+      const { responseLimits: limits, responseMemory: pool } = this.#opts;
+      const received = new LimitedBody({ limits, pool, onChunk: (chunk) => res.write(chunk) });
+      // Until then the response stays in memory if the other instance does not read it.
+      res.on("close", () => received.dispose());
+      return Effect.map(readInto(received, body), () => void res.end());
+    });
+  }
+
   #readSend(
     { method = "", url = "", rawHeaders, headers }: IncomingMessage,
     body: Uint8Array,
@@ -134,19 +160,3 @@
   res.addTrailers({ [name]: value });
   res.end();
 }
-
-function relayResponse(
-  res: ServerResponse,
-  { head, body }: IUpstreamResponse,
-): Effect.Effect<void, UpstreamError> {
-  return Effect.suspend(() => {
-    // A server must not speak for this instance.
-    const headers = [...withoutForwardHeaders(endToEndHeaders(head.headers)), ...describeFraming(body)];
-    // Only a body in chunks can be followed by trailers.
-    const hasBody = res.req.method !== "HEAD" && !BODILESS_STATUSES.has(head.status);
-    if (hasBody) headers.push(...announceFaultTrailer(), "Transfer-Encoding", "chunked");
-    res.writeHead(head.status, headers);
-    res.flushHeaders();
-    return Effect.map(body.read((chunk) => res.write(chunk)), () => void res.end());
-  });
-}
--- a/src/peer/node/forward_server_test.ts
+++ b/src/peer/node/forward_server_test.ts
@@ -12,6 +12,7 @@
 import { ForwardRefusal } from "../../call/common/forwarding.ts";
 import type { IRequestCodec, IUpstreamRequest } from "../../call/common/opaque_request.ts";
 import { BodyFraming, UpstreamFault } from "../../call/common/opaque_request.ts";
+import { ResponseMemoryPool } from "../../call/common/response_limits.ts";
 import { ServerLinkMonitor } from "../../call/common/server_link_monitor.ts";
 import { HttpForwardTransport } from "../../call/node/http_forward_transport.ts";
 import { HttpUpstream } from "../../call/node/http_upstream.ts";
@@ -23,6 +24,8 @@
 import { Metrics } from "../../services/metrics/common/metrics.ts";
 import { ForwardServer } from "./forward_server.ts";
 
+const MAX_RESPONSE_BYTES = 1024 * 1024;
+
 type Handler = (req: IncomingMessage, res: ServerResponse) => void;
 
 interface ISetup {
@@ -111,7 +114,14 @@
     random,
   });
   const service = new ForwardService({ upstream, links, directory, permits: UNLIMITED_PERMITS });
-  const forwards = new ForwardServer({ service, directory, logger, context: Context.empty() });
+  const forwards = new ForwardServer({
+    service,
+    directory,
+    responseLimits: { maxResponseBytes: MAX_RESPONSE_BYTES },
+    responseMemory: new ResponseMemoryPool(MAX_RESPONSE_BYTES),
+    logger,
+    context: Context.empty(),
+  });
   const forwarder = await startServer(t, (req, res) => forwards.handle(req, res));
   t.teardown(() => {
     direct.dispose();
--- a/test/processes/endless_response_test.ts
+++ b/test/processes/endless_response_test.ts
@@ -4,8 +4,8 @@
 import { once } from "node:events";
 import type { IncomingMessage } from "node:http";
 import { Agent, request } from "node:http";
-import type { AddressInfo, Server } from "node:net";
-import { createServer } from "node:net";
+import type { AddressInfo, Server, Socket } from "node:net";
+import { connect, createServer } from "node:net";
 import { setTimeout as sleep } from "node:timers/promises";
 import test from "ava";
 import type { IEndlessServerCounts } from "../stand_ins/endless_main.ts";
@@ -14,6 +14,7 @@
 const GATEWAY_URL = new URL("../harness/gateway_main.js", import.meta.url);
 const HOST = "127.0.0.31";
 const CALLER_PORT = 7421;
+const PEER_PORT = 7423;
 const POLL_MS = 20;
 const MB = 1024 * 1024;
 /**
@@ -24,6 +25,8 @@
 /** Largest response that the gateway accepts, plus what the buffers of both ends of a connection may hold. */
 const MAX_SENT_BYTES = (1 + 16) * MB;
 const REQUESTS_PER_KIND = 2;
+/** For how long another instance stands still, in s. */
+const FORWARD_S = 5;
 const SOUND = "sound";
 /** Long enough that no verdict depends on the speed of the machine. */
 const SOUND_TIMEOUT_MS = 60_000;
@@ -131,7 +134,7 @@
     zone: "z",
     callerAddress: `${HOST}:${CALLER_PORT}`,
     probeAddress: `${HOST}:7422`,
-    peerAddress: `${HOST}:7423`,
+    peerAddress: `${HOST}:${PEER_PORT}`,
     datagramPort: 7424,
     metricsPort: 7425,
     storeAddress: "127.0.0.1:1",
@@ -141,7 +144,7 @@
   return once(child, "message").then(() => child);
 }
 
-test("responses without end are cut, others are served, and memory stays bounded", async (t) => {
+test.serial("responses without end are cut, others are served, and memory stays bounded", async (t) => {
   const endless = fork(ENDLESS_SERVERS_URL);
   const [endlessAddresses] = (await once(endless, "message")) as [Record<string, string>];
   const sound = await startSoundServer();
@@ -184,3 +187,58 @@
     t.true(maxSentBytes <= MAX_SENT_BYTES, `${name}: ${maxSentBytes} bytes were accepted`);
   }
 });
+
+/** Asks the gateway to send a request for another instance, which stands still and reads nothing of the response. */
+function forwardWithoutReading(server: string, id: string): Socket {
+  const socket = connect(PEER_PORT, HOST);
+  socket.on("error", () => {});
+  socket.pause();
+  const forward =
+    `x-forward-server: ${server}\r\nx-forward-server-started-at: 1\r\nx-forward-request-id: ${id}\r\n`;
+  socket.write(`GET /x HTTP/1.1\r\nHost: h\r\n${forward}Ragwortcleat-Request-Id: ${id}\r\n\r\n`);
+  return socket;
+}
+
+/** Sends a request as a caller that reads nothing of the response. */
+function sendWithoutReading(path: string, id: string): Socket {
+  const socket = connect(CALLER_PORT, HOST);
+  socket.on("error", () => {});
+  socket.pause();
+  const headers = `Ragwortcleat-Request-Id: ${id}\r\nRagwortcleat-Deadline-Ms: ${SOUND_TIMEOUT_MS}\r\n`;
+  socket.write(`GET ${path} HTTP/1.1\r\nHost: h\r\n${headers}\r\n`);
+  return socket;
+}
+
+// Guards against an instance that keeps all bytes of a response without end for another one that does not read them.
+test.serial("responses without end that nobody reads do not fill the memory, forwarded ones neither", async (t) => {
+  const endless = fork(ENDLESS_SERVERS_URL);
+  const [endlessAddresses] = (await once(endless, "message")) as [Record<string, string>];
+  const sound = await startSoundServer();
+  const gateway = await startGateway(new Map([...Object.entries(endlessAddresses), [SOUND, sound.address]]));
+  const sockets: Socket[] = [];
+  t.teardown(async () => {
+    for (const socket of sockets) socket.destroy();
+    const exits = [endless, gateway].map((child) => once(child, "exit"));
+    endless.disconnect();
+    gateway.disconnect();
+    await Promise.all(exits);
+    sound.server.close();
+    agent.destroy();
+  });
+  while ((await send(`/unsafe/${SOUND}/0`, SOUND_TIMEOUT_MS)).status !== 200);
+  const idleKb = await peakKbOf(gateway);
+  for (const name of Object.keys(endlessAddresses)) {
+    for (let index = 0; index < REQUESTS_PER_KIND; index++) {
+      sockets.push(forwardWithoutReading(`id-${name}`, `f-${name}-${index}`));
+      sockets.push(sendWithoutReading(`/stream/${name}/${index}`, `c-${name}-${index}`));
+    }
+  }
+  for (let second = 0; second < FORWARD_S; second++) {
+    await sleep(1000);
+    const { status, text } = await send(`/unsafe/${SOUND}/${second}`, SOUND_TIMEOUT_MS);
+    t.deepEqual([status, text], [200, "ok"]);
+  }
+  const growthMb = ((await peakKbOf(gateway)) - idleKb) / 1024;
+  t.log({ growthMb: Math.round(growthMb) });
+  t.true(growthMb <= MAX_GROWTH_MB, `memory grew by ${Math.round(growthMb)} MB`);
+});
