Streams: an instance that was out of step does not take up a stream by an earlier try alone

What happens: an instance is cut off from the others, or stands still, for a second or more. Meanwhile servers of a new software version join, a stream that the instance knows from an earlier try (version 1) begins again through another instance at version 2, and breaks off after its first events. Its caller resumes it at the instance that was out of step, which finds the earlier try, takes its knowledge for complete, and goes on at version 1: an answer joined from two versions, without a sign of it (ORDER). An operator of a system like ours reported this form.

Cause: what an instance knows of begun streams counted as complete from 2.5 s after its start on, whatever happened later. Reports repeat a begun stream for 250 ms only, and no gap in the reports of others was noticed.

Change: ReportContact notes when the reports of most other instances are overdue (500 ms after one with loads, 1.5 s after an empty one), and since when they are heard again. Streams that began before do not count as completely known, here and in answers to other instances: the others are asked, and if none of them knows all tries, the caller is refused as not run (stream-unknown). The loss of fewer than half of the others changes nothing. Instances that report to all others now send an empty report every 600 ms when they run nothing, so that a gap can be told from an idle deployment; aggregators did so already.

Limit: a gap shorter than 500 ms is not noticed; a try that was begun in it and whose reports were all lost is not known.

--- a/src/call/common/stream_origin_registry.ts
+++ b/src/call/common/stream_origin_registry.ts
@@ -38,6 +38,7 @@
   readonly onDidBegin: Event<IBegunStream> = this.#onDidBegin.event;
 
   #completeSinceMs: number;
+  #contactSinceMs = () => -Infinity;
 
   /** `now` returns the Unix time in ms. */
   constructor(now: () => number) {
@@ -50,7 +51,12 @@
    * it is told of them later.
    */
   get completeSinceMs(): number {
-    return this.#completeSinceMs;
+    return Math.max(this.#completeSinceMs, this.#contactSinceMs());
+  }
+
+  /** Provides the Unix time in ms from which this instance has heard the others without a gap. */
+  observeContact(contactSinceMs: () => number): void {
+    this.#contactSinceMs = contactSinceMs;
   }
 
   /** Records that other instances tell this one of the streams that they begin at once. */
--- a/src/peer/common/report_exchange.ts
+++ b/src/peer/common/report_exchange.ts
@@ -17,6 +17,7 @@
 import type { ReportContents } from "./report_contents.ts";
 import { loadsOf } from "./report_contents.ts";
 import { countEvents } from "./report_events.ts";
+import { ReportContact } from "./report_contact.ts";
 import { ReportGroup } from "./report_group.ts";
 import { ReportTopology } from "./report_topology.ts";
 import { SendPacer } from "./send_pacer.ts";
@@ -73,6 +74,7 @@
   readonly #membership: MemberReports;
   readonly #aggregation: AggregatorReports;
   readonly #directPacer: SendPacer;
+  readonly #contact: ReportContact;
   readonly #onDidHurry = new Emitter<number>();
   /** Fires when a message becomes due before the next regular one, with the time until then in ms. */
   readonly onDidHurry: Event<number> = this.#onDidHurry.event;
@@ -94,7 +96,9 @@
     this.#group = new ReportGroup(host, now);
     this.#membership = new MemberReports({ instance, host, contents, logger, now });
     this.#aggregation = new AggregatorReports({ instance, group: this.#group, contents, now });
-    this.#directPacer = new SendPacer(now, Infinity);
+    this.#directPacer = new SendPacer(now);
+    this.#contact = new ReportContact(now);
+    opts.streams.observeContact(() => this.#contact.sinceMs);
     opts.streams.onDidBegin(() => this.#hurry(STREAM_DELAY_MS));
   }
 
@@ -271,7 +275,7 @@
     const { loads, isCutOff } = contents;
     const events = contents.takeEvents({ isOwnOnly: false });
     const isEmpty = loads.size + countEvents(events) === 0 && !isCutOff;
-    // One empty report follows the last load, so that peers discard the previous one.
+    // Peers notice by the empty ones that they are not cut off.
     if (!this.#directPacer.takeDue({ isEmpty })) return [];
     const digest = makeDigest(loads, { instance, isCutOff, ...events });
     return [{ recipients: this.#others(this.#topology.owners), digest }];
@@ -320,6 +324,8 @@
     instances.recordReport(sender, { isCutOff });
     this.#recordCutOffs(digest);
     const running = loadsOf(digest);
+    // A member reports to one aggregator, which is not cut off from the others if it loses most members.
+    if (kind !== ReportKind.MEMBER) this.#contact.record(sender, { isIdle: running.size === 0 });
     const isNew = this.#group.record(sender, digest, running);
     if (isNew && kind === ReportKind.MEMBER) this.#aggregation.sendNextSummary();
     const isForgotten = kind !== ReportKind.UNSPECIFIED && instanceCount === 0;
