Strikes: an unreadable record in place of a strike does not concern the requests that complete

Cause: since a completed request compares what it acquits with the stored strike. Change: such a record is left out here; it is logged when it is read. Result: the new test of strike_replicator_test failed before ("an unreadable record in place of a strike ...") and passes.

--- a/src/call/common/strike_replicator.ts
+++ b/src/call/common/strike_replicator.ts
@@ -3,6 +3,7 @@
 import type { Scope } from "effect";
 import { Effect } from "effect";
 import { toError } from "../../base/common/errors.ts";
+import type { Strike } from "../../base/common/gen/ragwortcleat/v1/turns_pb.ts";
 import { StrikeSchema } from "../../base/common/gen/ragwortcleat/v1/turns_pb.ts";
 import { repeatWhenNeeded } from "../../base/common/periodic.ts";
 import { Signal } from "../../base/common/signal.ts";
@@ -163,9 +164,8 @@
   /** Whether the stored copy of a strike has parts that are acquitted. */
   #isStoredWider(key: string): boolean {
     const value = this.follower.valueOf(key);
-    if (value === undefined) return false;
-    const stored = fromBinary(StrikeSchema, value);
-    return this.#opts.monitor.narrow(stored).keys!.length < stored.keys.length;
+    const stored = value === undefined ? undefined : decode(value);
+    return stored !== undefined && this.#opts.monitor.narrow(stored).keys!.length < stored.keys.length;
   }
 
   /** Whether the store can hold a strike. One that it cannot hold, because of its server's long id, spreads by report only. */
@@ -308,6 +308,15 @@
   }
 }
 
+/** Returns undefined for what another writer has written in place of a strike, which is logged when it is read. */
+function decode(value: Uint8Array): Strike | undefined {
+  try {
+    return fromBinary(StrikeSchema, value);
+  } catch {
+    return undefined;
+  }
+}
+
 function encode(strike: IStrike): Uint8Array {
   return toBinary(StrikeSchema, toStrikeMessage(strike));
 }
--- a/src/call/common/strike_replicator_test.ts
+++ b/src/call/common/strike_replicator_test.ts
@@ -259,6 +259,20 @@
     }))
   ));
 
+// Guards against a request that fails because what it acquits cannot be compared with the stored strike.
+test("an unreadable record in place of a strike does not concern the requests that complete", (t) =>
+  run((setup) =>
+    Effect.scoped(Effect.gen(function* () {
+      const { monitor } = yield* setup.start();
+      attempt(monitor, "s1", AttemptResult.ConnectionLost, sharing("p", "1"));
+      yield* setup.advance(2500);
+      const [key] = yield* setup.keys();
+      setup.log.putKey(TOPIC, key, Buffer.from([0xff, 0xff]));
+      yield* setup.advance(2500);
+      t.notThrows(() => attempt(monitor, "s2", AttemptResult.Succeeded, sharing("p", "2")));
+    }))
+  ));
+
 test("records of other writers do not keep strikes from being written", async (t) => {
   const setup = new Setup();
   // What remains of a key that is not UTF-8 can be longer than any key.
--- a/src/entry/node/gateway_server.ts
+++ b/src/entry/node/gateway_server.ts
@@ -326,8 +326,9 @@
   }
 
   /**
-   * Rejects a request whose body has not been received completely. Closes the connection, since the unread rest would be parsed as a request, but reads
-   * the rest before: closing a connection with unread bytes resets it, and the caller may lose the response.
+   * Rejects a request whose body has not been received completely. Closes the connection, since the unread rest would be
+   * parsed as a request, but reads the rest before: closing a connection with unread bytes resets it, and the caller may lose
+   * the response.
    */
   rejectBody(req: IncomingMessage, { status, reason }: IBodyRejection): void {
     const body = problemOf(status, reason);
